--- a/cmake/FerryrockTargets.cmake
+++ b/cmake/FerryrockTargets.cmake
@@ -1,6 +1,8 @@
 # Helpers that declare the project's targets with one set of warnings.
 
-include(Catch)
+if(FERRYROCK_TESTS)
+  include(Catch)
+endif()
 
 function(ferryrock_warnings target)
   target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
--- /dev/null
+++ b/src/calls/call.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/identifiers.h"
+#include "common/result_code.h"
+#include "common/time.h"
+#include "wire/messages.h"
+
+/// Routing of calls, which are requests of any HTTP service. Logic only: headers and bodies stay with the
+/// shells, which know a call by its number.
+namespace ferryrock::calls {
+
+/// A call at one router, and one sending of a call to a replica. Never used again in a process's life.
+using CallNumber = Number<struct CallNumberTag>;
+using AttemptNumber = Number<struct AttemptNumberTag>;
+
+/// What routing needs of a call.
+struct CallRequest {
+  CallNumber number;
+  RequestId id;  ///< the caller's own
+  std::string host;
+  std::string path;                    ///< without the query
+  std::optional<Duration> time_limit;  ///< that the caller waits
+  ModelName model;                     ///< empty: none is named
+  std::string adapter;
+  std::uint64_t affinity_key = 0;  ///< hash of the prompt's shared parts; 0: none
+  std::uint64_t prompt_tokens = 0;
+  std::uint64_t answer_tokens = 0;            ///< at most
+  std::optional<std::uint64_t> resume_after;  ///< the caller has this event of the stream already
+};
+
+/// What an answer of a replica means for the call.
+struct AnswerSummary {
+  int status = 0;
+  bool unrun = false;  ///< the replica says that it didn't run the call
+};
+
+/// How an attempt failed without an answer that can be passed on.
+enum class AttemptFailure : std::uint8_t {
+  NotSent,   ///< no byte left: not run
+  Unproved,  ///< it may have run
+  Foreign,   ///< the answer belongs to another call; this one may have run
+};
+
+/// Effect: send the call to a replica.
+struct SendAttemptEffect {
+  CallNumber call;
+  AttemptNumber attempt;
+  ReplicaId replica;
+  std::string address;
+  Duration time_left{};
+  bool streaming = false;
+  std::uint32_t priority = 0;
+  std::optional<std::uint64_t> resume_after;
+};
+
+/// Effect: give the attempt up; its connection is closed, so that the replica stops.
+struct CancelAttemptEffect {
+  AttemptNumber attempt;
+};
+
+/// Effect: the attempt's whole answer goes to the caller.
+struct DeliverAnswerEffect {
+  CallNumber call;
+  AttemptNumber attempt;
+};
+
+/// Effect: the head of the attempt's stream goes to the caller; events follow.
+struct StartStreamEffect {
+  CallNumber call;
+  AttemptNumber attempt;
+};
+
+/// Effect: one whole event goes to the caller.
+struct PassEventEffect {
+  CallNumber call;
+  std::string bytes;
+};
+
+/// Effect: the stream has ended well.
+struct FinishStreamEffect {
+  CallNumber call;
+};
+
+/// Effect: the stream is broken off in a way that the caller sees.
+struct BreakStreamEffect {
+  CallNumber call;
+};
+
+/// Effect: a final answer of the router's own. not_run is certain.
+struct RefuseCallEffect {
+  CallNumber call;
+  ResultCode code = ResultCode::Internal;
+  bool not_run = false;
+  std::optional<Duration> retry_after;
+  std::string detail;
+};
+
+using Effect =
+    std::variant<wire::SendEffect, SendAttemptEffect, CancelAttemptEffect, DeliverAnswerEffect,
+                 StartStreamEffect, PassEventEffect, FinishStreamEffect, BreakStreamEffect, RefuseCallEffect>;
+using Effects = std::vector<Effect>;
+
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/src/calls/call_router.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "calls/call.h"
+#include "calls/control_feed.h"
+#include "calls/replica_table.h"
+#include "calls/retry_budget.h"
+#include "calls/route_table.h"
+#include "calls/traffic_split.h"
+#include "common/event_log.h"
+#include "common/random.h"
+
+namespace ferryrock::calls {
+
+struct CallRouterSettings {
+  ControlFeedSettings feed;
+  RetryBudgetSettings retries;
+  std::size_t max_calls = 5'000;  ///< at once; further ones are refused
+  std::uint64_t seed = 1;
+};
+
+/// Counts for metrics.
+struct CallRouterCounts {
+  std::uint64_t accepted = 0;
+  std::uint64_t answered = 0;  ///< with a replica's answer
+  std::uint64_t refused = 0;
+  std::uint64_t broken = 0;  ///< streams
+  std::uint64_t attempts = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t resumed = 0;
+  std::uint64_t caller_gone = 0;
+};
+
+/// One router of calls as logic without input or output. Every call gets exactly one final answer (an answer
+/// delivered, a stream finished or broken, or a refusal) unless its caller leaves first. Used by one thread.
+class CallRouter {
+ public:
+  CallRouter(const CallRouterSettings& settings, EventLog& log, TimePoint now);
+
+  Effects onCall(CallRequest request, TimePoint now);
+  Effects onCallerGone(CallNumber call, TimePoint now);
+
+  /// Events of attempts; those of attempts that have ended are dropped.
+  Effects onAnswer(AttemptNumber attempt, const AnswerSummary& answer, TimePoint now);
+  Effects onStreamEvent(AttemptNumber attempt, std::optional<std::uint64_t> id, std::string bytes,
+                        TimePoint now);
+  Effects onStreamEnd(AttemptNumber attempt, TimePoint now);
+  Effects onFailure(AttemptNumber attempt, AttemptFailure failure, const std::string& reason, TimePoint now);
+
+  Effects receive(const wire::Envelope& envelope, TimePoint now);
+  Effects tick(TimePoint now);
+  TimePoint nextDeadline() const;
+
+  /// Callers are sent elsewhere from now on; calls that come all the same are served.
+  Effects beginDrain(TimePoint now);
+  bool drained() const { return calls_.empty(); }
+  /// True once a catalog is in force and the router isn't draining.
+  bool ready() const { return routes_ != nullptr && !draining_; }
+  void addSeeds(const std::vector<NodeName>& seeds) { feed_.addSeeds(seeds); }
+
+  CatalogVersion catalogVersion() const { return routes_ ? routes_->version() : CatalogVersion{}; }
+  const wire::CallLimits* limits() const { return routes_ ? &routes_->catalog().limits : nullptr; }
+  const CallRouterCounts& counts() const { return counts_; }
+  std::size_t openCalls() const { return calls_.size(); }
+  std::size_t knownReplicas() const { return replicas_.size(); }
+  const std::set<NodeName>& controlMembers() const { return feed_.members(); }
+
+ private:
+  struct Attempt {
+    AttemptNumber number;
+    ReplicaId replica;
+    TimePoint sent{};
+  };
+  struct Call {
+    CallRequest request;
+    std::shared_ptr<const RouteTable> routes;  ///< keeps the route alive
+    const wire::CallRoute* route = nullptr;
+    ReplicaNeed need;
+    TimePoint arrived{};
+    TimePoint deadline{};
+    TimePoint waits_until{};         ///< for a replica
+    std::optional<TimePoint> retry;  ///< when to look for a replica again
+    std::optional<Attempt> attempt;
+    std::uint32_t attempts = 0;  ///< replicas that may have run it
+    std::uint32_t unrun = 0;     ///< sendings that certainly didn't run
+    bool counted_missing = false;
+    bool may_have_run = false;
+    bool started = false;  ///< the caller got the head of a stream
+    std::optional<std::uint64_t> last_event;
+    ResultCode last_failure = ResultCode::NoReplica;
+    TimePoint timer{};  ///< as it stands in timers_
+  };
+  using CallPointer = std::map<CallNumber, Call>::iterator;
+
+  void dispatch(CallPointer call, TimePoint now);
+  void sendTo(CallPointer call, Replica& replica, TimePoint now);
+  void waitForReplica(CallPointer call, ChoiceFailure failure, TimePoint now);
+  void dispatchWaiting(TimePoint now);
+  /// Ends the attempt's books; nullopt: it isn't known any more.
+  std::optional<CallPointer> callOf(AttemptNumber attempt);
+  Replica* release(Call& call);
+  void retryUnrun(CallPointer call, ResultCode reason, TimePoint now);
+  void retryMaybeRun(CallPointer call, ResultCode reason, const std::string& detail, TimePoint now);
+  bool mayRunAgain(const Call& call) const;
+  void deliver(CallPointer call, AttemptNumber attempt, int status, TimePoint now);
+  void refuse(CallPointer call, ResultCode code, const std::string& detail, std::optional<Duration> retry_after,
+              TimePoint now);
+  void breakStream(CallPointer call, const std::string& reason, TimePoint now);
+  void startStream(CallPointer call, AttemptNumber attempt, TimePoint now);
+  void erase(CallPointer call);
+  void onTimer(CallPointer call, TimePoint now);
+  void setTimer(CallPointer call);
+  void applyUpdate(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now);
+  std::vector<wire::ModelWant> wants();
+  void sendStatuses(TimePoint now);
+  Effects finish(TimePoint now);
+
+  CallRouterSettings settings_;
+  EventLog& log_;
+  Random random_;
+  ControlFeed feed_;
+  RetryBudget budget_;
+  ReplicaTable replicas_;
+  TrafficSplit split_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::map<CallNumber, Call> calls_;
+  std::map<AttemptNumber, CallNumber> attempts_;
+  std::set<std::pair<TimePoint, CallNumber>> timers_;
+  std::set<CallNumber> waiting_;
+  std::map<std::tuple<ServiceName, ModelName, std::string>, std::uint32_t> arrivals_;  ///< since last told
+  CallRouterCounts counts_;
+  std::uint64_t next_attempt_ = 1;
+  bool draining_ = false;
+  bool dispatch_wanted_ = false;
+  Effects effects_;
+};
+
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/src/calls/control_feed.cc
@@ -0,0 +1,91 @@
+#include "calls/control_feed.h"
+
+#include <algorithm>
+
+namespace ferryrock::calls {
+namespace {
+
+/// Hurried statuses keep this distance.
+constexpr Duration kLeastDistance = std::chrono::milliseconds(10);
+constexpr unsigned kTermShift = 40;
+
+bool sameTerm(LogIndex left, LogIndex right) {
+  return left.value >> kTermShift == right.value >> kTermShift;
+}
+
+}  // namespace
+
+bool ControlFeed::accept(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now) {
+  if (update.revision < revision_) {
+    return false;  // of a leader that was replaced, or overtaken on its way
+  }
+  leader_ = from;
+  leader_heard_ = now;
+  members_.insert(update.members.begin(), update.members.end());
+  const bool whole = update.base == LogIndex{};
+  const bool follows = sameTerm(update.base, revision_) && update.base <= revision_;
+  if (!whole && !follows) {
+    return false;
+  }
+  if (update.revision > revision_) {
+    hurried_ = true;
+  }
+  revision_ = update.revision;
+  return true;
+}
+
+void ControlFeed::accept(const wire::MemberList& list) {
+  members_.insert(list.nodes.begin(), list.nodes.end());
+}
+
+bool ControlFeed::due(TimePoint now) const {
+  return tell_all_ || now >= next_member_status_ || now >= next_leader_status_ ||
+         (hurried_ && now >= last_status_ + kLeastDistance);
+}
+
+TimePoint ControlFeed::nextDeadline() const {
+  const TimePoint regular = std::min(next_leader_status_, next_member_status_);
+  return hurried_ ? std::min(regular, last_status_ + kLeastDistance) : regular;
+}
+
+std::vector<wire::SendEffect> ControlFeed::statuses(std::vector<wire::ModelWant> wants, bool accepting,
+                                                    CatalogVersion catalog, TimePoint now) {
+  const bool leader_silent = !leader_heard_ || now - *leader_heard_ > settings_.leader_silence;
+  if (leader_silent) {
+    leader_ = NodeName{};
+  }
+  const bool all = tell_all_ || leader_.empty() || now >= next_member_status_;
+  wire::CallRouterStatus status;
+  status.router = settings_.router;
+  status.zone = settings_.zone;
+  status.address = settings_.address;
+  status.incarnation = settings_.incarnation;
+  status.sequence = ++sequence_;
+  status.accepting = accepting;
+  status.catalog = catalog;
+  status.revision = revision_;
+  std::vector<wire::SendEffect> sends;
+  for (const NodeName& member : members_) {
+    if (member != leader_ && all) {
+      sends.push_back({member, status});
+    }
+  }
+  status.wants = std::move(wants);
+  if (!leader_.empty()) {
+    sends.push_back({leader_, std::move(status)});
+  } else {
+    for (wire::SendEffect& send : sends) {
+      std::get<wire::CallRouterStatus>(send.message).wants = status.wants;
+    }
+  }
+  last_status_ = now;
+  next_leader_status_ = now + settings_.leader_interval;
+  if (all) {
+    next_member_status_ = now + settings_.member_interval;
+  }
+  hurried_ = false;
+  tell_all_ = false;
+  return sends;
+}
+
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/src/calls/control_feed.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "calls/call.h"
+
+namespace ferryrock::calls {
+
+struct ControlFeedSettings {
+  NodeName router;
+  ZoneName zone;
+  std::string address;  ///< where callers connect
+  std::uint64_t incarnation = 0;
+  std::vector<NodeName> seeds;
+  Duration leader_interval = std::chrono::milliseconds(250);   ///< between statuses to the leader
+  Duration member_interval = std::chrono::milliseconds(1000);  ///< and to the other members
+  Duration leader_silence = std::chrono::milliseconds(1000);   ///< after which another is looked for
+};
+
+/// A router's exchange with the control members: tells them its status, finds the leader, and lets only
+/// updates pass that lead forward. Used by one thread.
+class ControlFeed {
+ public:
+  explicit ControlFeed(const ControlFeedSettings& settings)
+      : settings_(settings), members_(settings.seeds.begin(), settings.seeds.end()) {}
+
+  /// True if the update's replicas are to be applied; its catalog is judged by its version alone.
+  bool accept(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now);
+  void accept(const wire::MemberList& list);
+  void addSeeds(const std::vector<NodeName>& seeds) { members_.insert(seeds.begin(), seeds.end()); }
+
+  /// The leader should hear soon: wants or revisions have changed.
+  void hurry() { hurried_ = true; }
+  /// All members should hear at once.
+  void tellAll() { tell_all_ = true; }
+  /// True when status() would send something.
+  bool due(TimePoint now) const;
+  /// Statuses that are due; wants belong to the leader's.
+  std::vector<wire::SendEffect> statuses(std::vector<wire::ModelWant> wants, bool accepting,
+                                         CatalogVersion catalog, TimePoint now);
+  TimePoint nextDeadline() const;
+
+  const NodeName& leader() const { return leader_; }
+  /// Time since the leader was heard; nullopt: never.
+  std::optional<TimePoint> leaderHeard() const { return leader_heard_; }
+  const std::set<NodeName>& members() const { return members_; }
+
+ private:
+  ControlFeedSettings settings_;
+  std::set<NodeName> members_;
+  NodeName leader_;
+  std::optional<TimePoint> leader_heard_;
+  LogIndex revision_;
+  std::uint64_t sequence_ = 0;
+  TimePoint next_leader_status_{};
+  TimePoint next_member_status_{};
+  TimePoint last_status_{};
+  bool hurried_ = false;
+  bool tell_all_ = false;
+};
+
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/src/calls/replica_table.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/random.h"
+#include "router/replica_health.h"
+#include "wire/service_messages.h"
+
+namespace ferryrock::calls {
+
+/// A replica with what this router has on it.
+struct Replica {
+  wire::RoutedReplica routed;
+  router::ReplicaHealth health;
+  std::uint32_t outstanding = 0;  ///< attempts of this router
+  TimePoint refused_until{};      ///< it said that it is full or leaves
+  /// It said that it doesn't hold the model or adapter, though the table says so.
+  std::map<std::pair<ModelName, std::string>, TimePoint> missing_until;
+  bool listed = true;             ///< the leader still lists it
+
+  bool holds(const ModelName& model, const std::string& adapter) const;
+  bool refuses(const ModelName& model, const std::string& adapter, TimePoint now) const;
+};
+
+/// What a call needs of a replica.
+struct ReplicaNeed {
+  ServiceName service;
+  ModelName model;  ///< empty: none
+  std::string adapter;
+  std::uint64_t affinity_key = 0;
+  std::set<ReplicaId> tried;  ///< taken again only when nothing else is left
+};
+
+enum class ChoiceFailure : std::uint8_t {
+  None,
+  NoReplica,  ///< the service has none that takes new calls
+  NotHeld,    ///< none of them holds the model or the adapter
+  Refusing,   ///< those that could have refused just now
+};
+
+struct Choice {
+  Replica* replica = nullptr;
+  ChoiceFailure failure = ChoiceFailure::None;
+};
+
+/// The replicas that the leader lists, and those with attempts still under way. Used by one thread.
+class ReplicaTable {
+ public:
+  /// Equal replicas are taken in an order that differs between routers and from call to call.
+  ReplicaTable(ZoneName zone, std::uint64_t seed) : zone_(std::move(zone)), turn_(seed) {}
+
+  /// Takes an update's replicas.
+  void apply(const wire::ServiceUpdate& update);
+  Replica* find(const ReplicaId& id);
+  /// The replica for a call: one that is sound, untried and least loaded; calls of one affinity key share a
+  /// home while it isn't much busier than others. An ejected replica is taken only if there is no other.
+  Choice choose(const ReplicaNeed& need, TimePoint now);
+  /// True when a replica that takes new calls holds what the call needs, sound or not.
+  bool anyHolds(const ReplicaNeed& need) const;
+
+  void onSent(Replica& replica, TimePoint now);
+  void onReleased(Replica& replica);
+  std::size_t size() const { return replicas_.size(); }
+
+ private:
+  using Options = std::vector<Replica*>;
+
+  static void keepIf(Options& options, const std::function<bool(const Replica&)>& wanted);
+  Replica* leastLoaded(const Options& options, const ReplicaNeed& need) const;
+  void unlist(const ReplicaId& id);
+
+  ZoneName zone_;
+  std::map<ReplicaId, Replica> replicas_;
+  std::map<ServiceName, std::set<ReplicaId>> by_service_;
+  std::uint64_t turn_;
+};
+
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/src/calls/retry_budget.cc
@@ -0,0 +1,36 @@
+#include "calls/retry_budget.h"
+
+namespace ferryrock::calls {
+namespace {
+
+/// Windows of the routers and of whoever counts don't begin at the same moment.
+constexpr double kSafety = 0.7;
+
+}  // namespace
+
+void RetryBudget::drop(std::deque<TimePoint>& times, TimePoint now) const {
+  while (!times.empty() && now - times.front() > settings_.window) {
+    times.pop_front();
+  }
+}
+
+void RetryBudget::onCall(const ServiceName& service, TimePoint now) {
+  Window& window = windows_[service];
+  drop(window.calls, now);
+  window.calls.push_back(now);
+}
+
+bool RetryBudget::spend(const ServiceName& service, TimePoint now) {
+  Window& window = windows_[service];
+  drop(window.calls, now);
+  drop(window.retries, now);
+  const double own_share = settings_.share * static_cast<double>(window.calls.size());
+  const double allowed = kSafety * (own_share + settings_.slack / routers_);
+  if (static_cast<double>(window.retries.size()) + 1 > allowed) {
+    return false;
+  }
+  window.retries.push_back(now);
+  return true;
+}
+
+}  // namespace ferryrock::calls
--- a/src/common/identifiers.h
+++ b/src/common/identifiers.h
@@ -60,6 +60,13 @@
 /// The operator's identifier of one change; resending it yields the first outcome.
 using ChangeId = Name<struct ChangeIdTag>;
 
+/// A service of the catalog: replicas that answer the same calls.
+using ServiceName = Name<struct ServiceNameTag>;
+/// A route of the catalog: which calls go to which services.
+using RouteName = Name<struct RouteNameTag>;
+/// One life of one replica of a service; a replica that starts again has a new one.
+using ReplicaId = Name<struct ReplicaIdTag>;
+
 /// Election term of the quorum log.
 using Term = Number<struct TermTag>;
 /// Position in the quorum log; the first entry is 1.
@@ -70,6 +77,8 @@
 using DiskId = Number<struct DiskIdTag>;
 /// Version of the settings tree; 0 is the empty tree.
 using TreeVersion = Number<struct TreeVersionTag>;
+/// Version of the service catalog, chosen by the operator; 0: none was accepted yet.
+using CatalogVersion = Number<struct CatalogVersionTag>;
 /// Number that an engine raises at each start.
 using Incarnation = Number<struct IncarnationTag>;
 /// Number of a replica slot; never used again in one cell.
--- a/src/common/logging.cc
+++ b/src/common/logging.cc
@@ -6,6 +6,8 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
@@ -13,6 +15,9 @@
 #include <ctime>
 #include <memory>
 
+#include "common/bounded_output.h"
+#include "common/json_text.h"
+
 namespace ferryrock {
 namespace {
 
@@ -41,6 +46,51 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+std::string textLine(LogLevel level, const std::string& part, std::string_view sentence,
+                     std::string_view request_id) {
+  std::string line = logTimestamp() + " " + levelName(level) + " [" + part + "] " + std::string(sentence);
+  if (!request_id.empty()) {
+    line += " request=" + std::string(request_id);
+  }
+  return line;
+}
+
+std::string jsonLine(LogLevel level, const std::string& part, std::string_view sentence,
+                     std::string_view request_id) {
+  std::string line = R"({"time":")" + logTimestamp() + R"(","level":")" + levelName(level) + R"(","part":)";
+  appendJsonString(line, part);
+  line += R"(,"message":)";
+  appendJsonString(line, sentence);
+  if (!request_id.empty()) {
+    line += R"(,"request":)";
+    appendJsonString(line, request_id);
+  }
+  return line + '}';
+}
+
+/// Appends to a BoundedOutput on standard output.
+class BoundedAppender : public log4cplus::Appender {
+ public:
+  BoundedAppender() : output_(STDOUT_FILENO) {}
+  ~BoundedAppender() override { destructorImpl(); }
+  void close() override { output_.flush(); }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override { output_.add(event.getMessage()); }
+
+ private:
+  BoundedOutput output_;
+};
+
+void write(LogLevel level, const std::string& part, std::string_view sentence, std::string_view request_id) {
+  if (logEnabled(level)) {
+    logLine(level, configuredFormat() == LogFormat::Json ? jsonLine(level, part, sentence, request_id)
+                                                         : textLine(level, part, sentence, request_id));
+  }
+}
+
+}  // namespace
+
 const char* levelName(LogLevel level) {
   switch (level) {
     case LogLevel::Debug:
@@ -55,26 +105,7 @@
   return "info";
 }
 
-std::string escapeJson(std::string_view text) {
-  std::string escaped;
-  for (const char character : text) {
-    const auto byte = static_cast<unsigned char>(character);
-    constexpr unsigned char kFirstPrintable = 0x20;
-    if (character == '"' || character == '\\') {
-      escaped += '\\';
-      escaped += character;
-    } else if (byte < kFirstPrintable) {
-      std::array<char, 8> buffer{};
-      std::snprintf(buffer.data(), buffer.size(), "\\u%04x", byte);
-      escaped += buffer.data();
-    } else {
-      escaped += character;
-    }
-  }
-  return escaped;
-}
-
-std::string timestamp() {
+std::string logTimestamp() {
   const auto now = std::chrono::system_clock::now();
   const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
   const auto milliseconds =
@@ -88,39 +119,14 @@
   return whole.data();
 }
 
-std::string textLine(LogLevel level, const std::string& part, std::string_view sentence,
-                     std::string_view request_id) {
-  std::string line = timestamp() + " " + levelName(level) + " [" + part + "] " + std::string(sentence);
-  if (!request_id.empty()) {
-    line += " request=" + std::string(request_id);
-  }
-  return line;
-}
-
-std::string jsonLine(LogLevel level, const std::string& part, std::string_view sentence,
-                     std::string_view request_id) {
-  std::string line = R"({"time":")" + timestamp() + R"(","level":")" + levelName(level) + R"(","part":")" +
-                     escapeJson(part) + R"(","message":")" + escapeJson(sentence) + '"';
-  if (!request_id.empty()) {
-    line += R"(,"request":")" + escapeJson(request_id) + '"';
-  }
-  return line + '}';
-}
-
-void write(LogLevel level, const std::string& part, std::string_view sentence, std::string_view request_id) {
+bool logEnabled(LogLevel level) {
   initializer();
-  const log4cplus::Logger logger = log4cplus::Logger::getRoot();
-  const log4cplus::LogLevel wanted = toLog4cplus(level);
-  if (!logger.isEnabledFor(wanted)) {
-    return;
-  }
-  const std::string line = configuredFormat() == LogFormat::Json
-                               ? jsonLine(level, part, sentence, request_id)
-                               : textLine(level, part, sentence, request_id);
-  logger.forcedLog(wanted, line);
+  return log4cplus::Logger::getRoot().isEnabledFor(toLog4cplus(level));
 }
 
-}  // namespace
+void logLine(LogLevel level, const std::string& line) {
+  log4cplus::Logger::getRoot().forcedLog(toLog4cplus(level), line);
+}
 
 void configureLogging(const LogSettings& settings) {
   initializer();
@@ -128,7 +134,9 @@
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
   log4cplus::SharedAppenderPtr appender;
-  if (settings.file.empty()) {
+  if (settings.bounded_standard_output) {
+    appender = new BoundedAppender();
+  } else if (settings.file.empty()) {
     constexpr bool kToStandardError = true;
     constexpr bool kFlushEachLine = true;
     appender = new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine);
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -20,6 +20,7 @@
   UnknownPath = 1006,
   MethodNotAllowed = 1007,
   KeyReusedForOtherRequest = 1008,
+  UnknownRoute = 1009,
 
   // 2xxx: refusals and failures of a request that was well formed.
   DeadlineTooShort = 2001,
@@ -40,6 +41,9 @@
   CallerGone = 2016,
   DeadlineExpiredRunning = 2017,
   AnswerNoLongerKept = 2018,
+  NoCatalog = 2019,
+  ReplicaRefused = 2020,
+  ReplicaFailed = 2021,
 
   // 3xxx: operators' changes and reads.
   VersionConflict = 3001,
@@ -57,6 +61,10 @@
   TreeTooLarge = 3013,
   MemberNotCaughtUp = 3014,
   MemberNameInUse = 3015,
+  InvalidCatalog = 3016,
+  MalformedCatalog = 3017,
+  NotBoundEverywhere = 3018,
+  InvalidReport = 3019,
 
   // 4xxx: process settings and command line.
   UnknownSetting = 4001,
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -56,6 +56,7 @@
   bool leads() const override { return leadership_ != nullptr; }
   const catalog::Catalog& catalog() const override { return state_.catalog(); }
   const placement::Ledger& ledger() const override { return state_.ledger(); }
+  const HostedServices& hosted() const override { return state_.hosted(); }
   std::vector<RouterView> routers(TimePoint now) const override;
   placement::Explanation explain(const ModelName& model, TimePoint now) const override;
 
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -12,6 +12,7 @@
 #include "control/claim_table.h"
 #include "control/defects.h"
 #include "control/engine_orders.h"
+#include "control/hosted_services.h"
 #include "placement/ledger.h"
 #include "placement/planner.h"
 #include "wire/messages.h"
@@ -91,6 +92,7 @@
   virtual bool leads() const = 0;
   virtual const catalog::Catalog& catalog() const = 0;
   virtual const placement::Ledger& ledger() const = 0;
+  virtual const HostedServices& hosted() const = 0;
   virtual std::vector<RouterView> routers(TimePoint now) const = 0;
   virtual placement::Explanation explain(const ModelName& model, TimePoint now) const = 0;
 };
--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -11,7 +11,8 @@
   std::string catalog;
   std::string ledger;
   std::string claims;
-  FERRYROCK_FIELDS(StoredState, catalog, ledger, claims)
+  std::string hosted;
+  FERRYROCK_FIELDS(StoredState, catalog, ledger, claims, hosted)
 };
 
 AppliedChange ReplicatedState::apply(const wire::Command& command) {
@@ -110,9 +111,17 @@
   change.result = claims_.apply(command);
 }
 
+void ReplicatedState::applyTo(AppliedChange& change, const wire::ReplaceCatalogCommand& command) {
+  change.result = hosted_.apply(command);
+}
+
+void ReplicatedState::applyTo(AppliedChange& change, const wire::ReplicaLeavingCommand& command) {
+  change.result = hosted_.apply(command);
+}
+
 std::string ReplicatedState::serialize(bool with_change_outcomes) const {
-  return wire::encode(
-      StoredState{catalog_.serialize(with_change_outcomes), ledger_.serialize(), claims_.serialize()});
+  return wire::encode(StoredState{catalog_.serialize(with_change_outcomes), ledger_.serialize(),
+                                  claims_.serialize(), hosted_.serialize()});
 }
 
 void ReplicatedState::restore(std::string_view bytes) {
@@ -120,6 +129,7 @@
   catalog_.restore(stored.catalog);
   ledger_.restore(stored.ledger);
   claims_.restore(stored.claims);
+  hosted_.restore(stored.hosted);
 }
 
 }  // namespace ferryrock::control
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -6,6 +6,7 @@
 
 #include "catalog/catalog.h"
 #include "control/claim_table.h"
+#include "control/hosted_services.h"
 #include "placement/ledger.h"
 #include "wire/commands.h"
 
@@ -21,7 +22,7 @@
   std::vector<EngineName> changed_engines;
 };
 
-/// Settings, slot ledger and claims of the cell: the state machine of the quorum log. apply() is
+/// Settings, slot ledger, claims and hosted services of the cell: the state machine of the quorum log. apply() is
 /// deterministic.
 class ReplicatedState {
  public:
@@ -32,6 +33,7 @@
   const catalog::Catalog& catalog() const { return catalog_; }
   const placement::Ledger& ledger() const { return ledger_; }
   const ClaimTable& claims() const { return claims_; }
+  const HostedServices& hosted() const { return hosted_; }
 
   /// Without the outcomes of change identifiers only in tests that show that they are needed.
   std::string serialize(bool with_change_outcomes = true) const;
@@ -50,6 +52,8 @@
   void applyTo(AppliedChange& change, const wire::ClaimCommand& command);
   void applyTo(AppliedChange& change, const wire::RecordOutcomeCommand& command);
   void applyTo(AppliedChange& change, const wire::ExpireClaimsCommand& command);
+  void applyTo(AppliedChange& change, const wire::ReplaceCatalogCommand& command);
+  void applyTo(AppliedChange& change, const wire::ReplicaLeavingCommand& command);
 
   void noteSlot(AppliedChange& change, SlotId slot) const;
   void noteSlotsOn(AppliedChange& change, const EngineName& engine) const;
@@ -57,6 +61,7 @@
   catalog::Catalog catalog_;
   placement::Ledger ledger_;
   ClaimTable claims_;
+  HostedServices hosted_;
 };
 
 }  // namespace ferryrock::control
--- a/src/http/curl_request.cc
+++ b/src/http/curl_request.cc
@@ -54,6 +54,13 @@
   }
   curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, &beforeSend);
   curl_easy_setopt(curl, CURLOPT_PREREQDATA, this);
+  if (request_.exact_headers) {
+    curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
+  }
+  if (request_.idle_limit > Duration::zero()) {
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(request_.idle_limit).count();
+    curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, static_cast<long>(seconds));
+  }
   if (request_.fresh_connection) {
     curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
@@ -106,7 +113,14 @@
     content_type = content_type || findHeader({header}, "Content-Type").has_value();
   }
   append("Expect:");  // no pause before the body
-  if (!content_type && !request_.body.empty()) {
+  if (request_.exact_headers) {
+    if (!findHeader(request_.headers, "Accept")) {
+      append("Accept:");
+    }
+    if (!content_type) {
+      append("Content-Type:");
+    }
+  } else if (!content_type && !request_.body.empty()) {
     append("Content-Type: application/json");
   }
   curl_easy_setopt(handle_.get(), CURLOPT_HTTPHEADER, header_list_.get());
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -23,7 +23,8 @@
 
 struct Request {
   std::string method;
-  std::string path;  ///< without the query
+  std::string path;    ///< without the query, with escapes resolved
+  std::string target;  ///< path and query, byte for byte as sent
   Headers headers;
   std::vector<Header> query;
   std::string body;
@@ -79,6 +80,8 @@
   virtual std::uint16_t port() const = 0;
   /// Stops accepting; connections in flight go on.
   virtual void stopListening() = 0;
+  /// From now on each answer tells its peer that the connection closes after it; accepting goes on.
+  virtual void closeAfterAnswers() = 0;
   /// Connections, idle ones included.
   virtual std::size_t openConnections() const = 0;
   /// Requests whose answer hasn't been sent whole.
@@ -102,6 +105,10 @@
   std::string body;
   Duration connect_timeout = std::chrono::seconds(2);
   Duration total_timeout = Duration::zero();  ///< zero: none
+  /// The path goes out byte for byte, and nothing is added to the headers but what frames the body.
+  bool exact_headers = false;
+  /// A pooled connection that has been idle for longer isn't used; zero: the library's default.
+  Duration idle_limit = Duration::zero();
   bool fresh_connection = false;  ///< never reuse a pooled connection, for requests that may not be repeated
   std::string ca_file;            ///< authority of the peer's certificate; empty: the system's
 };
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -47,6 +47,7 @@
   std::unique_ptr<event::FileWatch> close_watch;
   std::weak_ptr<Exchange> current;
   bool peer_closed = false;
+  std::string target;  ///< of the request that is being read
 };
 
 class MicrohttpdServer : public Server, public ExchangeOwner {
@@ -82,6 +83,8 @@
     closeListener();
   }
 
+  void closeAfterAnswers() override { close_after_answers_ = true; }
+
   std::size_t openConnections() const override {
     return MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
   }
@@ -114,6 +117,7 @@
     unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     std::vector<MHD_OptionItem> options = {
         {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&onCompleted), this},
+        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&onTarget), this},
         {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(&onConnection), this},
         {MHD_OPTION_LISTEN_SOCKET, listener, nullptr},
         {MHD_OPTION_CONNECTION_LIMIT, kMaximumConnections, nullptr},
@@ -153,7 +157,7 @@
     });
   }
 
-  bool closing() const override { return closing_; }
+  bool closing() const override { return closing_ || close_after_answers_; }
 
   /// Runs libmicrohttpd until it has nothing left to do at once; other handlers get their turn now and then.
   void run() {
@@ -191,6 +195,17 @@
     }
   }
 
+  static Connection& stateOf(MHD_Connection* connection) {
+    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return *static_cast<Connection*>(info->socket_context);
+  }
+
+  /// Keeps the target as it was sent. What is returned becomes the request's context, which starts empty.
+  static void* onTarget(void* /*self*/, const char* target, MHD_Connection* connection) {
+    stateOf(connection).target = target;
+    return nullptr;
+  }
+
   std::unique_ptr<Connection> openConnection(MHD_Connection* connection) {
     auto opened = std::make_unique<Connection>();
     const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
@@ -246,8 +261,9 @@
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &appendHeader, &exchange->request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &appendHeader, &exchange->request.query);
     exchanges_.insert(exchange);
-    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    static_cast<Connection*>(info->socket_context)->current = exchange;
+    Connection& state = stateOf(connection);
+    exchange->request.target = std::move(state.target);
+    state.current = exchange;
     return exchange;
   }
 
@@ -287,8 +303,7 @@
       refuseBody(exchange);
       return exchange.continueConnection();
     }
-    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    const bool peer_closed = static_cast<Connection*>(info->socket_context)->peer_closed;
+    const bool peer_closed = stateOf(connection).peer_closed;
     callHandler(exchange);
     if (peer_closed) {
       exchange.peerClosed();
@@ -345,6 +360,7 @@
   TimePoint armed_until_{};
   bool run_scheduled_ = false;
   bool closing_ = false;
+  bool close_after_answers_ = false;
   std::shared_ptr<bool> alive_ =
       std::make_shared<bool>(true);  ///< false for callbacks that outlive the server
   std::unordered_set<std::shared_ptr<Exchange>> exchanges_;
--- /dev/null
+++ b/src/service_process/call_dialect.cc
@@ -0,0 +1,51 @@
+#include "service_process/call_dialect.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace ferryrock::service_process {
+namespace {
+
+constexpr std::array kHopByHop = {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+                                  "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+                                  "Content-Length", "Expect"};
+
+bool sameName(std::string_view left, std::string_view right) {
+  return left.size() == right.size() && ::strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+/// True when the Connection header lists the name.
+bool listed(std::string_view connection, std::string_view name) {
+  while (!connection.empty()) {
+    const std::size_t comma = connection.find(',');
+    std::string_view token = connection.substr(0, comma);
+    const std::size_t begin = token.find_first_not_of(" \t");
+    token = begin == std::string_view::npos ? std::string_view() : token.substr(begin);
+    token = token.substr(0, token.find_last_not_of(" \t") + 1);
+    if (sameName(token, name)) {
+      return true;
+    }
+    connection = comma == std::string_view::npos ? std::string_view() : connection.substr(comma + 1);
+  }
+  return false;
+}
+
+}  // namespace
+
+http::Headers endToEndHeaders(const http::Headers& headers) {
+  const std::string connection = http::findHeader(headers, "Connection").value_or("");
+  http::Headers kept;
+  for (const http::Header& header : headers) {
+    const bool hop = std::any_of(kHopByHop.begin(), kHopByHop.end(),
+                                 [&header](const char* name) { return sameName(header.name, name); });
+    if (!hop && !listed(connection, header.name)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/service_process/call_router_shell.cc
@@ -0,0 +1,190 @@
+#include "service_process/call_router_shell.h"
+
+#include <utility>
+#include <vector>
+
+#include "process/shared_settings.h"
+
+namespace ferryrock::service_process {
+namespace {
+
+constexpr Duration kStopCheck = std::chrono::milliseconds(100);
+/// Callers keep connections for a while; the server closes them later than they stop using them.
+constexpr Duration kIdleTimeout = std::chrono::seconds(60);
+constexpr std::size_t kMaximumBodyBytes = std::size_t{8} << 20;
+
+calls::CallRouterSettings routerSettings(const CallRouterProcessSettings& settings) {
+  calls::CallRouterSettings router;
+  router.feed.router = settings.node;
+  router.feed.zone = settings.zone;
+  router.feed.address = settings.listen_calls;
+  router.feed.incarnation = systemSeed();
+  router.feed.seeds = settings.seedNodes();
+  router.retries = settings.retries;
+  router.seed = router.feed.incarnation;
+  return router;
+}
+
+http::ServerSettings serverSettings(const CallRouterProcessSettings& settings) {
+  http::ServerSettings server = process::listenSettings(settings.listen_calls, {}, kMaximumBodyBytes);
+  server.idle_timeout = kIdleTimeout;
+  return server;
+}
+
+}  // namespace
+
+CallRouterShell::CallRouterShell(event::Dispatcher& dispatcher, CallRouterProcessSettings settings,
+                                 const CallDialect& dialect, EventLog& log)
+    : dispatcher_(dispatcher),
+      settings_(std::move(settings)),
+      log_(log),
+      router_(routerSettings(settings_), log, dispatcher.timeSource().monotonicTime()) {
+  timer_ = dispatcher_.createTimer([this] {
+    armed_until_ = TimePoint::max();
+    carryOut(router_.tick(now()));
+  });
+  stop_timer_ = dispatcher_.createTimer([this] { continueStop(); });
+  transport::TransportSettings transport;
+  transport.node = settings_.node;
+  transport_ = transport::createZeroMqTransport(
+      dispatcher_, transport,
+      [this](const wire::Envelope& envelope) { carryOut(router_.receive(envelope, now())); });
+  connectControl();
+  http_client_ = http::createClient(dispatcher_);
+  client_ = std::make_unique<ReplicaClient>(dispatcher_, *http_client_, dialect, replicaCallbacks());
+  server_ =
+      std::make_unique<CallServer>(dispatcher_, serverSettings(settings_), dialect, callerCallbacks());
+  carryOut(router_.tick(now()));
+}
+
+CallRouterShell::~CallRouterShell() = default;
+
+CallerCallbacks CallRouterShell::callerCallbacks() {
+  return {[this](calls::CallRequest request) { carryOut(router_.onCall(std::move(request), now())); },
+          [this](calls::CallNumber call) { carryOut(router_.onCallerGone(call, now())); }};
+}
+
+ReplicaCallbacks CallRouterShell::replicaCallbacks() {
+  ReplicaCallbacks callbacks;
+  callbacks.on_answer = [this](calls::AttemptNumber attempt, const calls::AnswerSummary& answer) {
+    carryOut(router_.onAnswer(attempt, answer, now()));
+  };
+  callbacks.on_stream_event = [this](calls::AttemptNumber attempt, StreamEvent event) {
+    carryOut(router_.onStreamEvent(attempt, event.id, std::move(event.bytes), now()));
+  };
+  callbacks.on_stream_end = [this](calls::AttemptNumber attempt) {
+    carryOut(router_.onStreamEnd(attempt, now()));
+  };
+  callbacks.on_failure = [this](calls::AttemptNumber attempt, calls::AttemptFailure failure,
+                                const std::string& reason) {
+    carryOut(router_.onFailure(attempt, failure, reason, now()));
+  };
+  return callbacks;
+}
+
+void CallRouterShell::carryOut(const calls::Effects& effects) {
+  for (const calls::Effect& effect : effects) {
+    std::visit([this](const auto& typed) { carryOut(typed); }, effect);
+  }
+  if (router_.controlMembers().size() != connected_members_) {
+    connectControl();
+  }
+  armTimer();
+}
+
+void CallRouterShell::carryOut(const calls::SendAttemptEffect& effect) {
+  const CallContent* content = server_->contentOf(effect.call);
+  if (content != nullptr) {
+    client_->send(effect, *content);
+  }
+}
+
+void CallRouterShell::carryOut(const calls::DeliverAnswerEffect& effect) {
+  if (const HttpAnswer* answer = client_->answerOf(effect.attempt)) {
+    server_->deliver(effect.call, *answer);
+  }
+}
+
+void CallRouterShell::carryOut(const calls::StartStreamEffect& effect) {
+  if (const HttpAnswer* head = client_->answerOf(effect.attempt)) {
+    server_->start(effect.call, *head);
+  }
+}
+
+void CallRouterShell::connectControl() {
+  std::vector<transport::Peer> peers;
+  for (const NodeName& member : router_.controlMembers()) {
+    peers.push_back({member, member.value, ""});
+  }
+  connected_members_ = peers.size();
+  transport_->setPeers(std::move(peers));
+}
+
+/// Re-arms only for an earlier instant: a timer that fires too early costs less than setting it each time.
+void CallRouterShell::armTimer() {
+  const TimePoint deadline = router_.nextDeadline();
+  if (deadline >= armed_until_) {
+    return;
+  }
+  armed_until_ = deadline;
+  const TimePoint time = now();
+  timer_->enable(deadline > time ? deadline - time : Duration::zero());
+}
+
+void CallRouterShell::replaceSeeds(const CallRouterProcessSettings& fresh) {
+  router_.addSeeds(fresh.seedNodes());
+  connectControl();
+  log_.write(LogLevel::Info, "process.reloaded",
+             {{"seeds", static_cast<std::int64_t>(fresh.seeds.size())}});
+}
+
+void CallRouterShell::beginStop(event::Callback on_stopped) {
+  if (stop_began_) {
+    return;
+  }
+  stop_began_ = now();
+  on_stopped_ = std::move(on_stopped);
+  log_.write(LogLevel::Info, "process.stopping",
+             {{"open_calls", static_cast<std::int64_t>(router_.openCalls())}});
+  carryOut(router_.beginDrain(now()));
+  server_->server().closeAfterAnswers();
+  continueStop();
+}
+
+void CallRouterShell::continueStop() {
+  const Duration passed = now() - *stop_began_;
+  const bool lingered = passed >= settings_.stop_linger;
+  const bool idle = router_.drained() && server_->server().openRequests() == 0;
+  if ((lingered && idle) || passed >= settings_.stop_limit) {
+    server_->server().stopListening();
+    if (on_stopped_) {
+      std::exchange(on_stopped_, nullptr)();
+    }
+    return;
+  }
+  stop_timer_->enable(kStopCheck);
+}
+
+std::string CallRouterShell::metricsText() {
+  const calls::CallRouterCounts& counts = router_.counts();
+  const auto set = [this](const char* name, const char* help, double value) {
+    metrics_.gauge(name, help).set(value);
+  };
+  set("ferryrock_calls_accepted", "Calls that callers sent", static_cast<double>(counts.accepted));
+  set("ferryrock_calls_answered", "Calls answered by a replica", static_cast<double>(counts.answered));
+  set("ferryrock_calls_refused", "Calls refused by the router", static_cast<double>(counts.refused));
+  set("ferryrock_calls_broken", "Streams broken off", static_cast<double>(counts.broken));
+  set("ferryrock_calls_open", "Calls without a final answer", static_cast<double>(router_.openCalls()));
+  set("ferryrock_call_attempts", "Sendings to replicas", static_cast<double>(counts.attempts));
+  set("ferryrock_call_retries", "Sendings beyond the first", static_cast<double>(counts.retries));
+  set("ferryrock_call_streams_resumed", "Streams that went on at another replica",
+      static_cast<double>(counts.resumed));
+  set("ferryrock_callers_gone", "Callers that left before their answer",
+      static_cast<double>(counts.caller_gone));
+  set("ferryrock_catalog_version", "Version of the catalog in force",
+      static_cast<double>(router_.catalogVersion().value));
+  set("ferryrock_replicas_known", "Replicas in the table", static_cast<double>(router_.knownReplicas()));
+  return metrics_.serialize();
+}
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/service_process/call_router_shell.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "calls/call_router.h"
+#include "common/metrics.h"
+#include "event/dispatcher.h"
+#include "service_process/call_server.h"
+#include "service_process/replica_client.h"
+#include "service_process/service_settings.h"
+#include "transport/transport.h"
+
+namespace ferryrock::service_process {
+
+/// One running router of calls: all its parts on one dispatcher.
+class CallRouterShell {
+ public:
+  /// Starts listening. Throws Error for what it can't start with.
+  CallRouterShell(event::Dispatcher& dispatcher, CallRouterProcessSettings settings,
+                  const CallDialect& dialect, EventLog& log);
+  ~CallRouterShell();
+
+  /// Sends callers elsewhere, lets the calls end, then calls back once.
+  void beginStop(event::Callback on_stopped);
+  /// Takes the seeds of fresh settings.
+  void replaceSeeds(const CallRouterProcessSettings& fresh);
+
+  bool ready() const { return router_.ready(); }
+  std::string metricsText();
+  const calls::CallRouter& router() const { return router_; }
+  http::Server& server() { return server_->server(); }
+
+ private:
+  void carryOut(const calls::Effects& effects);
+  void carryOut(const wire::SendEffect& effect) { transport_->send(effect.to, effect.message); }
+  void carryOut(const calls::SendAttemptEffect& effect);
+  void carryOut(const calls::CancelAttemptEffect& effect) { client_->cancel(effect.attempt); }
+  void carryOut(const calls::DeliverAnswerEffect& effect);
+  void carryOut(const calls::StartStreamEffect& effect);
+  void carryOut(const calls::PassEventEffect& effect) { server_->pass(effect.call, effect.bytes); }
+  void carryOut(const calls::FinishStreamEffect& effect) { server_->finish(effect.call); }
+  void carryOut(const calls::BreakStreamEffect& effect) { server_->breakOff(effect.call); }
+  void carryOut(const calls::RefuseCallEffect& effect) { server_->refuse(effect); }
+  CallerCallbacks callerCallbacks();
+  ReplicaCallbacks replicaCallbacks();
+  void connectControl();
+  void armTimer();
+  void continueStop();
+  TimePoint now() { return dispatcher_.timeSource().monotonicTime(); }
+
+  event::Dispatcher& dispatcher_;
+  CallRouterProcessSettings settings_;
+  EventLog& log_;
+  MetricsRegistry metrics_;
+  calls::CallRouter router_;
+  std::unique_ptr<transport::Transport> transport_;
+  std::unique_ptr<http::Client> http_client_;
+  std::unique_ptr<ReplicaClient> client_;
+  std::unique_ptr<CallServer> server_;
+  std::unique_ptr<event::Timer> timer_;
+  std::unique_ptr<event::Timer> stop_timer_;
+  std::size_t connected_members_ = 0;
+  TimePoint armed_until_ = TimePoint::max();
+  std::optional<TimePoint> stop_began_;
+  event::Callback on_stopped_;
+};
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/service_process/member_identity.cc
@@ -0,0 +1,62 @@
+#include "service_process/member_identity.h"
+
+#include <algorithm>
+
+#include "common/hashing.h"
+#include "wire/codec.h"
+
+namespace ferryrock::service_process {
+namespace {
+
+constexpr const char* kFile = "identity";
+constexpr const char* kTemporaryFile = "identity.new";
+/// Identities stay positive as signed numbers.
+constexpr std::uint64_t kIdentityMask = (std::uint64_t{1} << 62) - 1;
+
+MemberId identityFrom(std::uint64_t number) {
+  return MemberId{(number & kIdentityMask) | 1};
+}
+
+std::vector<wire::Member> foundersOf(const std::vector<NodeName>& seeds) {
+  std::vector<wire::Member> founders;
+  for (const NodeName& seed : seeds) {
+    wire::Member member;
+    member.id = identityFrom(stableHash(seed.value));
+    member.node = seed;
+    member.address = seed.value;
+    member.voter = true;
+    founders.push_back(member);
+  }
+  return founders;
+}
+
+void store(storage::FileSystem& files, const MemberIdentity& identity) {
+  if (files.exists(kTemporaryFile)) {
+    files.remove(kTemporaryFile);
+  }
+  files.append(kTemporaryFile, wire::encode(identity));
+  files.sync(kTemporaryFile);
+  files.rename(kTemporaryFile, kFile);
+  files.syncFolder();
+}
+
+}  // namespace
+
+MemberIdentity loadIdentity(storage::FileSystem& files, const NodeName& self,
+                            const std::vector<NodeName>& seeds, bool bootstrap, std::uint64_t random_number) {
+  if (files.exists(kFile)) {
+    return wire::decode<MemberIdentity>(files.read(kFile));
+  }
+  MemberIdentity identity;
+  const bool founder = bootstrap && std::find(seeds.begin(), seeds.end(), self) != seeds.end();
+  if (founder) {
+    identity.founders = foundersOf(seeds);
+    identity.id = identityFrom(stableHash(self.value));
+  } else {
+    identity.id = identityFrom(random_number);
+  }
+  store(files, identity);
+  return identity;
+}
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/service_process/replica_client.cc
@@ -0,0 +1,158 @@
+#include "service_process/replica_client.h"
+
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace ferryrock::service_process {
+namespace {
+
+using calls::AttemptFailure;
+using calls::AttemptNumber;
+
+constexpr Duration kConnectTimeLimit = std::chrono::milliseconds(700);
+constexpr int kStatusOk = 200;
+/// An idle connection is given up this much before its replica would close it.
+constexpr Duration kKeepAliveMargin = std::chrono::seconds(1);
+constexpr Duration kLongestIdle = std::chrono::seconds(30);
+constexpr std::size_t kRememberedAddresses = 10'000;
+
+bool isEventStream(int status, const http::Headers& headers) {
+  const auto type = http::findHeader(headers, "Content-Type");
+  return status == kStatusOk && type && type->starts_with("text/event-stream");
+}
+
+}  // namespace
+
+ReplicaClient::ReplicaClient(event::Dispatcher& dispatcher, http::Client& client, const CallDialect& dialect,
+                             ReplicaCallbacks callbacks)
+    : dispatcher_(dispatcher), client_(client), dialect_(dialect), callbacks_(std::move(callbacks)) {}
+
+ReplicaClient::~ReplicaClient() {
+  *alive_ = false;
+}
+
+void ReplicaClient::send(const calls::SendAttemptEffect& effect, const CallContent& content) {
+  const AttemptNumber number = effect.attempt;
+  auto attempt = std::make_shared<Attempt>();
+  attempt->id = content.id;
+  attempt->address = effect.address;
+  attempts_[number] = attempt;
+  http::ClientRequest request = dialect_.attempt(effect, content);
+  request.connect_timeout = kConnectTimeLimit;
+  request.exact_headers = true;
+  const auto keep_alive = keep_alive_.find(effect.address);
+  if (keep_alive != keep_alive_.end()) {
+    request.idle_limit = keep_alive->second;
+    request.fresh_connection = keep_alive->second == Duration::zero();
+  }
+  http::ClientCallbacks callbacks;
+  callbacks.on_headers = [this, number](int status, const http::Headers& headers) {
+    onHeaders(number, status, headers);
+  };
+  callbacks.on_data = [this, number](std::string_view bytes) { onData(number, bytes); };
+  callbacks.on_complete = [this, number] { onComplete(number); };
+  callbacks.on_failure = [this, number](http::SendProgress progress, const std::string& reason) {
+    fail(number, progress == http::SendProgress::NotSent ? AttemptFailure::NotSent : AttemptFailure::Unproved,
+         reason);
+  };
+  attempt->call = client_.send(std::move(request), std::move(callbacks));
+}
+
+void ReplicaClient::cancel(AttemptNumber attempt) {
+  take(attempt);
+}
+
+const HttpAnswer* ReplicaClient::answerOf(AttemptNumber attempt) const {
+  const auto found = attempts_.find(attempt);
+  return found == attempts_.end() ? nullptr : &found->second->answer;
+}
+
+ReplicaClient::AttemptPtr ReplicaClient::take(AttemptNumber number) {
+  const auto found = attempts_.find(number);
+  if (found == attempts_.end()) {
+    return nullptr;
+  }
+  AttemptPtr attempt = std::move(found->second);
+  attempts_.erase(found);
+  dispatcher_.post([attempt] { attempt->call.reset(); });
+  return attempt;
+}
+
+void ReplicaClient::onHeaders(AttemptNumber number, int status, const http::Headers& headers) {
+  const auto found = attempts_.find(number);
+  if (found == attempts_.end()) {
+    return;
+  }
+  Attempt& attempt = *found->second;
+  if (!dialect_.answersCall(attempt.id, status, headers)) {
+    fail(number, AttemptFailure::Foreign, "the answer isn't this call's");
+    return;
+  }
+  noteKeepAlive(attempt.address, headers);
+  attempt.answer.status = status;
+  attempt.answer.headers = headers;
+  attempt.streaming = isEventStream(status, headers);
+}
+
+void ReplicaClient::noteKeepAlive(const std::string& address, const http::Headers& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto header = http::findHeader(headers, "Keep-Alive");
+  const std::size_t place = header ? header->find(kTimeout) : std::string::npos;
+  if (place == std::string::npos) {
+    return;
+  }
+  int seconds = 0;
+  const char* begin = header->data() + place + kTimeout.size();
+  std::from_chars(begin, header->data() + header->size(), seconds);
+  const Duration told = std::chrono::seconds(seconds);
+  if (keep_alive_.size() > kRememberedAddresses) {
+    keep_alive_.clear();
+  }
+  keep_alive_[address] = std::min(kLongestIdle, told > kKeepAliveMargin ? told - kKeepAliveMargin : Duration{});
+}
+
+void ReplicaClient::onData(AttemptNumber number, std::string_view bytes) {
+  const auto found = attempts_.find(number);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const AttemptPtr attempt = found->second;
+  if (!attempt->streaming) {
+    attempt->answer.body.append(bytes);
+    return;
+  }
+  attempt->events.add(bytes);
+  const std::shared_ptr<bool> alive = alive_;
+  while (auto event = attempt->events.next()) {
+    callbacks_.on_stream_event(number, std::move(*event));
+    if (!*alive || !attempts_.contains(number)) {
+      return;
+    }
+  }
+}
+
+void ReplicaClient::onComplete(AttemptNumber number) {
+  const auto found = attempts_.find(number);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const Attempt& attempt = *found->second;
+  if (attempt.streaming && attempt.events.unfinishedBytes() > 0) {
+    fail(number, AttemptFailure::Unproved, "the stream ended within an event");
+  } else if (attempt.streaming) {
+    callbacks_.on_stream_end(number);
+    take(number);
+  } else {
+    callbacks_.on_answer(number, dialect_.summarize(attempt.answer.status, attempt.answer.headers));
+    take(number);
+  }
+}
+
+void ReplicaClient::fail(AttemptNumber number, AttemptFailure failure, const std::string& reason) {
+  if (take(number)) {
+    callbacks_.on_failure(number, failure, reason);
+  }
+}
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/service_process/service_control_shell.cc
@@ -0,0 +1,274 @@
+#include "service_process/service_control_shell.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "service_process/member_identity.h"
+#include "storage/log_storage.h"
+
+namespace ferryrock::service_process {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kStopCheck = 50ms;
+constexpr Duration kStopLimit = 3s;
+/// Catalogs are large and few: the log is replaced by a snapshot early.
+constexpr std::size_t kSnapshotAfterEntries = 300;
+constexpr std::size_t kRetainedEntries = 50;
+constexpr std::uint64_t kSegmentBytes = std::uint64_t{4} << 20;
+
+services::ServiceControlSettings controlSettings(const ServiceControlProcessSettings& settings,
+                                                 const NodeName& self, const MemberIdentity& identity) {
+  services::ServiceControlSettings control;
+  control.control.log.id = identity.id;
+  control.control.log.node = self;
+  control.control.log.bootstrap = !identity.founders.empty();
+  control.control.log.initial_membership.members = identity.founders;
+  control.control.log.snapshot_after_entries = kSnapshotAfterEntries;
+  control.control.log.retained_entries = kRetainedEntries;
+  control.http = settings.listen_control;
+  control.seeds = settings.seedNodes();
+  control.losses_borne = settings.losses_borne;
+  control.replica_heartbeat = settings.replica_heartbeat;
+  control.router_out_of_touch = settings.router_out_of_touch;
+  control.order_lease = settings.order_lease;
+  return control;
+}
+
+}  // namespace
+
+ServiceControlShell::ServiceControlShell(event::Dispatcher& dispatcher, ServiceControlProcessSettings settings,
+                                         const OrderDialect& dialect, EventLog& log, event::Callback on_failed)
+    : dispatcher_(dispatcher),
+      settings_(std::move(settings)),
+      log_(log),
+      on_failed_(std::move(on_failed)),
+      self_(settings_.host + ":" + std::to_string(settings_.internal_port)) {
+  timer_ = dispatcher_.createTimer([this] {
+    armed_until_ = TimePoint::max();
+    carryOut(control_->tick(now()));
+  });
+  stop_timer_ = dispatcher_.createTimer([this] { continueStop(); });
+  http_client_ = http::createClient(dispatcher_);
+  OrderCallbacks callbacks;
+  callbacks.on_done = [this](services::OrderNumber number, services::OrderOutcome outcome) {
+    log_.write(LogLevel::Info, "order.done",
+               {{"order", static_cast<std::int64_t>(number.value)},
+                {"outcome", static_cast<std::int64_t>(outcome)}});
+    carryOut(control_->onOrderDone(number, outcome, now()));
+  };
+  callbacks.on_inspected = [this](services::OrderNumber number,
+                                  const std::optional<services::ReplicaState>& state) {
+    carryOut(control_->onInspected(number, state, now()));
+  };
+  orders_ = std::make_unique<OrderClient>(dispatcher_, *http_client_, dialect, std::move(callbacks));
+  const auto identity_files = storage::createPosixFileSystem(settings_.data_folder + "/identity");
+  openControl(*identity_files);
+  transport::TransportSettings transport;
+  transport.node = self_;
+  transport.listen_address = self_.value;
+  transport_ = transport::createZeroMqTransport(
+      dispatcher_, transport,
+      [this](const wire::Envelope& envelope) { carryOut(control_->receive(envelope, now())); });
+  followPeers();
+  carryOut(control_->tick(now()));
+}
+
+ServiceControlShell::~ServiceControlShell() = default;
+
+void ServiceControlShell::openControl(storage::FileSystem& files) {
+  const MemberIdentity identity =
+      loadIdentity(files, self_, settings_.seedNodes(), settings_.bootstrap, systemSeed());
+  auto storage = storage::createLogStorage(storage::createPosixFileSystem(settings_.data_folder + "/log"),
+                                           identity.id, kSegmentBytes);
+  consensus::RecoveredState recovered = storage->recover();
+  log_.write(LogLevel::Info, "process.recovered",
+             {{"member", static_cast<std::int64_t>(identity.id.value)},
+              {"founder", !identity.founders.empty()},
+              {"term", static_cast<std::int64_t>(recovered.hard_state.term.value)},
+              {"entries", static_cast<std::int64_t>(recovered.entries.size())},
+              {"snapshot", recovered.snapshot.has_value()}});
+  control_ = services::createServiceControl(controlSettings(settings_, self_, identity), std::move(recovered),
+                                            Random(systemSeed()), dispatcher_.timeSource());
+  writer_ = std::make_unique<control_process::StorageWriter>(
+      dispatcher_, std::move(storage),
+      [this](std::uint64_t sequence) { carryOut(control_->onPersisted(sequence, now())); },
+      [this](const std::string& reason) {
+        log_.write(LogLevel::Error, "storage.failed", {{"reason", std::string_view(reason)}});
+        on_failed_();
+      });
+}
+
+services::QuestionNumber ServiceControlShell::remember(AnswerCallback callback) {
+  const services::QuestionNumber number{next_question_++};
+  questions_.emplace(number, std::move(callback));
+  return number;
+}
+
+void ServiceControlShell::replaceCatalog(wire::ServiceCatalog catalog, std::string source,
+                                         AnswerCallback callback) {
+  log_.write(LogLevel::Info, "catalog.offered",
+             {{"version", static_cast<std::int64_t>(catalog.version.value)},
+              {"held", static_cast<std::int64_t>(noted_.catalog.value)}});
+  const services::QuestionNumber number = remember(std::move(callback));
+  carryOut(control_->replaceCatalog(number, std::move(catalog), std::move(source), now()));
+}
+
+void ServiceControlShell::readCatalog(AnswerCallback callback) {
+  const services::QuestionNumber number = remember(std::move(callback));
+  carryOut(control_->readCatalog(number, now()));
+}
+
+void ServiceControlShell::report(const wire::ReplicaReport& report, AnswerCallback callback) {
+  if (report.leaving) {
+    log_.write(LogLevel::Info, "replica.leaving",
+               {{"replica", std::string_view(report.id.value)},
+                {"sequence", static_cast<std::int64_t>(report.sequence)},
+                {"ends_in_ms", report.ends_in_ms.value_or(-1)}});
+  }
+  const services::QuestionNumber number = remember(std::move(callback));
+  carryOut(control_->onReport(number, report, now()));
+}
+
+std::vector<std::string> ServiceControlShell::routerAddresses(std::size_t limit) {
+  return control_->routerAddresses(limit, now());
+}
+
+void ServiceControlShell::carryOut(services::Effects effects) {
+  for (services::Effect& effect : effects) {
+    std::visit([this](auto& typed) { carryOut(typed); }, effect);
+  }
+  followPeers();
+  noteBeliefs();
+  armTimer();
+}
+
+void ServiceControlShell::carryOut(const services::OrderReplicaEffect& effect) {
+  log_.write(LogLevel::Info, "order.sent",
+             {{"order", static_cast<std::int64_t>(effect.number.value)},
+              {"replica", std::string_view(effect.replica.value)},
+              {"action", effect.action == services::OrderAction::Load ? "load" : "unload"},
+              {"model", std::string_view(effect.model.value)},
+              {"adapter", std::string_view(effect.adapter)},
+              {"expected", static_cast<std::int64_t>(effect.expected)},
+              {"fence", static_cast<std::int64_t>(effect.fence.value)}});
+  orders_->send(effect);
+}
+
+void ServiceControlShell::carryOut(const services::AnswerEffect& effect) {
+  const auto found = questions_.find(effect.question);
+  if (found == questions_.end()) {
+    return;
+  }
+  const AnswerCallback callback = std::move(found->second);
+  questions_.erase(found);
+  if (effect.code != ResultCode::Ok) {
+    log_.write(LogLevel::Warning, "question.refused",
+               {{"code", static_cast<std::int64_t>(effect.code)},
+                {"name", resultCodeInfo(effect.code).name},
+                {"detail", std::string_view(effect.detail)}});
+  }
+  callback(effect);
+}
+
+void ServiceControlShell::followPeers() {
+  if (transport_ == nullptr) {
+    return;
+  }
+  std::vector<NodeName> nodes = control_->peers();
+  if (nodes == followed_peers_) {
+    return;
+  }
+  std::vector<transport::Peer> peers;
+  for (const NodeName& node : nodes) {
+    peers.push_back({node, node.value, ""});
+  }
+  transport_->setPeers(std::move(peers));
+  followed_peers_ = std::move(nodes);
+}
+
+/// One line for each change of what the process believes.
+void ServiceControlShell::noteBeliefs() {
+  const services::ServiceControlView view = control_->view(now());
+  if (view.leader != noted_.leader || view.term != noted_.term || view.leads != noted_.leads) {
+    log_.write(LogLevel::Info, "cell.leader",
+               {{"leader", std::string_view(view.leader.value)},
+                {"term", static_cast<std::int64_t>(view.term.value)},
+                {"leads", view.leads}});
+  }
+  if (view.voters != noted_.voters) {
+    log_.write(LogLevel::Info, "cell.voters",
+               {{"voters", static_cast<std::int64_t>(view.voters)},
+                {"before", static_cast<std::int64_t>(noted_.voters)}});
+  }
+  if (view.catalog != noted_.catalog) {
+    log_.write(LogLevel::Info, "catalog.committed",
+               {{"version", static_cast<std::int64_t>(view.catalog.value)}});
+  }
+  if (view.replicas != noted_.replicas || view.routers != noted_.routers) {
+    log_.write(LogLevel::Info, "fleet.seen",
+               {{"replicas", static_cast<std::int64_t>(view.replicas)},
+                {"routers", static_cast<std::int64_t>(view.routers)}});
+  }
+  noted_ = view;
+}
+
+void ServiceControlShell::armTimer() {
+  const TimePoint deadline = control_->nextDeadline();
+  if (deadline >= armed_until_) {
+    return;
+  }
+  armed_until_ = deadline;
+  const TimePoint time = now();
+  timer_->enable(deadline > time ? deadline - time : Duration::zero());
+}
+
+void ServiceControlShell::replaceSeeds(const ServiceControlProcessSettings& fresh) {
+  control_->addSeeds(fresh.seedNodes());
+  followPeers();
+  log_.write(LogLevel::Info, "process.reloaded",
+             {{"seeds", static_cast<std::int64_t>(fresh.seeds.size())}});
+}
+
+void ServiceControlShell::beginStop(event::Callback on_stopped) {
+  if (stop_began_) {
+    return;
+  }
+  stop_began_ = now();
+  on_stopped_ = std::move(on_stopped);
+  log_.write(LogLevel::Info, "process.stopping",
+             {{"leads", noted_.leads}, {"questions", static_cast<std::int64_t>(questions_.size())}});
+  carryOut(control_->beginStop(now()));
+  continueStop();
+}
+
+void ServiceControlShell::continueStop() {
+  const bool handed_over = !control_->view(now()).leads && questions_.empty();
+  if (handed_over || now() - *stop_began_ >= kStopLimit) {
+    if (on_stopped_) {
+      std::exchange(on_stopped_, nullptr)();
+    }
+    return;
+  }
+  stop_timer_->enable(kStopCheck);
+}
+
+std::string ServiceControlShell::metricsText() {
+  const services::ServiceControlView view = control_->view(now());
+  const auto set = [this](const char* name, const char* help, double value) {
+    metrics_.gauge(name, help).set(value);
+  };
+  set("ferryrock_cell_leads", "1 while this member leads the cell", view.leads ? 1 : 0);
+  set("ferryrock_cell_term", "Election term", static_cast<double>(view.term.value));
+  set("ferryrock_cell_voters", "Voters of the cell", static_cast<double>(view.voters));
+  set("ferryrock_replicas_known", "Replicas that reported of late", static_cast<double>(view.replicas));
+  set("ferryrock_routers_offered", "Routers that callers are sent to", static_cast<double>(view.routers));
+  set("ferryrock_catalog_version", "Version of the catalog committed",
+      static_cast<double>(view.catalog.value));
+  set("ferryrock_transport_sent_bytes", "Bytes sent to other processes of the system",
+      static_cast<double>(transport_->counts().sent_bytes));
+  return metrics_.serialize();
+}
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/service_process/service_control_shell.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/event_log.h"
+#include "common/metrics.h"
+#include "control_process/storage_writer.h"
+#include "event/dispatcher.h"
+#include "service_process/order_client.h"
+#include "service_process/service_settings.h"
+#include "services/service_control.h"
+#include "transport/transport.h"
+
+namespace ferryrock::service_process {
+
+/// One running control member of hosted services. Operators, replicas and callers reach it through an
+/// interface that translates to its members below. Everything but the storage writer lives on the
+/// dispatcher's thread.
+class ServiceControlShell {
+ public:
+  using AnswerCallback = std::function<void(const services::AnswerEffect&)>;
+
+  /// Recovers the data folder and opens the internal socket. Throws Error for what it can't start with.
+  ServiceControlShell(event::Dispatcher& dispatcher, ServiceControlProcessSettings settings,
+                      const OrderDialect& dialect, EventLog& log, event::Callback on_failed);
+  ~ServiceControlShell();
+
+  /// Each is answered once; see services::ServiceControl.
+  void replaceCatalog(wire::ServiceCatalog catalog, std::string source, AnswerCallback callback);
+  void readCatalog(AnswerCallback callback);
+  void report(const wire::ReplicaReport& report, AnswerCallback callback);
+  std::vector<std::string> routerAddresses(std::size_t limit);
+
+  const ServiceControlProcessSettings& settings() const { return settings_; }
+  std::string metricsText();
+  void replaceSeeds(const ServiceControlProcessSettings& fresh);
+  /// Hands leadership over and answers what is open, then calls back once.
+  void beginStop(event::Callback on_stopped);
+
+ private:
+  void carryOut(services::Effects effects);
+  void carryOut(const wire::SendEffect& effect) { transport_->send(effect.to, effect.message); }
+  void carryOut(consensus::PersistEffect& effect) { writer_->submit(std::move(effect)); }
+  void carryOut(const services::OrderReplicaEffect& effect);
+  void carryOut(const services::InspectReplicaEffect& effect) { orders_->send(effect); }
+  void carryOut(const services::AnswerEffect& effect);
+  services::QuestionNumber remember(AnswerCallback callback);
+  void openControl(storage::FileSystem& files);
+  void followPeers();
+  void noteBeliefs();
+  void armTimer();
+  void continueStop();
+  TimePoint now() { return dispatcher_.timeSource().monotonicTime(); }
+
+  event::Dispatcher& dispatcher_;
+  ServiceControlProcessSettings settings_;
+  EventLog& log_;
+  event::Callback on_failed_;
+  NodeName self_;
+  MetricsRegistry metrics_;
+  std::unique_ptr<services::ServiceControl> control_;
+  std::unique_ptr<control_process::StorageWriter> writer_;
+  std::unique_ptr<transport::Transport> transport_;
+  std::unique_ptr<http::Client> http_client_;
+  std::unique_ptr<OrderClient> orders_;
+  std::unique_ptr<event::Timer> timer_;
+  std::unique_ptr<event::Timer> stop_timer_;
+  std::map<services::QuestionNumber, AnswerCallback> questions_;
+  std::uint64_t next_question_ = 1;
+  std::vector<NodeName> followed_peers_;
+  services::ServiceControlView noted_;
+  TimePoint armed_until_ = TimePoint::max();
+  std::optional<TimePoint> stop_began_;
+  event::Callback on_stopped_;
+};
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/service_process/service_settings.cc
@@ -0,0 +1,84 @@
+#include "service_process/service_settings.h"
+
+#include <limits>
+
+#include "process/shared_settings.h"
+
+namespace ferryrock::service_process {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::int64_t kLargestPort = std::numeric_limits<std::uint16_t>::max();
+
+void readCommon(SettingsReader& reader, ServiceProcessSettings& settings) {
+  settings.node = NodeName(reader.text("node"));
+  settings.zone = ZoneName(reader.text("zone", ""));
+  settings.host = reader.text("host");
+  settings.internal_port = static_cast<std::uint16_t>(reader.integer("internal_port", 0, kLargestPort));
+  settings.seeds = reader.textList("seeds");
+  for (const std::string& seed : settings.seeds) {
+    process::parseAddress(seed);
+  }
+  SettingsReader limits = reader.section("log_limits");
+  settings.log_limits.lines_per_second =
+      limits.number("lines_per_second", 0, 1e6, settings.log_limits.lines_per_second);
+  settings.log_limits.burst = limits.number("burst", 1, 1e6, settings.log_limits.burst);
+  limits.finish();
+  settings.log = readLogSettings(reader.section("log"));
+  settings.log.bounded_standard_output = settings.log.file.empty();
+}
+
+std::string readAddress(SettingsReader& reader, const std::string& key) {
+  std::string address = reader.text(key);
+  process::parseAddress(address);
+  return address;
+}
+
+}  // namespace
+
+std::vector<NodeName> ServiceProcessSettings::seedNodes() const {
+  std::vector<NodeName> nodes;
+  for (const std::string& seed : seeds) {
+    nodes.emplace_back(process::parseAddress(seed).host + ":" + std::to_string(internal_port));
+  }
+  return nodes;
+}
+
+CallRouterProcessSettings readCallRouterSettings(SettingsReader& reader) {
+  CallRouterProcessSettings settings;
+  readCommon(reader, settings);
+  settings.listen_calls = readAddress(reader, "listen_calls");
+  settings.listen_status = readAddress(reader, "listen_status");
+  settings.retries.share = reader.number("retry_share", 0, 100, settings.retries.share);
+  settings.retries.slack = reader.number("retry_slack", 0, 1e9, settings.retries.slack);
+  settings.retries.window = reader.duration("retry_window", 100ms, 1h, settings.retries.window);
+  settings.stop_limit = reader.duration("stop_limit", 0ms, 1h, settings.stop_limit);
+  settings.stop_linger = reader.duration("stop_linger", 0ms, 1h, settings.stop_linger);
+  reader.finish();
+  return settings;
+}
+
+ServiceControlProcessSettings readServiceControlSettings(SettingsReader& reader) {
+  ServiceControlProcessSettings settings;
+  readCommon(reader, settings);
+  settings.listen_control = readAddress(reader, "listen_control");
+  settings.listen_directory = readAddress(reader, "listen_directory");
+  settings.data_folder = reader.text("data_folder");
+  settings.bootstrap = reader.boolean("bootstrap", false);
+  constexpr std::int64_t kMostLosses = 10;
+  settings.losses_borne =
+      static_cast<std::uint32_t>(reader.integer("losses_borne", 0, kMostLosses, settings.losses_borne));
+  settings.router_out_of_touch =
+      reader.duration("router_out_of_touch", 100ms, 1h, settings.router_out_of_touch);
+  settings.order_lease = reader.duration("order_lease", 0ms, 1h, settings.order_lease);
+  settings.replica_heartbeat = reader.duration("replica_heartbeat", 10ms, 1h, settings.replica_heartbeat);
+  settings.directory_lifetime = reader.duration("directory_lifetime", 0ms, 1h, settings.directory_lifetime);
+  constexpr std::uint64_t kSmallestBody = 1'000;
+  constexpr std::uint64_t kLargestBody = 1'000'000'000;
+  settings.max_body_bytes = reader.bytes("max_body_bytes", kSmallestBody, kLargestBody, settings.max_body_bytes);
+  reader.finish();
+  return settings;
+}
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/service_process/service_settings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "calls/retry_budget.h"
+#include "common/event_log.h"
+#include "common/log_settings.h"
+#include "common/settings_reader.h"
+
+/// Settings files of the processes that serve hosted services.
+namespace ferryrock::service_process {
+
+/// What both kinds of process have in common.
+struct ServiceProcessSettings {
+  NodeName node;
+  ZoneName zone;
+  std::string host;                 ///< the machine's address
+  std::uint16_t internal_port = 0;  ///< of control members; the same on all machines
+  std::vector<std::string> seeds;   ///< control members' addresses for operators, "host:port"
+  LogSettings log;
+  EventLogLimits log_limits;
+
+  /// The seeds as internal addresses.
+  std::vector<NodeName> seedNodes() const;
+};
+
+struct CallRouterProcessSettings : ServiceProcessSettings {
+  std::string listen_calls;   ///< "host:port"
+  std::string listen_status;  ///< "host:port"
+  calls::RetryBudgetSettings retries;
+  /// A planned stop takes this long at most.
+  Duration stop_limit = std::chrono::seconds(8);
+  /// Callers may come this long after they were told to go elsewhere.
+  Duration stop_linger = std::chrono::seconds(5);
+};
+
+struct ServiceControlProcessSettings : ServiceProcessSettings {
+  std::string listen_control;    ///< "host:port", operators and replicas
+  std::string listen_directory;  ///< "host:port", callers
+  std::string data_folder;
+  bool bootstrap = false;  ///< the whole system starts for the first time
+  std::uint32_t losses_borne = 1;
+  Duration router_out_of_touch = std::chrono::seconds(3);
+  Duration order_lease = std::chrono::seconds(3);
+  Duration replica_heartbeat = std::chrono::seconds(1);
+  Duration directory_lifetime = std::chrono::seconds(2);  ///< of an answer to a caller
+  std::size_t max_body_bytes = 64 << 20;
+};
+
+/// Throw Error with the file, line and key of the first fault.
+CallRouterProcessSettings readCallRouterSettings(SettingsReader& reader);
+ServiceControlProcessSettings readServiceControlSettings(SettingsReader& reader);
+
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/src/services/cell_keeper.cc
@@ -0,0 +1,116 @@
+#include "services/cell_keeper.h"
+
+#include <algorithm>
+
+#include "consensus/membership.h"
+
+namespace ferryrock::services {
+namespace {
+
+/// A process that asked to become a member is believed to be there for this long.
+constexpr Duration kHelloLasts = std::chrono::seconds(2);
+
+control::MembershipChange change(control::MembershipAction action, const wire::Member& member) {
+  return {action, member};
+}
+
+}  // namespace
+
+void CellKeeper::onHello(const wire::MemberHello& hello, TimePoint now) {
+  contacts_[hello.node] = {hello, now};
+}
+
+std::vector<NodeName> CellKeeper::knownNodes() const {
+  std::vector<NodeName> nodes;
+  nodes.reserve(contacts_.size());
+  for (const auto& [node, contact] : contacts_) {
+    nodes.push_back(node);
+  }
+  return nodes;
+}
+
+Duration CellKeeper::silence(const wire::Member& member, TimePoint now) const {
+  const auto contact = contacts_.find(member.node);
+  const bool heard = contact != contacts_.end() && contact->second.hello.id == member.id;
+  return now - (heard ? std::max(contact->second.heard, started_) : started_);
+}
+
+std::optional<control::MembershipChange> CellKeeper::nextChange(const wire::Membership& membership,
+                                                                MemberId self, TimePoint now) const {
+  if (auto lost = replaceLostDisk(membership, now)) {
+    return lost;
+  }
+  if (auto learner = useLearner(membership, self, now)) {
+    return learner;
+  }
+  if (auto newcomer = admitNewcomer(membership, now)) {
+    return newcomer;
+  }
+  return dropSilentLearner(membership, now);
+}
+
+/// A process at a member's node name with another identity has an empty disk in the old one's place.
+std::optional<control::MembershipChange> CellKeeper::replaceLostDisk(const wire::Membership& membership,
+                                                                     TimePoint now) const {
+  for (const auto& [node, contact] : contacts_) {
+    const wire::Member* member = consensus::findNode(membership, node);
+    const bool current = now - contact.heard < kHelloLasts;
+    if (current && member != nullptr && member->id != contact.hello.id) {
+      return change(control::MembershipAction::Remove, *member);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<control::MembershipChange> CellKeeper::admitNewcomer(const wire::Membership& membership,
+                                                                   TimePoint now) const {
+  for (const auto& [node, contact] : contacts_) {
+    const bool known = consensus::findMember(membership, contact.hello.id) != nullptr;
+    if (!known && now - contact.heard < kHelloLasts) {
+      wire::Member member;
+      member.id = contact.hello.id;
+      member.node = node;
+      member.address = contact.hello.address;
+      member.http = contact.hello.http;
+      return change(control::MembershipAction::AddLearner, member);
+    }
+  }
+  return std::nullopt;
+}
+
+/// A learner is promoted before the silent voter that it replaces is removed, so that only one that has
+/// caught up counts.
+std::optional<control::MembershipChange> CellKeeper::useLearner(const wire::Membership& membership,
+                                                                MemberId self, TimePoint now) const {
+  const wire::Member* learner = nullptr;
+  const wire::Member* silent_voter = nullptr;
+  for (const wire::Member& member : membership.members) {
+    const Duration quiet = silence(member, now);
+    if (!member.voter && quiet < kHelloLasts) {
+      learner = &member;
+    } else if (member.voter && member.id != self && quiet > settings_.replaced_after) {
+      silent_voter = &member;
+    }
+  }
+  const std::size_t voters = consensus::voterCount(membership);
+  if (silent_voter != nullptr && voters > settings_.wanted_voters) {
+    return change(control::MembershipAction::Remove, *silent_voter);
+  }
+  const bool vacancy = voters < settings_.wanted_voters || silent_voter != nullptr;
+  if (learner != nullptr && vacancy) {
+    return change(control::MembershipAction::Promote, *learner);
+  }
+  return std::nullopt;
+}
+
+std::optional<control::MembershipChange> CellKeeper::dropSilentLearner(const wire::Membership& membership,
+                                                                       TimePoint now) const {
+  for (const wire::Member& member : membership.members) {
+    if (!member.voter && silence(member, now) > settings_.learner_dropped_after) {
+      return change(control::MembershipAction::Remove, member);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/model_placer.cc
@@ -0,0 +1,422 @@
+#include "services/model_placer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace ferryrock::services {
+namespace {
+
+/// What a replica reports may be this old.
+constexpr Duration kReportLag = std::chrono::milliseconds(300);
+constexpr Duration kRetryAfterConflict = std::chrono::milliseconds(400);
+/// A load or unload that no report shows by then is looked at again.
+constexpr Duration kLoadTimeLimit = std::chrono::seconds(12);
+/// A model that was wanted so recently isn't displaced.
+constexpr Duration kKeptAfterUse = std::chrono::seconds(2);
+/// The store's rate is kept over windows of this length, with a margin for loads that begin late.
+constexpr Duration kStoreWindow = std::chrono::seconds(5);
+constexpr double kStoreShare = 0.9;
+/// Requests running or waiting on one copy of a model, as a share of a batch, before another is loaded.
+constexpr double kBatchShare = 0.5;
+
+bool holds(const ReplicaRecord& record, const ModelName& model) {
+  return std::any_of(record.report.held.begin(), record.report.held.end(),
+                     [&model](const wire::HeldModel& held) { return held.model == model; });
+}
+
+const wire::HostedModel* findModel(const wire::EngineTraits& traits, const ModelName& name) {
+  const auto found =
+      std::find_if(traits.models.begin(), traits.models.end(), [&name](const auto& m) { return m.name == name; });
+  return found == traits.models.end() ? nullptr : &*found;
+}
+
+bool contains(const std::vector<ModelName>& names, const ModelName& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// Adapters on a replica, those on their way included.
+std::set<std::pair<ModelName, std::string>> adaptersOf(const ReplicaRecord& record) {
+  std::set<std::pair<ModelName, std::string>> adapters;
+  for (const wire::HeldModel& held : record.report.held) {
+    for (const std::string& adapter : held.adapters) {
+      adapters.insert({held.model, adapter});
+    }
+  }
+  for (const auto& [key, since] : record.assumed_adapters) {
+    adapters.insert(key);
+  }
+  return adapters;
+}
+
+}  // namespace
+
+PlacerEffects ModelPlacer::plan(const wire::ServiceCatalog& catalog, TimePoint now) {
+  if (now >= settings_.first_order) {
+    std::erase_if(engines_, [this](const auto& item) { return registry_.find(item.first) == nullptr; });
+    for (const wire::HostedService& service : catalog.services) {
+      if (service.engine) {
+        Candidates candidates = candidatesOf(service, now);
+        placeAdapters(service, candidates, now);
+        placeModels(service, candidates, now);
+      }
+    }
+  }
+  return std::exchange(effects_, {});
+}
+
+ModelPlacer::Candidates ModelPlacer::candidatesOf(const wire::HostedService& service, TimePoint now) {
+  Candidates candidates;
+  for (const auto& [id, record] : registry_.replicas()) {
+    if (record.report.service == service.name && !record.leaving) {
+      Engine& engine = engines_[id];
+      candidates.push_back({&record, &engine, 0});
+    }
+  }
+  settleFinished(candidates, now);
+  for (Candidate& candidate : candidates) {
+    candidate.used_mb = usedMegabytes(*candidate.record, *candidate.engine, *service.engine);
+  }
+  return candidates;
+}
+
+/// Takes from reports that a load or an unload has ended.
+void ModelPlacer::settleFinished(Candidates& candidates, TimePoint now) {
+  for (Candidate& candidate : candidates) {
+    Engine& engine = *candidate.engine;
+    const bool loaded = engine.loading && holds(*candidate.record, *engine.loading);
+    const bool load_overdue = engine.loading && now - engine.loading_since > kLoadTimeLimit;
+    if (loaded || load_overdue) {
+      forgetLoad(engine);
+    }
+    const bool unloaded = engine.unloading && !holds(*candidate.record, *engine.unloading);
+    const bool unload_overdue = engine.unloading && now - engine.unloading_since > kLoadTimeLimit;
+    if (unloaded || unload_overdue) {
+      engine.unloading.reset();
+    }
+    if (load_overdue || unload_overdue) {
+      engine.orders_taken.reset();
+    }
+  }
+}
+
+double ModelPlacer::usedMegabytes(const ReplicaRecord& record, const Engine& engine,
+                                  const wire::EngineTraits& traits) const {
+  double used = engine.loading_mb;
+  for (const wire::HeldModel& held : record.report.held) {
+    const wire::HostedModel* model = findModel(traits, held.model);
+    used += model != nullptr ? model->weight_mb : traits.weight_capacity_mb;
+  }
+  for (const auto& [name, adapter] : adaptersOf(record)) {
+    const wire::HostedModel* model = findModel(traits, name);
+    used += model != nullptr ? model->adapter_mb : 0;
+  }
+  return used;
+}
+
+bool ModelPlacer::ready(const Candidate& candidate, TimePoint now) const {
+  return !candidate.engine->pending && now >= candidate.engine->not_before;
+}
+
+void ModelPlacer::placeAdapters(const wire::HostedService& service, Candidates& candidates, TimePoint now) {
+  for (const auto& [key, demand] : demand_.keys()) {
+    if (key.service == service.name && !key.adapter.empty() && demand.waiting > 0) {
+      loadAdapter(service, key, candidates, now);
+    }
+  }
+}
+
+/// On the replica that holds the model with the fewest adapters; the one least wanted gives way.
+void ModelPlacer::loadAdapter(const wire::HostedService& service, const ModelKey& key, Candidates& candidates,
+                              TimePoint now) {
+  const wire::HostedModel* model = findModel(*service.engine, key.model);
+  Candidate* best = nullptr;
+  std::size_t fewest = 0;
+  for (Candidate& candidate : candidates) {
+    const auto adapters = adaptersOf(*candidate.record);
+    if (adapters.contains({key.model, key.adapter})) {
+      return;
+    }
+    const Engine& engine = *candidate.engine;
+    const bool asked = engine.pending && engine.pending->order.model == key.model &&
+                       engine.pending->order.adapter == key.adapter && !engine.pending->inspecting;
+    if (asked) {
+      return;
+    }
+    const bool usable = holds(*candidate.record, key.model) && engine.unloading != key.model;
+    if (usable && (best == nullptr || adapters.size() < fewest)) {
+      best = &candidate;
+      fewest = adapters.size();
+    }
+  }
+  if (best == nullptr || model == nullptr || !ready(*best, now)) {
+    return;
+  }
+  const bool slot_free = fewest < service.engine->adapter_slots;
+  const bool fits = best->used_mb + model->adapter_mb <= service.engine->weight_capacity_mb;
+  if (slot_free && fits) {
+    order(*best, OrderAction::Load, key.model, key.adapter, model->adapter_mb, now);
+    return;
+  }
+  std::optional<ModelKey> least;
+  double least_arrivals = 0;
+  for (const auto& [name, adapter] : adaptersOf(*best->record)) {
+    const ModelKey other{service.name, name, adapter};
+    const KeyDemand wanted = demand_.find(other);
+    const bool idle = wanted.running == 0 && wanted.waiting == 0;
+    if (idle && (!least || wanted.recent_arrivals < least_arrivals)) {
+      least = other;
+      least_arrivals = wanted.recent_arrivals;
+    }
+  }
+  if (least) {
+    order(*best, OrderAction::Unload, least->model, least->adapter, 0, now);
+  }
+}
+
+std::size_t ModelPlacer::copies(const Candidates& candidates, const ModelName& model) const {
+  return static_cast<std::size_t>(
+      std::count_if(candidates.begin(), candidates.end(), [&model](const Candidate& candidate) {
+        const Engine& engine = *candidate.engine;
+        const bool held = holds(*candidate.record, model) && engine.unloading != model;
+        const bool ordered = engine.pending && engine.pending->order.action == OrderAction::Load &&
+                             engine.pending->order.model == model && engine.pending->order.adapter.empty();
+        return held || engine.loading == model || ordered;
+      }));
+}
+
+std::size_t ModelPlacer::wantedCopies(const wire::HostedService& service, const ModelName& model) const {
+  const KeyDemand demand = demand_.find({service.name, model, {}});
+  const double in_hand = demand.running + demand.waiting;
+  const double per_copy = std::max(1.0, kBatchShare * service.engine->slots);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(in_hand / per_copy)));
+}
+
+void ModelPlacer::placeModels(const wire::HostedService& service, Candidates& candidates, TimePoint now) {
+  std::vector<std::pair<double, const wire::HostedModel*>> wanted;
+  for (const wire::HostedModel& model : service.engine->models) {
+    const KeyDemand demand = demand_.find({service.name, model.name, {}});
+    const std::size_t held = copies(candidates, model.name);
+    const bool missing = held == 0 && demand.waiting > 0;
+    const bool crowded = held > 0 && held < wantedCopies(service, model.name);
+    if (missing || crowded) {
+      wanted.emplace_back(demand.waiting + (missing ? 1000.0 : 0.0), &model);
+    }
+  }
+  std::sort(wanted.begin(), wanted.end(), [](const auto& left, const auto& right) {
+    return left.first != right.first ? left.first > right.first : left.second->name < right.second->name;
+  });
+  for (const auto& [urgency, model] : wanted) {
+    if (!placeModel(service, *model, candidates, now)) {
+      makeRoom(service, *model, candidates, now);
+    }
+  }
+}
+
+/// Loads the model where it fits, from the nearest copy of its weights. True if an order left or a replica
+/// with room is only busy.
+bool ModelPlacer::placeModel(const wire::HostedService& service, const wire::HostedModel& model,
+                             Candidates& candidates, TimePoint now) {
+  Candidate* best = nullptr;
+  std::int64_t best_ms = 0;
+  for (Candidate& candidate : candidates) {
+    const Engine& engine = *candidate.engine;
+    const wire::ReplicaReport& report = candidate.record->report;
+    const bool fits = candidate.used_mb + model.weight_mb <= service.engine->weight_capacity_mb;
+    if (!fits || engine.loading || engine.unloading || holds(*candidate.record, model.name)) {
+      continue;
+    }
+    const std::int64_t load_ms = contains(report.in_memory, model.name) ? model.memory_load_ms
+                                 : contains(report.on_disk, model.name) ? model.disk_load_ms
+                                                                        : model.store_load_ms;
+    if (best == nullptr || load_ms < best_ms) {
+      best = &candidate;
+      best_ms = load_ms;
+    }
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  const wire::ReplicaReport& report = best->record->report;
+  const bool from_store = !contains(report.in_memory, model.name) && !contains(report.on_disk, model.name);
+  if (ready(*best, now) && (!from_store || mayLoadFromStore(*service.engine, now))) {
+    order(*best, OrderAction::Load, model.name, {}, model.weight_mb, now);
+    const bool ordered = best->engine->pending && !best->engine->pending->inspecting;
+    best->used_mb += model.weight_mb;
+    if (ordered && from_store) {
+      store_loads_.push_back(now);
+    }
+  }
+  return true;
+}
+
+bool ModelPlacer::mayLoadFromStore(const wire::EngineTraits& traits, TimePoint now) {
+  if (traits.loads_per_second <= 0) {
+    return true;
+  }
+  while (!store_loads_.empty() && now - store_loads_.front() > kStoreWindow) {
+    store_loads_.pop_front();
+  }
+  const double window_seconds = std::chrono::duration<double>(kStoreWindow).count();
+  return static_cast<double>(store_loads_.size()) + 1 <= traits.loads_per_second * window_seconds * kStoreShare;
+}
+
+std::optional<double> ModelPlacer::keepWorth(const wire::HostedService& service, const Candidates& candidates,
+                                             const ModelName& model, TimePoint now) const {
+  const KeyDemand demand = demand_.find({service.name, model, {}});
+  const std::size_t held = copies(candidates, model);
+  const bool spare_copy = held > wantedCopies(service, model);
+  const bool in_use = demand.running + demand.waiting > 0 || now - demand.last_wanted < kKeptAfterUse;
+  if (in_use && !spare_copy) {
+    return std::nullopt;
+  }
+  return demand.recent_arrivals / static_cast<double>(std::max<std::size_t>(held, 1));
+}
+
+/// Unloads what is worth least on one replica, until the model fits there.
+bool ModelPlacer::makeRoom(const wire::HostedService& service, const wire::HostedModel& model,
+                           Candidates& candidates, TimePoint now) {
+  Candidate* best = nullptr;
+  const ModelName* victim = nullptr;
+  double best_worth = 0;
+  for (Candidate& candidate : candidates) {
+    const Engine& engine = *candidate.engine;
+    if (engine.loading || holds(*candidate.record, model.name)) {
+      continue;
+    }
+    if (engine.unloading) {
+      continue;
+    }
+    double least = 0;
+    const ModelName* least_worth = nullptr;
+    double freed = 0;
+    for (const wire::HeldModel& held : candidate.record->report.held) {
+      const auto worth = keepWorth(service, candidates, held.model, now);
+      const wire::HostedModel* known = findModel(*service.engine, held.model);
+      if (!worth || known == nullptr) {
+        continue;
+      }
+      freed += known->weight_mb;
+      if (least_worth == nullptr || *worth < least) {
+        least_worth = &held.model;
+        least = *worth;
+      }
+    }
+    const bool helps = candidate.used_mb - freed + model.weight_mb <= service.engine->weight_capacity_mb;
+    if (least_worth != nullptr && helps && ready(candidate, now) && (best == nullptr || least < best_worth)) {
+      best = &candidate;
+      victim = least_worth;
+      best_worth = least;
+    }
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  const ModelName displaced = *victim;
+  order(*best, OrderAction::Unload, displaced, {}, 0, now);
+  return true;
+}
+
+void ModelPlacer::order(Candidate& candidate, OrderAction action, const ModelName& model,
+                        const std::string& adapter, double megabytes, TimePoint now) {
+  Engine& engine = *candidate.engine;
+  const wire::ReplicaReport& report = candidate.record->report;
+  const OrderNumber number{next_number_++};
+  if (!engine.orders_taken) {
+    engine.pending = Pending{number, {}, true, now};
+    effects_.emplace_back(InspectReplicaEffect{number, report.id, report.address});
+    return;
+  }
+  OrderReplicaEffect effect;
+  effect.number = number;
+  effect.replica = report.id;
+  effect.address = report.address;
+  effect.action = action;
+  effect.model = model;
+  effect.adapter = adapter;
+  effect.expected = *engine.orders_taken;
+  effect.holder = settings_.holder;
+  effect.fence = settings_.fence;
+  engine.pending = Pending{number, effect, false, now};
+  if (action == OrderAction::Unload && adapter.empty()) {
+    registry_.withdrawModel(report.id, model, now);
+    engine.unloading = model;
+    engine.unloading_since = now;
+  } else if (action == OrderAction::Load && adapter.empty()) {
+    engine.loading = model;
+    engine.loading_mb = megabytes;
+    engine.loading_since = now;
+  }
+  effects_.emplace_back(std::move(effect));
+}
+
+void ModelPlacer::forgetLoad(Engine& engine) {
+  engine.loading.reset();
+  engine.loading_mb = 0;
+}
+
+void ModelPlacer::onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now) {
+  const auto found = std::find_if(engines_.begin(), engines_.end(), [number](const auto& item) {
+    return item.second.pending && item.second.pending->number == number;
+  });
+  if (found == engines_.end()) {
+    return;
+  }
+  Engine& engine = found->second;
+  const OrderReplicaEffect order = engine.pending->order;
+  engine.pending.reset();
+  const bool whole_model = order.adapter.empty();
+  switch (outcome) {
+    case OrderOutcome::Taken:
+    case OrderOutcome::AlreadyHeld:
+      engine.orders_taken = order.expected + 1;
+      if (outcome == OrderOutcome::AlreadyHeld && order.action == OrderAction::Load) {
+        engine.orders_taken.reset();
+        engine.not_before = now + kReportLag;
+      }
+      if (!whole_model && order.action == OrderAction::Load) {
+        registry_.assumeAdapter(order.replica, order.model, order.adapter, now);
+      } else if (!whole_model) {
+        registry_.dropAdapter(order.replica, order.model, order.adapter);
+      } else if (outcome == OrderOutcome::AlreadyHeld) {
+        forgetLoad(engine);
+      }
+      break;
+    case OrderOutcome::Conflict:
+    case OrderOutcome::Refused:
+      engine.orders_taken.reset();
+      engine.not_before = now + kRetryAfterConflict;
+      if (whole_model && order.action == OrderAction::Load) {
+        forgetLoad(engine);
+      } else if (whole_model) {
+        engine.unloading.reset();
+        registry_.restoreModel(order.replica, order.model);
+      }
+      break;
+    case OrderOutcome::Unanswered:
+      // It may be under way or come late: what it takes stays reckoned with until a report or the limit.
+      engine.orders_taken.reset();
+      engine.not_before = now + kRetryAfterConflict;
+      break;
+  }
+}
+
+void ModelPlacer::onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now) {
+  const auto found = std::find_if(engines_.begin(), engines_.end(), [number](const auto& item) {
+    return item.second.pending && item.second.pending->number == number;
+  });
+  if (found == engines_.end()) {
+    return;
+  }
+  Engine& engine = found->second;
+  engine.pending.reset();
+  if (!state || state->busy) {
+    engine.not_before = now + kRetryAfterConflict;
+  }
+  if (state) {
+    engine.orders_taken = state->orders_taken;
+  }
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/model_placer.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "services/model_demand.h"
+#include "services/replica_orders.h"
+#include "services/replica_registry.h"
+
+namespace ferryrock::services {
+
+using PlacerEffect = std::variant<OrderReplicaEffect, InspectReplicaEffect>;
+using PlacerEffects = std::vector<PlacerEffect>;
+
+struct ModelPlacerSettings {
+  NodeName holder;
+  Term fence;
+  /// No order leaves earlier: until then an earlier leader's lease may hold.
+  TimePoint first_order{};
+};
+
+/// Decides which replica loads and unloads which model and adapter, for one leader's term. What a replica
+/// holds is what it says; on top of that the placer keeps what it ordered. One order at a time to a replica,
+/// each with the count of orders that the replica has taken, so that one carried out late can't follow a
+/// newer one. Used by one thread.
+class ModelPlacer {
+ public:
+  ModelPlacer(const ModelPlacerSettings& settings, ReplicaRegistry& registry, ModelDemand& demand)
+      : settings_(settings), registry_(registry), demand_(demand) {}
+
+  PlacerEffects plan(const wire::ServiceCatalog& catalog, TimePoint now);
+  void onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now);
+  /// nullopt: the replica didn't answer.
+  void onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now);
+
+ private:
+  struct Pending {
+    OrderNumber number;
+    OrderReplicaEffect order;
+    bool inspecting = false;
+    TimePoint since{};
+  };
+  /// What the placer knows of one replica beyond its reports.
+  struct Engine {
+    std::optional<std::uint64_t> orders_taken;
+    std::optional<Pending> pending;
+    std::optional<ModelName> loading;  ///< taken, not yet in a report
+    double loading_mb = 0;
+    TimePoint loading_since{};
+    std::optional<ModelName> unloading;
+    TimePoint unloading_since{};
+    TimePoint not_before{};  ///< of the next order
+  };
+  /// A replica that may get orders, as the plan sees it.
+  struct Candidate {
+    const ReplicaRecord* record = nullptr;
+    Engine* engine = nullptr;
+    double used_mb = 0;
+  };
+  using Candidates = std::vector<Candidate>;
+
+  void settleFinished(Candidates& candidates, TimePoint now);
+  Candidates candidatesOf(const wire::HostedService& service, TimePoint now);
+  double usedMegabytes(const ReplicaRecord& record, const Engine& engine,
+                       const wire::EngineTraits& traits) const;
+  void placeAdapters(const wire::HostedService& service, Candidates& candidates, TimePoint now);
+  void placeModels(const wire::HostedService& service, Candidates& candidates, TimePoint now);
+  bool placeModel(const wire::HostedService& service, const wire::HostedModel& model, Candidates& candidates,
+                  TimePoint now);
+  bool makeRoom(const wire::HostedService& service, const wire::HostedModel& model, Candidates& candidates,
+                TimePoint now);
+  /// Worth of keeping the model on the replica; nullopt: it must stay.
+  std::optional<double> keepWorth(const wire::HostedService& service, const Candidates& candidates,
+                                  const ModelName& model, TimePoint now) const;
+  std::size_t copies(const Candidates& candidates, const ModelName& model) const;
+  std::size_t wantedCopies(const wire::HostedService& service, const ModelName& model) const;
+  void loadAdapter(const wire::HostedService& service, const ModelKey& key, Candidates& candidates,
+                   TimePoint now);
+  bool mayLoadFromStore(const wire::EngineTraits& traits, TimePoint now);
+  /// Orders, or first inspects a replica whose count of orders isn't known.
+  void order(Candidate& candidate, OrderAction action, const ModelName& model, const std::string& adapter,
+             double megabytes, TimePoint now);
+  static void forgetLoad(Engine& engine);
+  bool ready(const Candidate& candidate, TimePoint now) const;
+
+  ModelPlacerSettings settings_;
+  ReplicaRegistry& registry_;
+  ModelDemand& demand_;
+  std::map<ReplicaId, Engine> engines_;
+  std::deque<TimePoint> store_loads_;  ///< loads that may have begun from the store, oldest first
+  std::uint64_t next_number_ = 1;
+  PlacerEffects effects_;
+};
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/replica_registry.cc
@@ -0,0 +1,189 @@
+#include "services/replica_registry.h"
+
+#include <algorithm>
+
+namespace ferryrock::services {
+namespace {
+
+constexpr std::size_t kRememberedRemovals = 4096;
+/// Reports show an adapter or a withdrawn model's end within this time, else the assumption was wrong.
+constexpr Duration kAssumptionLasts = std::chrono::seconds(4);
+
+/// True when routers see no difference.
+bool sameForRouters(const wire::ReplicaReport& left, const wire::ReplicaReport& right) {
+  return left.service == right.service && left.address == right.address && left.slots == right.slots &&
+         left.held == right.held && left.zone == right.zone && left.leaving == right.leaving;
+}
+
+bool lists(const wire::ReplicaReport& report, const ModelName& model, const std::string& adapter) {
+  return std::any_of(report.held.begin(), report.held.end(), [&](const wire::HeldModel& held) {
+    return held.model == model &&
+           std::find(held.adapters.begin(), held.adapters.end(), adapter) != held.adapters.end();
+  });
+}
+
+}  // namespace
+
+std::vector<wire::HeldModel> ReplicaRecord::usable() const {
+  std::vector<wire::HeldModel> held;
+  for (const wire::HeldModel& model : report.held) {
+    if (withdrawn_models.contains(model.model)) {
+      continue;
+    }
+    held.push_back(model);
+    for (const auto& [key, since] : assumed_adapters) {
+      if (key.first == model.model && !lists(report, model.model, key.second)) {
+        held.back().adapters.push_back(key.second);
+      }
+    }
+  }
+  return held;
+}
+
+ReportNews ReplicaRegistry::accept(const wire::ReplicaReport& report, TimePoint now) {
+  const auto known = replicas_.find(report.id);
+  if (report.address.empty()) {
+    markLeaving(report.id);
+    return ReportNews::Changed;
+  }
+  if (known == replicas_.end()) {
+    removeOthersAt(report.address, report.id);
+    ReplicaRecord& record = replicas_[report.id];
+    record.report = report;
+    record.heard = now;
+    record.leaving = report.leaving;
+    noteChange(record);
+    return ReportNews::Changed;
+  }
+  ReplicaRecord& record = known->second;
+  const bool newly_leaving = report.leaving && !record.leaving;
+  if (report.sequence <= record.report.sequence && !newly_leaving) {
+    return ReportNews::Late;
+  }
+  const bool same = sameForRouters(record.report, report) && !newly_leaving;
+  record.leaving = record.leaving || report.leaving;
+  if (report.sequence > record.report.sequence) {
+    record.report = report;
+    record.heard = now;
+  }
+  if (same) {
+    return ReportNews::Same;
+  }
+  std::erase_if(record.withdrawn_models, [&report](const auto& item) {
+    return std::none_of(report.held.begin(), report.held.end(),
+                        [&item](const wire::HeldModel& held) { return held.model == item.first; });
+  });
+  noteChange(record);
+  return ReportNews::Changed;
+}
+
+void ReplicaRegistry::removeOthersAt(const std::string& address, const ReplicaId& id) {
+  for (auto replica = replicas_.begin(); replica != replicas_.end();) {
+    const auto next = std::next(replica);
+    if (replica->second.report.address == address && replica->first != id) {
+      remove(replica);
+    }
+    replica = next;
+  }
+}
+
+void ReplicaRegistry::markLeaving(const ReplicaId& id) {
+  ReplicaRecord* record = findMutable(id);
+  if (record != nullptr && !record->leaving) {
+    record->leaving = true;
+    noteChange(*record);
+  }
+}
+
+void ReplicaRegistry::expire(TimePoint now, Duration silence) {
+  for (auto replica = replicas_.begin(); replica != replicas_.end();) {
+    const auto next = std::next(replica);
+    ReplicaRecord& record = replica->second;
+    if (now - record.heard > silence) {
+      remove(replica);
+    } else {
+      const auto outlived = [now](const auto& item) { return now - item.second > kAssumptionLasts; };
+      const auto dropped = std::erase_if(record.assumed_adapters, outlived) +
+                           std::erase_if(record.withdrawn_models, outlived);
+      if (dropped > 0) {
+        noteChange(record);
+      }
+    }
+    replica = next;
+  }
+}
+
+void ReplicaRegistry::assumeAdapter(const ReplicaId& id, const ModelName& model, const std::string& adapter,
+                                    TimePoint now) {
+  if (ReplicaRecord* record = findMutable(id)) {
+    record->assumed_adapters[{model, adapter}] = now;
+    noteChange(*record);
+  }
+}
+
+void ReplicaRegistry::dropAdapter(const ReplicaId& id, const ModelName& model, const std::string& adapter) {
+  ReplicaRecord* record = findMutable(id);
+  if (record == nullptr) {
+    return;
+  }
+  record->assumed_adapters.erase({model, adapter});
+  for (wire::HeldModel& held : record->report.held) {
+    if (held.model == model) {
+      std::erase(held.adapters, adapter);
+    }
+  }
+  noteChange(*record);
+}
+
+void ReplicaRegistry::withdrawModel(const ReplicaId& id, const ModelName& model, TimePoint now) {
+  if (ReplicaRecord* record = findMutable(id)) {
+    record->withdrawn_models[model] = now;
+    noteChange(*record);
+  }
+}
+
+void ReplicaRegistry::restoreModel(const ReplicaId& id, const ModelName& model) {
+  ReplicaRecord* record = findMutable(id);
+  if (record != nullptr && record->withdrawn_models.erase(model) > 0) {
+    noteChange(*record);
+  }
+}
+
+const ReplicaRecord* ReplicaRegistry::find(const ReplicaId& id) const {
+  const auto found = replicas_.find(id);
+  return found == replicas_.end() ? nullptr : &found->second;
+}
+
+void ReplicaRegistry::renewAll() {
+  ++changes_;
+  removals_.clear();
+  removals_known_from_ = changes_;
+}
+
+ReplicaRecord* ReplicaRegistry::findMutable(const ReplicaId& id) {
+  const auto found = replicas_.find(id);
+  return found == replicas_.end() ? nullptr : &found->second;
+}
+
+bool ReplicaRegistry::removedSince(std::uint64_t change, std::vector<ReplicaId>& removed) const {
+  if (change < removals_known_from_) {
+    return false;
+  }
+  for (const Removal& removal : removals_) {
+    if (removal.change > change && !replicas_.contains(removal.id)) {
+      removed.push_back(removal.id);
+    }
+  }
+  return true;
+}
+
+void ReplicaRegistry::remove(std::map<ReplicaId, ReplicaRecord>::iterator replica) {
+  removals_.push_back({++changes_, replica->first});
+  replicas_.erase(replica);
+  if (removals_.size() > kRememberedRemovals) {
+    removals_known_from_ = removals_.front().change;
+    removals_.pop_front();
+  }
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/replica_registry.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/time.h"
+#include "wire/service_messages.h"
+
+namespace ferryrock::services {
+
+/// A replica as it last reported itself.
+struct ReplicaRecord {
+  wire::ReplicaReport report;
+  TimePoint heard{};
+  bool leaving = false;
+  std::uint64_t changed = 0;  ///< the registry's count when routers last got something new about it
+  /// Adapters whose load was taken by the replica, by (model, adapter), until they show in a report.
+  std::map<std::pair<ModelName, std::string>, TimePoint> assumed_adapters;
+  /// Models whose unload was ordered; routers don't see them any more.
+  std::map<ModelName, TimePoint> withdrawn_models;
+
+  /// What routers may use.
+  std::vector<wire::HeldModel> usable() const;
+};
+
+enum class ReportNews : std::uint8_t {
+  Late,     ///< older than what is known: nothing was taken
+  Same,     ///< a sign of life
+  Changed,  ///< routers need to know
+};
+
+/// Replicas that report themselves. Soft state: a member that starts knows none until they report. Used by
+/// one thread.
+class ReplicaRegistry {
+ public:
+  /// A report without an address is a bare notice that the replica leaves.
+  ReportNews accept(const wire::ReplicaReport& report, TimePoint now);
+  /// Sticky for the replica's life; known replicas only.
+  void markLeaving(const ReplicaId& id);
+  /// Forgets replicas that have been silent since then, and assumptions that no report has confirmed.
+  void expire(TimePoint now, Duration silence);
+
+  void assumeAdapter(const ReplicaId& id, const ModelName& model, const std::string& adapter, TimePoint now);
+  void dropAdapter(const ReplicaId& id, const ModelName& model, const std::string& adapter);
+  void withdrawModel(const ReplicaId& id, const ModelName& model, TimePoint now);
+  void restoreModel(const ReplicaId& id, const ModelName& model);
+
+  /// From here on routers need the whole table: what they hold may list replicas that are gone.
+  void renewAll();
+
+  const std::map<ReplicaId, ReplicaRecord>& replicas() const { return replicas_; }
+  const ReplicaRecord* find(const ReplicaId& id) const;
+  /// Raised whenever routers need to know something new.
+  std::uint64_t changes() const { return changes_; }
+  /// Replicas forgotten after that count of changes; false if that is too long ago to be known.
+  bool removedSince(std::uint64_t change, std::vector<ReplicaId>& removed) const;
+
+ private:
+  struct Removal {
+    std::uint64_t change = 0;
+    ReplicaId id;
+  };
+
+  void remove(std::map<ReplicaId, ReplicaRecord>::iterator replica);
+  void removeOthersAt(const std::string& address, const ReplicaId& id);
+  ReplicaRecord* findMutable(const ReplicaId& id);
+  void noteChange(ReplicaRecord& record) { record.changed = ++changes_; }
+
+  std::map<ReplicaId, ReplicaRecord> replicas_;
+  std::deque<Removal> removals_;       ///< oldest first
+  std::uint64_t removals_known_from_ = 0;  ///< every removal after this count is listed
+  std::uint64_t changes_ = 0;
+};
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/router_directory.cc
@@ -0,0 +1,46 @@
+#include "services/router_directory.h"
+
+#include <algorithm>
+
+namespace ferryrock::services {
+namespace {
+
+constexpr Duration kForgottenAfter = std::chrono::seconds(10);
+
+}  // namespace
+
+bool RouterDirectory::accept(const wire::CallRouterStatus& status, TimePoint now) {
+  RouterRecord& record = routers_[status.router];
+  const bool same_life = record.status.incarnation == status.incarnation;
+  if (same_life && status.sequence <= record.status.sequence) {
+    return false;
+  }
+  record.status = status;
+  record.heard = now;
+  return true;
+}
+
+void RouterDirectory::expire(TimePoint now) {
+  std::erase_if(routers_, [now](const auto& item) { return now - item.second.heard > kForgottenAfter; });
+}
+
+bool RouterDirectory::offered(const RouterRecord& record, TimePoint now) {
+  return record.status.accepting && now - record.heard <= kOfferedFor;
+}
+
+std::vector<std::string> RouterDirectory::addresses(TimePoint now, std::size_t limit) const {
+  std::vector<std::string> addresses;
+  for (const auto& [name, record] : routers_) {
+    if (offered(record, now) && addresses.size() < limit) {
+      addresses.push_back(record.status.address);
+    }
+  }
+  return addresses;
+}
+
+std::size_t RouterDirectory::acceptingCount(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      routers_.begin(), routers_.end(), [now](const auto& item) { return offered(item.second, now); }));
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/router_directory.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "wire/service_messages.h"
+
+namespace ferryrock::services {
+
+struct RouterRecord {
+  wire::CallRouterStatus status;
+  TimePoint heard{};
+};
+
+/// The routers that report themselves; every member keeps its own, so that callers are told where to go
+/// without a leader. Used by one thread.
+class RouterDirectory {
+ public:
+  /// False for a status that is older than what is known.
+  bool accept(const wire::CallRouterStatus& status, TimePoint now);
+  void expire(TimePoint now);
+
+  /// Routers heard of late; those that ended without a word are among them for a while.
+  const std::map<NodeName, RouterRecord>& routers() const { return routers_; }
+  /// Where callers may connect, at most `limit` addresses.
+  std::vector<std::string> addresses(TimePoint now, std::size_t limit) const;
+  /// Routers that share the retry budgets.
+  std::size_t acceptingCount(TimePoint now) const;
+
+  /// A router that is silent for longer isn't offered to callers.
+  static constexpr Duration kOfferedFor = std::chrono::milliseconds(3000);
+
+ private:
+  static bool offered(const RouterRecord& record, TimePoint now);
+
+  std::map<NodeName, RouterRecord> routers_;
+};
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/service_control.cc
@@ -0,0 +1,332 @@
+#include "services/service_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "consensus/membership.h"
+#include "services/service_control_impl.h"
+
+namespace ferryrock::services {
+namespace {
+
+constexpr Duration kMemberHelloInterval = std::chrono::milliseconds(500);
+constexpr Duration kNewcomerHelloInterval = std::chrono::milliseconds(200);
+constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
+/// Members that don't lead forget replicas this late, since only the leader's word removes them.
+constexpr Duration kFollowerSilence = std::chrono::seconds(60);
+
+CellKeeperSettings keeperSettings(const ServiceControlSettings& settings) {
+  CellKeeperSettings keeper;
+  keeper.wanted_voters = 2 * std::size_t{settings.losses_borne} + 1;
+  return keeper;
+}
+
+}  // namespace
+
+ServiceControlImpl::ServiceControlImpl(const ServiceControlSettings& settings,
+                                       consensus::RecoveredState recovered, Random random,
+                                       TimeSource& time_source)
+    : settings_(settings),
+      self_(settings.control.log.node),
+      node_(control::createControlNode(settings.control, std::move(recovered), std::move(random), time_source)),
+      keeper_(keeperSettings(settings), time_source.monotonicTime()),
+      known_nodes_(settings.seeds.begin(), settings.seeds.end()),
+      next_hello_(time_source.monotonicTime()),
+      next_expiry_(time_source.monotonicTime() + kExpiryInterval) {}
+
+Effects ServiceControlImpl::receive(const wire::Envelope& envelope, TimePoint now) {
+  std::visit([&](const auto& message) { onMessage(envelope.from, message, now); }, envelope.message);
+  return finish(now);
+}
+
+void ServiceControlImpl::onMessage(const NodeName& from, const wire::MemberHello& hello, TimePoint now) {
+  if (hello.node != from) {
+    return;
+  }
+  keeper_.onHello(hello, now);
+  known_nodes_.insert(hello.node);
+  if (consensus::findMember(node_->log().membership(), hello.id) == nullptr) {
+    send(from, wire::MemberList{memberNodes(), node_->log().leader()});
+  }
+}
+
+void ServiceControlImpl::onMessage(const NodeName&, const wire::MemberList& list, TimePoint) {
+  known_nodes_.insert(list.nodes.begin(), list.nodes.end());
+}
+
+void ServiceControlImpl::onMessage(const NodeName&, const wire::ReplicaReports& reports, TimePoint now) {
+  for (const wire::ReplicaReport& report : reports.reports) {
+    learn(report, now);
+  }
+}
+
+void ServiceControlImpl::onMessage(const NodeName& from, const wire::LeaveRequest& request, TimePoint now) {
+  NoticeOrigin origin;
+  origin.member = from;
+  origin.number = request.number;
+  if (leader_) {
+    learn(request.report, now);
+    beginNotice(origin, request.report, now);
+  } else {
+    send(from, wire::LeaveReply{request.number, false});
+  }
+}
+
+void ServiceControlImpl::onMessage(const NodeName&, const wire::LeaveReply& reply, TimePoint) {
+  const auto found = forwarded_.find(reply.number);
+  if (found == forwarded_.end()) {
+    return;
+  }
+  answer(found->second.question, reply.bound ? ResultCode::Ok : ResultCode::NotBoundEverywhere);
+  forwarded_.erase(found);
+}
+
+void ServiceControlImpl::onMessage(const NodeName& from, const wire::CallRouterStatus& status,
+                                   TimePoint now) {
+  if (status.router != from || !directory_.accept(status, now)) {
+    return;
+  }
+  if (leader_) {
+    updateRouter(status, now);
+  } else {
+    send(from, wire::MemberList{memberNodes(), node_->log().leader()});
+  }
+}
+
+void ServiceControlImpl::take(control::Effects effects, TimePoint now) {
+  for (control::Effect& effect : effects) {
+    std::visit([this, now](auto& typed) { takeOne(typed, now); }, effect);
+  }
+}
+
+void ServiceControlImpl::takeOne(wire::SendEffect& effect, TimePoint) {
+  effects_.emplace_back(std::move(effect));
+}
+
+void ServiceControlImpl::takeOne(consensus::PersistEffect& effect, TimePoint) {
+  effects_.emplace_back(std::move(effect));
+}
+
+void ServiceControlImpl::takeOne(const control::ProposalDoneEffect& effect, TimePoint now) {
+  const auto found = proposals_.find(effect.proposal_id);
+  if (found == proposals_.end()) {
+    return;
+  }
+  const ProposalPurpose purpose = found->second;
+  proposals_.erase(found);
+  if (const auto* catalog = std::get_if<CatalogProposal>(&purpose)) {
+    onCatalogDone(catalog->question, effect.result, now);
+  } else if (const auto* leaving = std::get_if<LeavingProposal>(&purpose)) {
+    leaving_proposed_.erase(leaving->replica);
+  } else if (leader_) {
+    leader_->membership_change_open = false;
+  }
+}
+
+void ServiceControlImpl::takeOne(const control::ReadDoneEffect& effect, TimePoint now) {
+  const auto found = reads_.find(effect.read_id);
+  if (found == reads_.end()) {
+    return;
+  }
+  const ReadPurpose purpose = found->second;
+  reads_.erase(found);
+  if (const auto* read = std::get_if<CatalogRead>(&purpose)) {
+    onCatalogRead(read->question, effect.confirmed);
+  } else if (const auto* held = std::get_if<CatalogHeld>(&purpose)) {
+    if (effect.confirmed) {
+      holdAcknowledgement(held->question, now);
+    } else {
+      answer(held->question, ResultCode::NoQuorum, "leadership was lost before the answer was sure");
+    }
+  } else {
+    const auto of_read = [&effect](const LeaveNotice& notice) {
+      return notice.confirming && notice.read == effect.read_id;
+    };
+    for (const LeaveNotice& notice : notices_.takeIf(of_read)) {
+      answerNotice(notice, effect.confirmed);
+    }
+  }
+}
+
+void ServiceControlImpl::send(const NodeName& to, wire::Message message) {
+  effects_.emplace_back(wire::SendEffect{to, std::move(message)});
+}
+
+bool ServiceControlImpl::isMember() const {
+  return consensus::findMember(node_->log().membership(), settings_.control.log.id) != nullptr;
+}
+
+void ServiceControlImpl::sayHello(TimePoint now) {
+  if (now < next_hello_) {
+    return;
+  }
+  next_hello_ = now + (isMember() ? kMemberHelloInterval : kNewcomerHelloInterval);
+  wire::MemberHello hello;
+  hello.id = settings_.control.log.id;
+  hello.node = self_;
+  hello.address = self_.value;
+  hello.http = settings_.http;
+  hello.has_leader = hearsLeader();
+  for (const NodeName& node : peers()) {
+    send(node, hello);
+  }
+}
+
+std::vector<NodeName> ServiceControlImpl::peers() const {
+  std::set<NodeName> nodes = known_nodes_;
+  for (const wire::Member& member : node_->log().membership().members) {
+    nodes.insert(member.node);
+  }
+  nodes.erase(self_);
+  return {nodes.begin(), nodes.end()};
+}
+
+void ServiceControlImpl::addSeeds(const std::vector<NodeName>& seeds) {
+  known_nodes_.insert(seeds.begin(), seeds.end());
+}
+
+std::string ServiceControlImpl::leaderHttp() const {
+  if (node_->leads()) {
+    return settings_.http;
+  }
+  const wire::Member* leader = consensus::findNode(node_->log().membership(), node_->log().leader());
+  return leader == nullptr ? std::string() : leader->http;
+}
+
+void ServiceControlImpl::answer(QuestionNumber question, ResultCode code, std::string detail,
+                                std::string body) {
+  effects_.emplace_back(AnswerEffect{question, code, std::move(detail), std::move(body), leaderHttp()});
+}
+
+std::uint64_t ServiceControlImpl::propose(ProposalPurpose purpose, wire::Command command, TimePoint now) {
+  const std::uint64_t id = next_id_++;
+  proposals_.emplace(id, std::move(purpose));
+  take(node_->propose(id, std::move(command), now), now);
+  return id;
+}
+
+void ServiceControlImpl::confirmRead(ReadPurpose purpose, TimePoint now) {
+  const std::uint64_t id = next_id_++;
+  reads_.emplace(id, std::move(purpose));
+  take(node_->confirmRead(id, now), now);
+}
+
+Effects ServiceControlImpl::tick(TimePoint now) {
+  take(node_->tick(now), now);
+  if (now >= relay_due_) {
+    flushRelay();
+  }
+  if (now >= next_expiry_) {
+    next_expiry_ = now + kExpiryInterval;
+    directory_.expire(now);
+    const bool settled = leader_ && leader_->complete;
+    registry_.expire(now, settled ? settings_.replica_silence : kFollowerSilence);
+    if (leader_) {
+      leader_->demand.keepRouters(directory_.routers());
+    }
+  }
+  giveUpForwarded(now);
+  sayHello(now);
+  return finish(now);
+}
+
+TimePoint ServiceControlImpl::nextDeadline() const {
+  TimePoint deadline = std::min({node_->nextDeadline(), relay_due_, next_hello_, next_expiry_});
+  deadline = std::min(deadline, notices_.nextDeadline());
+  for (const HeldAcknowledgement& held : held_acknowledgements_) {
+    deadline = std::min(deadline, held.deadline);
+  }
+  for (const auto& [number, forwarded] : forwarded_) {
+    deadline = std::min(deadline, forwarded.deadline);
+  }
+  if (leader_) {
+    deadline = std::min(deadline, leader_->next_plan);
+  }
+  return deadline;
+}
+
+Effects ServiceControlImpl::onPersisted(std::uint64_t sequence, TimePoint now) {
+  take(node_->onPersisted(sequence, now), now);
+  return finish(now);
+}
+
+Effects ServiceControlImpl::onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now) {
+  if (leader_) {
+    leader_->placer.onOrderDone(number, outcome, now);
+    leader_->next_plan = now;
+  }
+  return finish(now);
+}
+
+Effects ServiceControlImpl::onInspected(OrderNumber number, const std::optional<ReplicaState>& state,
+                                        TimePoint now) {
+  if (leader_) {
+    leader_->placer.onInspected(number, state, now);
+    leader_->next_plan = now;
+  }
+  return finish(now);
+}
+
+Effects ServiceControlImpl::beginStop(TimePoint now) {
+  take(node_->beginStop(now), now);
+  return finish(now);
+}
+
+void ServiceControlImpl::followLeadership(TimePoint now) {
+  const Term term = node_->log().term();
+  const bool same = leader_ && node_->leads() && leader_->term == term;
+  if (leader_ && !same) {
+    endLeadership();
+  }
+  if (node_->leads() && !leader_) {
+    ModelPlacerSettings placer;
+    placer.holder = self_;
+    placer.fence = term;
+    placer.first_order = now + settings_.order_lease;
+    leader_.emplace(term, placer, registry_, now);
+    keeper_.onLeadership(now);
+  }
+}
+
+void ServiceControlImpl::endLeadership() {
+  leader_.reset();
+  for (const LeaveNotice& notice : notices_.takeIf([](const LeaveNotice&) { return true; })) {
+    answerNotice(notice, false);
+  }
+  for (const HeldAcknowledgement& held : std::exchange(held_acknowledgements_, {})) {
+    answer(held.question, ResultCode::NoQuorum, "leadership was lost before the catalog was safe");
+  }
+  leaving_proposed_.clear();
+}
+
+Effects ServiceControlImpl::finish(TimePoint now) {
+  followLeadership(now);
+  if (leader_) {
+    leadOn(now);
+  }
+  return std::exchange(effects_, {});
+}
+
+std::vector<std::string> ServiceControlImpl::routerAddresses(std::size_t limit, TimePoint now) const {
+  return directory_.addresses(now, limit);
+}
+
+ServiceControlView ServiceControlImpl::view(TimePoint now) const {
+  ServiceControlView view;
+  view.leads = node_->leads();
+  view.leader = node_->log().leader();
+  view.term = node_->log().term();
+  view.voters = consensus::voterCount(node_->log().membership());
+  view.replicas = registry_.replicas().size();
+  view.routers = directory_.acceptingCount(now);
+  view.catalog = node_->hosted().catalog().version;
+  return view;
+}
+
+std::unique_ptr<ServiceControl> createServiceControl(const ServiceControlSettings& settings,
+                                                     consensus::RecoveredState recovered, Random random,
+                                                     TimeSource& time_source) {
+  return std::make_unique<ServiceControlImpl>(settings, std::move(recovered), std::move(random), time_source);
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/service_control_catalog.cc
@@ -0,0 +1,85 @@
+#include <utility>
+
+#include "common/error.h"
+#include "consensus/membership.h"
+#include "services/catalog_rules.h"
+#include "services/service_control_impl.h"
+
+namespace ferryrock::services {
+namespace {
+
+/// How long an acknowledgement waits for the cell to be mended.
+constexpr Duration kAcknowledgementLimit = std::chrono::milliseconds(3500);
+
+}  // namespace
+
+Effects ServiceControlImpl::replaceCatalog(QuestionNumber question, wire::ServiceCatalog catalog,
+                                           std::string source, TimePoint now) {
+  try {
+    checkCatalog(catalog);
+  } catch (const Error& fault) {
+    answer(question, fault.code(), fault.what());
+    return finish(now);
+  }
+  if (node_->leads() && catalog.version <= node_->hosted().catalog().version) {
+    confirmRead(CatalogHeld{question}, now);
+  } else {
+    propose(CatalogProposal{question}, wire::ReplaceCatalogCommand{std::move(catalog), std::move(source)}, now);
+  }
+  return finish(now);
+}
+
+void ServiceControlImpl::onCatalogDone(QuestionNumber question, const wire::CommandResult& result,
+                                       TimePoint now) {
+  if (result.code == ResultCode::Ok) {
+    holdAcknowledgement(question, now);
+  } else {
+    answer(question, result.code, result.detail);
+  }
+}
+
+void ServiceControlImpl::holdAcknowledgement(QuestionNumber question, TimePoint now) {
+  held_acknowledgements_.push_back({question, now + kAcknowledgementLimit});
+}
+
+/// What is committed stands on a majority of the voters. That is enough once a majority is more than the
+/// members that may be lost at once, and no change of the voters is open: the entry of the last change was
+/// committed after what is to be acknowledged or before its leader's term, so a majority holds both.
+bool ServiceControlImpl::onEnoughDisks() const {
+  const std::size_t majority = consensus::commitQuorum(node_->log().membership());
+  return leader_ && !leader_->membership_change_open && majority > settings_.losses_borne;
+}
+
+void ServiceControlImpl::settleAcknowledgements(TimePoint now) {
+  const bool enough = onEnoughDisks();
+  std::erase_if(held_acknowledgements_, [&](const HeldAcknowledgement& held) {
+    if (enough) {
+      answer(held.question, ResultCode::Ok);
+    } else if (now >= held.deadline) {
+      answer(held.question, ResultCode::NoQuorum, "the cell has too few voters to keep the catalog safe");
+    }
+    return enough || now >= held.deadline;
+  });
+}
+
+Effects ServiceControlImpl::readCatalog(QuestionNumber question, TimePoint now) {
+  if (node_->leads()) {
+    confirmRead(CatalogRead{question}, now);
+  } else {
+    answer(question, leaderHttp().empty() ? ResultCode::NoQuorum : ResultCode::NotLeader,
+           "this member doesn't lead the cell");
+  }
+  return finish(now);
+}
+
+void ServiceControlImpl::onCatalogRead(QuestionNumber question, bool confirmed) {
+  if (!confirmed) {
+    answer(question, ResultCode::NoQuorum, "leadership was lost before the read was confirmed");
+  } else if (node_->hosted().catalog().version == CatalogVersion{}) {
+    answer(question, ResultCode::NoCatalog, "no catalog was accepted yet");
+  } else {
+    answer(question, ResultCode::Ok, {}, node_->hosted().source());
+  }
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/service_control_impl.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "services/cell_keeper.h"
+#include "services/leave_notices.h"
+#include "services/model_demand.h"
+#include "services/model_placer.h"
+#include "services/service_control.h"
+#include "services/table_feed.h"
+
+namespace ferryrock::services {
+
+/// ServiceControl around one ControlNode. Its parts: service_control.cc (entry points, messages, timers),
+/// service_control_catalog.cc (replacing and reading the catalog), service_control_replicas.cc (reports and
+/// notices), service_control_leader.cc (routers' tables, orders, membership).
+class ServiceControlImpl : public ServiceControl {
+ public:
+  ServiceControlImpl(const ServiceControlSettings& settings, consensus::RecoveredState recovered,
+                     Random random, TimeSource& time_source);
+
+  Effects receive(const wire::Envelope& envelope, TimePoint now) override;
+  Effects tick(TimePoint now) override;
+  TimePoint nextDeadline() const override;
+  Effects onPersisted(std::uint64_t sequence, TimePoint now) override;
+  Effects replaceCatalog(QuestionNumber question, wire::ServiceCatalog catalog, std::string source,
+                         TimePoint now) override;
+  Effects readCatalog(QuestionNumber question, TimePoint now) override;
+  Effects onReport(QuestionNumber question, const wire::ReplicaReport& report, TimePoint now) override;
+  Effects onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now) override;
+  Effects onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now) override;
+  void addSeeds(const std::vector<NodeName>& seeds) override;
+  Effects beginStop(TimePoint now) override;
+  std::vector<std::string> routerAddresses(std::size_t limit, TimePoint now) const override;
+  std::vector<NodeName> peers() const override;
+  ServiceControlView view(TimePoint now) const override;
+
+ private:
+  // What proposals and quorum reads were made for.
+  struct CatalogProposal {
+    QuestionNumber question;
+  };
+  struct LeavingProposal {
+    ReplicaId replica;
+  };
+  struct MembershipProposal {};
+  using ProposalPurpose = std::variant<CatalogProposal, LeavingProposal, MembershipProposal>;
+  struct CatalogRead {
+    QuestionNumber question;
+  };
+  /// The catalog held is at least as new as the one that was sent.
+  struct CatalogHeld {
+    QuestionNumber question;
+  };
+  struct NoticeRead {};
+  using ReadPurpose = std::variant<CatalogRead, CatalogHeld, NoticeRead>;
+
+  /// A catalog that is committed, but not yet on enough disks.
+  struct HeldAcknowledgement {
+    QuestionNumber question;
+    TimePoint deadline{};
+  };
+  /// A notice that the leader was asked to make binding.
+  struct ForwardedNotice {
+    QuestionNumber question;
+    TimePoint deadline{};
+  };
+  /// One leader's term.
+  struct LeaderState {
+    LeaderState(Term own_term, const ModelPlacerSettings& placer_settings, ReplicaRegistry& registry,
+                TimePoint now)
+        : term(own_term),
+          feed(own_term, registry),
+          placer(placer_settings, registry, demand),
+          since(now) {}
+    Term term;
+    TableFeed feed;
+    ModelDemand demand;
+    ModelPlacer placer;
+    TimePoint since;
+    bool complete = false;  ///< every living replica has had the time to report
+    std::uint64_t pushed_changes = 0;
+    CatalogVersion pushed_version;
+    TimePoint next_plan{};
+    bool membership_change_open = false;
+    TimePoint next_membership_change{};
+  };
+
+  // service_control.cc
+  void onMessage(const NodeName& from, const wire::MemberHello& hello, TimePoint now);
+  void onMessage(const NodeName& from, const wire::MemberList& list, TimePoint now);
+  void onMessage(const NodeName& from, const wire::ReplicaReports& reports, TimePoint now);
+  void onMessage(const NodeName& from, const wire::LeaveRequest& request, TimePoint now);
+  void onMessage(const NodeName& from, const wire::LeaveReply& reply, TimePoint now);
+  void onMessage(const NodeName& from, const wire::CallRouterStatus& status, TimePoint now);
+  template <class OtherMessage>
+  void onMessage(const NodeName& from, const OtherMessage& message, TimePoint now) {
+    take(node_->receive({from, message}, now), now);
+  }
+  void take(control::Effects effects, TimePoint now);
+  void takeOne(wire::SendEffect& effect, TimePoint now);
+  void takeOne(consensus::PersistEffect& effect, TimePoint now);
+  void takeOne(const control::ProposalDoneEffect& effect, TimePoint now);
+  void takeOne(const control::ReadDoneEffect& effect, TimePoint now);
+  template <class EngineEffect>
+  void takeOne(const EngineEffect&, TimePoint) {}  // the settings tree's engines aren't used here
+  void send(const NodeName& to, wire::Message message);
+  void sayHello(TimePoint now);
+  bool isMember() const;
+  bool hearsLeader() const { return node_->leads() || !node_->log().leader().empty(); }
+  std::string leaderHttp() const;
+  void answer(QuestionNumber question, ResultCode code, std::string detail = {}, std::string body = {});
+  Effects finish(TimePoint now);
+  void followLeadership(TimePoint now);
+  void endLeadership();
+  std::uint64_t propose(ProposalPurpose purpose, wire::Command command, TimePoint now);
+  void confirmRead(ReadPurpose purpose, TimePoint now);
+
+  // service_control_catalog.cc
+  void onCatalogDone(QuestionNumber question, const wire::CommandResult& result, TimePoint now);
+  void onCatalogRead(QuestionNumber question, bool confirmed);
+  void holdAcknowledgement(QuestionNumber question, TimePoint now);
+  void settleAcknowledgements(TimePoint now);
+  bool onEnoughDisks() const;
+
+  // service_control_replicas.cc
+  ReportNews learn(const wire::ReplicaReport& report, TimePoint now);
+  void relay(const wire::ReplicaReport& report, bool at_once, TimePoint now);
+  void flushRelay();
+  void beginNotice(NoticeOrigin origin, const wire::ReplicaReport& report, TimePoint now);
+  void answerNotice(const LeaveNotice& notice, bool bound);
+  void settleNotices(TimePoint now);
+  bool routersHold(LogIndex revision, TimePoint now) const;
+  void giveUpForwarded(TimePoint now);
+
+  // service_control_leader.cc
+  void leadOn(TimePoint now);
+  void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
+  void pushTables(TimePoint now);
+  void planModels(TimePoint now);
+  void mendMembership(TimePoint now);
+  FeedContext feedContext(TimePoint now) const;
+  std::vector<NodeName> memberNodes() const;
+
+  ServiceControlSettings settings_;
+  NodeName self_;
+  std::unique_ptr<control::ControlNode> node_;
+  ReplicaRegistry registry_;
+  RouterDirectory directory_;
+  CellKeeper keeper_;
+  LeaveNotices notices_;
+  std::optional<LeaderState> leader_;
+  std::set<NodeName> known_nodes_;
+  std::map<std::uint64_t, ProposalPurpose> proposals_;
+  std::map<std::uint64_t, ReadPurpose> reads_;
+  std::set<ReplicaId> leaving_proposed_;
+  std::vector<HeldAcknowledgement> held_acknowledgements_;
+  std::map<std::uint64_t, ForwardedNotice> forwarded_;
+  wire::ReplicaReports relay_;
+  TimePoint relay_due_ = TimePoint::max();
+  TimePoint next_hello_;
+  TimePoint next_expiry_;
+  std::uint64_t next_id_ = 1;
+  Effects effects_;
+};
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/service_control_leader.cc
@@ -0,0 +1,92 @@
+#include <algorithm>
+#include <utility>
+
+#include "services/service_control_impl.h"
+
+namespace ferryrock::services {
+namespace {
+
+constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
+constexpr Duration kMembershipPause = std::chrono::milliseconds(100);
+
+}  // namespace
+
+void ServiceControlImpl::leadOn(TimePoint now) {
+  if (!leader_->complete && now - leader_->since > settings_.replica_silence) {
+    leader_->complete = true;
+    registry_.renewAll();
+  }
+  settleNotices(now);
+  planModels(now);
+  pushTables(now);
+  mendMembership(now);
+  settleAcknowledgements(now);
+}
+
+std::vector<NodeName> ServiceControlImpl::memberNodes() const {
+  std::vector<NodeName> nodes;
+  for (const wire::Member& member : node_->log().membership().members) {
+    nodes.push_back(member.node);
+  }
+  return nodes;
+}
+
+FeedContext ServiceControlImpl::feedContext(TimePoint now) const {
+  const std::size_t routers = std::max<std::size_t>(1, directory_.acceptingCount(now));
+  return {node_->hosted().catalog(), memberNodes(), static_cast<std::uint32_t>(routers), leader_->complete};
+}
+
+void ServiceControlImpl::updateRouter(const wire::CallRouterStatus& status, TimePoint now) {
+  leader_->demand.accept(status.router, status.wants, now);
+  const bool waits = std::any_of(status.wants.begin(), status.wants.end(),
+                                 [](const wire::ModelWant& want) { return want.waiting > 0; });
+  if (waits) {
+    leader_->next_plan = now;
+  }
+  if (node_->log().hasLease(now)) {
+    send(status.router, leader_->feed.updateFor(status, feedContext(now)));
+  }
+}
+
+/// Tells every router at once what has changed; what is lost on the way follows with its next status.
+void ServiceControlImpl::pushTables(TimePoint now) {
+  const CatalogVersion version = node_->hosted().catalog().version;
+  const bool news = registry_.changes() != leader_->pushed_changes || version != leader_->pushed_version;
+  if (!news || !node_->log().hasLease(now)) {
+    return;
+  }
+  leader_->pushed_changes = registry_.changes();
+  leader_->pushed_version = version;
+  const FeedContext context = feedContext(now);
+  for (const auto& [router, record] : directory_.routers()) {
+    send(router, leader_->feed.updateFor(record.status, context));
+  }
+}
+
+void ServiceControlImpl::planModels(TimePoint now) {
+  if (now < leader_->next_plan || !node_->log().hasLease(now)) {
+    return;
+  }
+  leader_->next_plan = now + kPlanInterval;
+  leader_->demand.fade(now);
+  for (PlacerEffect& effect : leader_->placer.plan(node_->hosted().catalog(), now)) {
+    std::visit([this](auto& typed) { effects_.emplace_back(std::move(typed)); }, effect);
+  }
+}
+
+void ServiceControlImpl::mendMembership(TimePoint now) {
+  if (leader_->membership_change_open || now < leader_->next_membership_change) {
+    return;
+  }
+  const auto change = keeper_.nextChange(node_->log().membership(), settings_.control.log.id, now);
+  if (!change) {
+    return;
+  }
+  leader_->membership_change_open = true;
+  leader_->next_membership_change = now + kMembershipPause;
+  const std::uint64_t id = next_id_++;
+  proposals_.emplace(id, MembershipProposal{});
+  take(node_->changeMembership(id, *change, now), now);
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/service_control_replicas.cc
@@ -0,0 +1,138 @@
+#include <algorithm>
+#include <utility>
+
+#include "services/service_control_impl.h"
+
+namespace ferryrock::services {
+namespace {
+
+constexpr Duration kRelayDelay = std::chrono::milliseconds(100);
+/// A replica waits about a second for its answer; then it asks elsewhere.
+constexpr Duration kNoticeLimit = std::chrono::milliseconds(850);
+constexpr Duration kForwardLimit = std::chrono::milliseconds(900);
+/// A new leader has heard of every router in touch after this time.
+constexpr Duration kRoutersReport = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+Effects ServiceControlImpl::onReport(QuestionNumber question, const wire::ReplicaReport& report,
+                                     TimePoint now) {
+  if (!hearsLeader()) {
+    answer(question, ResultCode::NoQuorum, "this member hears no leader");
+    return finish(now);
+  }
+  const ReportNews news = learn(report, now);
+  if (news != ReportNews::Late) {
+    relay(report, news == ReportNews::Changed, now);
+  }
+  if (!report.leaving) {
+    answer(question, ResultCode::Ok);
+  } else if (node_->leads()) {
+    followLeadership(now);
+    NoticeOrigin origin;
+    origin.question = question.value;
+    beginNotice(origin, report, now);
+  } else {
+    const std::uint64_t number = next_id_++;
+    forwarded_.emplace(number, ForwardedNotice{question, now + kForwardLimit});
+    send(node_->log().leader(), wire::LeaveRequest{number, report});
+  }
+  return finish(now);
+}
+
+ReportNews ServiceControlImpl::learn(const wire::ReplicaReport& report, TimePoint now) {
+  const ReportNews news = registry_.accept(report, now);
+  if (node_->hosted().leaving(report.id)) {
+    registry_.markLeaving(report.id);
+  }
+  return news;
+}
+
+void ServiceControlImpl::relay(const wire::ReplicaReport& report, bool at_once, TimePoint now) {
+  relay_.reports.push_back(report);
+  if (at_once) {
+    flushRelay();
+  } else if (relay_due_ == TimePoint::max()) {
+    relay_due_ = now + kRelayDelay;
+  }
+}
+
+void ServiceControlImpl::flushRelay() {
+  relay_due_ = TimePoint::max();
+  const wire::ReplicaReports reports = std::exchange(relay_, {});
+  if (reports.reports.empty()) {
+    return;
+  }
+  for (const NodeName& node : memberNodes()) {
+    if (node != self_) {
+      send(node, reports);
+    }
+  }
+}
+
+void ServiceControlImpl::beginNotice(NoticeOrigin origin, const wire::ReplicaReport& report, TimePoint now) {
+  LeaveNotice notice;
+  notice.origin = std::move(origin);
+  notice.replica = report.id;
+  notice.deadline = now + kNoticeLimit;
+  notices_.add(std::move(notice));
+  if (!node_->hosted().leaving(report.id) && leaving_proposed_.insert(report.id).second) {
+    propose(LeavingProposal{report.id}, wire::ReplicaLeavingCommand{report.id}, now);
+  }
+}
+
+void ServiceControlImpl::answerNotice(const LeaveNotice& notice, bool bound) {
+  if (notice.origin.question) {
+    answer(QuestionNumber{*notice.origin.question}, bound ? ResultCode::Ok : ResultCode::NotBoundEverywhere);
+  } else {
+    send(notice.origin.member, wire::LeaveReply{notice.origin.number, bound});
+  }
+}
+
+/// A notice binds once it is committed, every router in touch holds a table that shows it, and a quorum has
+/// confirmed after that that this member leads.
+void ServiceControlImpl::settleNotices(TimePoint now) {
+  std::uint64_t read = 0;
+  for (LeaveNotice& notice : notices_.all()) {
+    if (!node_->hosted().leaving(notice.replica)) {
+      continue;
+    }
+    if (!notice.revision) {
+      registry_.markLeaving(notice.replica);
+      notice.revision = leader_->feed.revision();
+    }
+    const bool known_routers = now - leader_->since >= kRoutersReport;
+    if (!notice.confirming && known_routers && routersHold(*notice.revision, now)) {
+      read = read == 0 ? next_id_ : read;
+      notice.confirming = true;
+      notice.read = read;
+    }
+  }
+  if (read != 0) {
+    confirmRead(NoticeRead{}, now);
+  }
+  for (const LeaveNotice& notice :
+       notices_.takeIf([now](const LeaveNotice& waiting) { return now >= waiting.deadline; })) {
+    answerNotice(notice, false);
+  }
+}
+
+/// A router that has been silent for longer than the limit isn't in touch: nothing binds it until it is.
+bool ServiceControlImpl::routersHold(LogIndex revision, TimePoint now) const {
+  return std::all_of(directory_.routers().begin(), directory_.routers().end(), [&](const auto& item) {
+    const RouterRecord& record = item.second;
+    return now - record.heard > settings_.router_out_of_touch || leader_->feed.holds(record.status, revision);
+  });
+}
+
+void ServiceControlImpl::giveUpForwarded(TimePoint now) {
+  std::erase_if(forwarded_, [&](const auto& item) {
+    const bool late = now >= item.second.deadline;
+    if (late) {
+      answer(item.second.question, ResultCode::NotBoundEverywhere, "the leader didn't answer in time");
+    }
+    return late;
+  });
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/table_feed.cc
@@ -0,0 +1,60 @@
+#include "services/table_feed.h"
+
+namespace ferryrock::services {
+namespace {
+
+constexpr unsigned kTermShift = 40;
+constexpr std::uint64_t kChangeMask = (std::uint64_t{1} << kTermShift) - 1;
+
+wire::RoutedReplica routed(const ReplicaRecord& record) {
+  wire::RoutedReplica replica;
+  replica.id = record.report.id;
+  replica.service = record.report.service;
+  replica.address = record.report.address;
+  replica.zone = record.report.zone;
+  replica.slots = record.report.slots;
+  replica.accepting = !record.leaving;
+  replica.slow_start_ms = record.report.slow_start_ms;
+  replica.held = record.usable();
+  return replica;
+}
+
+}  // namespace
+
+LogIndex TableFeed::revision() const {
+  return LogIndex{(term_.value << kTermShift) | ((registry_.changes() + 1) & kChangeMask)};
+}
+
+std::uint64_t TableFeed::changesAt(LogIndex revision) const {
+  return revision.value >> kTermShift == term_.value ? (revision.value & kChangeMask) : 0;
+}
+
+bool TableFeed::holds(const wire::CallRouterStatus& status, LogIndex revision) const {
+  return changesAt(status.revision) >= changesAt(revision);
+}
+
+wire::ServiceUpdate TableFeed::updateFor(const wire::CallRouterStatus& status,
+                                         const FeedContext& context) const {
+  wire::ServiceUpdate update;
+  update.revision = revision();
+  update.version = context.catalog.version;
+  if (status.catalog < context.catalog.version) {
+    update.catalog = context.catalog;
+  }
+  update.members = context.members;
+  update.routers = context.routers;
+  std::uint64_t known = changesAt(status.revision);
+  if (known > 0 && !registry_.removedSince(known - 1, update.removed)) {
+    known = 0;
+  }
+  update.base = known > 0 ? status.revision : LogIndex{};
+  update.complete = context.complete;
+  for (const auto& [id, record] : registry_.replicas()) {
+    if (known == 0 || record.changed > known - 1) {
+      update.replicas.push_back(routed(record));
+    }
+  }
+  return update;
+}
+
+}  // namespace ferryrock::services
--- a/src/wire/commands.h
+++ b/src/wire/commands.h
@@ -7,6 +7,7 @@
 
 #include "common/result_code.h"
 #include "wire/model_types.h"
+#include "wire/service_types.h"
 
 /// Commands of the replicated state machine: each is one entry of the quorum log, applied in order on each
 /// member. Applying is deterministic: it reads nothing but the state and the command, so times are in the
@@ -111,6 +112,20 @@
   FERRYROCK_FIELDS(ExpireClaimsCommand, time)
 };
 
+/// Replaces the service catalog if its version is higher than the one held; otherwise nothing changes, which
+/// is no error. The catalog was checked before.
+struct ReplaceCatalogCommand {
+  ServiceCatalog catalog;
+  std::string source;  ///< the operator's own bytes, for reading back
+  FERRYROCK_FIELDS(ReplaceCatalogCommand, catalog, source)
+};
+
+/// A replica said that it leaves; it stays so for the rest of its life.
+struct ReplicaLeavingCommand {
+  ReplicaId replica;
+  FERRYROCK_FIELDS(ReplicaLeavingCommand, replica)
+};
+
 /// First entry of a term; commits what earlier terms left.
 struct NoOperationCommand {
   FERRYROCK_NO_FIELDS(NoOperationCommand)
@@ -119,7 +134,8 @@
 /// New alternatives go to the end: the index is the type number in the log.
 using Command = std::variant<NoOperationCommand, ChangeTreeCommand, RegisterEngineCommand,
                              RemoveMachineCommand, DecideSlotCommand, DecideAdapterCommand, SlotStateCommand,
-                             DrainEngineCommand, ClaimCommand, RecordOutcomeCommand, ExpireClaimsCommand>;
+                             DrainEngineCommand, ClaimCommand, RecordOutcomeCommand, ExpireClaimsCommand,
+                             ReplaceCatalogCommand, ReplicaLeavingCommand>;
 
 /// One place of a refused ChangeTreeCommand and what is wrong there.
 struct ChangeFault {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -7,6 +7,7 @@
 
 #include "wire/commands.h"
 #include "wire/model_types.h"
+#include "wire/service_messages.h"
 
 /// Messages between the system's own processes. One ZeroMQ message carries one Envelope.
 namespace ferryrock::wire {
@@ -203,7 +204,9 @@
 /// New alternatives go to the end: the index is the type number on the wire.
 using Message =
     std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotResponse,
-                 TimeoutNow, RouterStatus, DemandReport, RouterCommands, TableUpdate, CommandReplies>;
+                 TimeoutNow, RouterStatus, DemandReport, RouterCommands, TableUpdate, CommandReplies,
+                 MemberHello, MemberList, ReplicaReports, LeaveRequest, LeaveReply, CallRouterStatus,
+                 ServiceUpdate>;
 
 /// A message with its sender.
 struct Envelope {
--- /dev/null
+++ b/src/wire/service_messages.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/service_types.h"
+
+/// Messages between control members and the routers of calls, see docs/design/platform.md.
+namespace ferryrock::wire {
+
+/// Sent regularly by each control process to those that it knows, member or not. A process that isn't a
+/// member asks in this way to become one.
+struct MemberHello {
+  MemberId id;
+  NodeName node;        ///< its internal address, "host:port"
+  std::string address;  ///< the same, as transports take it
+  std::string http;     ///< where operators and replicas reach it, "host:port"
+  bool has_leader = false;
+  FERRYROCK_FIELDS(MemberHello, id, node, address, http, has_leader)
+};
+
+/// Answer to a hello of a process that isn't a member, and to a router's status: whom to ask.
+struct MemberList {
+  std::vector<NodeName> nodes;
+  NodeName leader;  ///< empty: unknown
+  FERRYROCK_FIELDS(MemberList, nodes, leader)
+};
+
+/// Reports that a control member got from replicas, told to the other members.
+struct ReplicaReports {
+  std::vector<ReplicaReport> reports;
+  FERRYROCK_FIELDS(ReplicaReports, reports)
+};
+
+/// A member got a replica's notice that it leaves and asks the leader to make it binding.
+struct LeaveRequest {
+  std::uint64_t number = 0;  ///< the asking member's
+  ReplicaReport report;
+  FERRYROCK_FIELDS(LeaveRequest, number, report)
+};
+
+/// bound: every router has confirmed that the replica gets no new calls.
+struct LeaveReply {
+  std::uint64_t number = 0;
+  bool bound = false;
+  FERRYROCK_FIELDS(LeaveReply, number, bound)
+};
+
+/// Calls of one model, or of one of its adapters, at one router.
+struct ModelWant {
+  ServiceName service;
+  ModelName model;
+  std::string adapter;         ///< empty: the model alone
+  std::uint32_t waiting = 0;   ///< without a replica that holds it
+  std::uint32_t running = 0;
+  std::uint32_t arrivals = 0;  ///< since the last status
+  FERRYROCK_FIELDS(ModelWant, service, model, adapter, waiting, running, arrivals)
+};
+
+/// A router of calls: where callers reach it, what it has in force and what its calls want.
+struct CallRouterStatus {
+  NodeName router;
+  ZoneName zone;
+  std::string address;            ///< where callers connect, "host:port"
+  std::uint64_t incarnation = 0;  ///< drawn at its start
+  std::uint64_t sequence = 0;
+  bool accepting = false;  ///< callers may be sent there
+  CatalogVersion catalog;  ///< in force
+  LogIndex revision;       ///< of its replica table
+  std::vector<ModelWant> wants;
+  FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
+                   revision, wants)
+};
+
+/// A replica as routers need it.
+struct RoutedReplica {
+  ReplicaId id;
+  ServiceName service;
+  std::string address;
+  ZoneName zone;
+  std::uint32_t slots = 1;
+  bool accepting = true;  ///< false: it leaves and gets no new calls
+  std::int64_t slow_start_ms = 0;
+  std::vector<HeldModel> held;
+  FERRYROCK_FIELDS(RoutedReplica, id, service, address, zone, slots, accepting, slow_start_ms, held)
+};
+
+/// From the leader. Changes of the replica table after base, or the whole table if base is 0. Revisions carry
+/// the leader's term in the upper bits, so that a router never goes back.
+struct ServiceUpdate {
+  LogIndex base;
+  LogIndex revision;
+  CatalogVersion version;
+  std::optional<ServiceCatalog> catalog;  ///< given when the router holds an older version
+  std::vector<RoutedReplica> replicas;
+  std::vector<ReplicaId> removed;
+  bool complete = false;      ///< replicas that a whole table doesn't list are gone
+  std::uint32_t routers = 1;  ///< that share retry budgets
+  std::vector<NodeName> members;
+  FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
+                   members)
+};
+
+}  // namespace ferryrock::wire
--- /dev/null
+++ b/src/wire/service_types.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/identifiers.h"
+#include "wire/fields.h"
+
+/// The service catalog and what replicas say of themselves. Calls are requests of any HTTP service: which
+/// service may run one follows from its host and path.
+namespace ferryrock::wire {
+
+/// How often one call may run.
+enum class CallKind : std::uint8_t {
+  Repeatable = 0,  ///< any number of times
+  AtMostOnce = 1,  ///< once at most
+  Streaming = 2,   ///< its answer is a sequence of events; once at most unless the route is resumable
+};
+
+/// A service that a route sends calls to, with its share of them.
+struct RouteTarget {
+  ServiceName service;
+  std::uint32_t weight = 1;
+  FERRYROCK_FIELDS(RouteTarget, service, weight)
+};
+
+/// Calls of one host whose path begins with path_prefix.
+struct CallRoute {
+  RouteName name;
+  std::string host;
+  std::string path_prefix;  ///< begins and ends with a slash
+  CallKind kind = CallKind::AtMostOnce;
+  std::int64_t timeout_ms = 0;         ///< the longest that a call is held
+  std::int64_t target_latency_ms = 0;  ///< up to the answer, or to the first event of a stream
+  std::int64_t target_pause_ms = 0;    ///< between two events of a stream; 0: not stated
+  std::uint32_t priority = 0;          ///< 0 is the most urgent
+  std::uint32_t max_attempts = 1;      ///< replicas that one call may be sent to
+  bool affinity = false;               ///< calls with a common prompt prefix go to the same replica
+  bool resumable = false;              ///< a broken stream may go on at another replica
+  std::vector<RouteTarget> targets;
+  FERRYROCK_FIELDS(CallRoute, name, host, path_prefix, kind, timeout_ms, target_latency_ms, target_pause_ms,
+                   priority, max_attempts, affinity, resumable, targets)
+};
+
+/// A model that the replicas of a service can load.
+struct HostedModel {
+  ModelName name;
+  double weight_mb = 0;
+  std::int64_t store_load_ms = 0;   ///< from the weight store
+  std::int64_t disk_load_ms = 0;    ///< from the replica's disk
+  std::int64_t memory_load_ms = 0;  ///< from the replica's memory
+  std::uint32_t adapters = 0;
+  double adapter_mb = 0;
+  FERRYROCK_FIELDS(HostedModel, name, weight_mb, store_load_ms, disk_load_ms, memory_load_ms, adapters,
+                   adapter_mb)
+};
+
+/// What the replicas of a service with models have in common.
+struct EngineTraits {
+  std::uint32_t slots = 0;  ///< requests in one batch
+  std::uint64_t cache_tokens = 0;
+  double weight_capacity_mb = 0;  ///< for weights and adapters together
+  std::uint32_t adapter_slots = 0;
+  double loads_per_second = 0;  ///< of the weight store, over all replicas; 0: not limited
+  std::vector<HostedModel> models;
+  FERRYROCK_FIELDS(EngineTraits, slots, cache_tokens, weight_capacity_mb, adapter_slots, loads_per_second,
+                   models)
+};
+
+struct HostedService {
+  ServiceName name;
+  std::string health_path;
+  std::uint32_t max_connections = 0;  ///< of one replica, from all callers; 0: not limited
+  std::optional<EngineTraits> engine;
+  FERRYROCK_FIELDS(HostedService, name, health_path, max_connections, engine)
+};
+
+/// Bounds on what a caller may send.
+struct CallLimits {
+  std::uint64_t max_header_bytes = 0;
+  std::uint64_t max_body_bytes = 0;
+  std::int64_t header_timeout_ms = 0;
+  std::int64_t idle_timeout_ms = 0;
+  FERRYROCK_FIELDS(CallLimits, max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms)
+};
+
+/// All routes and services, replaced as a whole. The highest version holds.
+struct ServiceCatalog {
+  CatalogVersion version;
+  std::vector<CallRoute> routes;
+  std::vector<HostedService> services;
+  CallLimits limits;
+  FERRYROCK_FIELDS(ServiceCatalog, version, routes, services, limits)
+};
+
+/// A model that a replica holds, with the adapters loaded on it.
+struct HeldModel {
+  ModelName model;
+  std::vector<std::string> adapters;
+  FERRYROCK_FIELDS(HeldModel, model, adapters)
+};
+
+/// A replica's heartbeat or its notice that it leaves.
+struct ReplicaReport {
+  ReplicaId id;
+  ServiceName service;
+  std::string address;  ///< "host:port"
+  ZoneName zone;
+  std::uint32_t slots = 1;
+  bool leaving = false;
+  std::optional<std::int64_t> ends_in_ms;  ///< it is gone by then, whatever it runs
+  std::int64_t slow_start_ms = 0;          ///< how much longer it is slow from its start
+  std::uint64_t sequence = 0;              ///< raised with each report, so that a late one is known
+  std::vector<HeldModel> held;
+  std::vector<ModelName> in_memory;  ///< copies of weights that it can load fast
+  std::vector<ModelName> on_disk;
+  FERRYROCK_FIELDS(ReplicaReport, id, service, address, zone, slots, leaving, ends_in_ms, slow_start_ms,
+                   sequence, held, in_memory, on_disk)
+};
+
+}  // namespace ferryrock::wire
