--- a/src/service_process/member_identity.cc
+++ b/src/service_process/member_identity.cc
@@ -17,13 +17,14 @@
   return MemberId{(number & kIdentityMask) | 1};
 }
 
-std::vector<wire::Member> foundersOf(const std::vector<NodeName>& seeds) {
+std::vector<wire::Member> foundersOf(const std::vector<SeedMember>& seeds) {
   std::vector<wire::Member> founders;
-  for (const NodeName& seed : seeds) {
+  for (const SeedMember& seed : seeds) {
     wire::Member member;
-    member.id = identityFrom(stableHash(seed.value));
-    member.node = seed;
-    member.address = seed.value;
+    member.id = identityFrom(stableHash(seed.node.value));
+    member.node = seed.node;
+    member.address = seed.node.value;
+    member.http = seed.http;
     member.voter = true;
     founders.push_back(member);
   }
@@ -43,12 +44,14 @@
 }  // namespace
 
 MemberIdentity loadIdentity(storage::FileSystem& files, const NodeName& self,
-                            const std::vector<NodeName>& seeds, bool bootstrap, std::uint64_t random_number) {
+                            const std::vector<SeedMember>& seeds, bool bootstrap, std::uint64_t random_number) {
   if (files.exists(kFile)) {
     return wire::decode<MemberIdentity>(files.read(kFile));
   }
   MemberIdentity identity;
-  const bool founder = bootstrap && std::find(seeds.begin(), seeds.end(), self) != seeds.end();
+  const bool is_seed =
+      std::any_of(seeds.begin(), seeds.end(), [&self](const SeedMember& seed) { return seed.node == self; });
+  const bool founder = bootstrap && is_seed;
   if (founder) {
     identity.founders = foundersOf(seeds);
     identity.id = identityFrom(stableHash(self.value));
--- a/src/service_process/member_identity.h
+++ b/src/service_process/member_identity.h
@@ -18,10 +18,16 @@
   FERRYROCK_FIELDS(MemberIdentity, id, founders)
 };
 
+/// A control process that is asked first: its internal address, and where operators reach it.
+struct SeedMember {
+  NodeName node;
+  std::string http;
+};
+
 /// Reads the identity from the folder, or draws one and syncs it there. Founders' identities follow from
 /// their addresses, so that all of them know the others'; only a process with an empty disk at the first
 /// start of the whole system that is itself a seed is one. Throws Error for a disk that fails.
 MemberIdentity loadIdentity(storage::FileSystem& files, const NodeName& self,
-                            const std::vector<NodeName>& seeds, bool bootstrap, std::uint64_t random_number);
+                            const std::vector<SeedMember>& seeds, bool bootstrap, std::uint64_t random_number);
 
 }  // namespace ferryrock::service_process
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -78,8 +78,12 @@
 ServiceControlShell::~ServiceControlShell() = default;
 
 void ServiceControlShell::openControl(storage::FileSystem& files) {
-  const MemberIdentity identity =
-      loadIdentity(files, self_, settings_.seedNodes(), settings_.bootstrap, systemSeed());
+  std::vector<SeedMember> seeds;
+  const std::vector<NodeName> nodes = settings_.seedNodes();
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    seeds.push_back({nodes[i], settings_.seeds[i]});
+  }
+  const MemberIdentity identity = loadIdentity(files, self_, seeds, settings_.bootstrap, systemSeed());
   auto storage = storage::createLogStorage(storage::createPosixFileSystem(settings_.data_folder + "/log"),
                                            identity.id, kSegmentBytes);
   consensus::RecoveredState recovered = storage->recover();
