Reckon with late orders by inspections, and let nothing long in late in a stop

An inspection's holdings now go with its count. Ruled out: loads counted twice by two leaders (first orders wait for the lease). A stopping router now closes its listener and its idle connections after 2.5 s and refuses, as not run, what can't end in time.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -22,6 +22,7 @@
 /// Share of the latency target that a call waits for a place; refused by then, it may be in time elsewhere.
 constexpr double kPlaceWaitShare = 0.22;
 constexpr Duration kDefaultTarget = 1s;
+constexpr Duration kComeBackAtOnce = 10ms;
 constexpr Duration kComeBackSoon = 200ms;
 constexpr Duration kComeBackLater = 1s;
 constexpr int kFirstErrorStatus = 500;
@@ -76,6 +77,10 @@
   state.routes = routes_;
   state.route = route;
   state.deadline = std::min(state.deadline, now + std::chrono::milliseconds(route->timeout_ms));
+  if (now >= refuse_from_ && state.deadline > drain_end_) {
+    refuse(call, ResultCode::RouterDraining, "the call might outlast this router", kComeBackAtOnce, now);
+    return finish(now);
+  }
   state.need.service = split_.next(*route);
   const wire::HostedService* service = routes_->findService(state.need.service);
   if (service != nullptr && service->engine) {
@@ -221,9 +226,9 @@
     } else if (replica != nullptr) {
       replica->refused_until = now + kRefusalPause;
     }
-    log_.write(LogLevel::Info, "call.refused_by_replica",
-               {{"request", view(state.request.id.value)},
-                {"status", static_cast<std::int64_t>(answer.status)}});
+    log_.write(
+        LogLevel::Info, "call.refused_by_replica",
+        {{"request", view(state.request.id.value)}, {"status", static_cast<std::int64_t>(answer.status)}});
     retryUnrun(*call, ResultCode::ReplicaRefused, now);
     return finish(now);
   }
@@ -337,8 +342,8 @@
   } else if (state.started) {
     breakStream(call, "no replica took the rest of the stream", now);
   } else {
-    refuse(call, tries_left ? ResultCode::RetryBudgetSpent : reason, "replicas refused it unrun", kComeBackSoon,
-           now);
+    refuse(call, tries_left ? ResultCode::RetryBudgetSpent : reason, "replicas refused it unrun",
+           kComeBackSoon, now);
   }
 }
 
@@ -348,10 +353,11 @@
   return repeatable && call.attempts < call.route->max_attempts;
 }
 
-void CallRouter::retryMaybeRun(CallPointer call, ResultCode reason, const std::string& detail, TimePoint now) {
+void CallRouter::retryMaybeRun(CallPointer call, ResultCode reason, const std::string& detail,
+                               TimePoint now) {
   Call& state = call->second;
-  const bool again = mayRunAgain(state) && state.deadline - now > kLeastTimeLeft &&
-                     budget_.spend(state.need.service, now);
+  const bool again =
+      mayRunAgain(state) && state.deadline - now > kLeastTimeLeft && budget_.spend(state.need.service, now);
   if (again) {
     ++counts_.retries;
     counts_.resumed += state.started ? 1 : 0;
@@ -519,8 +525,10 @@
   return timers_.empty() ? status : std::min(status, timers_.begin()->first);
 }
 
-Effects CallRouter::beginDrain(TimePoint now) {
+Effects CallRouter::beginDrain(TimePoint refuse_from, TimePoint end, TimePoint now) {
   draining_ = true;
+  refuse_from_ = refuse_from;
+  drain_end_ = end;
   feed_.tellAll();
   return finish(now);
 }
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -59,8 +59,9 @@
   Effects tick(TimePoint now);
   TimePoint nextDeadline() const;
 
-  /// Callers are sent elsewhere from now on; calls that come all the same are served.
-  Effects beginDrain(TimePoint now);
+  /// Callers are sent elsewhere from now on. Calls that come all the same are served, from refuse_from on
+  /// only those that end before `end`.
+  Effects beginDrain(TimePoint refuse_from, TimePoint end, TimePoint now);
   bool drained() const { return calls_.empty(); }
   /// True once a catalog is in force and the router isn't draining.
   bool ready() const { return routes_ != nullptr && !draining_; }
@@ -111,8 +112,8 @@
   void retryMaybeRun(CallPointer call, ResultCode reason, const std::string& detail, TimePoint now);
   bool mayRunAgain(const Call& call) const;
   void deliver(CallPointer call, AttemptNumber attempt, int status, TimePoint now);
-  void refuse(CallPointer call, ResultCode code, const std::string& detail, std::optional<Duration> retry_after,
-              TimePoint now);
+  void refuse(CallPointer call, ResultCode code, const std::string& detail,
+              std::optional<Duration> retry_after, TimePoint now);
   void breakStream(CallPointer call, const std::string& reason, TimePoint now);
   void startStream(CallPointer call, AttemptNumber attempt, TimePoint now);
   void erase(CallPointer call);
@@ -139,6 +140,8 @@
   CallRouterCounts counts_;
   std::uint64_t next_attempt_ = 1;
   bool draining_ = false;
+  TimePoint refuse_from_ = TimePoint::max();  ///< while draining
+  TimePoint drain_end_ = TimePoint::max();
   bool dispatch_wanted_ = false;
   Effects effects_;
 };
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -117,9 +117,9 @@
 bool ReplicaTable::anyHolds(const ReplicaNeed& need) const {
   const auto ids = by_service_.find(need.service);
   return ids != by_service_.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](const auto& id) {
-    const Replica& replica = replicas_.at(id);
-    return replica.listed && replica.routed.accepting && replica.holds(need.model, need.adapter);
-  });
+           const Replica& replica = replicas_.at(id);
+           return replica.listed && replica.routed.accepting && replica.holds(need.model, need.adapter);
+         });
 }
 
 Replica* ReplicaTable::leastLoaded(const Options& options, const ReplicaNeed& need) const {
@@ -133,9 +133,9 @@
     const bool other_zone = replica.routed.zone != zone_;
     return std::make_tuple(~home, replica.outstanding, other_zone, homeWeight(replica, turn_));
   };
-  return *std::min_element(options.begin(), options.end(), [&rank](const Replica* left, const Replica* right) {
-    return rank(*left) < rank(*right);
-  });
+  return *std::min_element(
+      options.begin(), options.end(),
+      [&rank](const Replica* left, const Replica* right) { return rank(*left) < rank(*right); });
 }
 
 void ReplicaTable::onSent(Replica& replica, TimePoint now) {
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -23,7 +23,7 @@
   TimePoint refused_until{};      ///< it said that it is full or leaves
   /// It said that it doesn't hold the model or adapter, though the table says so.
   std::map<std::pair<ModelName, std::string>, TimePoint> missing_until;
-  bool listed = true;             ///< the leader still lists it
+  bool listed = true;  ///< the leader still lists it
 
   bool holds(const ModelName& model, const std::string& adapter) const;
   bool refuses(const ModelName& model, const std::string& adapter, TimePoint now) const;
--- a/src/calls/traffic_split.h
+++ b/src/calls/traffic_split.h
@@ -7,8 +7,8 @@
 
 namespace ferryrock::calls {
 
-/// Shares the calls of each route out to its services by weight, evenly at every moment (smooth weighted round
-/// robin). Used by one thread.
+/// Shares the calls of each route out to its services by weight, evenly at every moment (smooth weighted
+/// round robin). Used by one thread.
 class TrafficSplit {
  public:
   /// The service for the route's next call. The route has at least one target of positive weight.
--- a/src/common/bounded_output.h
+++ b/src/common/bounded_output.h
@@ -9,8 +9,8 @@
 namespace ferryrock {
 
 /// Lines for a descriptor that its reader may stop reading: kept up to a bound, written only as far as the
-/// descriptor takes them at once, never waited for. What doesn't fit is dropped and counted; the count is told
-/// in a line of its own once there is room. Thread-safe.
+/// descriptor takes them at once, never waited for. What doesn't fit is dropped and counted; the count is
+/// told in a line of its own once there is room. Thread-safe.
 class BoundedOutput {
  public:
   explicit BoundedOutput(int descriptor, std::size_t max_bytes = std::size_t{256} * 1024)
--- a/src/control/hosted_services.cc
+++ b/src/control/hosted_services.cc
@@ -35,7 +35,8 @@
 }
 
 std::string HostedServices::serialize() const {
-  return wire::encode(StoredHostedServices{catalog_, source_, {leaving_order_.begin(), leaving_order_.end()}});
+  return wire::encode(
+      StoredHostedServices{catalog_, source_, {leaving_order_.begin(), leaving_order_.end()}});
 }
 
 void HostedServices::restore(std::string_view bytes) {
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -22,8 +22,8 @@
   std::vector<EngineName> changed_engines;
 };
 
-/// Settings, slot ledger, claims and hosted services of the cell: the state machine of the quorum log. apply() is
-/// deterministic.
+/// Settings, slot ledger, claims and hosted services of the cell: the state machine of the quorum log.
+/// apply() is deterministic.
 class ReplicatedState {
  public:
   explicit ReplicatedState(const ClaimLimits& claim_limits) : claims_(claim_limits) {}
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -82,6 +82,8 @@
   virtual void stopListening() = 0;
   /// From now on each answer tells its peer that the connection closes after it; accepting goes on.
   virtual void closeAfterAnswers() = 0;
+  /// Closes the connections on which no request is under way, within a second or so.
+  virtual void closeIdleConnections() = 0;
   /// Connections, idle ones included.
   virtual std::size_t openConnections() const = 0;
   /// Requests whose answer hasn't been sent whole.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -44,6 +44,7 @@
 
 /// State of one connection from accept to close.
 struct Connection {
+  MHD_Connection* handle = nullptr;
   std::unique_ptr<event::FileWatch> close_watch;
   std::weak_ptr<Exchange> current;
   bool peer_closed = false;
@@ -85,6 +86,17 @@
 
   void closeAfterAnswers() override { close_after_answers_ = true; }
 
+  /// libmicrohttpd closes a connection by itself only after a time without progress.
+  void closeIdleConnections() override {
+    constexpr unsigned kShortestTimeoutSeconds = 1;
+    for (const Connection* connection : connections_) {
+      if (connection->current.expired()) {
+        MHD_set_connection_option(connection->handle, MHD_CONNECTION_OPTION_TIMEOUT, kShortestTimeoutSeconds);
+      }
+    }
+    run();
+  }
+
   std::size_t openConnections() const override {
     return MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
   }
@@ -191,7 +203,8 @@
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
       *context = server.openConnection(connection).release();
     } else {
-      delete static_cast<Connection*>(std::exchange(*context, nullptr));
+      const std::unique_ptr<Connection> closed(static_cast<Connection*>(std::exchange(*context, nullptr)));
+      server.connections_.erase(closed.get());
     }
   }
 
@@ -208,6 +221,8 @@
 
   std::unique_ptr<Connection> openConnection(MHD_Connection* connection) {
     auto opened = std::make_unique<Connection>();
+    opened->handle = connection;
+    connections_.insert(opened.get());
     const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     opened->close_watch = dispatcher_.watchFile(
         descriptor, event::kPeerClosed, [this, descriptor, state = opened.get()](unsigned) {
@@ -364,6 +379,7 @@
   std::shared_ptr<bool> alive_ =
       std::make_shared<bool>(true);  ///< false for callbacks that outlive the server
   std::unordered_set<std::shared_ptr<Exchange>> exchanges_;
+  std::unordered_set<const Connection*> connections_;  ///< open ones; owned by libmicrohttpd
 };
 
 }  // namespace
--- a/src/service_process/call_dialect.cc
+++ b/src/service_process/call_dialect.cc
@@ -9,9 +9,17 @@
 namespace ferryrock::service_process {
 namespace {
 
-constexpr std::array kHopByHop = {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-                                  "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-                                  "Content-Length", "Expect"};
+constexpr std::array kHopByHop = {"Connection",
+                                  "Keep-Alive",
+                                  "Proxy-Connection",
+                                  "Proxy-Authenticate",
+                                  "Proxy-Authorization",
+                                  "TE",
+                                  "Trailer",
+                                  "Transfer-Encoding",
+                                  "Upgrade",
+                                  "Content-Length",
+                                  "Expect"};
 
 bool sameName(std::string_view left, std::string_view right) {
   return left.size() == right.size() && ::strncasecmp(left.data(), right.data(), left.size()) == 0;
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -8,6 +8,8 @@
 namespace ferryrock::service_process {
 namespace {
 
+/// Answers end this much before the limit of a planned stop.
+constexpr Duration kStopMargin = std::chrono::milliseconds(600);
 constexpr Duration kStopCheck = std::chrono::milliseconds(100);
 /// Callers keep connections for a while; the server closes them later than they stop using them.
 constexpr Duration kIdleTimeout = std::chrono::seconds(60);
@@ -52,8 +54,7 @@
   connectControl();
   http_client_ = http::createClient(dispatcher_);
   client_ = std::make_unique<ReplicaClient>(dispatcher_, *http_client_, dialect, replicaCallbacks());
-  server_ =
-      std::make_unique<CallServer>(dispatcher_, serverSettings(settings_), dialect, callerCallbacks());
+  server_ = std::make_unique<CallServer>(dispatcher_, serverSettings(settings_), dialect, callerCallbacks());
   carryOut(router_.tick(now()));
 }
 
@@ -134,8 +135,7 @@
 void CallRouterShell::replaceSeeds(const CallRouterProcessSettings& fresh) {
   router_.addSeeds(fresh.seedNodes());
   connectControl();
-  log_.write(LogLevel::Info, "process.reloaded",
-             {{"seeds", static_cast<std::int64_t>(fresh.seeds.size())}});
+  log_.write(LogLevel::Info, "process.reloaded", {{"seeds", static_cast<std::int64_t>(fresh.seeds.size())}});
 }
 
 void CallRouterShell::beginStop(event::Callback on_stopped) {
@@ -146,17 +146,21 @@
   on_stopped_ = std::move(on_stopped);
   log_.write(LogLevel::Info, "process.stopping",
              {{"open_calls", static_cast<std::int64_t>(router_.openCalls())}});
-  carryOut(router_.beginDrain(now()));
+  const TimePoint end = *stop_began_ + settings_.stop_limit;
+  carryOut(router_.beginDrain(*stop_began_ + settings_.stop_accepts, end - kStopMargin, now()));
   server_->server().closeAfterAnswers();
   continueStop();
 }
 
 void CallRouterShell::continueStop() {
   const Duration passed = now() - *stop_began_;
+  if (passed >= settings_.stop_accepts && !std::exchange(closed_, true)) {
+    server_->server().stopListening();
+    server_->server().closeIdleConnections();
+  }
   const bool lingered = passed >= settings_.stop_linger;
   const bool idle = router_.drained() && server_->server().openRequests() == 0;
-  if ((lingered && idle) || passed >= settings_.stop_limit) {
-    server_->server().stopListening();
+  if ((lingered && idle) || passed >= settings_.stop_limit - kStopMargin / 2) {
     if (on_stopped_) {
       std::exchange(on_stopped_, nullptr)();
     }
--- a/src/service_process/call_router_shell.h
+++ b/src/service_process/call_router_shell.h
@@ -64,6 +64,7 @@
   std::size_t connected_members_ = 0;
   TimePoint armed_until_ = TimePoint::max();
   std::optional<TimePoint> stop_began_;
+  bool closed_ = false;  ///< nothing new is let in any more
   event::Callback on_stopped_;
 };
 
--- a/src/service_process/member_identity.cc
+++ b/src/service_process/member_identity.cc
@@ -44,7 +44,8 @@
 }  // namespace
 
 MemberIdentity loadIdentity(storage::FileSystem& files, const NodeName& self,
-                            const std::vector<SeedMember>& seeds, bool bootstrap, std::uint64_t random_number) {
+                            const std::vector<SeedMember>& seeds, bool bootstrap,
+                            std::uint64_t random_number) {
   if (files.exists(kFile)) {
     return wire::decode<MemberIdentity>(files.read(kFile));
   }
--- a/src/service_process/member_identity.h
+++ b/src/service_process/member_identity.h
@@ -28,6 +28,7 @@
 /// their addresses, so that all of them know the others'; only a process with an empty disk at the first
 /// start of the whole system that is itself a seed is one. Throws Error for a disk that fails.
 MemberIdentity loadIdentity(storage::FileSystem& files, const NodeName& self,
-                            const std::vector<SeedMember>& seeds, bool bootstrap, std::uint64_t random_number);
+                            const std::vector<SeedMember>& seeds, bool bootstrap,
+                            std::uint64_t random_number);
 
 }  // namespace ferryrock::service_process
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -109,7 +109,8 @@
   if (keep_alive_.size() > kRememberedAddresses) {
     keep_alive_.clear();
   }
-  keep_alive_[address] = std::min(kLongestIdle, told > kKeepAliveMargin ? told - kKeepAliveMargin : Duration{});
+  keep_alive_[address] =
+      std::min(kLongestIdle, told > kKeepAliveMargin ? told - kKeepAliveMargin : Duration{});
 }
 
 void ReplicaClient::onData(AttemptNumber number, std::string_view bytes) {
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -38,8 +38,9 @@
 
 }  // namespace
 
-ServiceControlShell::ServiceControlShell(event::Dispatcher& dispatcher, ServiceControlProcessSettings settings,
-                                         const OrderDialect& dialect, EventLog& log, event::Callback on_failed)
+ServiceControlShell::ServiceControlShell(event::Dispatcher& dispatcher,
+                                         ServiceControlProcessSettings settings, const OrderDialect& dialect,
+                                         EventLog& log, event::Callback on_failed)
     : dispatcher_(dispatcher),
       settings_(std::move(settings)),
       log_(log),
@@ -231,8 +232,7 @@
 void ServiceControlShell::replaceSeeds(const ServiceControlProcessSettings& fresh) {
   control_->addSeeds(fresh.seedNodes());
   followPeers();
-  log_.write(LogLevel::Info, "process.reloaded",
-             {{"seeds", static_cast<std::int64_t>(fresh.seeds.size())}});
+  log_.write(LogLevel::Info, "process.reloaded", {{"seeds", static_cast<std::int64_t>(fresh.seeds.size())}});
 }
 
 void ServiceControlShell::beginStop(event::Callback on_stopped) {
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -54,6 +54,7 @@
   settings.retries.slack = reader.number("retry_slack", 0, 1e9, settings.retries.slack);
   settings.retries.window = reader.duration("retry_window", 100ms, 1h, settings.retries.window);
   settings.stop_limit = reader.duration("stop_limit", 0ms, 1h, settings.stop_limit);
+  settings.stop_accepts = reader.duration("stop_accepts", 0ms, 1h, settings.stop_accepts);
   settings.stop_linger = reader.duration("stop_linger", 0ms, 1h, settings.stop_linger);
   reader.finish();
   return settings;
@@ -76,7 +77,8 @@
   settings.directory_lifetime = reader.duration("directory_lifetime", 0ms, 1h, settings.directory_lifetime);
   constexpr std::uint64_t kSmallestBody = 1'000;
   constexpr std::uint64_t kLargestBody = 1'000'000'000;
-  settings.max_body_bytes = reader.bytes("max_body_bytes", kSmallestBody, kLargestBody, settings.max_body_bytes);
+  settings.max_body_bytes =
+      reader.bytes("max_body_bytes", kSmallestBody, kLargestBody, settings.max_body_bytes);
   reader.finish();
   return settings;
 }
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -32,8 +32,10 @@
   calls::RetryBudgetSettings retries;
   /// A planned stop takes this long at most.
   Duration stop_limit = std::chrono::seconds(8);
-  /// Callers may come this long after they were told to go elsewhere.
-  Duration stop_linger = std::chrono::seconds(5);
+  /// New calls are taken in for this long, from callers that haven't heard yet.
+  Duration stop_accepts = std::chrono::milliseconds(2500);
+  /// Connections are closed before the process ends: it stays for this long at least.
+  Duration stop_linger = std::chrono::milliseconds(4200);
 };
 
 struct ServiceControlProcessSettings : ServiceProcessSettings {
@@ -45,7 +47,7 @@
   Duration router_out_of_touch = std::chrono::seconds(3);
   Duration order_lease = std::chrono::seconds(3);
   Duration replica_heartbeat = std::chrono::seconds(1);
-  Duration directory_lifetime = std::chrono::seconds(2);  ///< of an answer to a caller
+  Duration directory_lifetime = std::chrono::seconds(1);  ///< of an answer to a caller
   std::size_t max_body_bytes = 64 << 20;
 };
 
--- a/src/services/model_demand.h
+++ b/src/services/model_demand.h
@@ -15,7 +15,7 @@
 struct ModelKey {
   ServiceName service;
   ModelName model;
-  std::string adapter;  ///< empty: the model alone
+  std::string adapter;                                                  ///< empty: the model alone
   friend auto operator<=>(const ModelKey&, const ModelKey&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -13,6 +13,8 @@
 constexpr Duration kRetryAfterConflict = std::chrono::milliseconds(400);
 /// A load or unload that no report shows by then is looked at again.
 constexpr Duration kLoadTimeLimit = std::chrono::seconds(12);
+/// What an inspection showed is believed for this long.
+constexpr Duration kInspectionLasts = std::chrono::seconds(15);
 /// A model that was wanted so recently isn't displaced.
 constexpr Duration kKeptAfterUse = std::chrono::seconds(2);
 /// The store's rate is kept over windows of this length, with a margin for loads that begin late.
@@ -27,8 +29,8 @@
 }
 
 const wire::HostedModel* findModel(const wire::EngineTraits& traits, const ModelName& name) {
-  const auto found =
-      std::find_if(traits.models.begin(), traits.models.end(), [&name](const auto& m) { return m.name == name; });
+  const auto found = std::find_if(traits.models.begin(), traits.models.end(),
+                                  [&name](const auto& m) { return m.name == name; });
   return found == traits.models.end() ? nullptr : &*found;
 }
 
@@ -36,20 +38,6 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-/// Adapters on a replica, those on their way included.
-std::set<std::pair<ModelName, std::string>> adaptersOf(const ReplicaRecord& record) {
-  std::set<std::pair<ModelName, std::string>> adapters;
-  for (const wire::HeldModel& held : record.report.held) {
-    for (const std::string& adapter : held.adapters) {
-      adapters.insert({held.model, adapter});
-    }
-  }
-  for (const auto& [key, since] : record.assumed_adapters) {
-    adapters.insert(key);
-  }
-  return adapters;
-}
-
 }  // namespace
 
 PlacerEffects ModelPlacer::plan(const wire::ServiceCatalog& catalog, TimePoint now) {
@@ -92,6 +80,10 @@
     }
     const bool unloaded = engine.unloading && !holds(*candidate.record, *engine.unloading);
     const bool unload_overdue = engine.unloading && now - engine.unloading_since > kLoadTimeLimit;
+    if (unloaded) {
+      engine.models.erase(*engine.unloading);
+      std::erase_if(engine.adapters, [&engine](const auto& key) { return key.first == *engine.unloading; });
+    }
     if (unloaded || unload_overdue) {
       engine.unloading.reset();
     }
@@ -101,14 +93,28 @@
   }
 }
 
+std::set<ModelPlacer::AdapterKey> ModelPlacer::adaptersOf(const ReplicaRecord& record, const Engine& engine) {
+  std::set<AdapterKey> adapters = engine.adapters;
+  for (const wire::HeldModel& held : record.report.held) {
+    for (const std::string& adapter : held.adapters) {
+      adapters.insert({held.model, adapter});
+    }
+  }
+  return adapters;
+}
+
 double ModelPlacer::usedMegabytes(const ReplicaRecord& record, const Engine& engine,
-                                  const wire::EngineTraits& traits) const {
-  double used = engine.loading_mb;
+                                  const wire::EngineTraits& traits) {
+  std::set<ModelName> models = engine.models;
   for (const wire::HeldModel& held : record.report.held) {
-    const wire::HostedModel* model = findModel(traits, held.model);
+    models.insert(held.model);
+  }
+  double used = engine.loading && !models.contains(*engine.loading) ? engine.loading_mb : 0;
+  for (const ModelName& name : models) {
+    const wire::HostedModel* model = findModel(traits, name);
     used += model != nullptr ? model->weight_mb : traits.weight_capacity_mb;
   }
-  for (const auto& [name, adapter] : adaptersOf(record)) {
+  for (const auto& [name, adapter] : adaptersOf(record, engine)) {
     const wire::HostedModel* model = findModel(traits, name);
     used += model != nullptr ? model->adapter_mb : 0;
   }
@@ -134,7 +140,7 @@
   Candidate* best = nullptr;
   std::size_t fewest = 0;
   for (Candidate& candidate : candidates) {
-    const auto adapters = adaptersOf(*candidate.record);
+    const auto adapters = adaptersOf(*candidate.record, *candidate.engine);
     if (adapters.contains({key.model, key.adapter})) {
       return;
     }
@@ -161,7 +167,7 @@
   }
   std::optional<ModelKey> least;
   double least_arrivals = 0;
-  for (const auto& [name, adapter] : adaptersOf(*best->record)) {
+  for (const auto& [name, adapter] : adaptersOf(*best->record, *best->engine)) {
     const ModelKey other{service.name, name, adapter};
     const KeyDemand wanted = demand_.find(other);
     const bool idle = wanted.running == 0 && wanted.waiting == 0;
@@ -259,7 +265,8 @@
     store_loads_.pop_front();
   }
   const double window_seconds = std::chrono::duration<double>(kStoreWindow).count();
-  return static_cast<double>(store_loads_.size()) + 1 <= traits.loads_per_second * window_seconds * kStoreShare;
+  return static_cast<double>(store_loads_.size()) + 1 <=
+         traits.loads_per_second * window_seconds * kStoreShare;
 }
 
 std::optional<double> ModelPlacer::keepWorth(const wire::HostedService& service, const Candidates& candidates,
@@ -323,7 +330,7 @@
   Engine& engine = *candidate.engine;
   const wire::ReplicaReport& report = candidate.record->report;
   const OrderNumber number{next_number_++};
-  if (!engine.orders_taken) {
+  if (!engine.orders_taken || now - engine.inspected > kInspectionLasts) {
     engine.pending = Pending{number, {}, true, now};
     effects_.emplace_back(InspectReplicaEffect{number, report.id, report.address});
     return;
@@ -377,7 +384,9 @@
       }
       if (!whole_model && order.action == OrderAction::Load) {
         registry_.assumeAdapter(order.replica, order.model, order.adapter, now);
+        engine.adapters.insert({order.model, order.adapter});
       } else if (!whole_model) {
+        engine.adapters.erase({order.model, order.adapter});
         registry_.dropAdapter(order.replica, order.model, order.adapter);
       } else if (outcome == OrderOutcome::AlreadyHeld) {
         forgetLoad(engine);
@@ -415,7 +424,26 @@
     engine.not_before = now + kRetryAfterConflict;
   }
   if (state) {
-    engine.orders_taken = state->orders_taken;
+    takeState(engine, *state);
+    engine.inspected = now;
+  }
+}
+
+/// The count of orders and what the replica holds belong together: an order that names the count is refused
+/// if the replica has taken another one since.
+void ModelPlacer::takeState(Engine& engine, const ReplicaState& state) {
+  if (!state.busy) {
+    engine.orders_taken = state.orders_taken;
+  }
+  engine.models.clear();
+  engine.adapters.clear();
+  for (const auto* list : {&state.held, &state.coming}) {
+    for (const wire::HeldModel& held : *list) {
+      engine.models.insert(held.model);
+      for (const std::string& adapter : held.adapters) {
+        engine.adapters.insert({held.model, adapter});
+      }
+    }
   }
 }
 
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -4,7 +4,10 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "services/model_demand.h"
@@ -38,6 +41,7 @@
   void onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now);
 
  private:
+  using AdapterKey = std::pair<ModelName, std::string>;
   struct Pending {
     OrderNumber number;
     OrderReplicaEffect order;
@@ -54,6 +58,10 @@
     std::optional<ModelName> unloading;
     TimePoint unloading_since{};
     TimePoint not_before{};  ///< of the next order
+    /// What the last inspection showed and what was ordered since, beyond the reports. Reports can be older.
+    std::set<ModelName> models;
+    std::set<AdapterKey> adapters;
+    TimePoint inspected{};
   };
   /// A replica that may get orders, as the plan sees it.
   struct Candidate {
@@ -65,8 +73,10 @@
 
   void settleFinished(Candidates& candidates, TimePoint now);
   Candidates candidatesOf(const wire::HostedService& service, TimePoint now);
-  double usedMegabytes(const ReplicaRecord& record, const Engine& engine,
-                       const wire::EngineTraits& traits) const;
+  static double usedMegabytes(const ReplicaRecord& record, const Engine& engine,
+                              const wire::EngineTraits& traits);
+  /// Adapters on a replica or on their way, as far as they may be there.
+  static std::set<AdapterKey> adaptersOf(const ReplicaRecord& record, const Engine& engine);
   void placeAdapters(const wire::HostedService& service, Candidates& candidates, TimePoint now);
   void placeModels(const wire::HostedService& service, Candidates& candidates, TimePoint now);
   bool placeModel(const wire::HostedService& service, const wire::HostedModel& model, Candidates& candidates,
@@ -85,6 +95,7 @@
   void order(Candidate& candidate, OrderAction action, const ModelName& model, const std::string& adapter,
              double megabytes, TimePoint now);
   static void forgetLoad(Engine& engine);
+  static void takeState(Engine& engine, const ReplicaState& state);
   bool ready(const Candidate& candidate, TimePoint now) const;
 
   ModelPlacerSettings settings_;
--- a/src/services/replica_orders.h
+++ b/src/services/replica_orders.h
@@ -50,6 +50,7 @@
   std::uint64_t orders_taken = 0;
   bool busy = false;
   std::vector<wire::HeldModel> held;
+  std::vector<wire::HeldModel> coming;  ///< adapters on their way to it
 };
 
 }  // namespace ferryrock::services
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -103,8 +103,8 @@
       remove(replica);
     } else {
       const auto outlived = [now](const auto& item) { return now - item.second > kAssumptionLasts; };
-      const auto dropped = std::erase_if(record.assumed_adapters, outlived) +
-                           std::erase_if(record.withdrawn_models, outlived);
+      const auto dropped =
+          std::erase_if(record.assumed_adapters, outlived) + std::erase_if(record.withdrawn_models, outlived);
       if (dropped > 0) {
         noteChange(record);
       }
--- a/src/services/replica_registry.h
+++ b/src/services/replica_registry.h
@@ -72,7 +72,7 @@
   void noteChange(ReplicaRecord& record) { record.changed = ++changes_; }
 
   std::map<ReplicaId, ReplicaRecord> replicas_;
-  std::deque<Removal> removals_;       ///< oldest first
+  std::deque<Removal> removals_;           ///< oldest first
   std::uint64_t removals_known_from_ = 0;  ///< every removal after this count is listed
   std::uint64_t changes_ = 0;
 };
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -28,7 +28,8 @@
                                        TimeSource& time_source)
     : settings_(settings),
       self_(settings.control.log.node),
-      node_(control::createControlNode(settings.control, std::move(recovered), std::move(random), time_source)),
+      node_(
+          control::createControlNode(settings.control, std::move(recovered), std::move(random), time_source)),
       keeper_(keeperSettings(settings), time_source.monotonicTime()),
       known_nodes_(settings.seeds.begin(), settings.seeds.end()),
       next_hello_(time_source.monotonicTime()),
--- a/src/services/service_control_catalog.cc
+++ b/src/services/service_control_catalog.cc
@@ -24,7 +24,8 @@
   if (node_->leads() && catalog.version <= node_->hosted().catalog().version) {
     confirmRead(CatalogHeld{question}, now);
   } else {
-    propose(CatalogProposal{question}, wire::ReplaceCatalogCommand{std::move(catalog), std::move(source)}, now);
+    propose(CatalogProposal{question}, wire::ReplaceCatalogCommand{std::move(catalog), std::move(source)},
+            now);
   }
   return finish(now);
 }
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -75,10 +75,7 @@
   struct LeaderState {
     LeaderState(Term own_term, const ModelPlacerSettings& placer_settings, ReplicaRegistry& registry,
                 TimePoint now)
-        : term(own_term),
-          feed(own_term, registry),
-          placer(placer_settings, registry, demand),
-          since(now) {}
+        : term(own_term), feed(own_term, registry), placer(placer_settings, registry, demand), since(now) {}
     Term term;
     TableFeed feed;
     ModelDemand demand;
--- a/src/wire/commands.h
+++ b/src/wire/commands.h
@@ -132,10 +132,10 @@
 };
 
 /// New alternatives go to the end: the index is the type number in the log.
-using Command = std::variant<NoOperationCommand, ChangeTreeCommand, RegisterEngineCommand,
-                             RemoveMachineCommand, DecideSlotCommand, DecideAdapterCommand, SlotStateCommand,
-                             DrainEngineCommand, ClaimCommand, RecordOutcomeCommand, ExpireClaimsCommand,
-                             ReplaceCatalogCommand, ReplicaLeavingCommand>;
+using Command =
+    std::variant<NoOperationCommand, ChangeTreeCommand, RegisterEngineCommand, RemoveMachineCommand,
+                 DecideSlotCommand, DecideAdapterCommand, SlotStateCommand, DrainEngineCommand, ClaimCommand,
+                 RecordOutcomeCommand, ExpireClaimsCommand, ReplaceCatalogCommand, ReplicaLeavingCommand>;
 
 /// One place of a refused ChangeTreeCommand and what is wrong there.
 struct ChangeFault {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -202,11 +202,10 @@
 };
 
 /// New alternatives go to the end: the index is the type number on the wire.
-using Message =
-    std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotResponse,
-                 TimeoutNow, RouterStatus, DemandReport, RouterCommands, TableUpdate, CommandReplies,
-                 MemberHello, MemberList, ReplicaReports, LeaveRequest, LeaveReply, CallRouterStatus,
-                 ServiceUpdate>;
+using Message = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk,
+                             SnapshotResponse, TimeoutNow, RouterStatus, DemandReport, RouterCommands,
+                             TableUpdate, CommandReplies, MemberHello, MemberList, ReplicaReports,
+                             LeaveRequest, LeaveReply, CallRouterStatus, ServiceUpdate>;
 
 /// A message with its sender.
 struct Envelope {
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -52,8 +52,8 @@
 struct ModelWant {
   ServiceName service;
   ModelName model;
-  std::string adapter;         ///< empty: the model alone
-  std::uint32_t waiting = 0;   ///< without a replica that holds it
+  std::string adapter;        ///< empty: the model alone
+  std::uint32_t waiting = 0;  ///< without a replica that holds it
   std::uint32_t running = 0;
   std::uint32_t arrivals = 0;  ///< since the last status
   FERRYROCK_FIELDS(ModelWant, service, model, adapter, waiting, running, arrivals)
