--- /dev/null
+++ b/tests/calls/call_fixture.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "calls/call_router.h"
+
+namespace ferryrock::calls {
+
+/// A call router under a virtual clock, with the effects that it gave.
+class CallFixture {
+ public:
+  CallFixture() : router_(settings(), log_, now) {}
+
+  /// Puts the catalog in force: /safe/ repeatable, /once/ at most once, /stream/ resumable, /single/ a stream
+  /// that isn't, /model/ on a service with models; each 1 s, 3 attempts.
+  void begin() {
+    wire::ServiceUpdate update;
+    update.catalog = catalog(1);
+    send(update);
+  }
+  void send(wire::ServiceUpdate update) {
+    update.revision = LogIndex{(std::uint64_t{1} << 40) | ++revision_};
+    take(router_.receive({NodeName("control-1"), update}, now));
+  }
+  static wire::RoutedReplica replica(const std::string& id, const std::string& service = "desk") {
+    wire::RoutedReplica replica;
+    replica.id = ReplicaId(id);
+    replica.service = ServiceName(service);
+    replica.address = id + ":80";
+    replica.slots = 4;
+    return replica;
+  }
+  void addReplicas(const std::vector<wire::RoutedReplica>& replicas) {
+    wire::ServiceUpdate update;
+    update.base = LogIndex{(std::uint64_t{1} << 40) | 1};
+    update.replicas = replicas;
+    send(update);
+  }
+  CallNumber call(const std::string& path, const std::string& model = "", const std::string& adapter = "") {
+    CallRequest request;
+    request.number = CallNumber{++calls_};
+    request.id = RequestId("call-" + std::to_string(calls_));
+    request.host = "Example:80";
+    request.path = path;
+    request.time_limit = std::chrono::seconds(10);
+    request.model = ModelName(model);
+    request.adapter = adapter;
+    take(router_.onCall(request, now));
+    return CallNumber{calls_};
+  }
+  void pass(Duration duration) {
+    const TimePoint end = now + duration;
+    while (now < end) {
+      now = std::min(end, std::max(now + std::chrono::milliseconds(1), router_.nextDeadline()));
+      take(router_.tick(now));
+    }
+  }
+  void take(Effects effects) {
+    for (Effect& effect : effects) {
+      all.push_back(std::move(effect));
+    }
+  }
+  /// The last effect of the kind; nullptr: none.
+  template <class Kind>
+  const Kind* last() const {
+    for (auto effect = all.rbegin(); effect != all.rend(); ++effect) {
+      if (const auto* found = std::get_if<Kind>(&*effect)) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+  template <class Kind>
+  std::size_t count() const {
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [](const Effect& e) { return std::holds_alternative<Kind>(e); }));
+  }
+  AttemptNumber attempt() const { return last<SendAttemptEffect>()->attempt; }
+  void answer(int status, bool unrun = false) { take(router_.onAnswer(attempt(), {status, unrun}, now)); }
+  void fail(AttemptFailure failure) { take(router_.onFailure(attempt(), failure, "scripted", now)); }
+  void event(std::uint64_t id) {
+    take(router_.onStreamEvent(attempt(), id, "id: " + std::to_string(id) + "\n\n", now));
+  }
+
+  static wire::ServiceCatalog catalog(std::uint64_t version);
+  static CallRouterSettings settings() {
+    CallRouterSettings settings;
+    settings.feed.router = NodeName("edge-1");
+    settings.feed.seeds = {NodeName("control-1"), NodeName("control-2")};
+    settings.retries.slack = 100;
+    return settings;
+  }
+
+  TimePoint now{std::chrono::seconds(1000)};
+  std::vector<Effect> all;
+  CallRouter& router() { return router_; }
+
+ private:
+  NoEventLog log_;
+  CallRouter router_;
+  std::uint64_t calls_ = 0;
+  std::uint64_t revision_ = 0;
+};
+
+inline wire::ServiceCatalog CallFixture::catalog(std::uint64_t version) {
+  wire::ServiceCatalog catalog;
+  catalog.version = CatalogVersion{version};
+  wire::HostedService desk;
+  desk.name = ServiceName("desk");
+  wire::HostedService llm;
+  llm.name = ServiceName("llm");
+  llm.engine.emplace();
+  catalog.services = {desk, llm};
+  const auto add = [&catalog](const char* prefix, wire::CallKind kind, const char* service) -> auto& {
+    wire::CallRoute route;
+    route.name = RouteName(prefix);
+    route.host = "example";
+    route.path_prefix = prefix;
+    route.kind = kind;
+    route.timeout_ms = 1000;
+    route.target_latency_ms = 200;
+    route.max_attempts = 3;
+    route.targets = {{ServiceName(service), 1}};
+    catalog.routes.push_back(route);
+    return catalog.routes.back();
+  };
+  add("/safe/", wire::CallKind::Repeatable, "desk");
+  add("/once/", wire::CallKind::AtMostOnce, "desk");
+  add("/single/", wire::CallKind::Streaming, "desk");
+  add("/stream/", wire::CallKind::Streaming, "desk").resumable = true;
+  add("/model/", wire::CallKind::Streaming, "llm");
+  return catalog;
+}
+
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/tests/calls/call_router_test.cc
@@ -0,0 +1,269 @@
+#include <catch2/catch.hpp>
+
+#include "calls/call_fixture.h"
+
+namespace ferryrock::calls {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Begun : CallFixture {
+  Begun() {
+    begin();
+    addReplicas({replica("r1"), replica("r2"), replica("r3")});
+  }
+};
+
+TEST_CASE("Without a catalog a call is refused as not run, never as unknown") {
+  CallFixture fixture;
+  fixture.call("/safe/x");
+  const auto* refusal = fixture.last<RefuseCallEffect>();
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->code == ResultCode::NoCatalog);
+  CHECK(refusal->not_run);
+  CHECK(refusal->retry_after.has_value());
+  CHECK_FALSE(fixture.router().ready());
+}
+
+TEST_CASE("The longest prefix of the host decides; no route is told at once") {
+  Begun fixture;
+  CHECK(fixture.router().ready());
+  fixture.call("/safe/a/b/c");
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+  fixture.call("/safely/a");
+  REQUIRE(fixture.last<RefuseCallEffect>() != nullptr);
+  CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::UnknownRoute);
+}
+
+TEST_CASE("A call gets the time that is left by the sooner of its caller's and its route's limit") {
+  Begun fixture;
+  fixture.call("/safe/x");
+  CHECK(fixture.last<SendAttemptEffect>()->time_left == 1s);
+}
+
+TEST_CASE("A whole answer is delivered once") {
+  Begun fixture;
+  const CallNumber call = fixture.call("/once/x");
+  const AttemptNumber attempt = fixture.attempt();
+  fixture.answer(200);
+  CHECK(fixture.last<DeliverAnswerEffect>()->call == call);
+  fixture.take(fixture.router().onAnswer(attempt, {200, false}, fixture.now));
+  CHECK(fixture.count<DeliverAnswerEffect>() == 1);
+  CHECK(fixture.router().drained());
+}
+
+/// What may follow a failed attempt, by the kind of call. sent: sendings in all.
+struct FailureCase {
+  const char* path;
+  AttemptFailure failure;
+  std::size_t sent;
+  ResultCode code;
+  bool not_run;
+};
+
+TEST_CASE("Only what certainly didn't run, or may run again, is sent again") {
+  const std::vector<FailureCase> cases = {
+      {"/once/x", AttemptFailure::Unproved, 1, ResultCode::ReplicaFailed, false},
+      {"/once/x", AttemptFailure::Foreign, 1, ResultCode::ReplicaFailed, false},
+      {"/once/x", AttemptFailure::NotSent, 3, ResultCode::NoReplica, true},
+      {"/safe/x", AttemptFailure::Unproved, 3, ResultCode::ReplicaFailed, false},
+      {"/safe/x", AttemptFailure::Foreign, 3, ResultCode::ReplicaFailed, false},
+      {"/single/x", AttemptFailure::Unproved, 1, ResultCode::ReplicaFailed, false},
+      {"/stream/x", AttemptFailure::Unproved, 3, ResultCode::ReplicaFailed, false},
+  };
+  for (const FailureCase& given : cases) {
+    INFO(given.path << " " << static_cast<int>(given.failure));
+    Begun fixture;
+    fixture.call(given.path);
+    while (fixture.last<RefuseCallEffect>() == nullptr) {
+      fixture.fail(given.failure);
+    }
+    CHECK(fixture.count<SendAttemptEffect>() == given.sent);
+    CHECK(fixture.last<RefuseCallEffect>()->code == given.code);
+    CHECK(fixture.last<RefuseCallEffect>()->not_run == given.not_run);
+  }
+}
+
+TEST_CASE("A refusal by a replica sends the call elsewhere, and in the end back with a time") {
+  Begun fixture;
+  fixture.call("/once/x");
+  std::set<ReplicaId> asked;
+  for (int i = 0; i < 3; ++i) {
+    asked.insert(fixture.last<SendAttemptEffect>()->replica);
+    fixture.answer(503, true);
+  }
+  CHECK(asked.size() == 3);
+  const auto* refusal = fixture.last<RefuseCallEffect>();
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->not_run);
+  CHECK(refusal->retry_after.has_value());
+}
+
+TEST_CASE("A call that may have run is never refused as not run, also when later replicas refuse it") {
+  Begun fixture;
+  fixture.call("/safe/x");
+  fixture.fail(AttemptFailure::Unproved);
+  while (fixture.last<RefuseCallEffect>() == nullptr) {
+    fixture.answer(503, true);
+  }
+  CHECK_FALSE(fixture.last<RefuseCallEffect>()->not_run);
+}
+
+TEST_CASE(
+    "A replica's own failure is passed on where the call may not run again, tried elsewhere where it may") {
+  Begun fixture;
+  fixture.call("/once/x");
+  fixture.answer(500);
+  CHECK(fixture.count<DeliverAnswerEffect>() == 1);
+  fixture.call("/safe/x");
+  const ReplicaId first = fixture.last<SendAttemptEffect>()->replica;
+  fixture.answer(500);
+  CHECK(fixture.last<SendAttemptEffect>()->replica != first);
+  fixture.answer(200);
+  CHECK(fixture.count<DeliverAnswerEffect>() == 2);
+}
+
+TEST_CASE("At the deadline the replica is stopped and the caller told, at once") {
+  Begun fixture;
+  fixture.call("/once/x");
+  fixture.pass(999ms);
+  CHECK(fixture.last<RefuseCallEffect>() == nullptr);
+  fixture.pass(2ms);
+  REQUIRE(fixture.last<RefuseCallEffect>() != nullptr);
+  CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::DeadlineExpiredRunning);
+  CHECK_FALSE(fixture.last<RefuseCallEffect>()->not_run);
+  CHECK(fixture.last<CancelAttemptEffect>()->attempt == fixture.attempt());
+}
+
+TEST_CASE("A caller that leaves stops its replica") {
+  Begun fixture;
+  const CallNumber call = fixture.call("/once/x");
+  fixture.take(fixture.router().onCallerGone(call, fixture.now));
+  CHECK(fixture.last<CancelAttemptEffect>()->attempt == fixture.attempt());
+  CHECK(fixture.router().drained());
+}
+
+TEST_CASE("A stream that breaks goes on elsewhere after its last event, where its route allows") {
+  Begun fixture;
+  fixture.call("/stream/x");
+  fixture.event(1);
+  fixture.event(2);
+  fixture.fail(AttemptFailure::Unproved);
+  REQUIRE(fixture.count<SendAttemptEffect>() == 2);
+  CHECK(fixture.last<SendAttemptEffect>()->resume_after == 2);
+  fixture.event(2);
+  fixture.event(3);
+  CHECK(fixture.count<PassEventEffect>() == 3);
+  CHECK(fixture.count<StartStreamEffect>() == 1);
+  fixture.take(fixture.router().onStreamEnd(fixture.attempt(), fixture.now));
+  CHECK(fixture.count<FinishStreamEffect>() == 1);
+}
+
+TEST_CASE("A stream that may not be resumed is broken off so that its caller sees it") {
+  Begun fixture;
+  fixture.call("/single/x");
+  fixture.event(1);
+  fixture.fail(AttemptFailure::Unproved);
+  CHECK(fixture.count<BreakStreamEffect>() == 1);
+  CHECK(fixture.count<FinishStreamEffect>() == 0);
+}
+
+TEST_CASE("A started stream whose rest nobody takes is broken off, not refused") {
+  Begun fixture;
+  fixture.call("/stream/x");
+  fixture.event(1);
+  fixture.fail(AttemptFailure::Unproved);
+  while (fixture.count<BreakStreamEffect>() == 0) {
+    fixture.answer(503, true);
+  }
+  CHECK(fixture.last<RefuseCallEffect>() == nullptr);
+}
+
+TEST_CASE("A leaving replica gets nothing new") {
+  Begun fixture;
+  wire::RoutedReplica leaving = CallFixture::replica("r1");
+  leaving.accepting = false;
+  fixture.addReplicas({leaving});
+  for (int i = 0; i < 20; ++i) {
+    fixture.call("/safe/x");
+    CHECK(fixture.last<SendAttemptEffect>()->replica != ReplicaId("r1"));
+  }
+}
+
+TEST_CASE("A call for a model that no replica holds waits, is told to control, and runs once it is there") {
+  Begun fixture;
+  fixture.addReplicas({CallFixture::replica("e1", "llm")});
+  fixture.pass(20ms);
+  fixture.all.clear();
+  fixture.call("/model/x", "m1", "a1");
+  fixture.pass(20ms);
+  CHECK(fixture.count<SendAttemptEffect>() == 0);
+  const auto* send = fixture.last<wire::SendEffect>();
+  REQUIRE(send != nullptr);
+  const auto& wants = std::get<wire::CallRouterStatus>(send->message).wants;
+  REQUIRE(wants.size() == 1);
+  CHECK(wants[0].waiting == 1);
+  CHECK(wants[0].adapter == "a1");
+  wire::RoutedReplica holder = CallFixture::replica("e1", "llm");
+  holder.held = {{ModelName("m1"), {"a1"}}};
+  fixture.addReplicas({holder});
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+}
+
+TEST_CASE("A call whose model doesn't come is refused as not run before its deadline") {
+  Begun fixture;
+  fixture.addReplicas({CallFixture::replica("e1", "llm")});
+  fixture.call("/model/x", "m1");
+  fixture.pass(800ms);
+  REQUIRE(fixture.last<RefuseCallEffect>() != nullptr);
+  CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::LoadCannotFinishInTime);
+  CHECK(fixture.last<RefuseCallEffect>()->not_run);
+  CHECK(fixture.last<RefuseCallEffect>()->retry_after.has_value());
+}
+
+TEST_CASE("A stopping router tells all members, and lets in late only what ends in time") {
+  Begun fixture;
+  fixture.all.clear();
+  fixture.take(fixture.router().beginDrain(fixture.now + 2s, fixture.now + 2500ms, fixture.now));
+  CHECK_FALSE(fixture.router().ready());
+  CHECK(fixture.count<wire::SendEffect>() == 2);
+  CHECK_FALSE(std::get<wire::CallRouterStatus>(fixture.last<wire::SendEffect>()->message).accepting);
+  fixture.call("/safe/x");
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+  fixture.answer(200);
+  fixture.pass(2s);
+  fixture.call("/safe/x");
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+  CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::RouterDraining);
+  CHECK(fixture.last<RefuseCallEffect>()->not_run);
+}
+
+TEST_CASE("Updates of a replaced leader change nothing, and a catalog never goes back") {
+  Begun fixture;
+  wire::ServiceUpdate newer;
+  newer.revision = LogIndex{std::uint64_t{9} << 40};
+  newer.catalog = CallFixture::catalog(5);
+  fixture.take(fixture.router().receive({NodeName("control-2"), newer}, fixture.now));
+  CHECK(fixture.router().catalogVersion().value == 5);
+  wire::ServiceUpdate old;
+  old.revision = LogIndex{(std::uint64_t{1} << 40) | 99};
+  old.catalog = CallFixture::catalog(4);
+  old.removed = {ReplicaId("r1"), ReplicaId("r2"), ReplicaId("r3")};
+  fixture.take(fixture.router().receive({NodeName("control-1"), old}, fixture.now));
+  CHECK(fixture.router().catalogVersion().value == 5);
+  CHECK(fixture.router().knownReplicas() == 3);
+}
+
+TEST_CASE("Only a whole table that is complete takes replicas away that it doesn't list") {
+  Begun fixture;
+  wire::ServiceUpdate partial;
+  partial.replicas = {CallFixture::replica("r1")};
+  fixture.send(partial);
+  CHECK(fixture.router().knownReplicas() == 3);
+  partial.complete = true;
+  fixture.send(partial);
+  CHECK(fixture.router().knownReplicas() == 1);
+}
+
+}  // namespace
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/tests/calls/parts_test.cc
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+
+#include "calls/call_fixture.h"
+
+namespace ferryrock::calls {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{1000s};
+
+TEST_CASE("A route's weights are kept over any stretch of its calls") {
+  wire::CallRoute route;
+  route.name = RouteName("r");
+  route.targets = {{ServiceName("a"), 90}, {ServiceName("b"), 10}, {ServiceName("c"), 0}};
+  TrafficSplit split;
+  std::map<ServiceName, int> counts;
+  for (int i = 0; i < 50; ++i) {
+    ++counts[split.next(route)];
+  }
+  CHECK(counts[ServiceName("a")] == 45);
+  CHECK(counts[ServiceName("b")] == 5);
+  CHECK(counts[ServiceName("c")] == 0);
+}
+
+TEST_CASE("Each router spends its part of the slack and its calls' share, in any window") {
+  RetryBudgetSettings settings;
+  settings.share = 0.2;
+  settings.slack = 50;
+  RetryBudget budget(settings);
+  budget.setRouters(5);
+  const ServiceName service("desk");
+  for (int i = 0; i < 100; ++i) {
+    budget.onCall(service, kStart);
+  }
+  int spent = 0;
+  while (budget.spend(service, kStart)) {
+    ++spent;
+  }
+  CHECK(spent <= 30);
+  CHECK(spent >= 15);
+  CHECK_FALSE(budget.spend(service, kStart + 9s));
+  CHECK(budget.spend(service, kStart + 11s));
+}
+
+ReplicaNeed need(const std::string& service, std::uint64_t affinity = 0) {
+  ReplicaNeed wanted;
+  wanted.service = ServiceName(service);
+  wanted.affinity_key = affinity;
+  return wanted;
+}
+
+TEST_CASE("Calls spread over equal replicas, calls of one key share a home until it is much busier") {
+  ReplicaTable table(ZoneName(""), 3);
+  wire::ServiceUpdate update;
+  update.replicas = {CallFixture::replica("r1"), CallFixture::replica("r2"), CallFixture::replica("r3")};
+  table.apply(update);
+  for (int i = 0; i < 9; ++i) {
+    table.onSent(*table.choose(need("desk"), kStart).replica, kStart);
+  }
+  for (const char* id : {"r1", "r2", "r3"}) {
+    CHECK(table.find(ReplicaId(id))->outstanding == 3);
+  }
+  Replica* home = table.choose(need("desk", 77), kStart).replica;
+  CHECK(table.choose(need("desk", 77), kStart).replica == home);
+  for (int i = 0; i < 8; ++i) {
+    table.onSent(*home, kStart);
+  }
+  CHECK(table.choose(need("desk", 77), kStart).replica != home);
+}
+
+TEST_CASE("An ejected replica is passed over unless it is the last one") {
+  ReplicaTable table(ZoneName(""), 3);
+  wire::ServiceUpdate update;
+  update.replicas = {CallFixture::replica("r1"), CallFixture::replica("r2")};
+  table.apply(update);
+  Random random(1);
+  table.find(ReplicaId("r1"))->health.onFailure(router::HealthFailure::Unreachable, kStart, random);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(table.choose(need("desk"), kStart).replica->routed.id == ReplicaId("r2"));
+  }
+  table.find(ReplicaId("r2"))->health.onFailure(router::HealthFailure::Unreachable, kStart, random);
+  CHECK(table.choose(need("desk"), kStart).replica != nullptr);
+}
+
+TEST_CASE("A replica that is no longer listed is forgotten once its last attempt has ended") {
+  ReplicaTable table(ZoneName(""), 3);
+  wire::ServiceUpdate update;
+  update.replicas = {CallFixture::replica("r1")};
+  table.apply(update);
+  Replica& replica = *table.find(ReplicaId("r1"));
+  table.onSent(replica, kStart);
+  wire::ServiceUpdate gone;
+  gone.base = LogIndex{1};
+  gone.removed = {ReplicaId("r1")};
+  table.apply(gone);
+  CHECK(table.choose(need("desk"), kStart).failure == ChoiceFailure::NoReplica);
+  REQUIRE(table.find(ReplicaId("r1")) != nullptr);
+  table.onReleased(replica);
+  CHECK(table.find(ReplicaId("r1")) == nullptr);
+}
+
+TEST_CASE("Hosts are compared without port and case, prefixes by whole segments, the longest first") {
+  wire::ServiceCatalog catalog = CallFixture::catalog(1);
+  wire::CallRoute nested = catalog.routes.front();
+  nested.name = RouteName("nested");
+  nested.path_prefix = "/safe/inner/";
+  catalog.routes.push_back(nested);
+  const RouteTable table(catalog);
+  CHECK(table.find("EXAMPLE:8080", "/safe/x")->name == RouteName("/safe/"));
+  CHECK(table.find("example", "/safe/inner/x")->name == RouteName("nested"));
+  CHECK(table.find("example", "/safe/inner")->name == RouteName("/safe/"));
+  CHECK(table.find("example", "/safe") == nullptr);
+  CHECK(table.find("other", "/safe/x") == nullptr);
+}
+
+}  // namespace
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/tests/platform/translation_test.cc
@@ -0,0 +1,182 @@
+#include <catch2/catch.hpp>
+
+#include "common/error.h"
+#include "platform/call_dialect.h"
+#include "platform/catalog_json.h"
+#include "platform/order_dialect.h"
+#include "platform/replica_json.h"
+
+/// The translations of platform/, case by case.
+namespace ferryrock::platform {
+namespace {
+
+const PlatformCallDialect kDialect;
+
+http::Request request() {
+  http::Request request;
+  request.method = "POST";
+  request.target = "/lohu930/2f?q=%20";
+  request.headers = {{"Host", "ficu95.example"},
+                     {"X-Attempt-Id", "9c41"},
+                     {"X-Deadline-Ms", "1500"},
+                     {"X-Model", "daka51/a3"},
+                     {"X-Token-Count", "1460,80"},
+                     {"Last-Event-Id", "12"},
+                     {"X-Prompt-Prefix", "5c:800,91:410,e4:250"},
+                     {"Connection", "keep-alive"},
+                     {"X-Own", "1"}};
+  request.body = "{}";
+  return request;
+}
+
+TEST_CASE("A client's request is read") {
+  const auto call = kDialect.parse(request());
+  CHECK(call.request.id == RequestId("9c41"));
+  CHECK(call.request.host == "ficu95.example");
+  CHECK(call.request.path == "/lohu930/2f");
+  CHECK(call.request.time_limit == std::chrono::milliseconds(1500));
+  CHECK(call.request.model == ModelName("daka51"));
+  CHECK(call.request.adapter == "a3");
+  CHECK(call.request.prompt_tokens == 1460);
+  CHECK(call.request.answer_tokens == 80);
+  CHECK(call.request.resume_after == 12);
+  CHECK(call.content.target == "/lohu930/2f?q=%20");
+  http::Request other = request();
+  other.headers[6].value = "5c:800,91:410,ff:1";
+  CHECK(kDialect.parse(other).request.affinity_key == call.request.affinity_key);
+}
+
+TEST_CASE("A header that isn't a number is refused as such") {
+  http::Request broken = request();
+  broken.headers[2].value = "soon";
+  CHECK_THROWS_AS(kDialect.parse(broken), Error);
+}
+
+TEST_CASE("A replica gets the request as it was, with the time left and its own id") {
+  const auto call = kDialect.parse(request());
+  calls::SendAttemptEffect effect;
+  effect.replica = ReplicaId("i-7f");
+  effect.address = "10.0.0.9:80";
+  effect.time_left = std::chrono::milliseconds(1234);
+  const http::ClientRequest sent = kDialect.attempt(effect, call.content);
+  CHECK(sent.url == "http://10.0.0.9:80/lohu930/2f?q=%20");
+  CHECK(sent.body == "{}");
+  CHECK(http::findHeader(sent.headers, "X-Deadline-Ms") == "1234");
+  CHECK(http::findHeader(sent.headers, "X-Expect-Instance") == "i-7f");
+  CHECK(http::findHeader(sent.headers, "X-Attempt-Id") == "9c41");
+  CHECK(http::findHeader(sent.headers, "X-Model") == "daka51/a3");
+  CHECK(http::findHeader(sent.headers, "X-Own") == "1");
+  CHECK(http::findHeader(sent.headers, "Last-Event-Id") == "12");
+  CHECK_FALSE(http::findHeader(sent.headers, "Connection").has_value());
+  effect.resume_after = 20;
+  CHECK(http::findHeader(kDialect.attempt(effect, call.content).headers, "Last-Event-Id") == "20");
+}
+
+TEST_CASE("A success needs this call's id and a seal, a failure the id alone") {
+  const RequestId id("9c41");
+  CHECK(kDialect.answersCall(id, 200, {{"X-Attempt-Id", "9c41"}, {"X-Server-Seal", "s"}}));
+  CHECK_FALSE(kDialect.answersCall(id, 200, {{"X-Attempt-Id", "9c41"}}));
+  CHECK_FALSE(kDialect.answersCall(id, 200, {{"X-Attempt-Id", "0000"}, {"X-Server-Seal", "s"}}));
+  CHECK(kDialect.answersCall(id, 503, {{"X-Attempt-Id", "9c41"}}));
+}
+
+TEST_CASE("Only a marked answer or 421 proves that a call wasn't run") {
+  CHECK(kDialect.summarize(503, {{"X-Not-Executed", "1"}}).unrun);
+  CHECK(kDialect.summarize(421, {}).unrun);
+  CHECK_FALSE(kDialect.summarize(503, {}).unrun);
+  CHECK_FALSE(kDialect.summarize(500, {}).unrun);
+}
+
+TEST_CASE("A status that promises that a call wasn't run is told only when that is certain") {
+  constexpr bool kNotRun = true;
+  const RequestId id("9c41");
+  const Duration pause = std::chrono::milliseconds(200);
+  const auto sure = kDialect.refusal(id, ResultCode::ReplicaRefused, kNotRun, pause, "");
+  CHECK(sure.status == 503);
+  CHECK(http::findHeader(sure.headers, "Retry-After") == "0.200");
+  CHECK(http::findHeader(sure.headers, "X-Attempt-Id") == "9c41");
+  CHECK(kDialect.refusal(id, ResultCode::ReplicaRefused, !kNotRun, std::nullopt, "").status == 502);
+  CHECK(kDialect.refusal(id, ResultCode::DeadlineExpiredRunning, !kNotRun, std::nullopt, "").status == 504);
+  CHECK(kDialect.refusal(id, ResultCode::UnknownRoute, kNotRun, std::nullopt, "").status == 404);
+}
+
+const std::string kCatalog =
+    R"({"generation":7,"routes":[{"name":"r1","host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":25000,)"
+    R"("targetLatencyMs":6000,"priority":1,"service":"s","maxAttempts":2,"sticky":true,"resumable":true,)"
+    R"("gapTargetMs":300},{"name":"r2","host":"h","pathPrefix":"/b/","kind":"safe","timeoutMs":1000,)"
+    R"("trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}]}],)"
+    R"("services":[{"name":"s","healthPath":"/health","maxConns":370,"engine":{"slots":64,"kvCapacity":129500,)"
+    R"("weightsMb":200000.0,"adapterSlots":8,"loadsPerS":2.2,"unknown":1,"models":[{"name":"m","weightsMb":42700.5,)"
+    R"("loadTimeS":2.5,"adapters":37,"adapterMb":66.0,"warmS":0.89,"diskLoadS":1.2}]}},{"name":"t"}],)"
+    R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+TEST_CASE("A configuration is read whole") {
+  const wire::ServiceCatalog catalog = parseCatalog(kCatalog);
+  CHECK(catalog.version == CatalogVersion{7});
+  REQUIRE(catalog.routes.size() == 2);
+  CHECK(catalog.routes[0].kind == wire::CallKind::Streaming);
+  CHECK(catalog.routes[0].resumable);
+  CHECK(catalog.routes[0].affinity);
+  CHECK(catalog.routes[1].targets[0].weight == 90);
+  REQUIRE(catalog.services[0].engine.has_value());
+  CHECK(catalog.services[0].engine->models[0].memory_load_ms == 890);
+  CHECK(catalog.services[0].engine->loads_per_second == 2.2);
+  CHECK_FALSE(catalog.services[1].engine.has_value());
+  CHECK(catalog.limits.idle_timeout_ms == 15000);
+}
+
+TEST_CASE("A configuration that is cut short or lacks a field is refused, wherever it is cut") {
+  for (std::size_t length = 0; length < kCatalog.size(); ++length) {
+    CHECK_THROWS_AS(parseCatalog(kCatalog.substr(0, length)), Error);
+  }
+  CHECK_THROWS_AS(parseCatalog("[]"), Error);
+  CHECK_THROWS_AS(parseCatalog(R"({"generation":"x","routes":[],"services":[]})"), Error);
+}
+
+TEST_CASE("Heartbeats and notices are read") {
+  const std::string body =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,"state":"draining","remainingMs":2000,)"
+      R"("coldRemainingMs":5,"models":[{"name":"m","generation":1,"adapters":["a1"]}],"seqNo":4,)"
+      R"("available":{"resident":["m"],"onDisk":["m","n"]}})";
+  const wire::ReplicaReport report = parseHeartbeat("i-1", body);
+  CHECK(report.id == ReplicaId("i-1"));
+  CHECK(report.leaving);
+  CHECK(report.ends_in_ms == 2000);
+  CHECK(report.sequence == 4);
+  CHECK(report.held == std::vector<wire::HeldModel>{{ModelName("m"), {"a1"}}});
+  CHECK(report.on_disk.size() == 2);
+  CHECK_THROWS_AS(parseHeartbeat("i-1", "{}"), Error);
+  CHECK(parseLeave("i-1", "").leaving);
+  CHECK(parseLeave("i-1", body).address == "10.0.0.9:80");
+}
+
+TEST_CASE("Orders carry the fence, the holder and the expected count; statuses tell what became of them") {
+  const PlatformOrderDialect orders;
+  services::OrderReplicaEffect order;
+  order.replica = ReplicaId("i-1");
+  order.address = "10.0.0.9:80";
+  order.model = ModelName("m");
+  order.adapter = "a3";
+  order.expected = 2;
+  order.holder = NodeName("core-1");
+  order.fence = Term{41};
+  const http::ClientRequest request = orders.order(order);
+  CHECK(
+      request.body ==
+      R"({"adapter":"a3","expected":2,"fencingToken":41,"holder":"core-1","model":"m","opType":"model_load"})");
+  CHECK(http::findHeader(request.headers, "X-Expect-Instance") == "i-1");
+  CHECK(orders.outcome(202) == services::OrderOutcome::Taken);
+  CHECK(orders.outcome(200) == services::OrderOutcome::AlreadyHeld);
+  CHECK(orders.outcome(409) == services::OrderOutcome::Conflict);
+  CHECK(orders.outcome(412) == services::OrderOutcome::Refused);
+  const auto state = orders.state(
+      200, R"({"seqNo":3,"busy":true,"models":[{"name":"m","adapters":[]}],"pending":["m/a3@1"]})");
+  REQUIRE(state.has_value());
+  CHECK(state->orders_taken == 3);
+  CHECK(state->busy);
+  CHECK(state->coming == std::vector<wire::HeldModel>{{ModelName("m"), {"a3"}}});
+  CHECK_FALSE(orders.state(200, "{").has_value());
+}
+
+}  // namespace
+}  // namespace ferryrock::platform
--- /dev/null
+++ b/tests/service_process/replica_client_test.cc
@@ -0,0 +1,241 @@
+#include "service_process/replica_client.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "common/error.h"
+#include "http/fixture.h"
+#include "http/raw_peer.h"
+
+/// Calls against scripted replicas on loopback: what is passed on, and what never looks complete.
+namespace ferryrock::service_process {
+namespace {
+
+using http::RawConnection;
+using http::ScriptedServer;
+
+/// A dialect of the test's own: the call's id travels as "Call-Id", a refusal is marked "Not-Run".
+class TestDialect : public CallDialect {
+ public:
+  ParsedCall parse(http::Request) const override { throw Error(ResultCode::Internal, "not used"); }
+  http::Headers callerHeaders(const http::Headers& headers) const override { return headers; }
+  HttpAnswer refusal(const RequestId&, ResultCode, bool, std::optional<Duration>,
+                     const std::string&) const override {
+    return {};
+  }
+  http::ClientRequest attempt(const calls::SendAttemptEffect& effect,
+                              const CallContent& content) const override {
+    http::ClientRequest request;
+    request.method = content.method;
+    request.url = "http://" + effect.address + content.target;
+    request.headers = content.headers;
+    request.body = content.body;
+    return request;
+  }
+  bool answersCall(const RequestId& id, int, const http::Headers& headers) const override {
+    return http::findHeader(headers, "Call-Id") == id.value;
+  }
+  calls::AnswerSummary summarize(int status, const http::Headers& headers) const override {
+    return {status, http::findHeader(headers, "Not-Run").has_value()};
+  }
+};
+
+/// What became of one attempt.
+struct Record {
+  std::optional<calls::AnswerSummary> answer;
+  std::string body;
+  std::vector<StreamEvent> events;
+  bool stream_ended = false;
+  std::optional<calls::AttemptFailure> failure;
+  bool ended() const { return answer || stream_ended || failure; }
+};
+
+struct Fixture {
+  Fixture() : client(http::createClient(loop.dispatcher())) {
+    ReplicaCallbacks callbacks;
+    callbacks.on_answer = [this](calls::AttemptNumber number, const calls::AnswerSummary& answer) {
+      records[number].answer = answer;
+      records[number].body = replicas->answerOf(number)->body;
+    };
+    callbacks.on_stream_event = [this](calls::AttemptNumber number, StreamEvent event) {
+      records[number].events.push_back(std::move(event));
+    };
+    callbacks.on_stream_end = [this](calls::AttemptNumber number) { records[number].stream_ended = true; };
+    callbacks.on_failure = [this](calls::AttemptNumber number, calls::AttemptFailure failure,
+                                  const std::string&) { records[number].failure = failure; };
+    replicas = std::make_unique<ReplicaClient>(loop.dispatcher(), *client, dialect, callbacks);
+  }
+  Record& run(std::uint16_t port, const std::string& target = "/x?y=%20z") {
+    const calls::AttemptNumber number{++next};
+    calls::SendAttemptEffect effect;
+    effect.attempt = number;
+    effect.address = "127.0.0.1:" + std::to_string(port);
+    replicas->send(effect, {RequestId("c1"), "POST", target, {{"Call-Id", "c1"}, {"Odd", "a  b"}}, "body"});
+    REQUIRE(loop.runUntil([&] { return records[number].ended(); }));
+    return records[number];
+  }
+  http::Loop loop;
+  TestDialect dialect;
+  std::unique_ptr<http::Client> client;
+  std::unique_ptr<ReplicaClient> replicas;
+  std::map<calls::AttemptNumber, Record> records;
+  std::uint64_t next = 0;
+};
+
+std::string answerText(const std::string& headers, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nCall-Id: c1\r\n" + headers + "\r\n" + body;
+}
+
+TEST_CASE("A call goes out byte for byte") {
+  std::string seen;
+  ScriptedServer server([&seen](RawConnection& connection, int) {
+    seen = connection.readRequest();
+    connection.write(answerText("Content-Length: 2\r\n", "ok"));
+    connection.readRequest();
+  });
+  Fixture fixture;
+  const Record& record = fixture.run(server.port(), "/a/../b//c?d=%2F&e=%20");
+  CHECK(record.body == "ok");
+  CHECK(seen.starts_with("POST /a/../b//c?d=%2F&e=%20 HTTP/1.1\r\n"));
+  CHECK(seen.find("Odd: a  b\r\n") != std::string::npos);
+  CHECK(seen.find("Accept:") == std::string::npos);
+  CHECK(seen.find("Content-Type:") == std::string::npos);
+  CHECK(seen.ends_with("\r\n\r\nbody"));
+}
+
+struct AnswerCase {
+  const char* name;
+  std::string text;  ///< after which the replica closes, or resets
+  bool reset;
+  std::optional<calls::AttemptFailure> failure;
+  std::string body;
+};
+
+TEST_CASE("Only a whole answer to this very call counts") {
+  using calls::AttemptFailure;
+  const std::vector<AnswerCase> cases = {
+      {"with length", answerText("Content-Length: 2\r\n", "ok"), false, std::nullopt, "ok"},
+      {"ends with the connection", answerText("", "whole"), false, std::nullopt, "whole"},
+      {"reset without length", answerText("", "half"), true, AttemptFailure::Unproved, ""},
+      {"cut in its length", answerText("Content-Length: 9\r\n", "half"), false, AttemptFailure::Unproved, ""},
+      {"cut between chunks", answerText("Transfer-Encoding: chunked\r\n", "2\r\nok\r\n"), false,
+       AttemptFailure::Unproved, ""},
+      {"another call's", "HTTP/1.1 200 OK\r\nCall-Id: c0\r\nContent-Length: 2\r\n\r\nno", false,
+       AttemptFailure::Foreign, ""},
+      {"without an id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", false, AttemptFailure::Foreign, ""},
+      {"no HTTP", "garbage\r\n\r\n", false, AttemptFailure::Unproved, ""},
+      {"nothing", "", false, AttemptFailure::Unproved, ""},
+  };
+  for (const AnswerCase& given : cases) {
+    INFO(given.name);
+    ScriptedServer server([&given](RawConnection& connection, int) {
+      connection.readRequest();
+      connection.write(given.text);
+      given.reset ? connection.reset() : connection.close();
+    });
+    Fixture fixture;
+    const Record& record = fixture.run(server.port());
+    CHECK(record.failure == given.failure);
+    CHECK(record.body == given.body);
+  }
+}
+
+TEST_CASE("A replica that nobody listens for wasn't sent to") {
+  std::uint16_t port = 0;
+  {
+    ScriptedServer server([](RawConnection&, int) {});
+    port = server.port();
+  }
+  Fixture fixture;
+  CHECK(fixture.run(port).failure == calls::AttemptFailure::NotSent);
+}
+
+TEST_CASE("A request on a kept connection that dies isn't sent a second time") {
+  std::atomic<int> requests = 0;
+  ScriptedServer server([&requests](RawConnection& connection, int) {
+    requests += connection.readRequest().empty() ? 0 : 1;
+    connection.write(answerText("Content-Length: 2\r\n", "ok"));
+    requests += connection.readRequest().empty() ? 0 : 1;
+    connection.reset();
+  });
+  Fixture fixture;
+  CHECK(fixture.run(server.port()).body == "ok");
+  CHECK(fixture.run(server.port()).failure == calls::AttemptFailure::Unproved);
+  CHECK(requests == 2);
+}
+
+TEST_CASE("A surplus answer on a kept connection is nobody's") {
+  ScriptedServer server([](RawConnection& connection, int) {
+    connection.readRequest();
+    connection.write(answerText("Content-Length: 2\r\n", "ok") +
+                     "HTTP/1.1 200 OK\r\nCall-Id: c0\r\nContent-Length: 3\r\n\r\nbad");
+    while (!connection.readRequest().empty()) {
+      connection.write(answerText("Content-Length: 2\r\n", "ok"));
+    }
+  });
+  Fixture fixture;
+  CHECK(fixture.run(server.port()).body == "ok");
+  const Record& second = fixture.run(server.port());
+  CHECK((second.failure.has_value() || second.body == "ok"));
+}
+
+TEST_CASE("A stream is passed in whole events; a cut one, or one that ends within an event, has no end") {
+  const std::string head =
+      answerText("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", "");
+  const std::string two = "11\r\nid: 1\ndata: a\n\nid\r\nf\r\n: 2\ndata: bcd\n\n\r\n";
+  const std::vector<std::tuple<std::string, std::size_t, bool>> cases = {
+      {head + two + "0\r\n\r\n", 2, true},
+      {head + two, 2, false},
+      {head + "9\r\nid: 1\ndat\r\n0\r\n\r\n", 0, false},
+  };
+  for (const auto& [text, events, ended] : cases) {
+    INFO(text);
+    ScriptedServer server([&text = text](RawConnection& connection, int) {
+      connection.readRequest();
+      connection.write(text);
+      connection.close();
+    });
+    Fixture fixture;
+    const Record& record = fixture.run(server.port());
+    CHECK(record.events.size() == events);
+    CHECK(record.stream_ended == ended);
+    CHECK(record.failure.has_value() == !ended);
+    for (std::size_t i = 0; i < record.events.size(); ++i) {
+      CHECK(record.events[i].id == i + 1);
+    }
+  }
+}
+
+TEST_CASE("Events are cut at empty lines, whatever the line ends, over any pieces") {
+  const std::string text = "x-version: 3\nid: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\ndata: no id\n\n";
+  for (std::size_t piece = 1; piece < text.size(); ++piece) {
+    EventSplitter splitter;
+    std::vector<StreamEvent> events;
+    for (std::size_t place = 0; place < text.size(); place += piece) {
+      splitter.add(text.substr(place, piece));
+      while (auto event = splitter.next()) {
+        events.push_back(std::move(*event));
+      }
+    }
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].id == 7);
+    CHECK(events[1].id == 8);
+    CHECK_FALSE(events[2].id.has_value());
+    CHECK(events[0].bytes + events[1].bytes + events[2].bytes == text);
+    CHECK(splitter.unfinishedBytes() == 0);
+  }
+}
+
+TEST_CASE("Headers of one connection and those that it lists don't go further") {
+  const http::Headers headers = {{"Connection", "close, X-Hop"},  {"x-hop", "1"}, {"Keep-Alive", "timeout=3"},
+                                 {"Content-Length", "4"},         {"X-End", "2"}, {"Host", "h"},
+                                 {"transfer-encoding", "chunked"}};
+  const http::Headers kept = endToEndHeaders(headers);
+  REQUIRE(kept.size() == 2);
+  CHECK(kept[0].name == "X-End");
+  CHECK(kept[1].name == "Host");
+}
+
+}  // namespace
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/tests/service_process/settings_test.cc
@@ -0,0 +1,62 @@
+#include <catch2/catch.hpp>
+
+#include "common/error.h"
+#include "service_process/member_identity.h"
+#include "service_process/service_settings.h"
+#include "storage/memory_file_system.h"
+
+namespace ferryrock::service_process {
+namespace {
+
+const std::string kRouter =
+    "node: edge-1\nhost: 10.0.0.9\ninternal_port: 7000\nseeds: [\"10.0.0.1:80\", \"10.0.0.2:80\"]\n"
+    "listen_calls: 10.0.0.9:8000\nlisten_status: 10.0.0.9:8001\nretry_slack: 52\nretry_window: 10s\n";
+
+TEST_CASE("A router's settings are read, and seeds become internal addresses") {
+  SettingsReader reader = SettingsReader::fromText(kRouter, "settings");
+  const CallRouterProcessSettings settings = readCallRouterSettings(reader);
+  CHECK(settings.retries.slack == 52);
+  CHECK(settings.seedNodes() == std::vector<NodeName>{NodeName("10.0.0.1:7000"), NodeName("10.0.0.2:7000")});
+}
+
+TEST_CASE("An unknown, missing or broken field is refused with its place and remedy") {
+  for (const std::string& text :
+       {kRouter + "unknown: 1\n", std::string("node: edge-1\n"), kRouter + "stop_limit: 8\n",
+        kRouter + "retry_share: -1\n", std::string("node: [\n")}) {
+    INFO(text);
+    try {
+      SettingsReader reader = SettingsReader::fromText(text, "settings");
+      readCallRouterSettings(reader);
+      FAIL("it was accepted");
+    } catch (const Error& fault) {
+      CHECK(std::string(fault.what()).find("settings") != std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("An identity is drawn once for a disk; founders know each other's") {
+  const std::vector<SeedMember> seeds = {{NodeName("a:1"), "a:80"}, {NodeName("b:1"), "b:80"}};
+  storage::MemoryDisk first(1);
+  storage::MemoryDisk second(2);
+  storage::MemoryDisk joining(3);
+  constexpr bool kBootstrap = true;
+  const auto identity = [&](storage::MemoryDisk& disk, const char* self, bool bootstrap,
+                            std::uint64_t random) {
+    return loadIdentity(*disk.open(), NodeName(self), seeds, bootstrap, random);
+  };
+  const MemberIdentity a = identity(first, "a:1", kBootstrap, 10);
+  const MemberIdentity b = identity(second, "b:1", kBootstrap, 20);
+  CHECK(a.founders == b.founders);
+  CHECK(a.founders[1].id == b.id);
+  CHECK(a.founders[1].http == "b:80");
+  CHECK(identity(joining, "c:1", kBootstrap, 30).founders.empty());
+  first.crash();
+  CHECK(identity(first, "a:1", !kBootstrap, 40) == a);
+  first.wipe();
+  const MemberIdentity emptied = identity(first, "a:1", !kBootstrap, 50);
+  CHECK(emptied.founders.empty());
+  CHECK(emptied.id != a.id);
+}
+
+}  // namespace
+}  // namespace ferryrock::service_process
--- /dev/null
+++ b/tests/services/model_placer_test.cc
@@ -0,0 +1,219 @@
+#include "services/model_placer.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "common/random.h"
+#include "services/service_cluster.h"
+
+/// The placer against replicas that leave orders unanswered, carry them out late, check the expected count
+/// and fall when they are ordered more than they hold.
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double kCapacityMb = 130;
+constexpr std::size_t kAdapterSlots = 2;
+
+/// A replica as the users' platform describes it.
+struct ScriptedReplica {
+  ReplicaId id;
+  std::uint64_t orders_taken = 0;
+  std::uint64_t sequence = 0;
+  std::map<ModelName, std::set<std::string>> held;
+  std::optional<ModelName> loading;
+  bool fell = false;
+
+  std::size_t adapters() const {
+    std::size_t count = 0;
+    for (const auto& [model, names] : held) {
+      count += names.size();
+    }
+    return count;
+  }
+  OrderOutcome take(const OrderReplicaEffect& order) {
+    if (order.expected != orders_taken || (order.adapter.empty() && loading)) {
+      return OrderOutcome::Conflict;
+    }
+    if (order.adapter.empty() && order.action == OrderAction::Load) {
+      if (held.contains(order.model)) {
+        return OrderOutcome::AlreadyHeld;
+      }
+      fell =
+          fell || static_cast<double>(held.size() + 1) * 60 + static_cast<double>(adapters()) > kCapacityMb;
+      loading = order.model;
+    } else if (order.adapter.empty()) {
+      held.erase(order.model);
+    } else if (!held.contains(order.model)) {
+      return OrderOutcome::Refused;
+    } else if (order.action == OrderAction::Load) {
+      const bool there = held[order.model].contains(order.adapter);
+      fell = fell || (!there && adapters() + 1 > kAdapterSlots);
+      held[order.model].insert(order.adapter);
+    } else {
+      held[order.model].erase(order.adapter);
+    }
+    ++orders_taken;
+    return OrderOutcome::Taken;
+  }
+  wire::ReplicaReport report() {
+    wire::ReplicaReport told = makeReport(id.value, "llm", ++sequence);
+    for (const auto& [model, names] : held) {
+      told.held.push_back({model, {names.begin(), names.end()}});
+    }
+    return told;
+  }
+  ReplicaState state() const {
+    ReplicaState told;
+    told.orders_taken = orders_taken;
+    told.busy = loading.has_value();
+    for (const auto& [model, names] : held) {
+      told.held.push_back({model, {names.begin(), names.end()}});
+    }
+    return told;
+  }
+};
+
+/// Runs a placer in steps of 20 ms against some replicas.
+class PlacerWorld {
+ public:
+  PlacerWorld(std::size_t replicas, std::uint64_t seed, double unanswered)
+      : random_(seed), unanswered_(unanswered), placer_(settings(), registry_, demand_) {
+    for (std::size_t i = 0; i < replicas; ++i) {
+      ScriptedReplica replica;
+      replica.id = ReplicaId("r" + std::to_string(i));
+      replica.held[ModelName("m0")] = {};
+      replicas_.push_back(replica);
+      registry_.accept(replicas_.back().report(), time_);
+    }
+  }
+
+  void want(const std::string& model, const std::string& adapter, std::uint32_t waiting) {
+    wants_ = {{ServiceName("llm"), ModelName(model), adapter, waiting, 0, waiting}};
+  }
+
+  void run(Duration duration) {
+    for (const TimePoint end = time_ + duration; time_ < end; time_ += 20ms) {
+      demand_.accept(NodeName("edge"), wants_, time_);
+      demand_.fade(time_);
+      handle(placer_.plan(makeCatalog(1), time_));
+      for (auto late = late_.begin(); late != late_.end();) {
+        if (late->first <= time_) {
+          find(late->second.replica).take(late->second);
+          late = late_.erase(late);
+        } else {
+          ++late;
+        }
+      }
+      for (ScriptedReplica& replica : replicas_) {
+        if (replica.loading && random_.chance(0.02)) {
+          replica.held[*replica.loading] = {};
+          replica.loading.reset();
+        }
+        if (random_.chance(0.02)) {
+          registry_.accept(replica.report(), time_);
+        }
+      }
+    }
+  }
+
+  std::vector<ScriptedReplica>& replicas() { return replicas_; }
+  std::size_t loads() const { return loads_; }
+
+ private:
+  static ModelPlacerSettings settings() {
+    ModelPlacerSettings settings;
+    settings.holder = NodeName("leader");
+    settings.fence = Term{3};
+    return settings;
+  }
+  ScriptedReplica& find(const ReplicaId& id) {
+    return *std::find_if(replicas_.begin(), replicas_.end(), [&id](const auto& r) { return r.id == id; });
+  }
+  void handle(const PlacerEffects& effects) {
+    for (const PlacerEffect& effect : effects) {
+      if (const auto* inspection = std::get_if<InspectReplicaEffect>(&effect)) {
+        placer_.onInspected(inspection->number, find(inspection->replica).state(), time_);
+        continue;
+      }
+      const auto& order = std::get<OrderReplicaEffect>(effect);
+      loads_ += order.action == OrderAction::Load && order.adapter.empty() ? 1 : 0;
+      if (random_.chance(unanswered_)) {
+        late_.emplace_back(time_ + 2s + Duration(random_.below(10'000'000'000)), order);
+        placer_.onOrderDone(order.number, OrderOutcome::Unanswered, time_);
+      } else {
+        placer_.onOrderDone(order.number, find(order.replica).take(order), time_);
+      }
+    }
+  }
+
+  TimePoint time_{1000s};
+  Random random_;
+  double unanswered_;
+  ReplicaRegistry registry_;
+  ModelDemand demand_;
+  ModelPlacer placer_;
+  std::vector<ScriptedReplica> replicas_;
+  std::vector<wire::ModelWant> wants_;
+  std::deque<std::pair<TimePoint, OrderReplicaEffect>> late_;
+  std::size_t loads_ = 0;
+};
+
+TEST_CASE("A model that calls wait for is loaded where it fits") {
+  PlacerWorld world(1, 1, 0);
+  world.want("m1", "", 1);
+  world.run(5s);
+  CHECK(world.replicas()[0].held.contains(ModelName("m1")));
+  CHECK(world.replicas()[0].held.contains(ModelName("m0")));
+}
+
+TEST_CASE("A model that nobody wants gives way when there is no room") {
+  PlacerWorld world(1, 2, 0);
+  world.want("m1", "", 1);
+  world.run(5s);
+  world.want("m2", "", 1);
+  world.run(10s);
+  CHECK(world.replicas()[0].held.contains(ModelName("m2")));
+  CHECK_FALSE(world.replicas()[0].fell);
+}
+
+TEST_CASE("An adapter is loaded beside its model, and the least wanted one gives way") {
+  PlacerWorld world(1, 3, 0);
+  for (const char* adapter : {"a1", "a2", "a3"}) {
+    world.want("m0", adapter, 1);
+    world.run(2s);
+    CHECK(world.replicas()[0].held[ModelName("m0")].contains(adapter));
+  }
+  CHECK_FALSE(world.replicas()[0].fell);
+}
+
+TEST_CASE("Loads from the store keep their rate") {
+  PlacerWorld world(30, 4, 0);
+  world.want("m1", "", 500);
+  world.run(5s);
+  CHECK(world.loads() <= 10);
+  CHECK(world.loads() >= 5);
+}
+
+TEST_CASE("No order overfills a replica, though half of them are carried out late") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    INFO("seed " << seed);
+    PlacerWorld world(3, seed, 0.5);
+    Random random(seed);
+    for (int i = 0; i < 40; ++i) {
+      const bool whole = random.chance(0.5);
+      world.want("m" + std::to_string(random.below(3)), whole ? "" : "a" + std::to_string(random.below(5)),
+                 1 + static_cast<std::uint32_t>(random.below(9)));
+      world.run(1s);
+    }
+    for (const ScriptedReplica& replica : world.replicas()) {
+      CHECK_FALSE(replica.fell);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace ferryrock::services
--- /dev/null
+++ b/tests/services/registry_test.cc
@@ -0,0 +1,110 @@
+#include <catch2/catch.hpp>
+
+#include "common/error.h"
+#include "services/catalog_rules.h"
+#include "services/service_cluster.h"
+#include "services/table_feed.h"
+
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{1000s};
+
+TEST_CASE("A report that was overtaken is dropped, its notice of leaving is not") {
+  ReplicaRegistry registry;
+  CHECK(registry.accept(makeReport("r1", "desk", 5), kStart) == ReportNews::Changed);
+  CHECK(registry.accept(makeReport("r1", "desk", 4), kStart) == ReportNews::Late);
+  CHECK(registry.accept(makeReport("r1", "desk", 6), kStart) == ReportNews::Same);
+  wire::ReplicaReport leaving = makeReport("r1", "desk", 2);
+  leaving.leaving = true;
+  CHECK(registry.accept(leaving, kStart) == ReportNews::Changed);
+  CHECK(registry.accept(makeReport("r1", "desk", 7), kStart) != ReportNews::Late);
+  CHECK(registry.find(ReplicaId("r1"))->leaving);
+}
+
+TEST_CASE("A replica at a reused address replaces the one that stood there") {
+  ReplicaRegistry registry;
+  registry.accept(makeReport("r1", "desk", 5), kStart);
+  wire::ReplicaReport next = makeReport("r2", "llm", 1);
+  next.address = "r1:80";
+  registry.accept(next, kStart);
+  CHECK(registry.find(ReplicaId("r1")) == nullptr);
+  CHECK(registry.find(ReplicaId("r2")) != nullptr);
+}
+
+TEST_CASE("An adapter that was ordered shows at once; a model whose unload was ordered doesn't") {
+  ReplicaRegistry registry;
+  wire::ReplicaReport report = makeReport("r1", "llm", 1);
+  report.held = {{ModelName("m0"), {"a1"}}, {ModelName("m1"), {}}};
+  registry.accept(report, kStart);
+  registry.assumeAdapter(report.id, ModelName("m0"), "a2", kStart);
+  registry.withdrawModel(report.id, ModelName("m1"), kStart);
+  const auto usable = registry.find(report.id)->usable();
+  REQUIRE(usable.size() == 1);
+  CHECK(usable[0].adapters == std::vector<std::string>{"a1", "a2"});
+  registry.expire(kStart + 5s, 60s);
+  CHECK(registry.find(report.id)->usable().size() == 2);
+}
+
+TEST_CASE("A router gets what changed since its revision, and the whole table across terms") {
+  ReplicaRegistry registry;
+  registry.accept(makeReport("r1", "desk", 1), kStart);
+  const wire::ServiceCatalog catalog = makeCatalog(3);
+  const FeedContext context{catalog, {}, 2, true};
+  const TableFeed feed(Term{4}, registry);
+  wire::CallRouterStatus status;
+  const wire::ServiceUpdate first = feed.updateFor(status, context);
+  CHECK(first.base == LogIndex{});
+  CHECK(first.catalog.has_value());
+  CHECK(first.replicas.size() == 1);
+  status.revision = first.revision;
+  status.catalog = first.version;
+  CHECK(feed.holds(status, feed.revision()));
+  registry.accept(makeReport("r2", "desk", 1), kStart);
+  CHECK_FALSE(feed.holds(status, feed.revision()));
+  const wire::ServiceUpdate second = feed.updateFor(status, context);
+  CHECK(second.base == first.revision);
+  CHECK_FALSE(second.catalog.has_value());
+  REQUIRE(second.replicas.size() == 1);
+  CHECK(second.replicas[0].id == ReplicaId("r2"));
+  registry.expire(kStart + 10s, 6s);
+  status.revision = second.revision;
+  CHECK(feed.updateFor(status, context).removed.size() == 2);
+  const TableFeed later(Term{5}, registry);
+  CHECK(later.updateFor(status, context).base == LogIndex{});
+  CHECK(later.revision() > feed.revision());
+}
+
+struct InvalidCase {
+  const char* name;
+  void (*spoil)(wire::ServiceCatalog&);
+};
+
+TEST_CASE("A catalog that contradicts itself is refused with its place") {
+  const std::vector<InvalidCase> cases = {
+      {"unknown service", [](wire::ServiceCatalog& c) { c.routes[0].targets[0].service = ServiceName("x"); }},
+      {"no weight", [](wire::ServiceCatalog& c) { c.routes[0].targets[0].weight = 0; }},
+      {"no target", [](wire::ServiceCatalog& c) { c.routes[0].targets.clear(); }},
+      {"no timeout", [](wire::ServiceCatalog& c) { c.routes[0].timeout_ms = 0; }},
+      {"same place", [](wire::ServiceCatalog& c) { c.routes[0].path_prefix = c.routes[1].path_prefix; }},
+      {"same service", [](wire::ServiceCatalog& c) { c.services[0].name = c.services[1].name; }},
+  };
+  CHECK_NOTHROW(checkCatalog(makeCatalog(1)));
+  for (const InvalidCase& invalid : cases) {
+    INFO(invalid.name);
+    wire::ServiceCatalog catalog = makeCatalog(1);
+    invalid.spoil(catalog);
+    try {
+      checkCatalog(catalog);
+      FAIL("it was accepted");
+    } catch (const Error& fault) {
+      CHECK(fault.code() == ResultCode::InvalidCatalog);
+      CHECK_FALSE(fault.place().empty());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace ferryrock::services
--- /dev/null
+++ b/tests/services/service_cluster.cc
@@ -0,0 +1,370 @@
+#include "services/service_cluster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kMessageDelay = 2ms;
+constexpr Duration kSyncDelay = 1ms;
+constexpr Duration kTickDelay = 10ms;
+constexpr Duration kRouterInterval = 250ms;
+
+NodeName nodeAt(std::size_t number) {
+  return NodeName("10.0.0." + std::to_string(number + 1) + ":7000");
+}
+
+}  // namespace
+
+ServiceCluster::ServiceCluster(std::size_t founders, std::uint32_t losses_borne, std::uint64_t seed)
+    : random_(seed), losses_borne_(losses_borne) {
+  for (std::size_t i = 0; i < founders; ++i) {
+    seeds_.push_back(nodeAt(i));
+    wire::Member member;
+    member.id = MemberId{i + 1};
+    member.node = nodeAt(i);
+    member.address = member.node.value;
+    member.http = member.node.value;
+    member.voter = true;
+    founders_.push_back(member);
+  }
+  for (const wire::Member& founder : founders_) {
+    auto member = std::make_unique<ServiceMember>();
+    member->node = founder.node;
+    member->id = founder.id;
+    member->founder = true;
+    member->disk = std::make_unique<storage::MemoryDisk>(random_.next());
+    members_.push_back(std::move(member));
+  }
+  for (const auto& member : members_) {
+    start(*member);
+  }
+}
+
+ServiceMember& ServiceCluster::addMember(const std::string& address) {
+  auto member = std::make_unique<ServiceMember>();
+  member->node = NodeName(address);
+  member->id = MemberId{random_.next() >> 2};
+  member->disk = std::make_unique<storage::MemoryDisk>(random_.next());
+  members_.push_back(std::move(member));
+  start(*members_.back());
+  return *members_.back();
+}
+
+void ServiceCluster::start(ServiceMember& member) {
+  ++member.starts;
+  member.storage = storage::createLogStorage(member.disk->open(), member.id);
+  ServiceControlSettings settings;
+  settings.control.log.id = member.id;
+  settings.control.log.node = member.node;
+  settings.control.log.bootstrap = member.founder;
+  settings.control.log.initial_membership.members = member.founder ? founders_ : std::vector<wire::Member>();
+  settings.control.log.snapshot_after_entries = 40;
+  settings.control.log.retained_entries = 10;
+  settings.http = member.node.value;
+  settings.seeds = seeds_;
+  settings.losses_borne = losses_borne_;
+  member.control = createServiceControl(settings, member.storage->recover(), Random(random_.next()), clock_);
+  act(member, [](ServiceControl& control, TimePoint now) { return control.tick(now); });
+  const std::uint64_t starts = member.starts;
+  const auto tick = std::make_shared<std::function<void()>>();
+  *tick = [this, &member, starts, tick] {
+    if (member.starts != starts || !member.control) {
+      *tick = nullptr;
+      return;
+    }
+    act(member, [](ServiceControl& control, TimePoint now) { return control.tick(now); });
+    after(kTickDelay, *tick);
+  };
+  after(kTickDelay, *tick);
+}
+
+void ServiceCluster::kill(ServiceMember& member) {
+  ++member.starts;
+  member.control.reset();
+  member.storage.reset();
+  member.unsynced.clear();
+}
+
+void ServiceCluster::powerOff(ServiceMember& member) {
+  kill(member);
+  member.disk->crash();
+}
+
+void ServiceCluster::wipe(ServiceMember& member) {
+  if (member.control) {
+    kill(member);
+  }
+  member.disk->wipe();
+  member.founder = false;
+  member.id = MemberId{random_.next() >> 2};
+}
+
+void ServiceCluster::isolate(const NodeName& node) {
+  cuts_.insert(node);
+}
+
+ServiceMember* ServiceCluster::leader() {
+  ServiceMember* best = nullptr;
+  Term term;
+  for (const auto& member : members_) {
+    if (member->control && member->control->view(time_).leads && member->control->view(time_).term > term) {
+      best = member.get();
+      term = member->control->view(time_).term;
+    }
+  }
+  return best;
+}
+
+ScriptedRouter& ServiceCluster::addRouter(const std::string& name) {
+  auto router = std::make_unique<ScriptedRouter>();
+  router->status.router = NodeName(name);
+  router->status.address = name + ":80";
+  router->status.incarnation = random_.next();
+  router->status.accepting = true;
+  ScriptedRouter& added = *router;
+  routers_[NodeName(name)] = std::move(router);
+  beatRouter(added);
+  return added;
+}
+
+void ServiceCluster::beatRouter(ScriptedRouter& router) {
+  if (!router.silent) {
+    ++router.status.sequence;
+    wire::CallRouterStatus status = router.status;
+    status.wants = router.wants;
+    for (const auto& member : members_) {
+      deliver(router.status.router, member->node, status);
+    }
+  }
+  after(kRouterInterval, [this, &router] { beatRouter(router); });
+}
+
+void ServiceCluster::takeUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update) {
+  if (update.revision < router.status.revision) {
+    return;
+  }
+  router.status.revision = update.revision;
+  if (update.catalog && update.catalog->version > router.status.catalog) {
+    router.status.catalog = update.catalog->version;
+    router.versions.push_back(update.catalog->version);
+  }
+  for (const wire::RoutedReplica& replica : update.replicas) {
+    router.replicas[replica.id] = replica;
+  }
+  for (const ReplicaId& id : update.removed) {
+    router.replicas.erase(id);
+  }
+}
+
+void ServiceCluster::after(Duration delay, std::function<void()> action) {
+  events_.push({time_ + delay, next_order_++, std::move(action)});
+}
+
+bool ServiceCluster::step(TimePoint limit) {
+  if (events_.empty() || events_.top().time > limit) {
+    time_ = limit;
+    return false;
+  }
+  const Event event = events_.top();
+  events_.pop();
+  time_ = std::max(time_, event.time);
+  event.action();
+  return true;
+}
+
+void ServiceCluster::runFor(Duration duration) {
+  const TimePoint limit = time_ + duration;
+  while (step(limit)) {
+  }
+}
+
+bool ServiceCluster::runUntil(const std::function<bool()>& condition, Duration limit) {
+  const TimePoint end = time_ + limit;
+  while (!condition()) {
+    if (!step(end)) {
+      return condition();
+    }
+  }
+  return true;
+}
+
+void ServiceCluster::act(ServiceMember& member,
+                         const std::function<Effects(ServiceControl&, TimePoint)>& action) {
+  if (!member.control) {
+    return;
+  }
+  Effects effects = action(*member.control, time_);
+  for (Effect& effect : effects) {
+    if (const auto* send = std::get_if<wire::SendEffect>(&effect)) {
+      deliver(member.node, send->to, send->message);
+    } else if (auto* write = std::get_if<consensus::PersistEffect>(&effect)) {
+      member.unsynced.push_back(std::move(*write));
+      if (member.unsynced.size() == 1) {
+        after(kSyncDelay, [this, &member, starts = member.starts] { sync(member, starts); });
+      }
+    } else if (const auto* answer = std::get_if<AnswerEffect>(&effect)) {
+      member.answers[answer->question.value] = *answer;
+    } else if (const auto* order = std::get_if<OrderReplicaEffect>(&effect)) {
+      orders.emplace_back(member.node, *order);
+      order_times.emplace_back(member.node, time_);
+      after(kMessageDelay, [this, &member, number = order->number] {
+        act(member, [number](ServiceControl& control, TimePoint now) {
+          return control.onOrderDone(number, OrderOutcome::Taken, now);
+        });
+      });
+    } else if (const auto* inspection = std::get_if<InspectReplicaEffect>(&effect)) {
+      after(kMessageDelay, [this, &member, number = inspection->number] {
+        act(member, [number](ServiceControl& control, TimePoint now) {
+          return control.onInspected(number, ReplicaState{}, now);
+        });
+      });
+    }
+  }
+}
+
+void ServiceCluster::sync(ServiceMember& member, std::uint64_t starts) {
+  if (member.starts != starts) {
+    return;
+  }
+  const std::vector<consensus::PersistEffect> writes = std::exchange(member.unsynced, {});
+  member.storage->persist(writes);
+  for (const consensus::PersistEffect& write : writes) {
+    act(member, [sequence = write.sequence](ServiceControl& control, TimePoint now) {
+      return control.onPersisted(sequence, now);
+    });
+  }
+}
+
+void ServiceCluster::deliver(const NodeName& from, const NodeName& to, const wire::Message& message) {
+  const std::string bytes = wire::encodeEnvelope({from, message});
+  after(kMessageDelay, [this, from, to, bytes] {
+    if (cuts_.contains(from) || cuts_.contains(to)) {
+      return;
+    }
+    const wire::Envelope envelope = wire::decodeEnvelope(bytes);
+    for (const auto& member : members_) {
+      if (member->node == to) {
+        act(*member,
+            [&envelope](ServiceControl& control, TimePoint now) { return control.receive(envelope, now); });
+      }
+    }
+    const auto router = routers_.find(to);
+    const auto* update = std::get_if<wire::ServiceUpdate>(&envelope.message);
+    if (router != routers_.end() && update != nullptr && !router->second->silent) {
+      takeUpdate(*router->second, *update);
+    }
+  });
+}
+
+std::uint64_t ServiceCluster::replace(ServiceMember& member, std::uint64_t version) {
+  return replace(member, makeCatalog(version));
+}
+
+std::uint64_t ServiceCluster::replace(ServiceMember& member, wire::ServiceCatalog catalog) {
+  const QuestionNumber question{next_question_++};
+  const std::string source = "catalog " + std::to_string(catalog.version.value);
+  act(member, [&](ServiceControl& control, TimePoint now) {
+    return control.replaceCatalog(question, std::move(catalog), source, now);
+  });
+  return question.value;
+}
+
+std::uint64_t ServiceCluster::read(ServiceMember& member) {
+  const QuestionNumber question{next_question_++};
+  act(member,
+      [question](ServiceControl& control, TimePoint now) { return control.readCatalog(question, now); });
+  return question.value;
+}
+
+std::uint64_t ServiceCluster::report(ServiceMember& member, const wire::ReplicaReport& report) {
+  const QuestionNumber question{next_question_++};
+  act(member,
+      [&](ServiceControl& control, TimePoint now) { return control.onReport(question, report, now); });
+  return question.value;
+}
+
+std::optional<ResultCode> ServiceCluster::codeOf(const ServiceMember& member, std::uint64_t question) {
+  const auto found = member.answers.find(question);
+  return found == member.answers.end() ? std::nullopt : std::optional(found->second.code);
+}
+
+bool ServiceCluster::replaceAcknowledged(std::uint64_t version, Duration limit) {
+  const TimePoint end = time_ + limit;
+  while (time_ < end) {
+    if (!runUntil([this] { return leader() != nullptr; }, end - time_)) {
+      return false;
+    }
+    ServiceMember& member = *leader();
+    const std::uint64_t question = replace(member, version);
+    runUntil([&] { return codeOf(member, question).has_value() || !member.control; }, 5s);
+    if (codeOf(member, question) == ResultCode::Ok) {
+      return true;
+    }
+    runFor(50ms);
+  }
+  return false;
+}
+
+std::string ServiceCluster::readConfirmed() {
+  constexpr int kTries = 200;
+  for (int i = 0; i < kTries; ++i) {
+    if (ServiceMember* member = leader()) {
+      const std::uint64_t question = read(*member);
+      runUntil([&] { return codeOf(*member, question).has_value(); }, 2s);
+      if (codeOf(*member, question) == ResultCode::Ok) {
+        return member->answers[question].body;
+      }
+    }
+    runFor(50ms);
+  }
+  return "unanswered";
+}
+
+wire::ServiceCatalog makeCatalog(std::uint64_t version) {
+  wire::ServiceCatalog catalog;
+  catalog.version = CatalogVersion{version};
+  wire::HostedService desk;
+  desk.name = ServiceName("desk");
+  wire::HostedService llm;
+  llm.name = ServiceName("llm");
+  llm.engine.emplace();
+  llm.engine->slots = 4;
+  llm.engine->weight_capacity_mb = 130;
+  llm.engine->adapter_slots = 2;
+  llm.engine->loads_per_second = 2;
+  for (const char* name : {"m0", "m1", "m2"}) {
+    wire::HostedModel model;
+    model.name = ModelName(name);
+    model.weight_mb = 60;
+    model.adapters = 5;
+    model.adapter_mb = 1;
+    llm.engine->models.push_back(model);
+  }
+  catalog.services = {desk, llm};
+  for (const wire::HostedService& service : catalog.services) {
+    wire::CallRoute route;
+    route.name = RouteName("to-" + service.name.value);
+    route.host = "example";
+    route.path_prefix = "/" + service.name.value + "/";
+    route.timeout_ms = 1000;
+    route.targets = {{service.name, 1}};
+    catalog.routes.push_back(route);
+  }
+  return catalog;
+}
+
+wire::ReplicaReport makeReport(const std::string& id, const std::string& service, std::uint64_t sequence) {
+  wire::ReplicaReport report;
+  report.id = ReplicaId(id);
+  report.service = ServiceName(service);
+  report.address = id + ":80";
+  report.slots = 4;
+  report.sequence = sequence;
+  return report;
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/tests/services/service_cluster.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "services/service_control.h"
+#include "storage/log_storage.h"
+#include "storage/memory_file_system.h"
+
+/// A cell of service control members under a virtual clock, with a network that delays and cuts, disks that
+/// lose what wasn't synced, and scripted routers and replicas.
+namespace ferryrock::services {
+
+struct ServiceMember {
+  NodeName node;
+  MemberId id;
+  bool founder = false;
+  std::unique_ptr<storage::MemoryDisk> disk;
+  std::unique_ptr<storage::LogStorage> storage;
+  std::unique_ptr<ServiceControl> control;  ///< null: stopped
+  std::uint64_t starts = 0;
+  std::vector<consensus::PersistEffect> unsynced;
+  std::map<std::uint64_t, AnswerEffect> answers;
+};
+
+/// A router that tells its status and takes updates as the product's does.
+struct ScriptedRouter {
+  wire::CallRouterStatus status;
+  std::vector<wire::ModelWant> wants;
+  std::map<ReplicaId, wire::RoutedReplica> replicas;
+  std::vector<CatalogVersion> versions;  ///< in force, one after the other
+  bool silent = false;
+};
+
+class ServiceCluster {
+ public:
+  explicit ServiceCluster(std::size_t founders, std::uint32_t losses_borne, std::uint64_t seed = 7);
+
+  TimePoint now() const { return time_; }
+  ServiceMember& member(std::size_t number) { return *members_.at(number); }
+  ServiceMember* leader();
+  /// Starts another process that asks to join; address_of: takes that member's address.
+  ServiceMember& addMember(const std::string& address);
+  void kill(ServiceMember& member);
+  /// Power is lost.
+  void powerOff(ServiceMember& member);
+  /// Starts again; with an emptied disk under a new identity.
+  void start(ServiceMember& member);
+  void wipe(ServiceMember& member);
+  void isolate(const NodeName& node);
+  void heal() { cuts_.clear(); }
+
+  ScriptedRouter& addRouter(const std::string& name);
+
+  void runFor(Duration duration);
+  bool runUntil(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(30));
+
+  std::uint64_t replace(ServiceMember& member, std::uint64_t version);
+  std::uint64_t replace(ServiceMember& member, wire::ServiceCatalog catalog);
+  std::uint64_t read(ServiceMember& member);
+  std::uint64_t report(ServiceMember& member, const wire::ReplicaReport& report);
+  /// nullopt: not answered yet.
+  static std::optional<ResultCode> codeOf(const ServiceMember& member, std::uint64_t question);
+  /// Replaces at whoever leads until it is acknowledged; false if it never was.
+  bool replaceAcknowledged(std::uint64_t version, Duration limit = std::chrono::seconds(30));
+  /// Reads at whoever leads until it is answered.
+  std::string readConfirmed();
+
+  /// Orders that left, with their senders; answered as taken.
+  std::vector<std::pair<NodeName, OrderReplicaEffect>> orders;
+  std::vector<std::pair<NodeName, TimePoint>> order_times;
+
+ private:
+  struct Event {
+    TimePoint time;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator>(const Event& other) const {
+      return time != other.time ? time > other.time : order > other.order;
+    }
+  };
+
+  void after(Duration delay, std::function<void()> action);
+  bool step(TimePoint limit);
+  void act(ServiceMember& member, const std::function<Effects(ServiceControl&, TimePoint)>& action);
+  void sync(ServiceMember& member, std::uint64_t starts);
+  void deliver(const NodeName& from, const NodeName& to, const wire::Message& message);
+  void beatRouter(ScriptedRouter& router);
+  static void takeUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update);
+
+  Random random_;
+  std::uint32_t losses_borne_;
+  TimePoint time_{std::chrono::seconds(1000)};
+  std::uint64_t next_order_ = 1;
+  std::uint64_t next_question_ = 1;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::vector<std::unique_ptr<ServiceMember>> members_;
+  std::vector<NodeName> seeds_;
+  std::vector<wire::Member> founders_;
+  std::map<NodeName, std::unique_ptr<ScriptedRouter>> routers_;
+  std::set<NodeName> cuts_;
+
+  class Clock : public TimeSource {
+   public:
+    explicit Clock(const TimePoint& time) : time_(time) {}
+    TimePoint monotonicTime() override { return time_; }
+    WallMilliseconds wallTime() override { return toMilliseconds(time_.time_since_epoch()); }
+
+   private:
+    const TimePoint& time_;
+  };
+  Clock clock_{time_};
+};
+
+/// A catalog with one plain service "desk" and one service "llm" with three models of 60 MB on replicas of
+/// 130.
+wire::ServiceCatalog makeCatalog(std::uint64_t version);
+wire::ReplicaReport makeReport(const std::string& id, const std::string& service, std::uint64_t sequence);
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/tests/services/service_control_test.cc
@@ -0,0 +1,305 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "services/service_cluster.h"
+
+/// The cell of hosted services under faults: formation, durability, repair, drains, orders.
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A cell of three founders and two that joined, five voters in all.
+struct FullCell {
+  explicit FullCell(std::uint64_t seed = 7) : cluster(3, 2, seed) {
+    cluster.addMember("10.0.0.4:7000");
+    cluster.addMember("10.0.0.5:7000");
+    REQUIRE(cluster.runUntil([this] { return voters() == 5; }));
+  }
+  std::size_t voters() {
+    ServiceMember* member = cluster.leader();
+    return member == nullptr ? 0 : member->control->view(cluster.now()).voters;
+  }
+  /// A member that doesn't lead.
+  ServiceMember& follower(std::size_t skip = 0) {
+    for (std::size_t i = 0; i < 5; ++i) {
+      if (&cluster.member(i) != cluster.leader() && skip-- == 0) {
+        return cluster.member(i);
+      }
+    }
+    throw std::logic_error("no follower");
+  }
+  ServiceCluster cluster;
+};
+
+TEST_CASE("Founders form a cell and processes that ask become voters up to twice the losses and one") {
+  FullCell cell;
+  cell.cluster.addMember("10.0.0.6:7000");
+  cell.cluster.runFor(3s);
+  CHECK(cell.voters() == 5);
+}
+
+TEST_CASE("An acknowledgement waits until enough disks hold the catalog") {
+  ServiceCluster cluster(3, 2);
+  REQUIRE(cluster.runUntil([&] { return cluster.leader() != nullptr; }));
+  ServiceMember& leader = *cluster.leader();
+  const std::uint64_t question = cluster.replace(leader, 1);
+  cluster.runFor(1s);
+  CHECK_FALSE(ServiceCluster::codeOf(leader, question).has_value());
+  cluster.addMember("10.0.0.4:7000");
+  REQUIRE(cluster.runUntil([&] { return ServiceCluster::codeOf(leader, question).has_value(); }, 2s));
+  CHECK(ServiceCluster::codeOf(leader, question) == ResultCode::Ok);
+}
+
+TEST_CASE("An acknowledgement that can't become safe ends without a clear answer") {
+  ServiceCluster cluster(3, 2);
+  REQUIRE(cluster.runUntil([&] { return cluster.leader() != nullptr; }));
+  ServiceMember& leader = *cluster.leader();
+  const std::uint64_t question = cluster.replace(leader, 1);
+  REQUIRE(cluster.runUntil([&] { return ServiceCluster::codeOf(leader, question).has_value(); }, 5s));
+  CHECK(ServiceCluster::codeOf(leader, question) == ResultCode::NoQuorum);
+}
+
+TEST_CASE("What was acknowledged outlives two emptied disks together with a loss of power of all others") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    INFO("seed " << seed);
+    FullCell cell(seed);
+    REQUIRE(cell.cluster.replaceAcknowledged(3));
+    REQUIRE(cell.cluster.replaceAcknowledged(9));
+    Random random(seed);
+    const std::size_t first = random.below(5);
+    const std::size_t second = (first + 1 + random.below(4)) % 5;
+    for (std::size_t i = 0; i < 5; ++i) {
+      cell.cluster.powerOff(cell.cluster.member(i));
+    }
+    cell.cluster.wipe(cell.cluster.member(first));
+    cell.cluster.wipe(cell.cluster.member(second));
+    for (std::size_t i = 0; i < 5; ++i) {
+      cell.cluster.start(cell.cluster.member(i));
+    }
+    CHECK(cell.cluster.readConfirmed() == "catalog 9");
+    CHECK(cell.cluster.runUntil([&] { return cell.voters() == 5; }));
+  }
+}
+
+TEST_CASE("A member with an emptied disk comes back under a new identity, and a second loss loses nothing") {
+  FullCell cell;
+  REQUIRE(cell.cluster.replaceAcknowledged(4));
+  ServiceMember& lost = cell.follower();
+  cell.cluster.wipe(lost);
+  cell.cluster.start(lost);
+  REQUIRE(cell.cluster.runUntil([&] { return lost.control->view(cell.cluster.now()).catalog.value == 4; }));
+  REQUIRE(cell.cluster.runUntil([&] { return cell.voters() == 5; }));
+  cell.cluster.wipe(cell.follower(0));
+  cell.cluster.wipe(cell.follower(1));
+  cell.cluster.runFor(1s);
+  CHECK(cell.cluster.readConfirmed() == "catalog 4");
+}
+
+TEST_CASE("A silent voter gives its place to a newcomer, and only then") {
+  FullCell cell;
+  ServiceMember& gone = cell.follower();
+  cell.cluster.kill(gone);
+  cell.cluster.runFor(8s);
+  CHECK(cell.voters() == 5);
+  ServiceMember& successor = cell.cluster.addMember("10.0.0.9:7000");
+  cell.cluster.runFor(8s);
+  CHECK(cell.voters() == 5);
+  const auto peers = cell.cluster.leader()->control->peers();
+  CHECK(std::find(peers.begin(), peers.end(), successor.node) != peers.end());
+}
+
+TEST_CASE("A member that was cut off answers no read and acknowledges nothing") {
+  FullCell cell;
+  REQUIRE(cell.cluster.replaceAcknowledged(1));
+  ServiceMember& old_leader = *cell.cluster.leader();
+  cell.cluster.isolate(old_leader.node);
+  const std::uint64_t early = cell.cluster.read(old_leader);
+  const std::uint64_t change = cell.cluster.replace(old_leader, 2);
+  cell.cluster.runFor(3s);
+  CHECK(ServiceCluster::codeOf(old_leader, early) == ResultCode::NoQuorum);
+  CHECK(ServiceCluster::codeOf(old_leader, change) != ResultCode::Ok);
+  const std::uint64_t late = cell.cluster.read(old_leader);
+  const std::uint64_t report = cell.cluster.report(old_leader, makeReport("r1", "desk", 1));
+  cell.cluster.runFor(100ms);
+  CHECK(ServiceCluster::codeOf(old_leader, late) == ResultCode::NoQuorum);
+  CHECK(ServiceCluster::codeOf(old_leader, report) == ResultCode::NoQuorum);
+  CHECK(cell.cluster.readConfirmed() == "catalog 1");
+}
+
+TEST_CASE("A lower or equal version is acknowledged and changes nothing; an invalid one is refused") {
+  FullCell cell;
+  REQUIRE(cell.cluster.replaceAcknowledged(7));
+  ServiceMember& leader = *cell.cluster.leader();
+  wire::ServiceCatalog other = makeCatalog(7);
+  other.routes.pop_back();
+  const std::uint64_t equal = cell.cluster.replace(leader, other);
+  const std::uint64_t lower = cell.cluster.replace(leader, 2);
+  wire::ServiceCatalog invalid = makeCatalog(8);
+  invalid.routes.front().targets.front().service = ServiceName("unknown");
+  const std::uint64_t refused = cell.cluster.replace(leader, invalid);
+  cell.cluster.runFor(500ms);
+  CHECK(ServiceCluster::codeOf(leader, equal) == ResultCode::Ok);
+  CHECK(ServiceCluster::codeOf(leader, lower) == ResultCode::Ok);
+  CHECK(ServiceCluster::codeOf(leader, refused) == ResultCode::InvalidCatalog);
+  CHECK(cell.cluster.readConfirmed() == "catalog 7");
+}
+
+TEST_CASE("An accepted catalog reaches every router at once and never goes back, across leaders") {
+  FullCell cell;
+  ScriptedRouter& router = cell.cluster.addRouter("edge-1");
+  cell.cluster.runFor(1s);
+  REQUIRE(cell.cluster.replaceAcknowledged(1));
+  cell.cluster.runFor(20ms);
+  CHECK(router.status.catalog.value == 1);
+  cell.cluster.kill(*cell.cluster.leader());
+  REQUIRE(cell.cluster.replaceAcknowledged(2));
+  cell.cluster.runFor(400ms);
+  CHECK(router.versions == std::vector<CatalogVersion>{CatalogVersion{1}, CatalogVersion{2}});
+}
+
+TEST_CASE("A member that doesn't lead names the leader") {
+  FullCell cell;
+  ServiceMember& follower = cell.follower();
+  const std::uint64_t question = cell.cluster.replace(follower, 5);
+  cell.cluster.runFor(50ms);
+  CHECK(ServiceCluster::codeOf(follower, question) == ResultCode::NotLeader);
+  CHECK(follower.answers[question].leader == cell.cluster.leader()->node.value);
+}
+
+TEST_CASE("A notice of leaving is acknowledged once every router in touch has it, whoever was told") {
+  FullCell cell;
+  ScriptedRouter& quick = cell.cluster.addRouter("edge-1");
+  ScriptedRouter& slow = cell.cluster.addRouter("edge-2");
+  cell.cluster.runFor(2s);
+  wire::ReplicaReport report = makeReport("r1", "desk", 1);
+  ServiceMember& told = cell.follower();
+  cell.cluster.report(told, report);
+  cell.cluster.runFor(1s);
+  REQUIRE(slow.replicas.at(ReplicaId("r1")).accepting);
+  slow.silent = true;
+  report.leaving = true;
+  report.sequence = 2;
+  const std::uint64_t early = cell.cluster.report(told, report);
+  cell.cluster.runFor(1200ms);
+  CHECK(ServiceCluster::codeOf(told, early) == ResultCode::NotBoundEverywhere);
+  CHECK_FALSE(quick.replicas.at(ReplicaId("r1")).accepting);
+  slow.silent = false;
+  cell.cluster.runFor(1s);
+  CHECK_FALSE(slow.replicas.at(ReplicaId("r1")).accepting);
+  report.sequence = 3;
+  const std::uint64_t late = cell.cluster.report(told, report);
+  cell.cluster.runFor(500ms);
+  CHECK(ServiceCluster::codeOf(told, late) == ResultCode::Ok);
+}
+
+TEST_CASE("A router out of touch holds no notice up, and a leader cut off from the routers binds nothing") {
+  FullCell cell;
+  ScriptedRouter& router = cell.cluster.addRouter("edge-1");
+  cell.cluster.runFor(2s);
+  ServiceMember& leader = *cell.cluster.leader();
+  wire::ReplicaReport report = makeReport("r1", "desk", 1);
+  cell.cluster.report(leader, report);
+  router.silent = true;
+  cell.cluster.runFor(4s);
+  report.leaving = true;
+  report.sequence = 2;
+  const std::uint64_t bound = cell.cluster.report(leader, report);
+  cell.cluster.runFor(500ms);
+  CHECK(ServiceCluster::codeOf(leader, bound) == ResultCode::Ok);
+  cell.cluster.isolate(leader.node);
+  report.id = ReplicaId("r2");
+  const std::uint64_t cut = cell.cluster.report(leader, report);
+  cell.cluster.runFor(1500ms);
+  CHECK(ServiceCluster::codeOf(leader, cut) != ResultCode::Ok);
+}
+
+TEST_CASE("A notice outlives the leader and the registry: no later heartbeat takes it back") {
+  FullCell cell;
+  ScriptedRouter& router = cell.cluster.addRouter("edge-1");
+  cell.cluster.runFor(2s);
+  ServiceMember& leader = *cell.cluster.leader();
+  wire::ReplicaReport report = makeReport("r1", "desk", 1);
+  report.leaving = true;
+  const std::uint64_t question = cell.cluster.report(leader, report);
+  REQUIRE(cell.cluster.runUntil([&] { return ServiceCluster::codeOf(leader, question).has_value(); }, 2s));
+  REQUIRE(ServiceCluster::codeOf(leader, question) == ResultCode::Ok);
+  for (std::size_t i = 0; i < 5; ++i) {
+    cell.cluster.powerOff(cell.cluster.member(i));
+  }
+  for (std::size_t i = 0; i < 5; ++i) {
+    cell.cluster.start(cell.cluster.member(i));
+  }
+  REQUIRE(cell.cluster.runUntil([&] { return cell.cluster.leader() != nullptr; }));
+  router.replicas.clear();
+  cell.cluster.report(*cell.cluster.leader(), makeReport("r1", "desk", 5));
+  cell.cluster.runFor(1s);
+  CHECK_FALSE(router.replicas.at(ReplicaId("r1")).accepting);
+}
+
+TEST_CASE("A new leader that has heard of no replica yet takes none away from the routers") {
+  FullCell cell;
+  ScriptedRouter& router = cell.cluster.addRouter("edge-1");
+  cell.cluster.runFor(1s);
+  cell.cluster.report(*cell.cluster.leader(), makeReport("r1", "desk", 1));
+  cell.cluster.runFor(1s);
+  REQUIRE(router.replicas.size() == 1);
+  for (std::size_t i = 0; i < 5; ++i) {
+    cell.cluster.kill(cell.cluster.member(i));
+  }
+  for (std::size_t i = 0; i < 5; ++i) {
+    cell.cluster.start(cell.cluster.member(i));
+  }
+  cell.cluster.runFor(4s);
+  CHECK(router.replicas.size() == 1);
+}
+
+TEST_CASE("Routers that report are offered to callers by every member, those that stop are not") {
+  FullCell cell;
+  cell.cluster.addRouter("edge-1");
+  ScriptedRouter& stopping = cell.cluster.addRouter("edge-2");
+  cell.cluster.runFor(1s);
+  CHECK(cell.follower().control->routerAddresses(64, cell.cluster.now()).size() == 2);
+  stopping.status.accepting = false;
+  cell.cluster.runFor(500ms);
+  CHECK(cell.follower().control->routerAddresses(64, cell.cluster.now()) ==
+        std::vector<std::string>{"edge-1:80"});
+}
+
+TEST_CASE("A new leader orders nothing before an earlier one's lease is over, and one leads at a time") {
+  FullCell cell;
+  ScriptedRouter& router = cell.cluster.addRouter("edge-1");
+  REQUIRE(cell.cluster.replaceAcknowledged(1));
+  wire::ReplicaReport report = makeReport("r1", "llm", 1);
+  report.held = {{ModelName("m0"), {}}};
+  router.wants = {{ServiceName("llm"), ModelName("m1"), "", 1, 0, 1}};
+  const auto beat = [&] {
+    ++report.sequence;
+    cell.cluster.report(*cell.cluster.leader(), report);
+  };
+  beat();
+  REQUIRE(cell.cluster.runUntil([&] { return !cell.cluster.orders.empty(); }, 6s));
+  ServiceMember& old_leader = *cell.cluster.leader();
+  cell.cluster.isolate(old_leader.node);
+  const TimePoint cut = cell.cluster.now();
+  REQUIRE(cell.cluster.runUntil(
+      [&] { return cell.cluster.leader() != nullptr && cell.cluster.leader() != &old_leader; }));
+  const std::size_t before = cell.cluster.orders.size();
+  report.id = ReplicaId("r2");
+  report.address = "r2:80";
+  for (int i = 0; i < 10 && cell.cluster.orders.size() == before; ++i) {
+    beat();
+    cell.cluster.runFor(1s);
+  }
+  REQUIRE(cell.cluster.orders.size() > before);
+  TimePoint last_old = cut;
+  for (const auto& [node, time] : cell.cluster.order_times) {
+    last_old = node == old_leader.node ? std::max(last_old, time) : last_old;
+    if (node != old_leader.node) {
+      CHECK(time - last_old >= 3s);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace ferryrock::services
