--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -86,6 +86,7 @@
   if (service != nullptr && service->engine) {
     state.need.model = state.request.model;
     state.need.adapter = state.request.adapter;
+    state.need.prompt_tokens = state.request.prompt_tokens;
     state.need.affinity_key = route->affinity ? state.request.affinity_key : 0;
     if (!state.need.model.empty()) {
       ++arrivals_[{state.need.service, state.need.model, state.need.adapter}];
@@ -123,7 +124,8 @@
   Call& state = call->second;
   waiting_.erase(call->first);
   const AttemptNumber number{next_attempt_++};
-  state.attempt = Attempt{number, replica.routed.id, now};
+  state.attempt = Attempt{number, replica.routed.id, now, state.need.prompt_tokens};
+  replica.unread_tokens += state.need.prompt_tokens;
   state.need.tried.insert(replica.routed.id);
   ++state.attempts;
   ++counts_.attempts;
@@ -157,6 +159,7 @@
     const Duration wait = failure == ChoiceFailure::NotHeld ? scaled(whole, kLoadWaitShare)
                                                             : scaled(targetOf(*state.route), kPlaceWaitShare);
     state.waits_until = std::min(state.deadline, std::max(now, state.arrived) + wait);
+    state.waits_until = std::min(state.waits_until, std::max(now, refuse_from_));
     log_.write(LogLevel::Info, "call.waits",
                {{"request", view(state.request.id.value)},
                 {"for", failure == ChoiceFailure::NotHeld     ? "model"
@@ -199,8 +202,19 @@
   return calls_.find(found->second);
 }
 
+void CallRouter::notePromptRead(Attempt& attempt) {
+  if (attempt.unread_tokens == 0) {
+    return;
+  }
+  if (Replica* replica = replicas_.find(attempt.replica)) {
+    replica->unread_tokens -= std::min(replica->unread_tokens, attempt.unread_tokens);
+  }
+  attempt.unread_tokens = 0;
+}
+
 /// The replica may be forgotten by this if the leader has stopped listing it; then nullptr.
 Replica* CallRouter::release(Call& call) {
+  notePromptRead(*call.attempt);
   const Attempt attempt = *call.attempt;
   call.attempt.reset();
   attempts_.erase(attempt.number);
@@ -260,6 +274,7 @@
   if (Replica* replica = replicas_.find(state.attempt->replica)) {
     replica->health.onProgress(now);
   }
+  notePromptRead(*state.attempt);
   const bool known = id && state.last_event && *id <= *state.last_event;
   if (!known) {
     state.last_event = id ? id : state.last_event;
@@ -411,6 +426,14 @@
   erase(call);
 }
 
+void CallRouter::abandon(CallPointer call, ResultCode code, const std::string& detail, TimePoint now) {
+  Call& state = call->second;
+  effects_.emplace_back(CancelAttemptEffect{state.attempt->number});
+  state.may_have_run = true;
+  release(state);
+  refuse(call, code, detail, std::nullopt, now);
+}
+
 void CallRouter::erase(CallPointer call) {
   if (call->second.attempt) {
     release(call->second);
@@ -450,11 +473,7 @@
 void CallRouter::onTimer(CallPointer call, TimePoint now) {
   Call& state = call->second;
   if (state.attempt && now >= state.deadline) {
-    effects_.emplace_back(CancelAttemptEffect{state.attempt->number});
-    state.may_have_run = true;
-    release(state);
-    refuse(call, ResultCode::DeadlineExpiredRunning, "the time was over while a replica had it", std::nullopt,
-           now);
+    abandon(call, ResultCode::DeadlineExpiredRunning, "the time was over while a replica had it", now);
   } else if (state.attempt) {
     setTimer(call);
   } else if (now >= state.deadline || now >= state.waits_until) {
@@ -529,10 +548,27 @@
   draining_ = true;
   refuse_from_ = refuse_from;
   drain_end_ = end;
+  for (const CallNumber number : waiting_) {
+    const CallPointer call = calls_.find(number);
+    call->second.waits_until = std::min(call->second.waits_until, refuse_from);
+    setTimer(call);
+  }
   feed_.tellAll();
   return finish(now);
 }
 
+Effects CallRouter::endDrain(TimePoint now) {
+  while (!calls_.empty()) {
+    const CallPointer call = calls_.begin();
+    if (call->second.attempt) {
+      abandon(call, ResultCode::ReplicaFailed, "the router stopped while a replica had it", now);
+    } else {
+      refuse(call, ResultCode::RouterDraining, "the router stops", kComeBackAtOnce, now);
+    }
+  }
+  return finish(now);
+}
+
 std::vector<wire::ModelWant> CallRouter::wants() {
   std::map<std::tuple<ServiceName, ModelName, std::string>, wire::ModelWant> merged;
   const auto entry = [&merged](const auto& key) -> wire::ModelWant& {
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -62,6 +62,8 @@
   /// Callers are sent elsewhere from now on. Calls that come all the same are served, from refuse_from on
   /// only those that end before `end`.
   Effects beginDrain(TimePoint refuse_from, TimePoint end, TimePoint now);
+  /// The stop can't wait longer: every call that is left gets its final answer.
+  Effects endDrain(TimePoint now);
   bool drained() const { return calls_.empty(); }
   /// True once a catalog is in force and the router isn't draining.
   bool ready() const { return routes_ != nullptr && !draining_; }
@@ -79,6 +81,7 @@
     AttemptNumber number;
     ReplicaId replica;
     TimePoint sent{};
+    std::uint64_t unread_tokens = 0;  ///< counted at the replica until it shows a sign of life
   };
   struct Call {
     CallRequest request;
@@ -108,6 +111,8 @@
   /// Ends the attempt's books; nullopt: it isn't known any more.
   std::optional<CallPointer> callOf(AttemptNumber attempt);
   Replica* release(Call& call);
+  /// The attempt's prompt has been read.
+  void notePromptRead(Attempt& attempt);
   void retryUnrun(CallPointer call, ResultCode reason, TimePoint now);
   void retryMaybeRun(CallPointer call, ResultCode reason, const std::string& detail, TimePoint now);
   bool mayRunAgain(const Call& call) const;
@@ -115,6 +120,8 @@
   void refuse(CallPointer call, ResultCode code, const std::string& detail,
               std::optional<Duration> retry_after, TimePoint now);
   void breakStream(CallPointer call, const std::string& reason, TimePoint now);
+  /// Gives a call up whose replica may still have it.
+  void abandon(CallPointer call, ResultCode code, const std::string& detail, TimePoint now);
   void startStream(CallPointer call, AttemptNumber attempt, TimePoint now);
   void erase(CallPointer call);
   void onTimer(CallPointer call, TimePoint now);
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -12,6 +12,10 @@
 
 /// Attempts that an affinity key's home may have beyond the least loaded replica.
 constexpr std::uint32_t kHomeSurplus = 6;
+/// Prompt tokens that are read so soon that they don't matter.
+constexpr std::uint64_t kReadAtOnce = 200;
+/// Replicas of the own zone among which calls stay there.
+constexpr std::ptrdiff_t kLocalChoices = 4;
 
 std::uint64_t homeWeight(const Replica& replica, std::uint64_t key) {
   return stableHash(replica.routed.id.value, key);
@@ -122,7 +126,19 @@
          });
 }
 
-Replica* ReplicaTable::leastLoaded(const Options& options, const ReplicaNeed& need) const {
+/// First the replicas that read the least of other prompts just now, as each prompt holds up the streams
+/// beside it; then the own zone where it has a choice; then the key's home; then the fewest calls.
+Replica* ReplicaTable::leastLoaded(Options options, const ReplicaNeed& need) const {
+  std::uint64_t least_unread = std::numeric_limits<std::uint64_t>::max();
+  for (const Replica* option : options) {
+    least_unread = std::min(least_unread, option->unread_tokens);
+  }
+  keepIf(options, [&](const Replica& option) { return option.unread_tokens <= least_unread + kReadAtOnce; });
+  const auto local = std::count_if(options.begin(), options.end(),
+                                   [this](const Replica* option) { return option->routed.zone == zone_; });
+  if (local >= kLocalChoices) {
+    keepIf(options, [this](const Replica& option) { return option.routed.zone == zone_; });
+  }
   std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
   for (const Replica* option : options) {
     least = std::min(least, option->outstanding);
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -19,8 +19,9 @@
 struct Replica {
   wire::RoutedReplica routed;
   router::ReplicaHealth health;
-  std::uint32_t outstanding = 0;  ///< attempts of this router
-  TimePoint refused_until{};      ///< it said that it is full or leaves
+  std::uint32_t outstanding = 0;    ///< attempts of this router
+  std::uint64_t unread_tokens = 0;  ///< prompts of its attempts that have shown no sign of life yet
+  TimePoint refused_until{};        ///< it said that it is full or leaves
   /// It said that it doesn't hold the model or adapter, though the table says so.
   std::map<std::pair<ModelName, std::string>, TimePoint> missing_until;
   bool listed = true;  ///< the leader still lists it
@@ -35,6 +36,7 @@
   ModelName model;  ///< empty: none
   std::string adapter;
   std::uint64_t affinity_key = 0;
+  std::uint64_t prompt_tokens = 0;
   std::set<ReplicaId> tried;  ///< taken again only when nothing else is left
 };
 
@@ -73,7 +75,7 @@
   using Options = std::vector<Replica*>;
 
   static void keepIf(Options& options, const std::function<bool(const Replica&)>& wanted);
-  Replica* leastLoaded(const Options& options, const ReplicaNeed& need) const;
+  Replica* leastLoaded(Options options, const ReplicaNeed& need) const;
   void unlist(const ReplicaId& id);
 
   ZoneName zone_;
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -158,9 +158,15 @@
     server_->server().stopListening();
     server_->server().closeIdleConnections();
   }
+  const bool out_of_time = passed >= settings_.stop_limit - kStopMargin / 2;
+  if (out_of_time && !router_.drained()) {
+    carryOut(router_.endDrain(now()));
+    stop_timer_->enable(kStopCheck);
+    return;
+  }
   const bool lingered = passed >= settings_.stop_linger;
   const bool idle = router_.drained() && server_->server().openRequests() == 0;
-  if ((lingered && idle) || passed >= settings_.stop_limit - kStopMargin / 2) {
+  if ((lingered && idle) || out_of_time) {
     if (on_stopped_) {
       std::exchange(on_stopped_, nullptr)();
     }
--- a/src/services/model_demand.cc
+++ b/src/services/model_demand.cc
@@ -7,7 +7,8 @@
 namespace {
 
 /// Time in which an arrival loses all but 1/e of its weight.
-constexpr double kFadeSeconds = 15.0;
+constexpr double kFadeSeconds = 4.0;
+constexpr double kSlowFadeSeconds = 20.0;
 constexpr double kForgottenBelow = 0.02;
 
 std::uint32_t changedBy(std::uint32_t value, std::uint32_t amount, int sign) {
@@ -19,6 +20,10 @@
 
 }  // namespace
 
+double KeyDemand::rate() const {
+  return recent_arrivals / kFadeSeconds;
+}
+
 void ModelDemand::accept(const NodeName& router, const std::vector<wire::ModelWant>& wants, TimePoint now) {
   forgetRouter(router);
   for (const wire::ModelWant& want : wants) {
@@ -63,6 +68,7 @@
   demand.running = changedBy(demand.running, want.running, sign);
   if (sign > 0) {
     demand.recent_arrivals += want.arrivals;
+    demand.lasting_arrivals += want.arrivals;
     if (want.waiting + want.running + want.arrivals > 0) {
       demand.last_wanted = now;
     }
@@ -77,13 +83,16 @@
 void ModelDemand::fade(TimePoint now) {
   const double passed = std::chrono::duration<double>(now - faded_).count();
   faded_ = now;
-  const double kept = std::exp(-std::clamp(passed, 0.0, kFadeSeconds) / kFadeSeconds);
+  const auto kept = [passed](double fade) { return std::exp(-std::clamp(passed, 0.0, fade) / fade); };
+  const double kept_recent = kept(kFadeSeconds);
+  const double kept_lasting = kept(kSlowFadeSeconds);
   for (auto& [key, demand] : keys_) {
-    demand.recent_arrivals *= kept;
+    demand.recent_arrivals *= kept_recent;
+    demand.lasting_arrivals *= kept_lasting;
   }
   std::erase_if(keys_, [](const auto& item) {
     const KeyDemand& demand = item.second;
-    return demand.waiting == 0 && demand.running == 0 && demand.recent_arrivals < kForgottenBelow;
+    return demand.waiting == 0 && demand.running == 0 && demand.lasting_arrivals < kForgottenBelow;
   });
 }
 
--- a/src/services/model_demand.h
+++ b/src/services/model_demand.h
@@ -21,9 +21,12 @@
 
 /// Demand for one key over all routers.
 struct KeyDemand {
+  /// Arrivals a second, of the last seconds.
+  double rate() const;
   std::uint32_t waiting = 0;
   std::uint32_t running = 0;
-  double recent_arrivals = 0;  ///< arrivals, each fading with time
+  double recent_arrivals = 0;   ///< arrivals, each fading over some seconds
+  double lasting_arrivals = 0;  ///< the same, fading more slowly
   TimePoint last_wanted{};
 };
 
--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -22,6 +22,11 @@
 constexpr double kStoreShare = 0.9;
 /// Requests running or waiting on one copy of a model, as a share of a batch, before another is loaded.
 constexpr double kBatchShare = 0.5;
+/// Calls a second on one copy of a model: reading one prompt holds up the streams beside it, so that copies
+/// are spread until prompts seldom meet.
+constexpr double kCallsPerCopy = 0.8;
+/// Worth of a copy that its model's demand doesn't need, against any that it does.
+constexpr double kSpareCopyDiscount = 1000;
 
 bool holds(const ReplicaRecord& record, const ModelName& model) {
   return std::any_of(record.report.held.begin(), record.report.held.end(),
@@ -171,9 +176,9 @@
     const ModelKey other{service.name, name, adapter};
     const KeyDemand wanted = demand_.find(other);
     const bool idle = wanted.running == 0 && wanted.waiting == 0;
-    if (idle && (!least || wanted.recent_arrivals < least_arrivals)) {
+    if (idle && (!least || wanted.lasting_arrivals < least_arrivals)) {
       least = other;
-      least_arrivals = wanted.recent_arrivals;
+      least_arrivals = wanted.lasting_arrivals;
     }
   }
   if (least) {
@@ -196,7 +201,9 @@
   const KeyDemand demand = demand_.find({service.name, model, {}});
   const double in_hand = demand.running + demand.waiting;
   const double per_copy = std::max(1.0, kBatchShare * service.engine->slots);
-  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(in_hand / per_copy)));
+  const double by_load = std::ceil(in_hand / per_copy);
+  const double by_rate = std::ceil(demand.rate() / kCallsPerCopy);
+  return static_cast<std::size_t>(std::max({1.0, by_load, by_rate}));
 }
 
 void ModelPlacer::placeModels(const wire::HostedService& service, Candidates& candidates, TimePoint now) {
@@ -207,7 +214,7 @@
     const bool missing = held == 0 && demand.waiting > 0;
     const bool crowded = held > 0 && held < wantedCopies(service, model.name);
     if (missing || crowded) {
-      wanted.emplace_back(demand.waiting + (missing ? 1000.0 : 0.0), &model);
+      wanted.emplace_back(demand.rate() + demand.waiting + (missing ? 1000.0 : 0.0), &model);
     }
   }
   std::sort(wanted.begin(), wanted.end(), [](const auto& left, const auto& right) {
@@ -278,7 +285,8 @@
   if (in_use && !spare_copy) {
     return std::nullopt;
   }
-  return demand.recent_arrivals / static_cast<double>(std::max<std::size_t>(held, 1));
+  const double worth = demand.lasting_arrivals / static_cast<double>(std::max<std::size_t>(held, 1));
+  return spare_copy ? worth - kSpareCopyDiscount : worth;
 }
 
 /// Unloads what is worth least on one replica, until the model fits there.
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -51,8 +51,11 @@
     ReplicaRecord& record = replicas_[report.id];
     record.report = report;
     record.heard = now;
-    record.leaving = report.leaving;
     noteChange(record);
+    if (report.leaving) {
+      record.leaving = true;
+      record.left = record.changed;
+    }
     return ReportNews::Changed;
   }
   ReplicaRecord& record = known->second;
@@ -61,7 +64,6 @@
     return ReportNews::Late;
   }
   const bool same = sameForRouters(record.report, report) && !newly_leaving;
-  record.leaving = record.leaving || report.leaving;
   if (report.sequence > record.report.sequence) {
     record.report = report;
     record.heard = now;
@@ -74,9 +76,21 @@
                         [&item](const wire::HeldModel& held) { return held.model == item.first; });
   });
   noteChange(record);
+  if (newly_leaving) {
+    record.leaving = true;
+    record.left = record.changed;
+  }
   return ReportNews::Changed;
 }
 
+void ReplicaRegistry::noteAlive(const wire::ReplicaAlive& alive, TimePoint now) {
+  ReplicaRecord* record = findMutable(alive.id);
+  if (record != nullptr && alive.sequence > record->report.sequence) {
+    record->report.sequence = alive.sequence;
+    record->heard = now;
+  }
+}
+
 void ReplicaRegistry::removeOthersAt(const std::string& address, const ReplicaId& id) {
   for (auto replica = replicas_.begin(); replica != replicas_.end();) {
     const auto next = std::next(replica);
@@ -92,6 +106,7 @@
   if (record != nullptr && !record->leaving) {
     record->leaving = true;
     noteChange(*record);
+    record->left = record->changed;
   }
 }
 
--- a/src/services/replica_registry.h
+++ b/src/services/replica_registry.h
@@ -18,6 +18,7 @@
   wire::ReplicaReport report;
   TimePoint heard{};
   bool leaving = false;
+  std::uint64_t left = 0;     ///< the registry's count when it was found to leave
   std::uint64_t changed = 0;  ///< the registry's count when routers last got something new about it
   /// Adapters whose load was taken by the replica, by (model, adapter), until they show in a report.
   std::map<std::pair<ModelName, std::string>, TimePoint> assumed_adapters;
@@ -40,6 +41,8 @@
  public:
   /// A report without an address is a bare notice that the replica leaves.
   ReportNews accept(const wire::ReplicaReport& report, TimePoint now);
+  /// A known replica reported the same as before.
+  void noteAlive(const wire::ReplicaAlive& alive, TimePoint now);
   /// Sticky for the replica's life; known replicas only.
   void markLeaving(const ReplicaId& id);
   /// Forgets replicas that have been silent since then, and assumptions that no report has confirmed.
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -59,6 +59,9 @@
   for (const wire::ReplicaReport& report : reports.reports) {
     learn(report, now);
   }
+  for (const wire::ReplicaAlive& alive : reports.alive) {
+    registry_.noteAlive(alive, now);
+  }
 }
 
 void ServiceControlImpl::onMessage(const NodeName& from, const wire::LeaveRequest& request, TimePoint now) {
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -84,6 +84,7 @@
     bool complete = false;  ///< every living replica has had the time to report
     std::uint64_t pushed_changes = 0;
     CatalogVersion pushed_version;
+    bool push_to_all = false;  ///< what is new can't wait for the routers' next statuses
     TimePoint next_plan{};
     bool membership_change_open = false;
     TimePoint next_membership_change{};
@@ -128,7 +129,7 @@
 
   // service_control_replicas.cc
   ReportNews learn(const wire::ReplicaReport& report, TimePoint now);
-  void relay(const wire::ReplicaReport& report, bool at_once, TimePoint now);
+  void relay(const wire::ReplicaReport& report, bool changed, TimePoint now);
   void flushRelay();
   void beginNotice(NoticeOrigin origin, const wire::ReplicaReport& report, TimePoint now);
   void answerNotice(const LeaveNotice& notice, bool bound);
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -8,6 +8,13 @@
 
 constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
 constexpr Duration kMembershipPause = std::chrono::milliseconds(100);
+/// Up to so many routers are told of each change at once.
+constexpr std::size_t kSmallFleet = 16;
+
+bool waitsForModel(const wire::CallRouterStatus& status) {
+  return std::any_of(status.wants.begin(), status.wants.end(),
+                     [](const wire::ModelWant& want) { return want.waiting > 0; });
+}
 
 }  // namespace
 
@@ -38,9 +45,7 @@
 
 void ServiceControlImpl::updateRouter(const wire::CallRouterStatus& status, TimePoint now) {
   leader_->demand.accept(status.router, status.wants, now);
-  const bool waits = std::any_of(status.wants.begin(), status.wants.end(),
-                                 [](const wire::ModelWant& want) { return want.waiting > 0; });
-  if (waits) {
+  if (waitsForModel(status)) {
     leader_->next_plan = now;
   }
   if (node_->log().hasLease(now)) {
@@ -48,18 +53,24 @@
   }
 }
 
-/// Tells every router at once what has changed; what is lost on the way follows with its next status.
+/// Tells routers what has changed: all of them if it can't wait or they are few, else those whose calls wait
+/// for a model. The others, and what is lost on the way, follow with the next status.
 void ServiceControlImpl::pushTables(TimePoint now) {
   const CatalogVersion version = node_->hosted().catalog().version;
   const bool news = registry_.changes() != leader_->pushed_changes || version != leader_->pushed_version;
   if (!news || !node_->log().hasLease(now)) {
     return;
   }
+  const bool to_all = leader_->push_to_all || version != leader_->pushed_version ||
+                      directory_.routers().size() <= kSmallFleet;
+  leader_->push_to_all = false;
   leader_->pushed_changes = registry_.changes();
   leader_->pushed_version = version;
   const FeedContext context = feedContext(now);
   for (const auto& [router, record] : directory_.routers()) {
-    send(router, leader_->feed.updateFor(record.status, context));
+    if (to_all || waitsForModel(record.status)) {
+      send(router, leader_->feed.updateFor(record.status, context));
+    }
   }
 }
 
--- a/src/services/service_control_replicas.cc
+++ b/src/services/service_control_replicas.cc
@@ -6,6 +6,7 @@
 namespace ferryrock::services {
 namespace {
 
+constexpr std::uint64_t kWholeReportEvery = 5;
 constexpr Duration kRelayDelay = std::chrono::milliseconds(100);
 /// A replica waits about a second for its answer; then it asks elsewhere.
 constexpr Duration kNoticeLimit = std::chrono::milliseconds(850);
@@ -48,9 +49,14 @@
   return news;
 }
 
-void ServiceControlImpl::relay(const wire::ReplicaReport& report, bool at_once, TimePoint now) {
-  relay_.reports.push_back(report);
-  if (at_once) {
+/// What says nothing new is told in short, but now and then whole, for members that joined since.
+void ServiceControlImpl::relay(const wire::ReplicaReport& report, bool changed, TimePoint now) {
+  if (changed || report.sequence % kWholeReportEvery == 0) {
+    relay_.reports.push_back(report);
+  } else {
+    relay_.alive.push_back({report.id, report.sequence});
+  }
+  if (changed) {
     flushRelay();
   } else if (relay_due_ == TimePoint::max()) {
     relay_due_ = now + kRelayDelay;
@@ -60,7 +66,7 @@
 void ServiceControlImpl::flushRelay() {
   relay_due_ = TimePoint::max();
   const wire::ReplicaReports reports = std::exchange(relay_, {});
-  if (reports.reports.empty()) {
+  if (reports.reports.empty() && reports.alive.empty()) {
     return;
   }
   for (const NodeName& node : memberNodes()) {
@@ -99,7 +105,9 @@
     }
     if (!notice.revision) {
       registry_.markLeaving(notice.replica);
-      notice.revision = leader_->feed.revision();
+      const ReplicaRecord* record = registry_.find(notice.replica);
+      notice.revision = record == nullptr ? leader_->feed.revision() : leader_->feed.revisionAt(record->left);
+      leader_->push_to_all = true;
     }
     const bool known_routers = now - leader_->since >= kRoutersReport;
     if (!notice.confirming && known_routers && routersHold(*notice.revision, now)) {
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -21,8 +21,8 @@
 
 }  // namespace
 
-LogIndex TableFeed::revision() const {
-  return LogIndex{(term_.value << kTermShift) | ((registry_.changes() + 1) & kChangeMask)};
+LogIndex TableFeed::revisionAt(std::uint64_t change) const {
+  return LogIndex{(term_.value << kTermShift) | ((change + 1) & kChangeMask)};
 }
 
 std::uint64_t TableFeed::changesAt(LogIndex revision) const {
--- a/src/services/table_feed.h
+++ b/src/services/table_feed.h
@@ -26,7 +26,9 @@
   TableFeed(Term term, const ReplicaRegistry& registry) : term_(term), registry_(registry) {}
 
   /// The registry's present state as a revision of this term.
-  LogIndex revision() const;
+  LogIndex revision() const { return revisionAt(registry_.changes()); }
+  /// The registry's state after that count of changes.
+  LogIndex revisionAt(std::uint64_t change) const;
   /// What brings the router of this status up to date; nothing more than a sign of life if it is.
   wire::ServiceUpdate updateFor(const wire::CallRouterStatus& status, const FeedContext& context) const;
   /// True when the router holds the revision or a later one of this term.
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -28,10 +28,18 @@
   FERRYROCK_FIELDS(MemberList, nodes, leader)
 };
 
+/// A report that says what the one before said.
+struct ReplicaAlive {
+  ReplicaId id;
+  std::uint64_t sequence = 0;
+  FERRYROCK_FIELDS(ReplicaAlive, id, sequence)
+};
+
 /// Reports that a control member got from replicas, told to the other members.
 struct ReplicaReports {
   std::vector<ReplicaReport> reports;
-  FERRYROCK_FIELDS(ReplicaReports, reports)
+  std::vector<ReplicaAlive> alive;
+  FERRYROCK_FIELDS(ReplicaReports, reports, alive)
 };
 
 /// A member got a replica's notice that it leaves and asks the leader to make it binding.
