Let routers answer directory questions, and stop sooner

Routers keep the leader's last directory and answer from it. A stopping router closes its listener after 2.3 s and ends once it is idle.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -557,6 +557,14 @@
   return finish(now);
 }
 
+std::vector<std::string> CallRouter::directory() const {
+  std::vector<std::string> addresses = feed_.directory();
+  if (draining_) {
+    std::erase(addresses, settings_.feed.address);
+  }
+  return addresses;
+}
+
 Effects CallRouter::endDrain(TimePoint now) {
   while (!calls_.empty()) {
     const CallPointer call = calls_.begin();
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -69,6 +69,8 @@
   bool ready() const { return routes_ != nullptr && !draining_; }
   void addSeeds(const std::vector<NodeName>& seeds) { feed_.addSeeds(seeds); }
 
+  /// Where callers may connect, this router among them unless it drains.
+  std::vector<std::string> directory() const;
   CatalogVersion catalogVersion() const { return routes_ ? routes_->version() : CatalogVersion{}; }
   const wire::CallLimits* limits() const { return routes_ ? &routes_->catalog().limits : nullptr; }
   const CallRouterCounts& counts() const { return counts_; }
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -22,6 +22,7 @@
   leader_ = from;
   leader_heard_ = now;
   members_.insert(update.members.begin(), update.members.end());
+  directory_ = update.directory.value_or(directory_);
   const bool whole = update.base == LogIndex{};
   const bool follows = sameTerm(update.base, revision_) && update.base <= revision_;
   if (!whole && !follows) {
@@ -64,6 +65,7 @@
   status.accepting = accepting;
   status.catalog = catalog;
   status.revision = revision_;
+  status.directory = wire::directoryDigest(directory_);
   std::vector<wire::SendEffect> sends;
   for (const NodeName& member : members_) {
     if (member != leader_ && all) {
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -44,6 +44,8 @@
                                          CatalogVersion catalog, TimePoint now);
   TimePoint nextDeadline() const;
 
+  /// Where callers may connect, as the leader last told; kept while there is none.
+  const std::vector<std::string>& directory() const { return directory_; }
   const NodeName& leader() const { return leader_; }
   /// Time since the leader was heard; nullopt: never.
   std::optional<TimePoint> leaderHeard() const { return leader_heard_; }
@@ -55,6 +57,7 @@
   NodeName leader_;
   std::optional<TimePoint> leader_heard_;
   LogIndex revision_;
+  std::vector<std::string> directory_;
   std::uint64_t sequence_ = 0;
   TimePoint next_leader_status_{};
   TimePoint next_member_status_{};
--- a/src/service_process/call_router_shell.h
+++ b/src/service_process/call_router_shell.h
@@ -27,6 +27,7 @@
   /// Takes the seeds of fresh settings.
   void replaceSeeds(const CallRouterProcessSettings& fresh);
 
+  const CallRouterProcessSettings& settings() const { return settings_; }
   bool ready() const { return router_.ready(); }
   std::string metricsText();
   const calls::CallRouter& router() const { return router_; }
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -2,6 +2,7 @@
 
 #include <limits>
 
+#include "common/error.h"
 #include "process/shared_settings.h"
 
 namespace ferryrock::service_process {
@@ -20,6 +21,11 @@
   for (const std::string& seed : settings.seeds) {
     process::parseAddress(seed);
   }
+  settings.listen_directory = reader.text("listen_directory", "");
+  if (!settings.listen_directory.empty()) {
+    process::parseAddress(settings.listen_directory);
+  }
+  settings.directory_lifetime = reader.duration("directory_lifetime", 0ms, 1h, settings.directory_lifetime);
   SettingsReader limits = reader.section("log_limits");
   settings.log_limits.lines_per_second =
       limits.number("lines_per_second", 0, 1e6, settings.log_limits.lines_per_second);
@@ -64,7 +70,9 @@
   ServiceControlProcessSettings settings;
   readCommon(reader, settings);
   settings.listen_control = readAddress(reader, "listen_control");
-  settings.listen_directory = readAddress(reader, "listen_directory");
+  if (settings.listen_directory.empty()) {
+    throw Error(ResultCode::MissingSetting, "'listen_directory' is needed", reader.place());
+  }
   settings.data_folder = reader.text("data_folder");
   settings.bootstrap = reader.boolean("bootstrap", false);
   constexpr std::int64_t kMostLosses = 10;
@@ -74,7 +82,6 @@
       reader.duration("router_out_of_touch", 100ms, 1h, settings.router_out_of_touch);
   settings.order_lease = reader.duration("order_lease", 0ms, 1h, settings.order_lease);
   settings.replica_heartbeat = reader.duration("replica_heartbeat", 10ms, 1h, settings.replica_heartbeat);
-  settings.directory_lifetime = reader.duration("directory_lifetime", 0ms, 1h, settings.directory_lifetime);
   constexpr std::uint64_t kSmallestBody = 1'000;
   constexpr std::uint64_t kLargestBody = 1'000'000'000;
   settings.max_body_bytes =
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -19,6 +19,8 @@
   std::string host;                 ///< the machine's address
   std::uint16_t internal_port = 0;  ///< of control members; the same on all machines
   std::vector<std::string> seeds;   ///< control members' addresses for operators, "host:port"
+  std::string listen_directory;     ///< "host:port", callers who ask where to go; empty at a router: none
+  Duration directory_lifetime = std::chrono::seconds(1);  ///< of an answer to them
   LogSettings log;
   EventLogLimits log_limits;
 
@@ -33,21 +35,19 @@
   /// A planned stop takes this long at most.
   Duration stop_limit = std::chrono::seconds(8);
   /// New calls are taken in for this long, from callers that haven't heard yet.
-  Duration stop_accepts = std::chrono::milliseconds(2500);
+  Duration stop_accepts = std::chrono::milliseconds(2300);
   /// Connections are closed before the process ends: it stays for this long at least.
-  Duration stop_linger = std::chrono::milliseconds(4200);
+  Duration stop_linger = std::chrono::milliseconds(3500);
 };
 
 struct ServiceControlProcessSettings : ServiceProcessSettings {
-  std::string listen_control;    ///< "host:port", operators and replicas
-  std::string listen_directory;  ///< "host:port", callers
+  std::string listen_control;  ///< "host:port", operators and replicas
   std::string data_folder;
   bool bootstrap = false;  ///< the whole system starts for the first time
   std::uint32_t losses_borne = 1;
   Duration router_out_of_touch = std::chrono::seconds(3);
   Duration order_lease = std::chrono::seconds(3);
   Duration replica_heartbeat = std::chrono::seconds(1);
-  Duration directory_lifetime = std::chrono::seconds(1);  ///< of an answer to a caller
   std::size_t max_body_bytes = 64 << 20;
 };
 
--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -24,7 +24,7 @@
 constexpr double kBatchShare = 0.5;
 /// Calls a second on one copy of a model: reading one prompt holds up the streams beside it, so that copies
 /// are spread until prompts seldom meet.
-constexpr double kCallsPerCopy = 0.8;
+constexpr double kCallsPerCopy = 2.0;
 /// Worth of a copy that its model's demand doesn't need, against any that it does.
 constexpr double kSpareCopyDiscount = 1000;
 
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -8,6 +8,8 @@
 
 constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
 constexpr Duration kMembershipPause = std::chrono::milliseconds(100);
+/// Of the directory that routers get.
+constexpr std::size_t kMostAddresses = 64;
 /// Up to so many routers are told of each change at once.
 constexpr std::size_t kSmallFleet = 16;
 
@@ -40,7 +42,8 @@
 
 FeedContext ServiceControlImpl::feedContext(TimePoint now) const {
   const std::size_t routers = std::max<std::size_t>(1, directory_.acceptingCount(now));
-  return {node_->hosted().catalog(), memberNodes(), static_cast<std::uint32_t>(routers), leader_->complete};
+  return {node_->hosted().catalog(), memberNodes(), static_cast<std::uint32_t>(routers), leader_->complete,
+          directory_.addresses(now, kMostAddresses)};
 }
 
 void ServiceControlImpl::updateRouter(const wire::CallRouterStatus& status, TimePoint now) {
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -43,6 +43,9 @@
   }
   update.members = context.members;
   update.routers = context.routers;
+  if (status.directory != wire::directoryDigest(context.directory)) {
+    update.directory = context.directory;
+  }
   std::uint64_t known = changesAt(status.revision);
   if (known > 0 && !registry_.removedSince(known - 1, update.removed)) {
     known = 0;
--- a/src/services/table_feed.h
+++ b/src/services/table_feed.h
@@ -16,7 +16,8 @@
   const wire::ServiceCatalog& catalog;
   std::vector<NodeName> members;
   std::uint32_t routers = 1;
-  bool complete = false;  ///< replicas that haven't reported by now are gone
+  bool complete = false;               ///< replicas that haven't reported by now are gone
+  std::vector<std::string> directory;  ///< where callers may connect
 };
 
 /// One leader's updates to the routers: the catalog and the changes of the replica table since what each of
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -48,4 +48,12 @@
   return stableHash(name.value, kAbsentSeed);
 }
 
+std::uint64_t directoryDigest(const std::vector<std::string>& addresses) {
+  std::uint64_t digest = 0;
+  for (const std::string& address : addresses) {
+    digest = stableHash(address, digest + 1);
+  }
+  return digest;
+}
+
 }  // namespace ferryrock::wire
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -78,8 +78,9 @@
   CatalogVersion catalog;  ///< in force
   LogIndex revision;       ///< of its replica table
   std::vector<ModelWant> wants;
+  std::uint64_t directory = 0;  ///< directoryDigest() of the directory that it holds
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
-                   revision, wants)
+                   revision, wants, directory)
 };
 
 /// A replica as routers need it.
@@ -107,8 +108,13 @@
   bool complete = false;      ///< replicas that a whole table doesn't list are gone
   std::uint32_t routers = 1;  ///< that share retry budgets
   std::vector<NodeName> members;
+  /// Where callers may connect; given when the router holds another directory.
+  std::optional<std::vector<std::string>> directory;
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
-                   members)
+                   members, directory)
 };
 
+/// Hash of the addresses in their order; 0 for none.
+std::uint64_t directoryDigest(const std::vector<std::string>& addresses);
+
 }  // namespace ferryrock::wire
