--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -21,7 +21,7 @@
 constexpr Duration kStoreWindow = std::chrono::seconds(5);
 constexpr double kStoreShare = 0.9;
 /// Requests running or waiting on one copy of a model, as a share of a batch, before another is loaded.
-constexpr double kBatchShare = 0.5;
+constexpr double kBatchShare = 0.1;
 /// Calls a second on one copy of a model: reading one prompt holds up the streams beside it, so that copies
 /// are spread until prompts seldom meet.
 constexpr double kCallsPerCopy = 2.0;
