--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -26,8 +26,11 @@
   const bool whole = update.base == LogIndex{};
   const bool follows = sameTerm(update.base, revision_) && update.base <= revision_;
   if (!whole && !follows) {
+    missed_update_ = true;
+    hurried_ = true;
     return false;
   }
+  missed_update_ = false;
   if (update.revision > revision_) {
     hurried_ = true;
   }
@@ -65,6 +68,7 @@
   status.accepting = accepting;
   status.catalog = catalog;
   status.revision = revision_;
+  status.missed_update = missed_update_;
   status.directory = wire::directoryDigest(directory_);
   std::vector<wire::SendEffect> sends;
   for (const NodeName& member : members_) {
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -63,6 +63,7 @@
   TimePoint next_member_status_{};
   TimePoint last_status_{};
   bool hurried_ = false;
+  bool missed_update_ = false;
   bool tell_all_ = false;
 };
 
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -10,6 +10,8 @@
 
 /// Answers end this much before the limit of a planned stop.
 constexpr Duration kStopMargin = std::chrono::milliseconds(600);
+/// Per peer; what is lost beyond is sent anew.
+constexpr std::size_t kQueuedMessages = 500;
 constexpr Duration kStopCheck = std::chrono::milliseconds(100);
 /// Callers keep connections for a while; the server closes them later than they stop using them.
 constexpr Duration kIdleTimeout = std::chrono::seconds(60);
@@ -48,6 +50,7 @@
   stop_timer_ = dispatcher_.createTimer([this] { continueStop(); });
   transport::TransportSettings transport;
   transport.node = settings_.node;
+  transport.high_water_mark = kQueuedMessages;
   transport_ = transport::createZeroMqTransport(
       dispatcher_, transport,
       [this](const wire::Envelope& envelope) { carryOut(router_.receive(envelope, now())); });
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -11,6 +11,8 @@
 
 using namespace std::chrono_literals;
 
+/// Per peer; what is lost beyond is sent anew.
+constexpr std::size_t kQueuedMessages = 500;
 constexpr Duration kStopCheck = 50ms;
 constexpr Duration kStopLimit = 3s;
 /// Catalogs are large and few: the log is replaced by a snapshot early.
@@ -69,6 +71,7 @@
   transport::TransportSettings transport;
   transport.node = self_;
   transport.listen_address = self_.value;
+  transport.high_water_mark = kQueuedMessages;
   transport_ = transport::createZeroMqTransport(
       dispatcher_, transport,
       [this](const wire::Envelope& envelope) { carryOut(control_->receive(envelope, now())); });
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -227,6 +227,7 @@
     registry_.expire(now, settled ? settings_.replica_silence : kFollowerSilence);
     if (leader_) {
       leader_->demand.keepRouters(directory_.routers());
+      leader_->updates.keepRouters(directory_.routers());
     }
   }
   giveUpForwarded(now);
@@ -245,6 +246,9 @@
   }
   if (leader_) {
     deadline = std::min(deadline, leader_->next_plan);
+    if (registry_.changes() != leader_->pushed_changes) {
+      deadline = std::min(deadline, leader_->next_push);
+    }
   }
   return deadline;
 }
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -14,6 +14,7 @@
 #include "services/model_placer.h"
 #include "services/service_control.h"
 #include "services/table_feed.h"
+#include "services/update_ledger.h"
 
 namespace ferryrock::services {
 
@@ -80,10 +81,12 @@
     TableFeed feed;
     ModelDemand demand;
     ModelPlacer placer;
+    UpdateLedger updates;
     TimePoint since;
     bool complete = false;  ///< every living replica has had the time to report
     std::uint64_t pushed_changes = 0;
     CatalogVersion pushed_version;
+    TimePoint next_push{};
     bool push_to_all = false;  ///< what is new can't wait for the routers' next statuses
     TimePoint next_plan{};
     bool membership_change_open = false;
@@ -140,6 +143,7 @@
   // service_control_leader.cc
   void leadOn(TimePoint now);
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
+  void sendUpdate(const wire::CallRouterStatus& status, const FeedContext& context, TimePoint now);
   void pushTables(TimePoint now);
   void planModels(TimePoint now);
   void mendMembership(TimePoint now);
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -10,6 +10,8 @@
 constexpr Duration kMembershipPause = std::chrono::milliseconds(100);
 /// Of the directory that routers get.
 constexpr std::size_t kMostAddresses = 64;
+/// Between pushes to a large fleet that can wait.
+constexpr Duration kPushInterval = std::chrono::milliseconds(20);
 /// Up to so many routers are told of each change at once.
 constexpr std::size_t kSmallFleet = 16;
 
@@ -52,27 +54,43 @@
     leader_->next_plan = now;
   }
   if (node_->log().hasLease(now)) {
-    send(status.router, leader_->feed.updateFor(status, feedContext(now)));
+    sendUpdate(status, feedContext(now), now);
   }
 }
 
+void ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, const FeedContext& context,
+                                    TimePoint now) {
+  wire::ServiceUpdate update = leader_->feed.updateFor(leader_->updates.expected(status, now), context);
+  leader_->updates.onSent(status.router, update, now);
+  send(status.router, std::move(update));
+}
+
 /// Tells routers what has changed: all of them if it can't wait or they are few, else those whose calls wait
 /// for a model. The others, and what is lost on the way, follow with the next status.
 void ServiceControlImpl::pushTables(TimePoint now) {
   const CatalogVersion version = node_->hosted().catalog().version;
   const bool news = registry_.changes() != leader_->pushed_changes || version != leader_->pushed_version;
-  if (!news || !node_->log().hasLease(now)) {
+  if (!news) {
+    return;
+  }
+  if (!node_->log().hasLease(now)) {
+    leader_->next_push = now + kPushInterval;
+    return;
+  }
+  const bool urgent = leader_->push_to_all || version != leader_->pushed_version;
+  const bool small = directory_.routers().size() <= kSmallFleet;
+  if (!urgent && !small && now < leader_->next_push) {
     return;
   }
-  const bool to_all = leader_->push_to_all || version != leader_->pushed_version ||
-                      directory_.routers().size() <= kSmallFleet;
+  leader_->next_push = now + kPushInterval;
+  const bool to_all = urgent || small;
   leader_->push_to_all = false;
   leader_->pushed_changes = registry_.changes();
   leader_->pushed_version = version;
   const FeedContext context = feedContext(now);
   for (const auto& [router, record] : directory_.routers()) {
     if (to_all || waitsForModel(record.status)) {
-      send(router, leader_->feed.updateFor(record.status, context));
+      sendUpdate(record.status, context, now);
     }
   }
 }
--- /dev/null
+++ b/src/services/update_ledger.cc
@@ -0,0 +1,47 @@
+#include "services/update_ledger.h"
+
+namespace ferryrock::services {
+namespace {
+
+/// Routers tell their status more often than this.
+constexpr Duration kOnItsWay = std::chrono::milliseconds(400);
+
+}  // namespace
+
+wire::CallRouterStatus UpdateLedger::expected(const wire::CallRouterStatus& status, TimePoint now) {
+  wire::CallRouterStatus expected = status;
+  Sent& sent = sent_[status.router];
+  const bool ahead = sent.revision > status.revision;
+  if (ahead && !status.missed_update && now - sent.revision_since < kOnItsWay) {
+    expected.revision = sent.revision;
+  } else {
+    sent.revision = status.revision;
+    sent.revision_since = now;
+  }
+  if (sent.catalog > status.catalog && now - sent.catalog_sent < kOnItsWay) {
+    expected.catalog = sent.catalog;
+  }
+  if (now - sent.directory_sent < kOnItsWay) {
+    expected.directory = sent.directory;
+  }
+  return expected;
+}
+
+void UpdateLedger::onSent(const NodeName& router, const wire::ServiceUpdate& update, TimePoint now) {
+  Sent& sent = sent_[router];
+  sent.revision = update.revision;
+  if (update.catalog) {
+    sent.catalog = update.catalog->version;
+    sent.catalog_sent = now;
+  }
+  if (update.directory) {
+    sent.directory = wire::directoryDigest(*update.directory);
+    sent.directory_sent = now;
+  }
+}
+
+void UpdateLedger::keepRouters(const std::map<NodeName, RouterRecord>& routers) {
+  std::erase_if(sent_, [&routers](const auto& item) { return !routers.contains(item.first); });
+}
+
+}  // namespace ferryrock::services
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -79,8 +79,9 @@
   LogIndex revision;       ///< of its replica table
   std::vector<ModelWant> wants;
   std::uint64_t directory = 0;  ///< directoryDigest() of the directory that it holds
+  bool missed_update = false;   ///< an update came that builds on one that didn't
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
-                   revision, wants, directory)
+                   revision, wants, directory, missed_update)
 };
 
 /// A replica as routers need it.
--- a/tests/services/registry_test.cc
+++ b/tests/services/registry_test.cc
@@ -4,6 +4,7 @@
 #include "services/catalog_rules.h"
 #include "services/service_cluster.h"
 #include "services/table_feed.h"
+#include "services/update_ledger.h"
 
 namespace ferryrock::services {
 namespace {
@@ -52,7 +53,7 @@
   ReplicaRegistry registry;
   registry.accept(makeReport("r1", "desk", 1), kStart);
   const wire::ServiceCatalog catalog = makeCatalog(3);
-  const FeedContext context{catalog, {}, 2, true};
+  const FeedContext context{catalog, {}, 2, true, {"edge-1:80"}};
   const TableFeed feed(Term{4}, registry);
   wire::CallRouterStatus status;
   const wire::ServiceUpdate first = feed.updateFor(status, context);
@@ -77,6 +78,26 @@
   CHECK(later.revision() > feed.revision());
 }
 
+TEST_CASE("What is on its way isn't sent again until it counts as lost or was reported missing") {
+  UpdateLedger ledger;
+  wire::CallRouterStatus status;
+  status.router = NodeName("edge-1");
+  status.revision = LogIndex{5};
+  CHECK(ledger.expected(status, kStart).revision.value == 5);
+  wire::ServiceUpdate update;
+  update.revision = LogIndex{8};
+  update.catalog = makeCatalog(3);
+  ledger.onSent(status.router, update, kStart);
+  CHECK(ledger.expected(status, kStart + 100ms).revision.value == 8);
+  CHECK(ledger.expected(status, kStart + 100ms).catalog.value == 3);
+  status.missed_update = true;
+  CHECK(ledger.expected(status, kStart + 200ms).revision.value == 5);
+  status.missed_update = false;
+  ledger.onSent(status.router, update, kStart + 200ms);
+  CHECK(ledger.expected(status, kStart + 900ms).revision.value == 5);
+  CHECK(ledger.expected(status, kStart + 900ms).catalog.value == 0);
+}
+
 struct InvalidCase {
   const char* name;
   void (*spoil)(wire::ServiceCatalog&);
