Plan models from counted copies, and not for each waiting call

Cause: the leader of a grown deployment counted each model's copies by walking all replicas for all 481 models, at every status of a router with a waiting call. It used 0.46 of its 0.6 cores and answered late: no drain was acknowledgd in time and models came late. Ruled out: routers that didn't confirm (they did, within their interval).

--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -51,6 +51,7 @@
     for (const wire::HostedService& service : catalog.services) {
       if (service.engine) {
         Candidates candidates = candidatesOf(service, now);
+        copies_ = countCopies(candidates);
         placeAdapters(service, candidates, now);
         placeModels(service, candidates, now);
       }
@@ -186,15 +187,29 @@
   }
 }
 
-std::size_t ModelPlacer::copies(const Candidates& candidates, const ModelName& model) const {
-  return static_cast<std::size_t>(
-      std::count_if(candidates.begin(), candidates.end(), [&model](const Candidate& candidate) {
-        const Engine& engine = *candidate.engine;
-        const bool held = holds(*candidate.record, model) && engine.unloading != model;
-        const bool ordered = engine.pending && engine.pending->order.action == OrderAction::Load &&
-                             engine.pending->order.model == model && engine.pending->order.adapter.empty();
-        return held || engine.loading == model || ordered;
-      }));
+ModelPlacer::CopyCounts ModelPlacer::countCopies(const Candidates& candidates) {
+  CopyCounts counts;
+  for (const Candidate& candidate : candidates) {
+    const Engine& engine = *candidate.engine;
+    std::set<ModelName> serving;
+    for (const wire::HeldModel& held : candidate.record->report.held) {
+      if (engine.unloading != held.model) {
+        serving.insert(held.model);
+      }
+    }
+    if (engine.loading) {
+      serving.insert(*engine.loading);
+    }
+    for (const ModelName& model : serving) {
+      ++counts[model];
+    }
+  }
+  return counts;
+}
+
+std::size_t ModelPlacer::copies(const ModelName& model) const {
+  const auto found = copies_.find(model);
+  return found == copies_.end() ? 0 : found->second;
 }
 
 std::size_t ModelPlacer::wantedCopies(const wire::HostedService& service, const ModelName& model) const {
@@ -208,13 +223,17 @@
 
 void ModelPlacer::placeModels(const wire::HostedService& service, Candidates& candidates, TimePoint now) {
   std::vector<std::pair<double, const wire::HostedModel*>> wanted;
-  for (const wire::HostedModel& model : service.engine->models) {
-    const KeyDemand demand = demand_.find({service.name, model.name, {}});
-    const std::size_t held = copies(candidates, model.name);
+  for (const auto& [key, demand] : demand_.keys()) {
+    const bool whole_model = key.service == service.name && key.adapter.empty();
+    const wire::HostedModel* model = whole_model ? findModel(*service.engine, key.model) : nullptr;
+    if (model == nullptr) {
+      continue;
+    }
+    const std::size_t held = copies(key.model);
     const bool missing = held == 0 && demand.waiting > 0;
-    const bool crowded = held > 0 && held < wantedCopies(service, model.name);
+    const bool crowded = held > 0 && held < wantedCopies(service, key.model);
     if (missing || crowded) {
-      wanted.emplace_back(demand.rate() + demand.waiting + (missing ? 1000.0 : 0.0), &model);
+      wanted.emplace_back(demand.rate() + demand.waiting + (missing ? 1000.0 : 0.0), model);
     }
   }
   std::sort(wanted.begin(), wanted.end(), [](const auto& left, const auto& right) {
@@ -276,10 +295,10 @@
          traits.loads_per_second * window_seconds * kStoreShare;
 }
 
-std::optional<double> ModelPlacer::keepWorth(const wire::HostedService& service, const Candidates& candidates,
-                                             const ModelName& model, TimePoint now) const {
+std::optional<double> ModelPlacer::keepWorth(const wire::HostedService& service, const ModelName& model,
+                                             TimePoint now) const {
   const KeyDemand demand = demand_.find({service.name, model, {}});
-  const std::size_t held = copies(candidates, model);
+  const std::size_t held = copies(model);
   const bool spare_copy = held > wantedCopies(service, model);
   const bool in_use = demand.running + demand.waiting > 0 || now - demand.last_wanted < kKeptAfterUse;
   if (in_use && !spare_copy) {
@@ -307,7 +326,7 @@
     const ModelName* least_worth = nullptr;
     double freed = 0;
     for (const wire::HeldModel& held : candidate.record->report.held) {
-      const auto worth = keepWorth(service, candidates, held.model, now);
+      const auto worth = keepWorth(service, held.model, now);
       const wire::HostedModel* known = findModel(*service.engine, held.model);
       if (!worth || known == nullptr) {
         continue;
@@ -358,10 +377,12 @@
     registry_.withdrawModel(report.id, model, now);
     engine.unloading = model;
     engine.unloading_since = now;
+    --copies_[model];
   } else if (action == OrderAction::Load && adapter.empty()) {
     engine.loading = model;
     engine.loading_mb = megabytes;
     engine.loading_since = now;
+    ++copies_[model];
   }
   effects_.emplace_back(std::move(effect));
 }
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -70,6 +70,7 @@
     double used_mb = 0;
   };
   using Candidates = std::vector<Candidate>;
+  using CopyCounts = std::map<ModelName, std::size_t>;
 
   void settleFinished(Candidates& candidates, TimePoint now);
   Candidates candidatesOf(const wire::HostedService& service, TimePoint now);
@@ -84,9 +85,11 @@
   bool makeRoom(const wire::HostedService& service, const wire::HostedModel& model, Candidates& candidates,
                 TimePoint now);
   /// Worth of keeping the model on the replica; nullopt: it must stay.
-  std::optional<double> keepWorth(const wire::HostedService& service, const Candidates& candidates,
-                                  const ModelName& model, TimePoint now) const;
-  std::size_t copies(const Candidates& candidates, const ModelName& model) const;
+  std::optional<double> keepWorth(const wire::HostedService& service, const ModelName& model,
+                                  TimePoint now) const;
+  /// Copies that serve or are about to, by model.
+  static CopyCounts countCopies(const Candidates& candidates);
+  std::size_t copies(const ModelName& model) const;
   std::size_t wantedCopies(const wire::HostedService& service, const ModelName& model) const;
   void loadAdapter(const wire::HostedService& service, const ModelKey& key, Candidates& candidates,
                    TimePoint now);
@@ -104,6 +107,7 @@
   std::map<ReplicaId, Engine> engines_;
   std::deque<TimePoint> store_loads_;  ///< loads that may have begun from the store, oldest first
   std::uint64_t next_number_ = 1;
+  CopyCounts copies_;  ///< of the service that is planned, as the plan goes on
   PlacerEffects effects_;
 };
 
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -261,7 +261,7 @@
 Effects ServiceControlImpl::onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now) {
   if (leader_) {
     leader_->placer.onOrderDone(number, outcome, now);
-    leader_->next_plan = now;
+    hurryPlan(now);
   }
   return finish(now);
 }
@@ -270,7 +270,7 @@
                                         TimePoint now) {
   if (leader_) {
     leader_->placer.onInspected(number, state, now);
-    leader_->next_plan = now;
+    hurryPlan(now);
   }
   return finish(now);
 }
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -89,6 +89,7 @@
     TimePoint next_push{};
     bool push_to_all = false;  ///< what is new can't wait for the routers' next statuses
     TimePoint next_plan{};
+    TimePoint planned{};
     bool membership_change_open = false;
     TimePoint next_membership_change{};
   };
@@ -145,6 +146,7 @@
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
   void sendUpdate(const wire::CallRouterStatus& status, const FeedContext& context, TimePoint now);
   void pushTables(TimePoint now);
+  void hurryPlan(TimePoint now);
   void planModels(TimePoint now);
   void mendMembership(TimePoint now);
   FeedContext feedContext(TimePoint now) const;
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
+/// For calls that wait at a large fleet.
+constexpr Duration kHurriedPlanInterval = std::chrono::milliseconds(20);
 constexpr Duration kMembershipPause = std::chrono::milliseconds(100);
 /// Of the directory that routers get.
 constexpr std::size_t kMostAddresses = 64;
@@ -51,7 +53,7 @@
 void ServiceControlImpl::updateRouter(const wire::CallRouterStatus& status, TimePoint now) {
   leader_->demand.accept(status.router, status.wants, now);
   if (waitsForModel(status)) {
-    leader_->next_plan = now;
+    hurryPlan(now);
   }
   if (node_->log().hasLease(now)) {
     sendUpdate(status, feedContext(now), now);
@@ -95,11 +97,19 @@
   }
 }
 
+/// Plans soon, but not for each of many calls that wait.
+void ServiceControlImpl::hurryPlan(TimePoint now) {
+  const bool small = directory_.routers().size() <= kSmallFleet;
+  const TimePoint soon = small ? now : std::max(now, leader_->planned + kHurriedPlanInterval);
+  leader_->next_plan = std::min(leader_->next_plan, soon);
+}
+
 void ServiceControlImpl::planModels(TimePoint now) {
   if (now < leader_->next_plan || !node_->log().hasLease(now)) {
     return;
   }
   leader_->next_plan = now + kPlanInterval;
+  leader_->planned = now;
   leader_->demand.fade(now);
   for (PlacerEffect& effect : leader_->placer.plan(node_->hosted().catalog(), now)) {
     std::visit([this](auto& typed) { effects_.emplace_back(std::move(typed)); }, effect);
