--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -22,6 +22,9 @@
 /// Share of the latency target that a call waits for a place; refused by then, it may be in time elsewhere.
 constexpr double kPlaceWaitShare = 0.22;
 constexpr Duration kDefaultTarget = 1s;
+/// How long a call waits for the first catalog, and what share of its time at most.
+constexpr Duration kCatalogWait = 1500ms;
+constexpr double kCatalogWaitShare = 0.5;
 constexpr Duration kComeBackAtOnce = 10ms;
 constexpr Duration kComeBackSoon = 200ms;
 constexpr Duration kComeBackLater = 1s;
@@ -61,25 +64,45 @@
   state.request = std::move(request);
   state.arrived = now;
   state.deadline = now + state.request.time_limit.value_or(30s);
-  if (!routes_) {
-    refuse(call, ResultCode::NoCatalog, "no catalog is known yet", 500ms, now);
+  if (calls_.size() > settings_.max_calls) {
+    refuse(call, ResultCode::QueueFull, "this router has too many calls", kComeBackSoon, now);
+    return finish(now);
+  }
+  if (routes_) {
+    routeCall(call, now);
     return finish(now);
   }
+  // A router that has just started gets its catalog in a moment.
+  unrouted_.insert(number);
+  const Duration whole = state.deadline - now;
+  state.waits_until = now + std::min(kCatalogWait, scaled(whole, kCatalogWaitShare));
+  state.last_failure = ResultCode::NoCatalog;
+  setTimer(call);
+  return finish(now);
+}
+
+void CallRouter::routeWaiting(TimePoint now) {
+  for (const CallNumber number : std::exchange(unrouted_, {})) {
+    const CallPointer call = calls_.find(number);
+    if (call != calls_.end()) {
+      routeCall(call, now);
+    }
+  }
+}
+
+void CallRouter::routeCall(CallPointer call, TimePoint now) {
+  Call& state = call->second;
   const wire::CallRoute* route = routes_->find(state.request.host, state.request.path);
   if (route == nullptr) {
     refuse(call, ResultCode::UnknownRoute, state.request.host + state.request.path, std::nullopt, now);
-    return finish(now);
-  }
-  if (calls_.size() > settings_.max_calls) {
-    refuse(call, ResultCode::QueueFull, "this router has too many calls", kComeBackSoon, now);
-    return finish(now);
+    return;
   }
   state.routes = routes_;
   state.route = route;
-  state.deadline = std::min(state.deadline, now + std::chrono::milliseconds(route->timeout_ms));
+  state.deadline = std::min(state.deadline, state.arrived + std::chrono::milliseconds(route->timeout_ms));
   if (now >= refuse_from_ && state.deadline > drain_end_) {
     refuse(call, ResultCode::RouterDraining, "the call might outlast this router", kComeBackAtOnce, now);
-    return finish(now);
+    return;
   }
   state.need.service = split_.next(*route);
   const wire::HostedService* service = routes_->findService(state.need.service);
@@ -102,7 +125,6 @@
               {"catalog", static_cast<std::int64_t>(routes_->version().value)},
               {"time_left_ms", toMilliseconds(state.deadline - now)}});
   dispatch(call, now);
-  return finish(now);
 }
 
 void CallRouter::dispatch(CallPointer call, TimePoint now) {
@@ -440,6 +462,7 @@
   }
   timers_.erase({call->second.timer, call->first});
   waiting_.erase(call->first);
+  unrouted_.erase(call->first);
   calls_.erase(call);
 }
 
@@ -476,6 +499,8 @@
     abandon(call, ResultCode::DeadlineExpiredRunning, "the time was over while a replica had it", now);
   } else if (state.attempt) {
     setTimer(call);
+  } else if (state.route == nullptr) {
+    refuse(call, ResultCode::NoCatalog, "no catalog is known yet", kComeBackLater, now);
   } else if (now >= state.deadline || now >= state.waits_until) {
     refuse(call, state.last_failure, "no replica could take it in time",
            state.last_failure == ResultCode::LoadCannotFinishInTime ? kComeBackLater : kComeBackSoon, now);
@@ -504,6 +529,7 @@
   if (update.catalog && update.catalog->version > catalogVersion()) {
     routes_ = std::make_shared<const RouteTable>(*update.catalog);
     feed_.tellAll();
+    routeWaiting(now);
     log_.write(LogLevel::Info, "catalog.in_force",
                {{"version", static_cast<std::int64_t>(routes_->version().value)},
                 {"routes", static_cast<std::int64_t>(update.catalog->routes.size())}});
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -106,6 +106,9 @@
   };
   using CallPointer = std::map<CallNumber, Call>::iterator;
 
+  /// Finds the call's route in the catalog in force and sends it on its way.
+  void routeCall(CallPointer call, TimePoint now);
+  void routeWaiting(TimePoint now);
   void dispatch(CallPointer call, TimePoint now);
   void sendTo(CallPointer call, Replica& replica, TimePoint now);
   void waitForReplica(CallPointer call, ChoiceFailure failure, TimePoint now);
@@ -145,6 +148,7 @@
   std::map<AttemptNumber, CallNumber> attempts_;
   std::set<std::pair<TimePoint, CallNumber>> timers_;
   std::set<CallNumber> waiting_;
+  std::set<CallNumber> unrouted_;  ///< wait for the first catalog
   std::map<std::tuple<ServiceName, ModelName, std::string>, std::uint32_t> arrivals_;  ///< since last told
   CallRouterCounts counts_;
   std::uint64_t next_attempt_ = 1;
--- a/src/service_process/call_server.cc
+++ b/src/service_process/call_server.cc
@@ -8,8 +8,7 @@
 
 CallServer::CallServer(event::Dispatcher& dispatcher, const http::ServerSettings& settings,
                        const CallDialect& dialect, CallerCallbacks callbacks)
-    : dispatcher_(dispatcher),
-      dialect_(dialect),
+    : dialect_(dialect),
       callbacks_(std::move(callbacks)),
       server_(http::createServer(dispatcher, settings,
                                  [this](http::Request request, const http::ResponseWriterPtr& response) {
--- a/src/service_process/call_server.h
+++ b/src/service_process/call_server.h
@@ -46,7 +46,6 @@
   /// Takes the call out; nullptr response: it is unknown.
   http::ResponseWriterPtr take(calls::CallNumber call);
 
-  event::Dispatcher& dispatcher_;
   const CallDialect& dialect_;
   CallerCallbacks callbacks_;
   std::map<calls::CallNumber, OpenCall> calls_;
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -189,6 +189,7 @@
     return;
   }
   std::vector<transport::Peer> peers;
+  peers.reserve(nodes.size());
   for (const NodeName& node : nodes) {
     peers.push_back({node, node.value, ""});
   }
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -211,7 +211,7 @@
 
 void ServiceControlImpl::confirmRead(ReadPurpose purpose, TimePoint now) {
   const std::uint64_t id = next_id_++;
-  reads_.emplace(id, std::move(purpose));
+  reads_.emplace(id, purpose);
   take(node_->confirmRead(id, now), now);
 }
 
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -17,6 +17,8 @@
 TEST_CASE("Without a catalog a call is refused as not run, never as unknown") {
   CallFixture fixture;
   fixture.call("/safe/x");
+  CHECK(fixture.last<RefuseCallEffect>() == nullptr);
+  fixture.pass(1600ms);
   const auto* refusal = fixture.last<RefuseCallEffect>();
   REQUIRE(refusal != nullptr);
   CHECK(refusal->code == ResultCode::NoCatalog);
@@ -25,6 +27,19 @@
   CHECK_FALSE(fixture.router().ready());
 }
 
+TEST_CASE("A call that comes before the first catalog is routed as soon as that is there") {
+  CallFixture fixture;
+  fixture.call("/safe/x");
+  fixture.call("/unknown/x");
+  fixture.pass(300ms);
+  fixture.begin();
+  REQUIRE(fixture.last<RefuseCallEffect>() != nullptr);
+  CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::UnknownRoute);
+  fixture.addReplicas({CallFixture::replica("r1")});
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+  CHECK(fixture.last<SendAttemptEffect>()->time_left == 700ms);
+}
+
 TEST_CASE("The longest prefix of the host decides; no route is told at once") {
   Begun fixture;
   CHECK(fixture.router().ready());
