--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -2,18 +2,14 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace ferryrock::calls {
 namespace {
 
 using namespace std::chrono_literals;
 
-/// Sendings that replicas refused unrun, per call, before the caller is told.
-constexpr std::uint32_t kMostUnrun = 3;
-/// A replica that refused as full or leaving gets nothing for a moment.
-constexpr Duration kRefusalPause = 100ms;
-/// A replica that doesn't hold what the table says may be about to.
-constexpr Duration kMissingPause = 40ms;
+constexpr Duration kDefaultTarget = 1s;
 constexpr Duration kLookAgain = 40ms;
 /// Time that a call needs on a replica at least; with less left it isn't sent.
 constexpr Duration kLeastTimeLeft = 5ms;
@@ -21,15 +17,12 @@
 constexpr double kLoadWaitShare = 0.7;
 /// Share of the latency target that a call waits for a place; refused by then, it may be in time elsewhere.
 constexpr double kPlaceWaitShare = 0.22;
-constexpr Duration kDefaultTarget = 1s;
 /// How long a call waits for the first catalog, and what share of its time at most.
 constexpr Duration kCatalogWait = 1500ms;
 constexpr double kCatalogWaitShare = 0.5;
 constexpr Duration kComeBackAtOnce = 10ms;
 constexpr Duration kComeBackSoon = 200ms;
 constexpr Duration kComeBackLater = 1s;
-constexpr int kFirstErrorStatus = 500;
-constexpr int kMisdirected = 421;
 
 Duration scaled(Duration duration, double share) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * share));
@@ -216,238 +209,6 @@
   }
 }
 
-std::optional<CallRouter::CallPointer> CallRouter::callOf(AttemptNumber attempt) {
-  const auto found = attempts_.find(attempt);
-  if (found == attempts_.end()) {
-    return std::nullopt;
-  }
-  return calls_.find(found->second);
-}
-
-void CallRouter::notePromptRead(Attempt& attempt) {
-  if (attempt.unread_tokens == 0) {
-    return;
-  }
-  if (Replica* replica = replicas_.find(attempt.replica)) {
-    replica->unread_tokens -= std::min(replica->unread_tokens, attempt.unread_tokens);
-  }
-  attempt.unread_tokens = 0;
-}
-
-/// The replica may be forgotten by this if the leader has stopped listing it; then nullptr.
-Replica* CallRouter::release(Call& call) {
-  notePromptRead(*call.attempt);
-  const Attempt attempt = *call.attempt;
-  call.attempt.reset();
-  attempts_.erase(attempt.number);
-  Replica* replica = replicas_.find(attempt.replica);
-  if (replica == nullptr) {
-    return nullptr;
-  }
-  replicas_.onReleased(*replica);
-  dispatch_wanted_ = dispatch_wanted_ || !waiting_.empty();
-  return replicas_.find(attempt.replica);
-}
-
-Effects CallRouter::onAnswer(AttemptNumber attempt, const AnswerSummary& answer, TimePoint now) {
-  const auto call = callOf(attempt);
-  if (!call) {
-    return finish(now);
-  }
-  Call& state = (*call)->second;
-  Replica* replica = release(state);
-  if (answer.unrun) {
-    if (replica != nullptr && answer.status == kMisdirected && !state.need.model.empty()) {
-      replica->missing_until[{state.need.model, state.need.adapter}] = now + kMissingPause;
-    } else if (replica != nullptr) {
-      replica->refused_until = now + kRefusalPause;
-    }
-    log_.write(
-        LogLevel::Info, "call.refused_by_replica",
-        {{"request", view(state.request.id.value)}, {"status", static_cast<std::int64_t>(answer.status)}});
-    retryUnrun(*call, ResultCode::ReplicaRefused, now);
-    return finish(now);
-  }
-  const bool failed = answer.status >= kFirstErrorStatus;
-  if (replica != nullptr && failed) {
-    replica->health.onFailure(router::HealthFailure::Failed, now, random_);
-  } else if (replica != nullptr) {
-    replica->health.onSuccess(now);
-  }
-  const bool again = failed && mayRunAgain(state) && state.deadline - now > kLeastTimeLeft &&
-                     budget_.spend(state.need.service, now);
-  if (again) {
-    ++counts_.retries;
-    state.may_have_run = true;
-    dispatch(*call, now);
-  } else {
-    deliver(*call, attempt, answer.status, now);
-  }
-  return finish(now);
-}
-
-Effects CallRouter::onStreamEvent(AttemptNumber attempt, std::optional<std::uint64_t> id, std::string bytes,
-                                  TimePoint now) {
-  const auto call = callOf(attempt);
-  if (!call) {
-    return finish(now);
-  }
-  Call& state = (*call)->second;
-  if (Replica* replica = replicas_.find(state.attempt->replica)) {
-    replica->health.onProgress(now);
-  }
-  notePromptRead(*state.attempt);
-  const bool known = id && state.last_event && *id <= *state.last_event;
-  if (!known) {
-    state.last_event = id ? id : state.last_event;
-    startStream(*call, attempt, now);
-    effects_.emplace_back(PassEventEffect{(*call)->first, std::move(bytes)});
-  }
-  return finish(now);
-}
-
-void CallRouter::startStream(CallPointer call, AttemptNumber attempt, TimePoint now) {
-  Call& state = call->second;
-  if (std::exchange(state.started, true)) {
-    return;
-  }
-  log_.write(LogLevel::Info, "call.stream_started",
-             {{"request", view(state.request.id.value)},
-              {"replica", view(state.attempt->replica.value)},
-              {"after_ms", toMilliseconds(now - state.arrived)}});
-  effects_.emplace_back(StartStreamEffect{call->first, attempt});
-}
-
-Effects CallRouter::onStreamEnd(AttemptNumber attempt, TimePoint now) {
-  const auto call = callOf(attempt);
-  if (!call) {
-    return finish(now);
-  }
-  Call& state = (*call)->second;
-  startStream(*call, attempt, now);
-  if (Replica* replica = release(state)) {
-    replica->health.onSuccess(now);
-  }
-  ++counts_.answered;
-  log_.write(LogLevel::Info, "call.stream_finished",
-             {{"request", view(state.request.id.value)},
-              {"took_ms", toMilliseconds(now - state.arrived)},
-              {"attempts", static_cast<std::int64_t>(state.attempts)}});
-  effects_.emplace_back(FinishStreamEffect{(*call)->first});
-  erase(*call);
-  return finish(now);
-}
-
-Effects CallRouter::onFailure(AttemptNumber attempt, AttemptFailure failure, const std::string& reason,
-                              TimePoint now) {
-  const auto call = callOf(attempt);
-  if (!call) {
-    return finish(now);
-  }
-  Call& state = (*call)->second;
-  log_.write(LogLevel::Warning, "call.attempt_failed",
-             {{"request", view(state.request.id.value)},
-              {"replica", view(state.attempt->replica.value)},
-              {"proved_unrun", failure == AttemptFailure::NotSent},
-              {"reason", view(reason)},
-              {"after_ms", toMilliseconds(now - state.attempt->sent)}});
-  Replica* replica = release(state);
-  const bool unreachable = failure == AttemptFailure::NotSent;
-  if (replica != nullptr) {
-    replica->health.onFailure(
-        unreachable ? router::HealthFailure::Unreachable : router::HealthFailure::Failed, now, random_);
-  }
-  if (unreachable) {
-    retryUnrun(*call, ResultCode::NoReplica, now);
-  } else {
-    state.may_have_run = true;
-    retryMaybeRun(*call, ResultCode::ReplicaFailed, reason, now);
-  }
-  return finish(now);
-}
-
-/// The last sending certainly didn't run, so the call may go to another replica whatever its kind.
-void CallRouter::retryUnrun(CallPointer call, ResultCode reason, TimePoint now) {
-  Call& state = call->second;
-  --state.attempts;
-  ++state.unrun;
-  state.last_failure = reason;
-  const bool tries_left = state.unrun < kMostUnrun && state.deadline - now > kLeastTimeLeft;
-  if (tries_left && budget_.spend(state.need.service, now)) {
-    ++counts_.retries;
-    dispatch(call, now);
-  } else if (state.started) {
-    breakStream(call, "no replica took the rest of the stream", now);
-  } else {
-    refuse(call, tries_left ? ResultCode::RetryBudgetSpent : reason, "replicas refused it unrun",
-           kComeBackSoon, now);
-  }
-}
-
-bool CallRouter::mayRunAgain(const Call& call) const {
-  const bool repeatable = call.route->kind == wire::CallKind::Repeatable ||
-                          (call.route->kind == wire::CallKind::Streaming && call.route->resumable);
-  return repeatable && call.attempts < call.route->max_attempts;
-}
-
-void CallRouter::retryMaybeRun(CallPointer call, ResultCode reason, const std::string& detail,
-                               TimePoint now) {
-  Call& state = call->second;
-  const bool again =
-      mayRunAgain(state) && state.deadline - now > kLeastTimeLeft && budget_.spend(state.need.service, now);
-  if (again) {
-    ++counts_.retries;
-    counts_.resumed += state.started ? 1 : 0;
-    dispatch(call, now);
-  } else if (state.started) {
-    breakStream(call, detail, now);
-  } else {
-    refuse(call, reason, detail, std::nullopt, now);
-  }
-}
-
-void CallRouter::deliver(CallPointer call, AttemptNumber attempt, int status, TimePoint now) {
-  Call& state = call->second;
-  ++counts_.answered;
-  log_.write(LogLevel::Info, "call.answered",
-             {{"request", view(state.request.id.value)},
-              {"status", static_cast<std::int64_t>(status)},
-              {"took_ms", toMilliseconds(now - state.arrived)},
-              {"attempts", static_cast<std::int64_t>(state.attempts)}});
-  effects_.emplace_back(DeliverAnswerEffect{call->first, attempt});
-  erase(call);
-}
-
-void CallRouter::refuse(CallPointer call, ResultCode code, const std::string& detail,
-                        std::optional<Duration> retry_after, TimePoint now) {
-  Call& state = call->second;
-  if (state.started) {
-    breakStream(call, detail, now);
-    return;
-  }
-  ++counts_.refused;
-  log_.write(LogLevel::Warning, "call.refused",
-             {{"request", view(state.request.id.value)},
-              {"code", static_cast<std::int64_t>(code)},
-              {"name", resultCodeInfo(code).name},
-              {"not_run", !state.may_have_run},
-              {"detail", view(detail)},
-              {"took_ms", toMilliseconds(now - state.arrived)},
-              {"attempts", static_cast<std::int64_t>(state.attempts)}});
-  effects_.emplace_back(RefuseCallEffect{call->first, code, !state.may_have_run, retry_after, detail});
-  erase(call);
-}
-
-void CallRouter::breakStream(CallPointer call, const std::string& reason, TimePoint now) {
-  ++counts_.broken;
-  log_.write(LogLevel::Warning, "call.stream_broken",
-             {{"request", view(call->second.request.id.value)},
-              {"reason", view(reason)},
-              {"took_ms", toMilliseconds(now - call->second.arrived)}});
-  effects_.emplace_back(BreakStreamEffect{call->first});
-  erase(call);
-}
-
 void CallRouter::abandon(CallPointer call, ResultCode code, const std::string& detail, TimePoint now) {
   Call& state = call->second;
   effects_.emplace_back(CancelAttemptEffect{state.attempt->number});
