--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -253,6 +253,22 @@
   CHECK(fixture.last<RefuseCallEffect>()->not_run);
 }
 
+TEST_CASE("A stop answers calls that wait for a model, and whatever is left at its end") {
+  Begun fixture;
+  fixture.addReplicas({CallFixture::replica("e1", "llm")});
+  fixture.call("/model/x", "m1");
+  fixture.call("/once/x");
+  fixture.take(fixture.router().beginDrain(fixture.now + 100ms, fixture.now + 5s, fixture.now));
+  fixture.pass(110ms);
+  REQUIRE(fixture.count<RefuseCallEffect>() == 1);
+  CHECK(fixture.last<RefuseCallEffect>()->not_run);
+  fixture.take(fixture.router().endDrain(fixture.now));
+  CHECK(fixture.count<RefuseCallEffect>() == 2);
+  CHECK_FALSE(fixture.last<RefuseCallEffect>()->not_run);
+  CHECK(fixture.count<CancelAttemptEffect>() == 1);
+  CHECK(fixture.router().drained());
+}
+
 TEST_CASE("Updates of a replaced leader change nothing, and a catalog never goes back") {
   Begun fixture;
   wire::ServiceUpdate newer;
