Find silent peers by the kernel's probes, not by ZeroMQ's heartbeats

While a connection's messages wait unread over the high-water mark, its engine stops reading; when the connection is then reset, the engine stays until they are read, and the heartbeat timer's out_event() runs into the assertion. Ruled out: memory (under 30 MB) and our own code's exits (code 134 is the abort). The new test resets such a connection through a relay: it aborted at the first try before the change and passes 6 of 6 times after it. Silence is now found by TCP keep-alive (1 s, 3 probes) and a limit of 3 s on unacknowledged bytes. Messages that still waited on a connection whose peer had connected again came with a name of ZeroMQ's own and were logged one by one as PeerNotAllowed; they are counted as replaced.

--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -39,6 +39,7 @@
   std::uint64_t received_bytes = 0;
   std::uint64_t dropped = 0;  ///< unknown or full peer
   std::uint64_t malformed = 0;
+  std::uint64_t replaced = 0;  ///< on a connection whose peer has connected again since
 };
 
 /// Z85 CURVE keys.
--- a/src/transport/zeromq_transport.cc
+++ b/src/transport/zeromq_transport.cc
@@ -20,8 +20,12 @@
 constexpr int kLingerMs = 100;
 constexpr int kReconnectMs = 100;
 constexpr int kReconnectMaximumMs = 1000;
-constexpr int kHeartbeatMs = 1000;
-constexpr int kHeartbeatTimeoutMs = 3000;
+/// A silent peer is found by the kernel's probes and unacknowledged bytes. ZeroMQ's own heartbeats aren't
+/// used: when a connection breaks while its messages wait unread, their timer ends the process by an
+/// assertion (4.3.4, stream_engine_base.cpp: out_event() after an input/output error).
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 3;
+constexpr int kUnacknowledgedMs = 3000;
 constexpr int kHandshakeMs = 2000;
 constexpr std::int64_t kMaximumMessageBytes = 256 << 20;
 /// Messages taken from one socket before the dispatcher's other work gets its turn.
@@ -119,8 +123,11 @@
     socket.set(zmq::sockopt::sndhwm, high_water_mark);
     socket.set(zmq::sockopt::rcvhwm, high_water_mark);
     socket.set(zmq::sockopt::maxmsgsize, kMaximumMessageBytes);
-    socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
-    socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+    socket.set(zmq::sockopt::tcp_keepalive, 1);
+    socket.set(zmq::sockopt::tcp_keepalive_idle, kProbeSeconds);
+    socket.set(zmq::sockopt::tcp_keepalive_intvl, kProbeSeconds);
+    socket.set(zmq::sockopt::tcp_keepalive_cnt, kProbes);
+    socket.set(zmq::sockopt::tcp_maxrt, kUnacknowledgedMs);
     socket.set(zmq::sockopt::handshake_ivl, kHandshakeMs);
     socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaximumMs);
@@ -262,6 +269,11 @@
         ++counts_.malformed;
         continue;
       }
+      if (isReplaced(identity)) {
+        discardFurtherFrames(listener_->socket, body);
+        ++counts_.replaced;
+        continue;
+      }
       const bool single_frame = !discardFurtherFrames(listener_->socket, body);
       const std::string sender = keysOn() ? body.gets("User-Id") : identity.to_string();
       accept(single_frame && sender == identity.to_string() ? NodeName{sender} : NodeName{}, body);
@@ -288,6 +300,12 @@
     }
   }
 
+  /// A connection whose peer has connected again is renamed by ZeroMQ: a zero byte and a number. What still
+  /// waits on it is as good as lost.
+  static bool isReplaced(const zmq::message_t& identity) {
+    return identity.size() > 0 && *identity.data<char>() == 0;
+  }
+
   static bool discardFurtherFrames(zmq::socket_t& socket, const zmq::message_t& last) {
     bool more = last.more();
     const bool any = more;
--- /dev/null
+++ b/tests/transport/resetting_relay.cc
@@ -0,0 +1,95 @@
+#include "transport/resetting_relay.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace ferryrock::transport {
+namespace {
+
+constexpr int kPollMilliseconds = 10;
+
+sockaddr_in loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+bool readable(int descriptor) {
+  pollfd watched{descriptor, POLLIN, 0};
+  return ::poll(&watched, 1, kPollMilliseconds) > 0;
+}
+
+/// False once the source has ended or the target takes nothing more.
+bool passSome(int from, int to) {
+  std::array<char, 4096> bytes{};
+  const ssize_t count = ::recv(from, bytes.data(), bytes.size(), MSG_DONTWAIT);
+  if (count < 0) {
+    return errno == EAGAIN;
+  }
+  return count > 0 && ::send(to, bytes.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
+}
+
+void closeWithReset(int descriptor) {
+  const linger at_once{1, 0};
+  ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  ::close(descriptor);
+}
+
+}  // namespace
+
+ResettingRelay::ResettingRelay(const std::string& server)
+    : server_port_(static_cast<std::uint16_t>(std::stoi(server.substr(server.rfind(':') + 1)))),
+      listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  sockaddr_in own = loopback(0);
+  ::bind(listener_, reinterpret_cast<const sockaddr*>(&own), sizeof own);
+  ::listen(listener_, 4);
+  socklen_t length = sizeof own;
+  ::getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &length);
+  port_ = ntohs(own.sin_port);
+  thread_ = std::thread([this] { serve(); });
+}
+
+ResettingRelay::~ResettingRelay() {
+  end_wanted_ = true;
+  thread_.join();
+  ::close(listener_);
+}
+
+std::string ResettingRelay::address() const {
+  return "127.0.0.1:" + std::to_string(port_);
+}
+
+void ResettingRelay::serve() {
+  while (!end_wanted_) {
+    if (!readable(listener_)) {
+      continue;
+    }
+    const int client = ::accept(listener_, nullptr, nullptr);
+    const int server = ::socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in target = loopback(server_port_);
+    if (::connect(server, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0) {
+      pass(client, server);
+    }
+    closeWithReset(client);
+    closeWithReset(server);
+  }
+}
+
+void ResettingRelay::pass(int client, int server) {
+  while (!end_wanted_ && !reset_wanted_.exchange(false)) {
+    std::array<pollfd, 2> watched{{{client, POLLIN, 0}, {server, POLLIN, 0}}};
+    ::poll(watched.data(), watched.size(), kPollMilliseconds);
+    if (!passSome(client, server) || !passSome(server, client)) {
+      return;
+    }
+  }
+}
+
+}  // namespace ferryrock::transport
--- /dev/null
+++ b/tests/transport/resetting_relay.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+
+namespace ferryrock::transport {
+
+/// Passes bytes between clients on loopback, one at a time, and a server; can reset the connection under way
+/// on both sides. The next client is served as the one before.
+class ResettingRelay {
+ public:
+  /// server: "127.0.0.1:port".
+  explicit ResettingRelay(const std::string& server);
+  ~ResettingRelay();
+  ResettingRelay(const ResettingRelay&) = delete;
+  ResettingRelay& operator=(const ResettingRelay&) = delete;
+
+  /// "127.0.0.1:port" that clients connect to.
+  std::string address() const;
+  void reset() { reset_wanted_ = true; }
+
+ private:
+  void serve();
+  /// Passes bytes until either side ends, or a reset or the end is wanted.
+  void pass(int client, int server);
+
+  std::uint16_t server_port_ = 0;
+  int listener_ = -1;
+  std::uint16_t port_ = 0;
+  std::atomic<bool> reset_wanted_{false};
+  std::atomic<bool> end_wanted_{false};
+  std::thread thread_;
+};
+
+}  // namespace ferryrock::transport
--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -5,10 +5,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "common/error.h"
 #include "event/dispatcher.h"
+#include "transport/resetting_relay.h"
 
 namespace ferryrock::transport {
 namespace {
@@ -280,5 +282,40 @@
   CHECK(sendUntilReceived(*dispatcher, router, "control", *control));
 }
 
+/// A peer whose connection is reset while its messages pile up here: the messaging library then keeps the
+/// connection's engine until they are read.
+TEST_CASE("a connection that is reset while its messages wait unread costs no process") {
+  constexpr std::size_t kMark = 10;
+  constexpr int kMoreThanTheMark = 100;
+  const auto dispatcher = event::createAceDispatcher();
+  TransportSettings settings;
+  settings.node = NodeName{"control"};
+  settings.listen_address = "127.0.0.1:0";
+  settings.high_water_mark = kMark;
+  std::size_t received = 0;
+  const auto receiver =
+      createZeroMqTransport(*dispatcher, settings, [&](const wire::Envelope&) { ++received; });
+  ResettingRelay relay(receiver->boundAddress());
+  Node sender(*dispatcher, "router", "");
+  sender.transport->setPeers({{NodeName{"control"}, relay.address(), ""}});
+  const auto sendOne = [&] {
+    sender.transport->send(NodeName{"control"}, demand(1));
+    return received > 0;
+  };
+  REQUIRE(runUntil(*dispatcher, sendOne));
+  for (int i = 0; i < kMoreThanTheMark; ++i) {
+    sender.transport->send(NodeName{"control"}, demand(1));
+  }
+  std::this_thread::sleep_for(300ms);  // nobody reads meanwhile
+  relay.reset();
+  std::this_thread::sleep_for(1500ms);
+  const std::size_t before = received;  // what waited may be lost, what is sent from now on arrives
+  CHECK(runUntil(*dispatcher, [&] {
+    sender.transport->send(NodeName{"control"}, demand(1));
+    return received > before + kMoreThanTheMark;
+  }));
+  CHECK(receiver->counts().malformed == 0);
+}
+
 }  // namespace
 }  // namespace ferryrock::transport
