--- a/src/transport/zeromq_transport.cc
+++ b/src/transport/zeromq_transport.cc
@@ -19,13 +19,16 @@
 
 constexpr int kLingerMs = 100;
 constexpr int kReconnectMs = 100;
-constexpr int kReconnectMaximumMs = 1000;
+constexpr int kReconnectMaximumMs = 500;
 /// A silent peer is found by the kernel's probes and unacknowledged bytes. ZeroMQ's own heartbeats aren't
 /// used: when a connection breaks while its messages wait unread, their timer ends the process by an
 /// assertion (4.3.4, stream_engine_base.cpp: out_event() after an input/output error).
 constexpr int kProbeSeconds = 1;
 constexpr int kProbes = 3;
 constexpr int kUnacknowledgedMs = 3000;
+/// Else a connection that is begun during a cut comes up only when the kernel repeats its opening packet, up to
+/// tens of seconds after the cut.
+constexpr int kConnectMs = 1000;
 constexpr int kHandshakeMs = 2000;
 constexpr std::int64_t kMaximumMessageBytes = 256 << 20;
 /// Messages taken from one socket before the dispatcher's other work gets its turn.
@@ -129,6 +132,7 @@
     socket.set(zmq::sockopt::tcp_keepalive_cnt, kProbes);
     socket.set(zmq::sockopt::tcp_maxrt, kUnacknowledgedMs);
     socket.set(zmq::sockopt::handshake_ivl, kHandshakeMs);
+    socket.set(zmq::sockopt::connect_timeout, kConnectMs);
     socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaximumMs);
   }
--- a/tests/transport/resetting_relay.cc
+++ b/tests/transport/resetting_relay.cc
@@ -42,17 +42,23 @@
   ::close(descriptor);
 }
 
+/// Returns the port.
+std::uint16_t listenAnywhere(int listener, int queue) {
+  sockaddr_in own = loopback(0);
+  ::bind(listener, reinterpret_cast<const sockaddr*>(&own), sizeof own);
+  ::listen(listener, queue);
+  socklen_t length = sizeof own;
+  ::getsockname(listener, reinterpret_cast<sockaddr*>(&own), &length);
+  return ntohs(own.sin_port);
+}
+
 }  // namespace
 
 ResettingRelay::ResettingRelay(const std::string& server)
     : server_port_(static_cast<std::uint16_t>(std::stoi(server.substr(server.rfind(':') + 1)))),
       listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
-  sockaddr_in own = loopback(0);
-  ::bind(listener_, reinterpret_cast<const sockaddr*>(&own), sizeof own);
-  ::listen(listener_, 4);
-  socklen_t length = sizeof own;
-  ::getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &length);
-  port_ = ntohs(own.sin_port);
+  constexpr int kQueue = 4;
+  port_ = listenAnywhere(listener_, kQueue);
   thread_ = std::thread([this] { serve(); });
 }
 
@@ -92,4 +98,21 @@
   }
 }
 
+FullListener::FullListener() : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  constexpr int kMoreThanTheQueue = 4;
+  port_ = listenAnywhere(listener_, 0);
+  const sockaddr_in target = loopback(port_);
+  for (int i = 0; i < kMoreThanTheQueue; ++i) {
+    waiting_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    ::connect(waiting_.back(), reinterpret_cast<const sockaddr*>(&target), sizeof target);
+  }
+}
+
+FullListener::~FullListener() {
+  for (const int descriptor : waiting_) {
+    closeWithReset(descriptor);
+  }
+  ::close(listener_);
+}
+
 }  // namespace ferryrock::transport
--- a/tests/transport/resetting_relay.h
+++ b/tests/transport/resetting_relay.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace ferryrock::transport {
 
@@ -34,4 +35,21 @@
   std::thread thread_;
 };
 
+/// A loopback port whose queue of new connections is full: opening packets get no answer, as behind a cut.
+class FullListener {
+ public:
+  FullListener();
+  ~FullListener();
+  FullListener(const FullListener&) = delete;
+  FullListener& operator=(const FullListener&) = delete;
+
+  /// "127.0.0.1:port".
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+ private:
+  int listener_ = -1;
+  std::uint16_t port_ = 0;
+  std::vector<int> waiting_;  ///< fill the queue
+};
+
 }  // namespace ferryrock::transport
--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -317,5 +317,23 @@
   CHECK(receiver->counts().malformed == 0);
 }
 
+/// The kernel repeats an unanswered opening packet less and less often: a connection that is begun during a cut
+/// would come up long after its end.
+TEST_CASE("a peer that was cut off is reached soon after the cut") {
+  constexpr Duration kCut = 7600ms;
+  constexpr Duration kSoon = 2500ms;
+  const auto dispatcher = event::createAceDispatcher();
+  auto cut = std::make_unique<FullListener>();
+  const std::string address = cut->address();
+  Node sender(*dispatcher, "router", "");
+  sender.transport->setPeers({{NodeName{"control"}, address, ""}});
+  std::this_thread::sleep_for(kCut);
+  cut.reset();
+  Node receiver(*dispatcher, "control", address);
+  const TimePoint healed = dispatcher->timeSource().monotonicTime();
+  CHECK(sendUntilReceived(*dispatcher, sender, "control", receiver));
+  CHECK(dispatcher->timeSource().monotonicTime() - healed < kSoon);
+}
+
 }  // namespace
 }  // namespace ferryrock::transport
