--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -10,13 +10,10 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kDefaultTarget = 1s;
-constexpr Duration kLookAgain = 40ms;
+/// A waiting call looks for a replica again no sooner.
+constexpr Duration kLookAgain = 10ms;
 /// Time that a call needs on a replica at least; with less left it isn't sent.
 constexpr Duration kLeastTimeLeft = 5ms;
-/// Share of a call's time that it may wait for a model to be loaded.
-constexpr double kLoadWaitShare = 0.7;
-/// Share of the latency target that a call waits for a place; refused by then, it may be in time elsewhere.
-constexpr double kPlaceWaitShare = 0.22;
 /// How long a call waits for the first catalog, and what share of its time at most.
 constexpr Duration kCatalogWait = 1500ms;
 constexpr double kCatalogWaitShare = 0.5;
@@ -129,7 +126,7 @@
   }
   const Choice choice = replicas_.choose(state.need, now);
   if (choice.replica == nullptr) {
-    waitForReplica(call, choice.failure, now);
+    waitForReplica(call, choice, now);
   } else {
     sendTo(call, *choice.replica, now);
   }
@@ -166,15 +163,43 @@
   setTimer(call);
 }
 
-void CallRouter::waitForReplica(CallPointer call, ChoiceFailure failure, TimePoint now) {
+WaitingCall CallRouter::waitingCall(const Call& call) {
+  WaitingCall waiting;
+  waiting.arrived = call.arrived;
+  waiting.deadline = call.deadline;
+  waiting.target = targetOf(*call.route);
+  if (call.route->patience_ms > 0) {
+    waiting.patience = std::chrono::milliseconds(call.route->patience_ms);
+  }
+  waiting.untouched = !call.started && !call.may_have_run;
+  return waiting;
+}
+
+bool CallRouter::sendAway(CallPointer call, TimePoint now) {
+  const Call& state = call->second;
+  const auto ready = loads_.readyAt(state.need.service, state.need.model, now);
+  const auto absence = ready ? comeBackAfter(waitingCall(state), *ready, now) : std::nullopt;
+  if (!absence) {
+    return false;
+  }
+  loads_.expectBack(state.need.service, state.need.model, now + *absence);
+  refuse(call, ResultCode::LoadCannotFinishInTime, "the model is being loaded", absence, now);
+  return true;
+}
+
+void CallRouter::waitForReplica(CallPointer call, const Choice& choice, TimePoint now) {
   Call& state = call->second;
+  const ChoiceFailure failure = choice.failure;
+  if (failure == ChoiceFailure::NotHeld && sendAway(call, now)) {
+    return;
+  }
   const bool first = waiting_.insert(call->first).second;
+  if (first || failure == ChoiceFailure::NotHeld) {
+    const TimePoint limit =
+        std::min(waitLimit(waitingCall(state), failure, now), std::max(now, refuse_from_));
+    state.waits_until = first ? limit : std::max(state.waits_until, limit);
+  }
   if (first) {
-    const Duration whole = state.deadline - state.arrived;
-    const Duration wait = failure == ChoiceFailure::NotHeld ? scaled(whole, kLoadWaitShare)
-                                                            : scaled(targetOf(*state.route), kPlaceWaitShare);
-    state.waits_until = std::min(state.deadline, std::max(now, state.arrived) + wait);
-    state.waits_until = std::min(state.waits_until, std::max(now, refuse_from_));
     log_.write(LogLevel::Info, "call.waits",
                {{"request", view(state.request.id.value)},
                 {"for", failure == ChoiceFailure::NotHeld     ? "model"
@@ -189,8 +214,8 @@
   if (failure == ChoiceFailure::NotHeld && !std::exchange(state.counted_missing, true)) {
     feed_.hurry();
   }
-  if (failure == ChoiceFailure::Refusing) {
-    state.retry = now + kLookAgain;
+  if (choice.look_again) {
+    state.retry = std::max(*choice.look_again, now + kLookAgain);
   }
   setTimer(call);
 }
@@ -296,6 +321,8 @@
                 {"routes", static_cast<std::int64_t>(update.catalog->routes.size())}});
   }
   budget_.setRouters(update.routers);
+  loads_.accept(update.coming, now);
+  dispatch_wanted_ = dispatch_wanted_ || !update.coming.empty();
   if (!replicas_follow) {
     return;
   }
@@ -364,7 +391,7 @@
   return finish(now);
 }
 
-std::vector<wire::ModelWant> CallRouter::wants() {
+std::vector<wire::ModelWant> CallRouter::wants(TimePoint now) {
   std::map<std::tuple<ServiceName, ModelName, std::string>, wire::ModelWant> merged;
   const auto entry = [&merged](const auto& key) -> wire::ModelWant& {
     wire::ModelWant& want = merged[key];
@@ -381,10 +408,18 @@
     wire::ModelWant& want = entry(std::make_tuple(call.need.service, call.need.model, call.need.adapter));
     if (call.attempt) {
       ++want.running;
-    } else if (!replicas_.anyHolds(call.need)) {
+    } else if (!replicas_.anyHolds(call.need, now)) {
       ++want.waiting;
     }
   }
+  for (const auto& [key, callers] : loads_.expectedBack(now)) {
+    const auto& [service, model] = key;
+    wire::ModelWant& want = entry(std::make_tuple(service, model, std::string()));
+    ReplicaNeed need;
+    need.service = service;
+    need.model = model;
+    (replicas_.anyHolds(need, now) ? want.running : want.waiting) += callers;
+  }
   std::vector<wire::ModelWant> wants;
   wants.reserve(merged.size());
   for (auto& [key, want] : merged) {
@@ -397,7 +432,8 @@
   if (!feed_.due(now)) {
     return;
   }
-  for (wire::SendEffect& send : feed_.statuses(wants(), ready(), catalogVersion(), now)) {
+  RouterNews news{wants(now), replicas_.unreachable(now), ready(), catalogVersion()};
+  for (wire::SendEffect& send : feed_.statuses(std::move(news), now)) {
     effects_.emplace_back(std::move(send));
   }
 }
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -11,10 +11,12 @@
 
 #include "calls/call.h"
 #include "calls/control_feed.h"
+#include "calls/expected_loads.h"
 #include "calls/replica_table.h"
 #include "calls/retry_budget.h"
 #include "calls/route_table.h"
 #include "calls/traffic_split.h"
+#include "calls/wait_policy.h"
 #include "common/event_log.h"
 #include "common/random.h"
 
@@ -101,6 +103,8 @@
     bool may_have_run = false;
     bool started = false;  ///< the caller got the head of a stream
     std::optional<std::uint64_t> last_event;
+    TimePoint last_event_at{};
+    Duration longest_pause{};  ///< between events that went to the caller
     ResultCode last_failure = ResultCode::NoReplica;
     TimePoint timer{};  ///< as it stands in timers_
   };
@@ -111,14 +115,19 @@
   void routeWaiting(TimePoint now);
   void dispatch(CallPointer call, TimePoint now);
   void sendTo(CallPointer call, Replica& replica, TimePoint now);
-  void waitForReplica(CallPointer call, ChoiceFailure failure, TimePoint now);
+  void waitForReplica(CallPointer call, const Choice& choice, TimePoint now);
+  static WaitingCall waitingCall(const Call& call);
+  /// Sends the caller away until its model is loaded if that serves it better; true if the call has ended.
+  bool sendAway(CallPointer call, TimePoint now);
   void dispatchWaiting(TimePoint now);
   /// Ends the attempt's books; nullopt: it isn't known any more.
   std::optional<CallPointer> callOf(AttemptNumber attempt);
   Replica* release(Call& call);
+  void notePause(Call& call, TimePoint now);
   /// The attempt's prompt has been read.
   void notePromptRead(Attempt& attempt);
-  void retryUnrun(CallPointer call, ResultCode reason, TimePoint now);
+  /// counts: the sending reached a replica, so that the next one is paid from the retry budget.
+  void retryUnrun(CallPointer call, ResultCode reason, bool counts, TimePoint now);
   void retryMaybeRun(CallPointer call, ResultCode reason, const std::string& detail, TimePoint now);
   bool mayRunAgain(const Call& call) const;
   void deliver(CallPointer call, AttemptNumber attempt, int status, TimePoint now);
@@ -132,7 +141,7 @@
   void onTimer(CallPointer call, TimePoint now);
   void setTimer(CallPointer call);
   void applyUpdate(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now);
-  std::vector<wire::ModelWant> wants();
+  std::vector<wire::ModelWant> wants(TimePoint now);
   void sendStatuses(TimePoint now);
   Effects finish(TimePoint now);
 
@@ -143,6 +152,7 @@
   RetryBudget budget_;
   ReplicaTable replicas_;
   TrafficSplit split_;
+  ExpectedLoads loads_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<CallNumber, Call> calls_;
   std::map<AttemptNumber, CallNumber> attempts_;
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -13,8 +13,6 @@
 constexpr std::uint32_t kMostUnrun = 3;
 /// A replica that refused as full or leaving gets nothing for a moment.
 constexpr Duration kRefusalPause = 100ms;
-/// A replica that doesn't hold what the table says may be about to.
-constexpr Duration kMissingPause = 40ms;
 /// Time that a call needs on a replica at least; with less left it isn't sent.
 constexpr Duration kLeastTimeLeft = 5ms;
 constexpr Duration kComeBackSoon = 200ms;
@@ -67,16 +65,20 @@
   }
   Call& state = (*call)->second;
   Replica* replica = release(state);
+  if (replica != nullptr) {
+    dispatch_wanted_ = ReplicaTable::onProgress(*replica, now) || dispatch_wanted_;
+  }
   if (answer.unrun) {
     if (replica != nullptr && answer.status == kMisdirected && !state.need.model.empty()) {
-      replica->missing_until[{state.need.model, state.need.adapter}] = now + kMissingPause;
+      replica->noteMissing(state.need.model, state.need.adapter, now);
     } else if (replica != nullptr) {
       replica->refused_until = now + kRefusalPause;
     }
     log_.write(
         LogLevel::Info, "call.refused_by_replica",
         {{"request", view(state.request.id.value)}, {"status", static_cast<std::int64_t>(answer.status)}});
-    retryUnrun(*call, ResultCode::ReplicaRefused, now);
+    constexpr bool kCounts = true;
+    retryUnrun(*call, ResultCode::ReplicaRefused, kCounts, now);
     return finish(now);
   }
   const bool failed = answer.status >= kFirstErrorStatus;
@@ -105,23 +107,35 @@
   }
   Call& state = (*call)->second;
   if (Replica* replica = replicas_.find(state.attempt->replica)) {
-    replica->health.onProgress(now);
+    dispatch_wanted_ = ReplicaTable::onProgress(*replica, now) || dispatch_wanted_;
   }
   notePromptRead(*state.attempt);
   const bool known = id && state.last_event && *id <= *state.last_event;
   if (!known) {
     state.last_event = id ? id : state.last_event;
     startStream(*call, attempt, now);
+    notePause(state, now);
     effects_.emplace_back(PassEventEffect{(*call)->first, std::move(bytes)});
   }
   return finish(now);
 }
 
+/// The head and the first event come together: they say nothing of a pace.
+void CallRouter::notePause(Call& call, TimePoint now) {
+  const Duration pause = now - std::exchange(call.last_event_at, now);
+  call.longest_pause = std::max(call.longest_pause, pause);
+  Replica* replica = pause > Duration::zero() ? replicas_.find(call.attempt->replica) : nullptr;
+  if (replica != nullptr && !call.need.model.empty()) {
+    replica->notePause(call.need.model, pause);
+  }
+}
+
 void CallRouter::startStream(CallPointer call, AttemptNumber attempt, TimePoint now) {
   Call& state = call->second;
   if (std::exchange(state.started, true)) {
     return;
   }
+  state.last_event_at = now;
   log_.write(LogLevel::Info, "call.stream_started",
              {{"request", view(state.request.id.value)},
               {"replica", view(state.attempt->replica.value)},
@@ -143,6 +157,7 @@
   log_.write(LogLevel::Info, "call.stream_finished",
              {{"request", view(state.request.id.value)},
               {"took_ms", toMilliseconds(now - state.arrived)},
+              {"longest_pause_ms", toMilliseconds(state.longest_pause)},
               {"attempts", static_cast<std::int64_t>(state.attempts)}});
   effects_.emplace_back(FinishStreamEffect{(*call)->first});
   erase(*call);
@@ -164,12 +179,16 @@
               {"after_ms", toMilliseconds(now - state.attempt->sent)}});
   Replica* replica = release(state);
   const bool unreachable = failure == AttemptFailure::NotSent;
+  if (replica != nullptr && unreachable) {
+    ReplicaTable::onUnreachable(*replica, now);
+  }
   if (replica != nullptr) {
     replica->health.onFailure(
         unreachable ? router::HealthFailure::Unreachable : router::HealthFailure::Failed, now, random_);
   }
   if (unreachable) {
-    retryUnrun(*call, ResultCode::NoReplica, now);
+    constexpr bool kCounts = false;
+    retryUnrun(*call, ResultCode::NoReplica, kCounts, now);
   } else {
     state.may_have_run = true;
     retryMaybeRun(*call, ResultCode::ReplicaFailed, reason, now);
@@ -177,14 +196,15 @@
   return finish(now);
 }
 
-/// The last sending certainly didn't run, so the call may go to another replica whatever its kind.
-void CallRouter::retryUnrun(CallPointer call, ResultCode reason, TimePoint now) {
+/// The last sending certainly didn't run, so the call may go to another replica whatever its kind. One that
+/// reached no replica is no load on the service: only ejections and the call's time limit those.
+void CallRouter::retryUnrun(CallPointer call, ResultCode reason, bool counts, TimePoint now) {
   Call& state = call->second;
   --state.attempts;
-  ++state.unrun;
+  state.unrun += counts ? 1 : 0;
   state.last_failure = reason;
   const bool tries_left = state.unrun < kMostUnrun && state.deadline - now > kLeastTimeLeft;
-  if (tries_left && budget_.spend(state.need.service, now)) {
+  if (tries_left && (!counts || budget_.spend(state.need.service, now))) {
     ++counts_.retries;
     dispatch(call, now);
   } else if (state.started) {
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -52,8 +52,7 @@
   return hurried_ ? std::min(regular, last_status_ + kLeastDistance) : regular;
 }
 
-std::vector<wire::SendEffect> ControlFeed::statuses(std::vector<wire::ModelWant> wants, bool accepting,
-                                                    CatalogVersion catalog, TimePoint now) {
+std::vector<wire::SendEffect> ControlFeed::statuses(RouterNews news, TimePoint now) {
   const bool leader_silent = !leader_heard_ || now - *leader_heard_ > settings_.leader_silence;
   if (leader_silent) {
     leader_ = NodeName{};
@@ -65,24 +64,22 @@
   status.address = settings_.address;
   status.incarnation = settings_.incarnation;
   status.sequence = ++sequence_;
-  status.accepting = accepting;
-  status.catalog = catalog;
+  status.accepting = news.accepting;
+  status.catalog = news.catalog;
   status.revision = revision_;
   status.missed_update = missed_update_;
   status.directory = wire::directoryDigest(directory_);
+  wire::CallRouterStatus leaders = status;
+  leaders.wants = std::move(news.wants);
+  leaders.unreachable = std::move(news.unreachable);
   std::vector<wire::SendEffect> sends;
   for (const NodeName& member : members_) {
     if (member != leader_ && all) {
-      sends.push_back({member, status});
+      sends.push_back({member, leader_.empty() ? leaders : status});
     }
   }
-  status.wants = std::move(wants);
   if (!leader_.empty()) {
-    sends.push_back({leader_, std::move(status)});
-  } else {
-    for (wire::SendEffect& send : sends) {
-      std::get<wire::CallRouterStatus>(send.message).wants = status.wants;
-    }
+    sends.push_back({leader_, std::move(leaders)});
   }
   last_status_ = now;
   next_leader_status_ = now + settings_.leader_interval;
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -21,6 +21,14 @@
   Duration leader_silence = std::chrono::milliseconds(1000);   ///< after which another is looked for
 };
 
+/// What a status tells beside the feed's own state.
+struct RouterNews {
+  std::vector<wire::ModelWant> wants;  ///< for the leader
+  std::vector<ReplicaId> unreachable;  ///< for the leader
+  bool accepting = false;              ///< callers may be sent to the router
+  CatalogVersion catalog;              ///< in force
+};
+
 /// A router's exchange with the control members: tells them its status, finds the leader, and lets only
 /// updates pass that lead forward. Used by one thread.
 class ControlFeed {
@@ -39,9 +47,8 @@
   void tellAll() { tell_all_ = true; }
   /// True when status() would send something.
   bool due(TimePoint now) const;
-  /// Statuses that are due; wants belong to the leader's.
-  std::vector<wire::SendEffect> statuses(std::vector<wire::ModelWant> wants, bool accepting,
-                                         CatalogVersion catalog, TimePoint now);
+  /// Statuses that are due; all members get the leader's while it isn't known.
+  std::vector<wire::SendEffect> statuses(RouterNews news, TimePoint now);
   TimePoint nextDeadline() const;
 
   /// Where callers may connect, as the leader last told; kept while there is none.
--- /dev/null
+++ b/src/calls/expected_loads.cc
@@ -0,0 +1,37 @@
+#include "calls/expected_loads.h"
+
+namespace ferryrock::calls {
+namespace {
+
+/// Callers come back a little later than they were told.
+constexpr Duration kBackLate = std::chrono::milliseconds(700);
+
+}  // namespace
+
+void ExpectedLoads::accept(const std::vector<wire::ComingModel>& coming, TimePoint now) {
+  std::erase_if(ready_, [now](const auto& item) { return item.second <= now; });
+  for (const wire::ComingModel& model : coming) {
+    ready_[{model.service, model.model}] = now + std::chrono::milliseconds(model.ready_in_ms);
+  }
+}
+
+std::optional<TimePoint> ExpectedLoads::readyAt(const ServiceName& service, const ModelName& model,
+                                                TimePoint now) const {
+  const auto found = ready_.find({service, model});
+  return found == ready_.end() || found->second <= now ? std::nullopt : std::optional(found->second);
+}
+
+void ExpectedLoads::expectBack(const ServiceName& service, const ModelName& model, TimePoint at) {
+  absences_.push_back({{service, model}, at + kBackLate});
+}
+
+std::map<ExpectedLoads::Key, std::uint32_t> ExpectedLoads::expectedBack(TimePoint now) {
+  std::erase_if(absences_, [now](const Absence& absence) { return absence.over <= now; });
+  std::map<Key, std::uint32_t> expected;
+  for (const Absence& absence : absences_) {
+    ++expected[absence.key];
+  }
+  return expected;
+}
+
+}  // namespace ferryrock::calls
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 #include "common/hashing.h"
 
@@ -16,6 +17,17 @@
 constexpr std::uint64_t kReadAtOnce = 200;
 /// Replicas of the own zone among which calls stay there.
 constexpr std::ptrdiff_t kLocalChoices = 4;
+/// A replica that said that it lacks a model is asked for it again after these times.
+constexpr Duration kFirstMissingPause = std::chrono::milliseconds(40);
+constexpr Duration kLongestMissingPause = std::chrono::milliseconds(640);
+constexpr int kMissingPauseFactor = 4;
+/// A pace rises by this part of what a pause is longer.
+constexpr int kPaceRise = 200;
+/// Replicas whose pace is so much above the best one's are slow. They make the pauses of all their streams
+/// longer while they read prompts, so that others are preferred.
+constexpr double kSlowPace = 1.15;
+/// Between two probes of a replica to which no connection comes up.
+constexpr Duration kProbePause = std::chrono::milliseconds(500);
 
 std::uint64_t homeWeight(const Replica& replica, std::uint64_t key) {
   return stableHash(replica.routed.id.value, key);
@@ -34,9 +46,28 @@
   });
 }
 
-bool Replica::refuses(const ModelName& model, const std::string& adapter, TimePoint now) const {
-  const auto missing = missing_until.find({model, adapter});
-  return now < refused_until || (missing != missing_until.end() && now < missing->second);
+/// A pace falls to the shortest pause at once and rises slowly, since what disturbs a stream only adds to it.
+void Replica::notePause(const ModelName& model, Duration pause) {
+  Duration& pace = paces[model];
+  pace = pace == Duration::zero() || pause < pace ? pause : pace + (pause - pace) / kPaceRise;
+}
+
+Duration Replica::paceOf(const ModelName& model) const {
+  const auto found = paces.find(model);
+  return found == paces.end() ? Duration::zero() : found->second;
+}
+
+TimePoint Replica::missingUntil(const ModelName& model, const std::string& adapter) const {
+  const auto found = missing.find({model, adapter});
+  return found == missing.end() ? TimePoint{} : found->second.until;
+}
+
+void Replica::noteMissing(const ModelName& model, const std::string& adapter, TimePoint now) {
+  MissingModel& lacked = missing[{model, adapter}];
+  lacked.pause = lacked.pause == Duration::zero()
+                     ? kFirstMissingPause
+                     : std::min(kLongestMissingPause, lacked.pause * kMissingPauseFactor);
+  lacked.until = now + lacked.pause;
 }
 
 void ReplicaTable::apply(const wire::ServiceUpdate& update) {
@@ -44,6 +75,7 @@
   for (const wire::RoutedReplica& routed : update.replicas) {
     Replica& replica = replicas_[routed.id];
     replica.routed = routed;
+    replica.missing.clear();
     replica.listed = true;
     by_service_[routed.service].insert(routed.id);
     named.insert(routed.id);
@@ -90,50 +122,81 @@
 
 Choice ReplicaTable::choose(const ReplicaNeed& need, TimePoint now) {
   Options options;
-  bool any_accepting = false;
-  bool any_holding = false;
+  Choice none{nullptr, ChoiceFailure::NoReplica, std::nullopt};
+  const auto leaveOut = [&none](ChoiceFailure failure, TimePoint until) {
+    none.failure = std::max(none.failure, failure);
+    none.look_again = std::min(none.look_again.value_or(until), until);
+  };
   for (const ReplicaId& id : by_service_[need.service]) {
     Replica& replica = replicas_.at(id);
     if (!replica.listed || !replica.routed.accepting) {
       continue;
     }
-    any_accepting = true;
+    const TimePoint missing_until = replica.missingUntil(need.model, need.adapter);
     if (!replica.holds(need.model, need.adapter)) {
-      continue;
-    }
-    any_holding = true;
-    if (!replica.refuses(need.model, need.adapter, now)) {
+      none.failure = std::max(none.failure, ChoiceFailure::NotHeld);
+    } else if (replica.unreachable(now)) {
+      leaveOut(need.model.empty() ? ChoiceFailure::NoReplica : ChoiceFailure::NotHeld, *replica.probe_at);
+    } else if (now < missing_until) {
+      leaveOut(ChoiceFailure::NotHeld, missing_until);
+    } else if (now < replica.refused_until) {
+      leaveOut(ChoiceFailure::Refusing, replica.refused_until);
+    } else {
       options.push_back(&replica);
     }
   }
   if (options.empty()) {
-    const ChoiceFailure failure = !any_accepting ? ChoiceFailure::NoReplica
-                                  : !any_holding ? ChoiceFailure::NotHeld
-                                                 : ChoiceFailure::Refusing;
-    return {nullptr, failure};
+    return none;
   }
   keepIf(options, [now](const Replica& replica) { return replica.health.admits(now); });
   keepIf(options, [&need](const Replica& replica) { return !need.tried.contains(replica.routed.id); });
   ++turn_;
-  return {leastLoaded(options, need), ChoiceFailure::None};
+  return {leastLoaded(options, need), ChoiceFailure::None, std::nullopt};
 }
 
-bool ReplicaTable::anyHolds(const ReplicaNeed& need) const {
+bool ReplicaTable::anyHolds(const ReplicaNeed& need, TimePoint now) const {
   const auto ids = by_service_.find(need.service);
   return ids != by_service_.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](const auto& id) {
            const Replica& replica = replicas_.at(id);
-           return replica.listed && replica.routed.accepting && replica.holds(need.model, need.adapter);
+           return replica.listed && replica.routed.accepting && !replica.unreachable(now) &&
+                  replica.holds(need.model, need.adapter);
          });
 }
 
+std::vector<ReplicaId> ReplicaTable::unreachable(TimePoint now) const {
+  std::vector<ReplicaId> ids;
+  for (const auto& [id, replica] : replicas_) {
+    if (replica.listed && replica.unreachable(now)) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+/// Those whose pace isn't known yet stay.
+void ReplicaTable::keepFast(Options& options, const ModelName& model) {
+  Duration best = Duration::max();
+  for (const Replica* option : options) {
+    const Duration pace = option->paceOf(model);
+    best = pace > Duration::zero() ? std::min(best, pace) : best;
+  }
+  if (best == Duration::max()) {
+    return;
+  }
+  const auto slow = static_cast<Duration::rep>(static_cast<double>(best.count()) * kSlowPace);
+  keepIf(options, [&](const Replica& option) { return option.paceOf(model).count() <= slow; });
+}
+
 /// First the replicas that read the least of other prompts just now, as each prompt holds up the streams
-/// beside it; then the own zone where it has a choice; then the key's home; then the fewest calls.
+/// beside it; then the fast ones; then the own zone where it has a choice; then the key's home; then the
+/// fewest calls.
 Replica* ReplicaTable::leastLoaded(Options options, const ReplicaNeed& need) const {
   std::uint64_t least_unread = std::numeric_limits<std::uint64_t>::max();
   for (const Replica* option : options) {
     least_unread = std::min(least_unread, option->unread_tokens);
   }
   keepIf(options, [&](const Replica& option) { return option.unread_tokens <= least_unread + kReadAtOnce; });
+  keepFast(options, need.model);
   const auto local = std::count_if(options.begin(), options.end(),
                                    [this](const Replica* option) { return option->routed.zone == zone_; });
   if (local >= kLocalChoices) {
@@ -156,9 +219,21 @@
 
 void ReplicaTable::onSent(Replica& replica, TimePoint now) {
   ++replica.outstanding;
+  if (replica.probe_at) {
+    replica.probe_at = now + kProbePause;
+  }
   replica.health.onDispatched(now);
 }
 
+void ReplicaTable::onUnreachable(Replica& replica, TimePoint now) {
+  replica.probe_at = now + kProbePause;
+}
+
+bool ReplicaTable::onProgress(Replica& replica, TimePoint now) {
+  replica.health.onProgress(now);
+  return std::exchange(replica.probe_at, std::nullopt).has_value();
+}
+
 void ReplicaTable::onReleased(Replica& replica) {
   replica.outstanding -= replica.outstanding > 0 ? 1 : 0;
   replica.health.onReleased();
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -15,6 +16,12 @@
 
 namespace ferryrock::calls {
 
+/// What a replica said that it lacks.
+struct MissingModel {
+  TimePoint until{};
+  Duration pause{};
+};
+
 /// A replica with what this router has on it.
 struct Replica {
   wire::RoutedReplica routed;
@@ -22,12 +29,23 @@
   std::uint32_t outstanding = 0;    ///< attempts of this router
   std::uint64_t unread_tokens = 0;  ///< prompts of its attempts that have shown no sign of life yet
   TimePoint refused_until{};        ///< it said that it is full or leaves
-  /// It said that it doesn't hold the model or adapter, though the table says so.
-  std::map<std::pair<ModelName, std::string>, TimePoint> missing_until;
+  /// Models and adapters that it said it doesn't hold, though the table says so.
+  std::map<std::pair<ModelName, std::string>, MissingModel> missing;
+  /// Time between two events of a stream by model, as far as streams come undisturbed.
+  std::map<ModelName, Duration> paces;
+  /// No connection came up; until then it gets nothing, then one call probes it.
+  std::optional<TimePoint> probe_at;
   bool listed = true;  ///< the leader still lists it
 
+  bool unreachable(TimePoint now) const { return probe_at && now < *probe_at; }
   bool holds(const ModelName& model, const std::string& adapter) const;
-  bool refuses(const ModelName& model, const std::string& adapter, TimePoint now) const;
+  void notePause(const ModelName& model, Duration pause);
+  /// Zero: not known.
+  Duration paceOf(const ModelName& model) const;
+  /// When it may be asked for the model again; in the past if it never said that it lacks it.
+  TimePoint missingUntil(const ModelName& model, const std::string& adapter) const;
+  /// It may be about to get it: asked again soon, then less and less often until the table tells anew.
+  void noteMissing(const ModelName& model, const std::string& adapter, TimePoint now);
 };
 
 /// What a call needs of a replica.
@@ -42,14 +60,15 @@
 
 enum class ChoiceFailure : std::uint8_t {
   None,
-  NoReplica,  ///< the service has none that takes new calls
-  NotHeld,    ///< none of them holds the model or the adapter
+  NoReplica,  ///< the service has none that takes new calls and can be reached
+  NotHeld,    ///< none of those holds the model or the adapter
   Refusing,   ///< those that could have refused just now
 };
 
 struct Choice {
   Replica* replica = nullptr;
   ChoiceFailure failure = ChoiceFailure::None;
+  std::optional<TimePoint> look_again;  ///< earliest instant at which one that was left out may be asked
 };
 
 /// The replicas that the leader lists, and those with attempts still under way. Used by one thread.
@@ -64,10 +83,15 @@
   /// The replica for a call: one that is sound, untried and least loaded; calls of one affinity key share a
   /// home while it isn't much busier than others. An ejected replica is taken only if there is no other.
   Choice choose(const ReplicaNeed& need, TimePoint now);
-  /// True when a replica that takes new calls holds what the call needs, sound or not.
-  bool anyHolds(const ReplicaNeed& need) const;
+  /// True when a replica that takes new calls and can be reached holds what the call needs.
+  bool anyHolds(const ReplicaNeed& need, TimePoint now) const;
+  /// Those to which no connection comes up just now.
+  std::vector<ReplicaId> unreachable(TimePoint now) const;
 
   void onSent(Replica& replica, TimePoint now);
+  static void onUnreachable(Replica& replica, TimePoint now);
+  /// A sign of life. True if no connection had come up before.
+  static bool onProgress(Replica& replica, TimePoint now);
   void onReleased(Replica& replica);
   std::size_t size() const { return replicas_.size(); }
 
@@ -75,6 +99,7 @@
   using Options = std::vector<Replica*>;
 
   static void keepIf(Options& options, const std::function<bool(const Replica&)>& wanted);
+  static void keepFast(Options& options, const ModelName& model);
   Replica* leastLoaded(Options options, const ReplicaNeed& need) const;
   void unlist(const ReplicaId& id);
 
--- /dev/null
+++ b/src/calls/wait_policy.cc
@@ -0,0 +1,52 @@
+#include "calls/wait_policy.h"
+
+#include <algorithm>
+
+namespace ferryrock::calls {
+namespace {
+
+/// Share of a call's time that it may wait for a model to be loaded.
+constexpr double kLoadWaitShare = 0.7;
+/// Share of its caller's patience, so that the first event still comes in time.
+constexpr double kPatienceShare = 0.85;
+/// Share of the latency target that a call waits for a place; refused by then, it may be in time elsewhere.
+constexpr double kPlaceWaitShare = 0.22;
+/// A refusal is prompt within this share of the latency target.
+constexpr double kPromptShare = 0.22;
+/// A model that is ready within this share of the target still serves in time.
+constexpr double kReadyInTimeShare = 0.85;
+/// Callers stay away for a third of the time that they have left at most.
+constexpr double kLongestAbsenceShare = 0.32;
+/// Loads end a little late, and routers hear of it a little later.
+constexpr double kLateLoadShare = 0.06;
+constexpr Duration kLateLoad = std::chrono::milliseconds(120);
+
+Duration scaled(Duration duration, double share) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * share));
+}
+
+}  // namespace
+
+TimePoint waitLimit(const WaitingCall& call, ChoiceFailure failure, TimePoint now) {
+  if (failure != ChoiceFailure::NotHeld) {
+    return std::min(call.deadline, now + scaled(call.target, kPlaceWaitShare));
+  }
+  TimePoint limit = call.arrived + scaled(call.deadline - call.arrived, kLoadWaitShare);
+  if (call.patience) {
+    limit = std::min(limit, call.arrived + scaled(*call.patience, kPatienceShare));
+  }
+  return std::max(now, limit);
+}
+
+std::optional<Duration> comeBackAfter(const WaitingCall& call, TimePoint ready, TimePoint now) {
+  const bool in_time = ready <= call.arrived + scaled(call.target, kReadyInTimeShare);
+  const bool prompt = now <= call.arrived + scaled(call.target, kPromptShare);
+  if (!call.untouched || in_time || !prompt) {
+    return std::nullopt;
+  }
+  const Duration absence = (ready - now) + scaled(ready - now, kLateLoadShare) + kLateLoad;
+  const bool has_time = absence <= scaled(call.deadline - now, kLongestAbsenceShare);
+  return has_time ? std::optional(absence) : std::nullopt;
+}
+
+}  // namespace ferryrock::calls
--- /dev/null
+++ b/src/calls/wait_policy.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <optional>
+
+#include "calls/replica_table.h"
+#include "common/time.h"
+
+namespace ferryrock::calls {
+
+/// What decides how long a call without a replica is held.
+struct WaitingCall {
+  TimePoint arrived{};
+  TimePoint deadline{};
+  Duration target{};                 ///< latency up to the answer, or to the first event of a stream
+  std::optional<Duration> patience;  ///< the caller leaves if nothing comes for longer
+  bool untouched = false;            ///< no replica has had it, the caller got nothing
+};
+
+/// Until when the call may wait: for a model a share of its whole time and of its caller's patience, for a
+/// place only as long as it may still be in time elsewhere.
+TimePoint waitLimit(const WaitingCall& call, ChoiceFailure failure, TimePoint now);
+
+/// How long the caller should stay away if its model is ready only at `ready`; nullopt: it had better wait.
+/// A caller that hears early that it will be late can use its time, and its next call is in time. That pays
+/// only while the refusal is prompt, and if the caller has the time to come back.
+std::optional<Duration> comeBackAfter(const WaitingCall& call, TimePoint ready, TimePoint now);
+
+}  // namespace ferryrock::calls
--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -25,6 +25,15 @@
 /// Calls a second on one copy of a model: reading one prompt holds up the streams beside it, so that copies
 /// are spread until prompts seldom meet.
 constexpr double kCallsPerCopy = 2.0;
+/// From the order to unload something until the load that it makes room for begins, as a rule and at most.
+constexpr Duration kRoomTime = std::chrono::milliseconds(200);
+constexpr Duration kRoomLasts = std::chrono::seconds(5);
+/// Calls of so many seconds count for how urgent a load is; a call that a crowd makes late counts as a share
+/// of one that has to wait for its model.
+constexpr double kUrgencySeconds = 5.0;
+constexpr double kCrowdedShare = 0.12;
+/// What displacing a model costs, per recent call for it, against a second of loading.
+constexpr double kDisplacedShare = 0.5;
 /// Worth of a copy that its model's demand doesn't need, against any that it does.
 constexpr double kSpareCopyDiscount = 1000;
 
@@ -45,12 +54,13 @@
 
 }  // namespace
 
-PlacerEffects ModelPlacer::plan(const wire::ServiceCatalog& catalog, TimePoint now) {
+PlacerEffects ModelPlacer::plan(const wire::ServiceCatalog& catalog, const std::set<ReplicaId>& unreachable,
+                                TimePoint now) {
   if (now >= settings_.first_order) {
     std::erase_if(engines_, [this](const auto& item) { return registry_.find(item.first) == nullptr; });
     for (const wire::HostedService& service : catalog.services) {
       if (service.engine) {
-        Candidates candidates = candidatesOf(service, now);
+        Candidates candidates = candidatesOf(service, unreachable, now);
         copies_ = countCopies(candidates);
         placeAdapters(service, candidates, now);
         placeModels(service, candidates, now);
@@ -60,10 +70,11 @@
   return std::exchange(effects_, {});
 }
 
-ModelPlacer::Candidates ModelPlacer::candidatesOf(const wire::HostedService& service, TimePoint now) {
+ModelPlacer::Candidates ModelPlacer::candidatesOf(const wire::HostedService& service,
+                                                  const std::set<ReplicaId>& unreachable, TimePoint now) {
   Candidates candidates;
   for (const auto& [id, record] : registry_.replicas()) {
-    if (record.report.service == service.name && !record.leaving) {
+    if (record.report.service == service.name && !record.leaving && !unreachable.contains(id)) {
       Engine& engine = engines_[id];
       candidates.push_back({&record, &engine, 0});
     }
@@ -212,17 +223,46 @@
   return found == copies_.end() ? 0 : found->second;
 }
 
+double ModelPlacer::callsInHandPerCopy(const wire::HostedService& service) {
+  return std::max(1.0, kBatchShare * service.engine->slots);
+}
+
 std::size_t ModelPlacer::wantedCopies(const wire::HostedService& service, const ModelName& model) const {
   const KeyDemand demand = demand_.find({service.name, model, {}});
   const double in_hand = demand.running + demand.waiting;
-  const double per_copy = std::max(1.0, kBatchShare * service.engine->slots);
-  const double by_load = std::ceil(in_hand / per_copy);
+  const double by_load = std::ceil(in_hand / callsInHandPerCopy(service));
   const double by_rate = std::ceil(demand.rate() / kCallsPerCopy);
   return static_cast<std::size_t>(std::max({1.0, by_load, by_rate}));
 }
 
+/// Calls of the next seconds that another copy serves better: a model that is missing keeps them waiting, one
+/// with too few copies makes them late.
+double ModelPlacer::urgency(const wire::HostedService& service, const KeyDemand& demand,
+                            std::size_t held) const {
+  if (held == 0) {
+    return demand.waiting + demand.rate() * kUrgencySeconds;
+  }
+  const auto copies = static_cast<double>(held);
+  const double calls_over = (demand.rate() - copies * kCallsPerCopy) * kUrgencySeconds;
+  const double in_hand_over = demand.running + demand.waiting - copies * callsInHandPerCopy(service);
+  return kCrowdedShare * std::max(calls_over, in_hand_over);
+}
+
+/// Room that was made for a model that isn't wanted any more is anybody's.
+void ModelPlacer::dropReservations(Candidates& candidates, const WantedModels& wanted, TimePoint now) {
+  for (Candidate& candidate : candidates) {
+    Engine& engine = *candidate.engine;
+    const bool still_wanted = std::any_of(wanted.begin(), wanted.end(), [&engine](const auto& item) {
+      return item.second->name == engine.room_for;
+    });
+    if (engine.room_for && (!still_wanted || now - engine.room_since > kRoomLasts)) {
+      engine.room_for.reset();
+    }
+  }
+}
+
 void ModelPlacer::placeModels(const wire::HostedService& service, Candidates& candidates, TimePoint now) {
-  std::vector<std::pair<double, const wire::HostedModel*>> wanted;
+  WantedModels wanted;
   for (const auto& [key, demand] : demand_.keys()) {
     const bool whole_model = key.service == service.name && key.adapter.empty();
     const wire::HostedModel* model = whole_model ? findModel(*service.engine, key.model) : nullptr;
@@ -233,14 +273,18 @@
     const bool missing = held == 0 && demand.waiting > 0;
     const bool crowded = held > 0 && held < wantedCopies(service, key.model);
     if (missing || crowded) {
-      wanted.emplace_back(demand.rate() + demand.waiting + (missing ? 1000.0 : 0.0), model);
+      wanted.emplace_back(urgency(service, demand, held), model);
     }
   }
   std::sort(wanted.begin(), wanted.end(), [](const auto& left, const auto& right) {
     return left.first != right.first ? left.first > right.first : left.second->name < right.second->name;
   });
+  dropReservations(candidates, wanted, now);
   for (const auto& [urgency, model] : wanted) {
-    if (!placeModel(service, *model, candidates, now)) {
+    const bool room_is_coming = std::any_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
+      return candidate.engine->room_for == model->name;
+    });
+    if (!placeModel(service, *model, candidates, now) && !room_is_coming) {
       makeRoom(service, *model, candidates, now);
     }
   }
@@ -251,20 +295,18 @@
 bool ModelPlacer::placeModel(const wire::HostedService& service, const wire::HostedModel& model,
                              Candidates& candidates, TimePoint now) {
   Candidate* best = nullptr;
-  std::int64_t best_ms = 0;
+  Duration best_time{};
   for (Candidate& candidate : candidates) {
     const Engine& engine = *candidate.engine;
-    const wire::ReplicaReport& report = candidate.record->report;
     const bool fits = candidate.used_mb + model.weight_mb <= service.engine->weight_capacity_mb;
-    if (!fits || engine.loading || engine.unloading || holds(*candidate.record, model.name)) {
+    const bool reserved = engine.room_for && engine.room_for != model.name;
+    if (!fits || reserved || engine.loading || engine.unloading || holds(*candidate.record, model.name)) {
       continue;
     }
-    const std::int64_t load_ms = contains(report.in_memory, model.name) ? model.memory_load_ms
-                                 : contains(report.on_disk, model.name) ? model.disk_load_ms
-                                                                        : model.store_load_ms;
-    if (best == nullptr || load_ms < best_ms) {
+    const Duration load_time = loadTime(*candidate.record, model);
+    if (best == nullptr || load_time < best_time) {
       best = &candidate;
-      best_ms = load_ms;
+      best_time = load_time;
     }
   }
   if (best == nullptr) {
@@ -275,6 +317,8 @@
   if (ready(*best, now) && (!from_store || mayLoadFromStore(*service.engine, now))) {
     order(*best, OrderAction::Load, model.name, {}, model.weight_mb, now);
     const bool ordered = best->engine->pending && !best->engine->pending->inspecting;
+    best->engine->loading_time = best_time;
+    best->engine->room_for.reset();
     best->used_mb += model.weight_mb;
     if (ordered && from_store) {
       store_loads_.push_back(now);
@@ -308,12 +352,13 @@
   return spare_copy ? worth - kSpareCopyDiscount : worth;
 }
 
-/// Unloads what is worth least on one replica, until the model fits there.
+/// Unloads what is worth least on one replica, until the model fits there. A replica that has the model's
+/// weights on its disk or in its memory is preferred: the load is shorter and spares the store.
 bool ModelPlacer::makeRoom(const wire::HostedService& service, const wire::HostedModel& model,
                            Candidates& candidates, TimePoint now) {
   Candidate* best = nullptr;
   const ModelName* victim = nullptr;
-  double best_worth = 0;
+  double best_cost = 0;
   for (Candidate& candidate : candidates) {
     const Engine& engine = *candidate.engine;
     if (engine.loading || holds(*candidate.record, model.name)) {
@@ -338,20 +383,72 @@
       }
     }
     const bool helps = candidate.used_mb - freed + model.weight_mb <= service.engine->weight_capacity_mb;
-    if (least_worth != nullptr && helps && ready(candidate, now) && (best == nullptr || least < best_worth)) {
+    const double load_seconds = std::chrono::duration<double>(loadTime(*candidate.record, model)).count();
+    const double cost = least * kDisplacedShare + load_seconds;
+    if (least_worth != nullptr && helps && ready(candidate, now) && (best == nullptr || cost < best_cost)) {
       best = &candidate;
       victim = least_worth;
-      best_worth = least;
+      best_cost = cost;
     }
   }
   if (best == nullptr) {
     return false;
   }
   const ModelName displaced = *victim;
+  best->engine->room_for = model.name;
+  best->engine->room_since = now;
+  ++loads_begun_;
   order(*best, OrderAction::Unload, displaced, {}, 0, now);
   return true;
 }
 
+Duration ModelPlacer::loadTime(const ReplicaRecord& record, const wire::HostedModel& model) {
+  const std::int64_t load_ms = contains(record.report.in_memory, model.name) ? model.memory_load_ms
+                               : contains(record.report.on_disk, model.name) ? model.disk_load_ms
+                                                                             : model.store_load_ms;
+  return std::chrono::milliseconds(load_ms);
+}
+
+Duration ModelPlacer::shortestLoad(const wire::HostedService& service, const wire::HostedModel& model) const {
+  Duration shortest = std::chrono::milliseconds(model.store_load_ms);
+  for (const auto& [id, record] : registry_.replicas()) {
+    if (record.report.service == service.name && !record.leaving) {
+      shortest = std::min(shortest, loadTime(record, model));
+    }
+  }
+  return shortest;
+}
+
+/// An unload waits for the runs of its model, nobody knows how long.
+bool ModelPlacer::waitsForRuns(const wire::HostedService& service, const Engine& engine) const {
+  return engine.unloading && demand_.find({service.name, *engine.unloading, {}}).running > 0;
+}
+
+std::optional<TimePoint> ModelPlacer::expectedAt(const wire::HostedService& service, const ModelName& name,
+                                                 TimePoint now) const {
+  const wire::HostedModel* model = service.engine ? findModel(*service.engine, name) : nullptr;
+  if (model == nullptr) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> earliest;
+  for (const auto& [id, engine] : engines_) {
+    std::optional<TimePoint> ready;
+    if (engine.loading == name) {
+      ready = engine.loading_since + engine.loading_time;
+    } else if (engine.room_for == name && now - engine.room_since < kRoomLasts &&
+               !waitsForRuns(service, engine)) {
+      const ReplicaRecord* record = registry_.find(id);
+      ready =
+          now + kRoomTime + (record == nullptr ? shortestLoad(service, *model) : loadTime(*record, *model));
+    }
+    earliest = ready && (!earliest || *ready < *earliest) ? ready : earliest;
+  }
+  if (!earliest && now < settings_.first_order) {
+    earliest = settings_.first_order + kRoomTime + shortestLoad(service, *model);
+  }
+  return earliest && *earliest > now ? earliest : std::nullopt;
+}
+
 void ModelPlacer::order(Candidate& candidate, OrderAction action, const ModelName& model,
                         const std::string& adapter, double megabytes, TimePoint now) {
   Engine& engine = *candidate.engine;
@@ -382,6 +479,7 @@
     engine.loading = model;
     engine.loading_mb = megabytes;
     engine.loading_since = now;
+    ++loads_begun_;
     ++copies_[model];
   }
   effects_.emplace_back(std::move(effect));
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -35,7 +35,15 @@
   ModelPlacer(const ModelPlacerSettings& settings, ReplicaRegistry& registry, ModelDemand& demand)
       : settings_(settings), registry_(registry), demand_(demand) {}
 
-  PlacerEffects plan(const wire::ServiceCatalog& catalog, TimePoint now);
+  /// unreachable: replicas that routers can't connect to; what they hold serves nobody, and they get no
+  /// orders.
+  PlacerEffects plan(const wire::ServiceCatalog& catalog, const std::set<ReplicaId>& unreachable,
+                     TimePoint now);
+  /// When a model that no replica holds should serve; nullopt: it isn't known, or a replica holds it.
+  std::optional<TimePoint> expectedAt(const wire::HostedService& service, const ModelName& model,
+                                      TimePoint now) const;
+  /// Raised with each load of a model, and with each unload that makes room for one.
+  std::uint64_t loadsBegun() const { return loads_begun_; }
   void onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now);
   /// nullopt: the replica didn't answer.
   void onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now);
@@ -55,6 +63,9 @@
     std::optional<ModelName> loading;  ///< taken, not yet in a report
     double loading_mb = 0;
     TimePoint loading_since{};
+    Duration loading_time{};            ///< as expected
+    std::optional<ModelName> room_for;  ///< unloads something for that model
+    TimePoint room_since{};
     std::optional<ModelName> unloading;
     TimePoint unloading_since{};
     TimePoint not_before{};  ///< of the next order
@@ -71,9 +82,12 @@
   };
   using Candidates = std::vector<Candidate>;
   using CopyCounts = std::map<ModelName, std::size_t>;
+  /// With their urgency.
+  using WantedModels = std::vector<std::pair<double, const wire::HostedModel*>>;
 
   void settleFinished(Candidates& candidates, TimePoint now);
-  Candidates candidatesOf(const wire::HostedService& service, TimePoint now);
+  Candidates candidatesOf(const wire::HostedService& service, const std::set<ReplicaId>& unreachable,
+                          TimePoint now);
   static double usedMegabytes(const ReplicaRecord& record, const Engine& engine,
                               const wire::EngineTraits& traits);
   /// Adapters on a replica or on their way, as far as they may be there.
@@ -90,6 +104,10 @@
   /// Copies that serve or are about to, by model.
   static CopyCounts countCopies(const Candidates& candidates);
   std::size_t copies(const ModelName& model) const;
+  double urgency(const wire::HostedService& service, const KeyDemand& demand, std::size_t held) const;
+  static void dropReservations(Candidates& candidates, const WantedModels& wanted, TimePoint now);
+  /// Calls running or waiting for which one copy is enough.
+  static double callsInHandPerCopy(const wire::HostedService& service);
   std::size_t wantedCopies(const wire::HostedService& service, const ModelName& model) const;
   void loadAdapter(const wire::HostedService& service, const ModelKey& key, Candidates& candidates,
                    TimePoint now);
@@ -98,6 +116,10 @@
   void order(Candidate& candidate, OrderAction action, const ModelName& model, const std::string& adapter,
              double megabytes, TimePoint now);
   static void forgetLoad(Engine& engine);
+  static Duration loadTime(const ReplicaRecord& record, const wire::HostedModel& model);
+  bool waitsForRuns(const wire::HostedService& service, const Engine& engine) const;
+  /// The shortest on any replica of the service that may get orders.
+  Duration shortestLoad(const wire::HostedService& service, const wire::HostedModel& model) const;
   static void takeState(Engine& engine, const ReplicaState& state);
   bool ready(const Candidate& candidate, TimePoint now) const;
 
@@ -107,6 +129,7 @@
   std::map<ReplicaId, Engine> engines_;
   std::deque<TimePoint> store_loads_;  ///< loads that may have begun from the store, oldest first
   std::uint64_t next_number_ = 1;
+  std::uint64_t loads_begun_ = 0;
   CopyCounts copies_;  ///< of the service that is planned, as the plan goes on
   PlacerEffects effects_;
 };
--- a/src/services/router_directory.cc
+++ b/src/services/router_directory.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr Duration kForgottenAfter = std::chrono::seconds(10);
+/// Routers tell the leader what they can't reach more often than this.
+constexpr Duration kReachIsFresh = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -43,4 +45,14 @@
       routers_.begin(), routers_.end(), [now](const auto& item) { return offered(item.second, now); }));
 }
 
+std::set<ReplicaId> RouterDirectory::unreachable(TimePoint now) const {
+  std::set<ReplicaId> ids;
+  for (const auto& [name, record] : routers_) {
+    if (now - record.heard <= kReachIsFresh) {
+      ids.insert(record.status.unreachable.begin(), record.status.unreachable.end());
+    }
+  }
+  return ids;
+}
+
 }  // namespace ferryrock::services
--- a/src/services/router_directory.h
+++ b/src/services/router_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
   /// Routers that share the retry budgets.
   std::size_t acceptingCount(TimePoint now) const;
 
+  /// Replicas that some router in touch can't connect to.
+  std::set<ReplicaId> unreachable(TimePoint now) const;
+
   /// A router that is silent for longer isn't offered to callers.
   static constexpr Duration kOfferedFor = std::chrono::milliseconds(3000);
 
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -246,7 +246,8 @@
   }
   if (leader_) {
     deadline = std::min(deadline, leader_->next_plan);
-    if (registry_.changes() != leader_->pushed_changes) {
+    if (registry_.changes() != leader_->pushed_changes ||
+        leader_->placer.loadsBegun() != leader_->pushed_loads) {
       deadline = std::min(deadline, leader_->next_push);
     }
   }
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -85,6 +85,7 @@
     TimePoint since;
     bool complete = false;  ///< every living replica has had the time to report
     std::uint64_t pushed_changes = 0;
+    std::uint64_t pushed_loads = 0;  ///< the placer's loadsBegun()
     CatalogVersion pushed_version;
     TimePoint next_push{};
     bool push_to_all = false;  ///< what is new can't wait for the routers' next statuses
@@ -146,6 +147,7 @@
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
   void sendUpdate(const wire::CallRouterStatus& status, const FeedContext& context, TimePoint now);
   void pushTables(TimePoint now);
+  std::vector<wire::ComingModel> comingFor(const wire::CallRouterStatus& status, TimePoint now) const;
   void hurryPlan(TimePoint now);
   void planModels(TimePoint now);
   void mendMembership(TimePoint now);
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -63,15 +63,36 @@
 void ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, const FeedContext& context,
                                     TimePoint now) {
   wire::ServiceUpdate update = leader_->feed.updateFor(leader_->updates.expected(status, now), context);
+  update.coming = comingFor(status, now);
   leader_->updates.onSent(status.router, update, now);
   send(status.router, std::move(update));
 }
 
+/// Of the models that the router's calls wait for, those that are being loaded.
+std::vector<wire::ComingModel> ServiceControlImpl::comingFor(const wire::CallRouterStatus& status,
+                                                             TimePoint now) const {
+  std::vector<wire::ComingModel> coming;
+  for (const wire::ModelWant& want : status.wants) {
+    if (want.waiting == 0) {
+      continue;
+    }
+    for (const wire::HostedService& service : node_->hosted().catalog().services) {
+      const auto ready =
+          service.name == want.service ? leader_->placer.expectedAt(service, want.model, now) : std::nullopt;
+      if (ready) {
+        coming.push_back({want.service, want.model, toMilliseconds(*ready - now)});
+      }
+    }
+  }
+  return coming;
+}
+
 /// Tells routers what has changed: all of them if it can't wait or they are few, else those whose calls wait
 /// for a model. The others, and what is lost on the way, follow with the next status.
 void ServiceControlImpl::pushTables(TimePoint now) {
   const CatalogVersion version = node_->hosted().catalog().version;
-  const bool news = registry_.changes() != leader_->pushed_changes || version != leader_->pushed_version;
+  const bool news = registry_.changes() != leader_->pushed_changes || version != leader_->pushed_version ||
+                    leader_->placer.loadsBegun() != leader_->pushed_loads;
   if (!news) {
     return;
   }
@@ -88,6 +109,7 @@
   const bool to_all = urgent || small;
   leader_->push_to_all = false;
   leader_->pushed_changes = registry_.changes();
+  leader_->pushed_loads = leader_->placer.loadsBegun();
   leader_->pushed_version = version;
   const FeedContext context = feedContext(now);
   for (const auto& [router, record] : directory_.routers()) {
@@ -111,7 +133,8 @@
   leader_->next_plan = now + kPlanInterval;
   leader_->planned = now;
   leader_->demand.fade(now);
-  for (PlacerEffect& effect : leader_->placer.plan(node_->hosted().catalog(), now)) {
+  const std::set<ReplicaId> unreachable = directory_.unreachable(now);
+  for (PlacerEffect& effect : leader_->placer.plan(node_->hosted().catalog(), unreachable, now)) {
     std::visit([this](auto& typed) { effects_.emplace_back(std::move(typed)); }, effect);
   }
 }
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -19,6 +19,26 @@
   return replica;
 }
 
+/// The catalog without its models: they are most of its bytes and change seldom, while each of many routers
+/// gets each version.
+wire::ServiceCatalog forRouters(const wire::ServiceCatalog& catalog) {
+  wire::ServiceCatalog part;
+  part.version = catalog.version;
+  part.routes = catalog.routes;
+  part.limits = catalog.limits;
+  for (const wire::HostedService& service : catalog.services) {
+    wire::HostedService& told = part.services.emplace_back(
+        wire::HostedService{service.name, service.health_path, service.max_connections, {}});
+    if (service.engine) {
+      const wire::EngineTraits& engine = *service.engine;
+      told.engine =
+          wire::EngineTraits{engine.slots,         engine.cache_tokens,     engine.weight_capacity_mb,
+                             engine.adapter_slots, engine.loads_per_second, {}};
+    }
+  }
+  return part;
+}
+
 }  // namespace
 
 LogIndex TableFeed::revisionAt(std::uint64_t change) const {
@@ -39,7 +59,7 @@
   update.revision = revision();
   update.version = context.catalog.version;
   if (status.catalog < context.catalog.version) {
-    update.catalog = context.catalog;
+    update.catalog = forRouters(context.catalog);
   }
   update.members = context.members;
   update.routers = context.routers;
--- a/src/transport/zeromq_transport.cc
+++ b/src/transport/zeromq_transport.cc
@@ -26,8 +26,8 @@
 constexpr int kProbeSeconds = 1;
 constexpr int kProbes = 3;
 constexpr int kUnacknowledgedMs = 3000;
-/// Else a connection that is begun during a cut comes up only when the kernel repeats its opening packet, up to
-/// tens of seconds after the cut.
+/// Else a connection that is begun during a cut comes up only when the kernel repeats its opening packet, up
+/// to tens of seconds after the cut.
 constexpr int kConnectMs = 1000;
 constexpr int kHandshakeMs = 2000;
 constexpr std::int64_t kMaximumMessageBytes = 256 << 20;
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -78,10 +78,11 @@
   CatalogVersion catalog;  ///< in force
   LogIndex revision;       ///< of its replica table
   std::vector<ModelWant> wants;
-  std::uint64_t directory = 0;  ///< directoryDigest() of the directory that it holds
-  bool missed_update = false;   ///< an update came that builds on one that didn't
+  std::uint64_t directory = 0;         ///< directoryDigest() of the directory that it holds
+  bool missed_update = false;          ///< an update came that builds on one that didn't
+  std::vector<ReplicaId> unreachable;  ///< replicas to which no connection comes up just now
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
-                   revision, wants, directory, missed_update)
+                   revision, wants, directory, missed_update, unreachable)
 };
 
 /// A replica as routers need it.
@@ -97,13 +98,22 @@
   FERRYROCK_FIELDS(RoutedReplica, id, service, address, zone, slots, accepting, slow_start_ms, held)
 };
 
+/// A model that is being loaded, or soon will be.
+struct ComingModel {
+  ServiceName service;
+  ModelName model;
+  std::int64_t ready_in_ms = 0;  ///< as expected when the message was sent
+  FERRYROCK_FIELDS(ComingModel, service, model, ready_in_ms)
+};
+
 /// From the leader. Changes of the replica table after base, or the whole table if base is 0. Revisions carry
 /// the leader's term in the upper bits, so that a router never goes back.
 struct ServiceUpdate {
   LogIndex base;
   LogIndex revision;
   CatalogVersion version;
-  std::optional<ServiceCatalog> catalog;  ///< given when the router holds an older version
+  /// Given when the router holds an older version; without the models of engines, which routers don't need.
+  std::optional<ServiceCatalog> catalog;
   std::vector<RoutedReplica> replicas;
   std::vector<ReplicaId> removed;
   bool complete = false;      ///< replicas that a whole table doesn't list are gone
@@ -111,8 +121,9 @@
   std::vector<NodeName> members;
   /// Where callers may connect; given when the router holds another directory.
   std::optional<std::vector<std::string>> directory;
+  std::vector<ComingModel> coming;  ///< of the models that the router's calls wait for
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
-                   members, directory)
+                   members, directory, coming)
 };
 
 /// Hash of the addresses in their order; 0 for none.
--- a/src/wire/service_types.h
+++ b/src/wire/service_types.h
@@ -35,13 +35,14 @@
   std::int64_t timeout_ms = 0;         ///< the longest that a call is held
   std::int64_t target_latency_ms = 0;  ///< up to the answer, or to the first event of a stream
   std::int64_t target_pause_ms = 0;    ///< between two events of a stream; 0: not stated
+  std::int64_t patience_ms = 0;        ///< callers leave when nothing comes for longer; 0: not known
   std::uint32_t priority = 0;          ///< 0 is the most urgent
   std::uint32_t max_attempts = 1;      ///< replicas that one call may be sent to
   bool affinity = false;               ///< calls with a common prompt prefix go to the same replica
   bool resumable = false;              ///< a broken stream may go on at another replica
   std::vector<RouteTarget> targets;
   FERRYROCK_FIELDS(CallRoute, name, host, path_prefix, kind, timeout_ms, target_latency_ms, target_pause_ms,
-                   priority, max_attempts, affinity, resumable, targets)
+                   priority, max_attempts, affinity, resumable, targets, patience_ms)
 };
 
 /// A model that the replicas of a service can load.
--- a/tests/calls/call_fixture.h
+++ b/tests/calls/call_fixture.h
@@ -12,7 +12,7 @@
 /// A call router under a virtual clock, with the effects that it gave.
 class CallFixture {
  public:
-  CallFixture() : router_(settings(), log_, now) {}
+  explicit CallFixture(double retry_slack = 100) : router_(settings(retry_slack), log_, now) {}
 
   /// Puts the catalog in force: /safe/ repeatable, /once/ at most once, /stream/ resumable, /single/ a stream
   /// that isn't, /model/ on a service with models; each 1 s, 3 attempts.
@@ -86,11 +86,11 @@
   }
 
   static wire::ServiceCatalog catalog(std::uint64_t version);
-  static CallRouterSettings settings() {
+  static CallRouterSettings settings(double retry_slack) {
     CallRouterSettings settings;
     settings.feed.router = NodeName("edge-1");
     settings.feed.seeds = {NodeName("control-1"), NodeName("control-2")};
-    settings.retries.slack = 100;
+    settings.retries.slack = retry_slack;
     return settings;
   }
 
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -92,6 +92,7 @@
     fixture.call(given.path);
     while (fixture.last<RefuseCallEffect>() == nullptr) {
       fixture.fail(given.failure);
+      fixture.pass(20ms);  // without a replica that can be reached the call waits for a moment
     }
     CHECK(fixture.count<SendAttemptEffect>() == given.sent);
     CHECK(fixture.last<RefuseCallEffect>()->code == given.code);
@@ -114,6 +115,84 @@
   CHECK(refusal->retry_after.has_value());
 }
 
+/// Calls of a model that one replica holds, or two.
+struct Modelled : CallFixture {
+  explicit Modelled(double retry_slack = 100) : CallFixture(retry_slack) {
+    begin();
+    addReplicas({holder("e1")});
+  }
+  static wire::RoutedReplica holder(const std::string& id) {
+    wire::RoutedReplica replica = CallFixture::replica(id, "llm");
+    replica.held = {{ModelName("m1"), {}}};
+    return replica;
+  }
+  const wire::CallRouterStatus& told() const {
+    return std::get<wire::CallRouterStatus>(last<wire::SendEffect>()->message);
+  }
+};
+
+TEST_CASE("A sending that reached no replica costs nothing of the retry budget") {
+  constexpr double kNoSlack = 0;
+  CallFixture fixture(kNoSlack);
+  fixture.begin();
+  fixture.addReplicas({CallFixture::replica("r1"), CallFixture::replica("r2"), CallFixture::replica("r3")});
+  fixture.call("/once/x");
+  fixture.fail(AttemptFailure::NotSent);
+  fixture.fail(AttemptFailure::NotSent);
+  REQUIRE(fixture.count<SendAttemptEffect>() == 3);
+  fixture.answer(200);
+  CHECK(fixture.count<DeliverAnswerEffect>() == 1);
+  fixture.call("/once/x");
+  fixture.answer(503, true);
+  REQUIRE(fixture.last<RefuseCallEffect>() != nullptr);
+  CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::RetryBudgetSpent);
+}
+
+TEST_CASE("A call whose only holder can't be reached waits for another, and control hears of both") {
+  Modelled fixture;
+  fixture.call("/model/x", "m1");
+  fixture.fail(AttemptFailure::NotSent);
+  fixture.pass(20ms);
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+  CHECK(fixture.last<RefuseCallEffect>() == nullptr);
+  CHECK(fixture.told().unreachable == std::vector<ReplicaId>{ReplicaId("e1")});
+  REQUIRE(fixture.told().wants.size() == 1);
+  CHECK(fixture.told().wants[0].waiting == 1);
+  fixture.addReplicas({Modelled::holder("e2")});
+  REQUIRE(fixture.count<SendAttemptEffect>() == 2);
+  CHECK(fixture.last<SendAttemptEffect>()->replica == ReplicaId("e2"));
+}
+
+TEST_CASE("A replica that can't be reached is probed by one waiting call once its ejection is over") {
+  Modelled fixture;
+  fixture.call("/model/x", "m1");
+  fixture.fail(AttemptFailure::NotSent);
+  fixture.call("/model/x", "m1");
+  fixture.pass(550ms);
+  REQUIRE(fixture.count<SendAttemptEffect>() == 2);
+  CHECK(fixture.last<SendAttemptEffect>()->replica == ReplicaId("e1"));
+  fixture.event(1);
+  fixture.pass(300ms);
+  CHECK(fixture.count<SendAttemptEffect>() == 3);
+  CHECK(fixture.told().unreachable.empty());
+}
+
+TEST_CASE("A replica that lacks a model which the table lists is asked again less and less often") {
+  Modelled fixture;
+  fixture.call("/model/x", "m1");
+  fixture.answer(421, true);
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+  fixture.pass(45ms);
+  CHECK(fixture.count<SendAttemptEffect>() == 2);
+  fixture.answer(421, true);
+  fixture.pass(100ms);
+  CHECK(fixture.count<SendAttemptEffect>() == 2);
+  fixture.pass(70ms);
+  CHECK(fixture.count<SendAttemptEffect>() == 3);
+  fixture.event(1);
+  CHECK(fixture.count<StartStreamEffect>() == 1);
+}
+
 TEST_CASE("A call that may have run is never refused as not run, also when later replicas refuse it") {
   Begun fixture;
   fixture.call("/safe/x");
--- /dev/null
+++ b/tests/calls/wait_policy_test.cc
@@ -0,0 +1,131 @@
+#include "calls/wait_policy.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "calls/call_fixture.h"
+#include "calls/expected_loads.h"
+
+namespace ferryrock::calls {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kArrived{1000s};
+
+/// A call with a target of 1 s and 20 s in all, that nobody has had.
+WaitingCall untouched() {
+  return {kArrived, kArrived + 20s, 1s, std::nullopt, true};
+}
+
+TEST_CASE("A call waits for a model within a share of its time and of its caller's patience") {
+  WaitingCall call = untouched();
+  CHECK(waitLimit(call, ChoiceFailure::NotHeld, kArrived) == kArrived + 14s);
+  call.patience = 4s;
+  CHECK(waitLimit(call, ChoiceFailure::NotHeld, kArrived) == kArrived + 3400ms);
+  CHECK(waitLimit(call, ChoiceFailure::NotHeld, kArrived + 5s) == kArrived + 5s);
+}
+
+TEST_CASE("A call waits for a place only as long as it may be in time elsewhere") {
+  CHECK(waitLimit(untouched(), ChoiceFailure::Refusing, kArrived) == kArrived + 220ms);
+  CHECK(waitLimit(untouched(), ChoiceFailure::NoReplica, kArrived) == kArrived + 220ms);
+  WaitingCall call = untouched();
+  call.deadline = kArrived + 100ms;
+  CHECK(waitLimit(call, ChoiceFailure::NoReplica, kArrived) == kArrived + 100ms);
+}
+
+struct AbsenceCase {
+  const char* name;
+  Duration ready;
+  Duration now;
+  bool untouched;
+  bool away;
+};
+
+TEST_CASE("A caller is sent away when its model is late, the refusal is prompt and it has the time") {
+  const std::vector<AbsenceCase> cases = {
+      {"late load", 3s, 20ms, true, true},
+      {"in time", 800ms, 20ms, true, false},
+      {"not prompt any more", 3s, 300ms, true, false},
+      {"no time to come back", 7s, 20ms, true, false},
+      {"a replica has had it", 3s, 20ms, false, false},
+  };
+  for (const AbsenceCase& given : cases) {
+    INFO(given.name);
+    WaitingCall call = untouched();
+    call.untouched = given.untouched;
+    const auto absence = comeBackAfter(call, kArrived + given.ready, kArrived + given.now);
+    CHECK(absence.has_value() == given.away);
+    if (absence) {
+      CHECK(*absence > given.ready - given.now);
+      CHECK(*absence < given.ready - given.now + 500ms);
+    }
+  }
+}
+
+TEST_CASE("A model's coming is known until it is past, and its callers are expected for a while longer") {
+  ExpectedLoads loads;
+  const ServiceName service("llm");
+  const ModelName model("m1");
+  loads.accept({{service, model, 2000}}, kArrived);
+  CHECK(loads.readyAt(service, model, kArrived + 1s) == kArrived + 2s);
+  CHECK_FALSE(loads.readyAt(service, model, kArrived + 2s).has_value());
+  CHECK_FALSE(loads.readyAt(service, ModelName("m2"), kArrived).has_value());
+  loads.expectBack(service, model, kArrived + 2s);
+  loads.expectBack(service, model, kArrived + 3s);
+  CHECK(loads.expectedBack(kArrived + 2500ms).at({service, model}) == 2);
+  CHECK(loads.expectedBack(kArrived + 3s).at({service, model}) == 1);
+  CHECK(loads.expectedBack(kArrived + 4s).empty());
+}
+
+TEST_CASE("A call whose model is being loaded is refused at once with the time, and stays wanted") {
+  CallFixture fixture;
+  fixture.begin();
+  fixture.addReplicas({CallFixture::replica("e1", "llm")});
+  fixture.call("/model/x", "m1");
+  fixture.pass(15ms);
+  wire::ServiceUpdate update;
+  update.base = LogIndex{(std::uint64_t{1} << 40) | 1};
+  update.coming = {{ServiceName("llm"), ModelName("m1"), 175}};
+  fixture.send(update);
+  const auto* refusal = fixture.last<RefuseCallEffect>();
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->not_run);
+  REQUIRE(refusal->retry_after.has_value());
+  CHECK(*refusal->retry_after >= 175ms);
+  CHECK(*refusal->retry_after < 400ms);
+  fixture.pass(260ms);
+  const auto& status = std::get<wire::CallRouterStatus>(fixture.last<wire::SendEffect>()->message);
+  REQUIRE(status.wants.size() == 1);
+  CHECK(status.wants[0].waiting == 1);
+}
+
+TEST_CASE("A slow replica is used only while the fast ones read prompts") {
+  ReplicaTable table(ZoneName(""), 3);
+  wire::ServiceUpdate update;
+  for (const char* id : {"fast", "slow"}) {
+    wire::RoutedReplica replica = CallFixture::replica(id, "llm");
+    replica.held = {{ModelName("m1"), {}}};
+    update.replicas.push_back(replica);
+  }
+  table.apply(update);
+  Replica& fast = *table.find(ReplicaId("fast"));
+  Replica& slow = *table.find(ReplicaId("slow"));
+  for (int i = 0; i < 5; ++i) {
+    fast.notePause(ModelName("m1"), i == 2 ? 140ms : 20ms);
+    slow.notePause(ModelName("m1"), 27ms);
+  }
+  ReplicaNeed need;
+  need.service = ServiceName("llm");
+  need.model = ModelName("m1");
+  for (int i = 0; i < 4; ++i) {
+    Replica* chosen = table.choose(need, kArrived).replica;
+    CHECK(chosen == &fast);
+    table.onSent(*chosen, kArrived);
+  }
+  fast.unread_tokens = 1000;
+  CHECK(table.choose(need, kArrived).replica == &slow);
+}
+
+}  // namespace
+}  // namespace ferryrock::calls
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -115,6 +115,8 @@
   CHECK(catalog.version == CatalogVersion{7});
   REQUIRE(catalog.routes.size() == 2);
   CHECK(catalog.routes[0].kind == wire::CallKind::Streaming);
+  CHECK(catalog.routes[0].patience_ms == 24000);  // four times the objective
+  CHECK(catalog.routes[1].patience_ms == 0);
   CHECK(catalog.routes[0].resumable);
   CHECK(catalog.routes[0].affinity);
   CHECK(catalog.routes[1].targets[0].weight == 90);
--- a/tests/services/model_placer_test.cc
+++ b/tests/services/model_placer_test.cc
@@ -99,7 +99,7 @@
     for (const TimePoint end = time_ + duration; time_ < end; time_ += 20ms) {
       demand_.accept(NodeName("edge"), wants_, time_);
       demand_.fade(time_);
-      handle(placer_.plan(makeCatalog(1), time_));
+      handle(placer_.plan(catalog, unreachable, time_));
       for (auto late = late_.begin(); late != late_.end();) {
         if (late->first <= time_) {
           find(late->second.replica).take(late->second);
@@ -123,6 +123,18 @@
   std::vector<ScriptedReplica>& replicas() { return replicas_; }
   std::size_t loads() const { return loads_; }
 
+  void want(std::vector<wire::ModelWant> wants) { wants_ = std::move(wants); }
+  ModelPlacer& placer() { return placer_; }
+  TimePoint now() const { return time_; }
+  std::size_t copiesOf(const std::string& model) const {
+    return static_cast<std::size_t>(
+        std::count_if(replicas_.begin(), replicas_.end(),
+                      [&](const auto& replica) { return replica.held.contains(ModelName(model)); }));
+  }
+
+  std::set<ReplicaId> unreachable;
+  wire::ServiceCatalog catalog = makeCatalog(1);
+
  private:
   static ModelPlacerSettings settings() {
     ModelPlacerSettings settings;
@@ -170,6 +182,78 @@
   CHECK(world.replicas()[0].held.contains(ModelName("m0")));
 }
 
+TEST_CASE("A model whose only holder can't be reached is loaded elsewhere at once") {
+  PlacerWorld world(2, 5, 0);
+  world.replicas()[1].held.clear();
+  world.want("m0", "", 0);
+  world.run(2s);
+  CHECK(world.loads() == 0);
+  world.unreachable = {ReplicaId("r0")};
+  world.want("m0", "", 1);
+  world.run(5s);
+  CHECK(world.loads() == 1);
+  CHECK(world.replicas()[1].held.contains(ModelName("m0")));
+}
+
+/// Adds models m3 to m19 like those that the catalog has.
+void addModels(wire::ServiceCatalog& catalog) {
+  for (wire::HostedService& service : catalog.services) {
+    for (int i = 3; service.engine && i < 20; ++i) {
+      wire::HostedModel model = service.engine->models.front();
+      model.name = ModelName("m" + std::to_string(i));
+      service.engine->models.push_back(model);
+    }
+  }
+}
+
+wire::ModelWant wantOf(const std::string& model, std::uint32_t waiting, std::uint32_t running,
+                       std::uint32_t arrivals) {
+  return {ServiceName("llm"), ModelName(model), "", waiting, running, arrivals};
+}
+
+/// Rare models wanted one after the other take all loads that the store allows, if they go first.
+TEST_CASE("A crowded model gets another copy although rare models are wanted all the time") {
+  PlacerWorld world(4, 11, 0);
+  addModels(world.catalog);
+  for (std::size_t i = 0; i < 4; ++i) {
+    world.replicas()[i].held = {{ModelName("m" + std::to_string(2 * i)), {}},
+                                {ModelName("m" + std::to_string(2 * i + 1)), {}}};
+  }
+  constexpr int kTenths = 120;
+  for (int tenth = 0; tenth < kTenths; ++tenth) {
+    std::vector<wire::ModelWant> wants = {wantOf("m0", 0, 5, 1)};
+    for (int i = 0; i < 4; ++i) {
+      wants.push_back(wantOf("m" + std::to_string(8 + (tenth / 5 + 3 * i) % 12), 1, 0, 0));
+    }
+    world.want(wants);
+    world.run(20ms);
+    wants.front().arrivals = 0;
+    world.want(wants);
+    world.run(80ms);
+  }
+  CHECK(world.copiesOf("m0") >= 2);
+  CHECK(world.loads() > 4);
+}
+
+TEST_CASE("It is told when a model that is missing should serve") {
+  PlacerWorld world(1, 12, 0);
+  wire::HostedService& llm = *std::find_if(world.catalog.services.begin(), world.catalog.services.end(),
+                                           [](const auto& service) { return service.engine.has_value(); });
+  constexpr Duration load_time = 2s;
+  for (wire::HostedModel& model : llm.engine->models) {
+    model.store_load_ms = 2000;
+  }
+  CHECK_FALSE(world.placer().expectedAt(llm, ModelName("m1"), world.now()).has_value());
+  world.want("m1", "", 1);
+  world.run(40ms);
+  const std::uint64_t begun = world.placer().loadsBegun();
+  CHECK(begun >= 1);
+  const auto expected = world.placer().expectedAt(llm, ModelName("m1"), world.now());
+  REQUIRE(expected.has_value());
+  CHECK(*expected <= world.now() + load_time);
+  CHECK(*expected > world.now() + load_time - 100ms);
+}
+
 TEST_CASE("A model that nobody wants gives way when there is no room") {
   PlacerWorld world(1, 2, 0);
   world.want("m1", "", 1);
--- a/tests/services/registry_test.cc
+++ b/tests/services/registry_test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "common/error.h"
 #include "services/catalog_rules.h"
@@ -58,7 +60,15 @@
   wire::CallRouterStatus status;
   const wire::ServiceUpdate first = feed.updateFor(status, context);
   CHECK(first.base == LogIndex{});
-  CHECK(first.catalog.has_value());
+  REQUIRE(first.catalog.has_value());
+  CHECK(first.catalog->routes.size() == catalog.routes.size());
+  REQUIRE(first.catalog->services.size() == catalog.services.size());
+  const auto engine =
+      std::find_if(first.catalog->services.begin(), first.catalog->services.end(),
+                   [](const wire::HostedService& service) { return service.engine.has_value(); });
+  REQUIRE(engine != first.catalog->services.end());
+  CHECK(engine->engine->weight_capacity_mb > 0);
+  CHECK(engine->engine->models.empty());  // most of the bytes, and routers don't need them
   CHECK(first.replicas.size() == 1);
   status.revision = first.revision;
   status.catalog = first.version;
@@ -98,6 +108,21 @@
   CHECK(ledger.expected(status, kStart + 900ms).catalog.value == 0);
 }
 
+TEST_CASE("What some router in touch can't reach is known, until it or the router is heard otherwise") {
+  RouterDirectory directory;
+  wire::CallRouterStatus status;
+  status.router = NodeName("edge-1");
+  status.sequence = 1;
+  status.unreachable = {ReplicaId("r1")};
+  directory.accept(status, kStart);
+  CHECK(directory.unreachable(kStart + 500ms) == std::set<ReplicaId>{ReplicaId("r1")});
+  CHECK(directory.unreachable(kStart + 3s).empty());
+  status.sequence = 2;
+  status.unreachable.clear();
+  directory.accept(status, kStart + 600ms);
+  CHECK(directory.unreachable(kStart + 700ms).empty());
+}
+
 struct InvalidCase {
   const char* name;
   void (*spoil)(wire::ServiceCatalog&);
--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -317,8 +317,8 @@
   CHECK(receiver->counts().malformed == 0);
 }
 
-/// The kernel repeats an unanswered opening packet less and less often: a connection that is begun during a cut
-/// would come up long after its end.
+/// The kernel repeats an unanswered opening packet less and less often: a connection that is begun during a
+/// cut would come up long after its end.
 TEST_CASE("a peer that was cut off is reached soon after the cut") {
   constexpr Duration kCut = 7600ms;
   constexpr Duration kSoon = 2500ms;
