--- /dev/null
+++ b/tests/platform/soak/soak_main.cc
@@ -0,0 +1,109 @@
+#include <cxxopts.hpp>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/http.h"
+#include "platform/soak/soak_world.h"
+
+/// The world around the product's real processes in a soak: replicas, clients and an operator that speak the
+/// platform's protocol on loopback, and a judge. The processes and their faults are tools/platform-soak's.
+namespace {
+
+using namespace ferryrock;
+using namespace ferryrock::platform;
+using namespace std::chrono_literals;
+
+constexpr int kDeskReplicas = 3;
+constexpr int kModelReplicas = 4;
+constexpr int kClients = 24;
+constexpr Duration kReplacedEvery = 5s;
+/// Served calls a second at the end, below which service hasn't recovered; a client sends about eight.
+constexpr double kLeastServedPerSecond = 40;
+
+/// Keeps the replicas, and lets the one that has lived longest leave now and then.
+class Replicas {
+ public:
+  explicit Replicas(SoakContext& context) : context_(context) {
+    for (int i = 0; i < kDeskReplicas + kModelReplicas; ++i) {
+      add(i >= kDeskReplicas);
+    }
+    timer_ = context.dispatcher.createTimer([this] { replaceOldest(); });
+    timer_->enable(kReplacedEvery);
+  }
+
+ private:
+  void add(bool with_models) {
+    const std::string id = (with_models ? "llm-" : "desk-") + std::to_string(++count_);
+    replicas_.emplace_back(with_models, std::make_unique<SoakReplica>(context_, id, with_models));
+  }
+  void replaceOldest() {
+    std::erase_if(replicas_, [](const auto& item) { return item.second->ended(); });
+    const std::size_t position = context_.random.below(replicas_.size());
+    const bool with_models = replicas_[position].first;
+    replicas_[position].second->leave();
+    add(with_models);
+    timer_->enable(kReplacedEvery);
+  }
+
+  SoakContext& context_;
+  std::vector<std::pair<bool, std::unique_ptr<SoakReplica>>> replicas_;
+  std::unique_ptr<event::Timer> timer_;
+  int count_ = 0;
+};
+
+int report(const SoakOracle& oracle, double served_per_second) {
+  for (const std::string& line : oracle.broken()) {
+    std::cout << "broken " << line << "\n";
+  }
+  std::cout << "served " << oracle.served() << ", refused as not run " << oracle.refused() << ", unclear "
+            << oracle.unclear() << ", newest configuration acknowledged " << oracle.newestAcknowledged()
+            << ", served a second at the end " << served_per_second << "\n";
+  std::cout << (oracle.broken().empty() ? "clean" : "NOT clean") << "\n";
+  return oracle.broken().empty() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("ferryrock-platform-soak", "The world around the processes in a soak.");
+  options.add_options()("control", "Addresses of control members", cxxopts::value<std::vector<std::string>>());
+  options.add_options()("directory", "Addresses of directories", cxxopts::value<std::vector<std::string>>());
+  options.add_options()("seconds", "How long", cxxopts::value<int>()->default_value("60"));
+  options.add_options()("quiet", "Seconds without faults at the end", cxxopts::value<int>()->default_value("15"));
+  options.add_options()("seed", "Of all that is drawn", cxxopts::value<std::uint64_t>()->default_value("1"));
+  const auto given = options.parse(argc, argv);
+
+  const auto dispatcher = event::createAceDispatcher();
+  const auto client = http::createClient(*dispatcher);
+  SoakOracle oracle;
+  Random random(given["seed"].as<std::uint64_t>());
+  SoakContext context{*dispatcher,
+                      *client,
+                      oracle,
+                      random,
+                      {given["control"].as<std::vector<std::string>>(),
+                       given["directory"].as<std::vector<std::string>>()}};
+  Replicas replicas(context);
+  SoakOperator soak_operator(context);
+  std::vector<std::unique_ptr<SoakClient>> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<SoakClient>(context, "c" + std::to_string(i)));
+  }
+  const Duration whole = std::chrono::seconds(given["seconds"].as<int>());
+  const Duration last_part = std::chrono::seconds(given["quiet"].as<int>()) / 3;
+  std::uint64_t served_before = 0;
+  const auto mark = dispatcher->createTimer([&] { served_before = oracle.served(); });
+  mark->enable(whole - last_part);
+  const auto end = dispatcher->createTimer([&] { dispatcher->exit(); });
+  end->enable(whole);
+  dispatcher->run();
+
+  const double seconds = std::chrono::duration<double>(last_part).count();
+  const double served_per_second = static_cast<double>(oracle.served() - served_before) / seconds;
+  if (served_per_second < kLeastServedPerSecond) {
+    oracle.breakRule("RECOVER", "service did not come back after the last fault");
+  }
+  return report(oracle, served_per_second);
+}
--- /dev/null
+++ b/tests/platform/soak/soak_world.cc
@@ -0,0 +1,356 @@
+#include "platform/soak/soak_world.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace ferryrock::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+constexpr Duration kBeatInterval = 600ms;
+constexpr Duration kLoadTime = 300ms;
+constexpr Duration kServesOn = 3500ms;
+constexpr Duration kEventInterval = 10ms;
+constexpr Duration kResolveEvery = 1s;
+constexpr Duration kCallTime = 3s;
+constexpr Duration kControlTime = 1s;
+constexpr std::size_t kModelsHeld = 2;
+constexpr std::uint64_t kModels = 6;
+constexpr double kFaulty = 0.01;  ///< of the calls, for each kind of fault
+
+std::string header(const http::Request& request, const char* name) {
+  return http::findHeader(request.headers, name).value_or("");
+}
+
+std::string eventText(std::uint64_t number, const std::string& id) {
+  return "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
+}
+
+}  // namespace
+
+SoakCall::SoakCall(SoakContext& context, http::ClientRequest request, Callback callback)
+    : context_(context), request_(std::move(request)), callback_(std::move(callback)) {
+  send(request_);
+}
+
+void SoakCall::send(http::ClientRequest request) {
+  http::ClientCallbacks callbacks;
+  callbacks.on_headers = [this](int status, const http::Headers& headers) {
+    result_.status = status;
+    location_ = http::findHeader(headers, "Location").value_or("");
+  };
+  callbacks.on_data = [this](std::string_view bytes) { result_.body.append(bytes); };
+  callbacks.on_complete = [this] {
+    result_.whole = true;
+    end();
+  };
+  callbacks.on_failure = [this](http::SendProgress, const std::string&) { end(); };
+  call_ = context_.client.send(std::move(request), std::move(callbacks));
+}
+
+void SoakCall::end() {
+  constexpr int kRedirect = 307;
+  constexpr int kMostRedirects = 2;
+  context_.dispatcher.post([this, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired()) {
+      return;
+    }
+    if (result_.status == kRedirect && redirects_++ < kMostRedirects) {
+      request_.url = location_;
+      result_ = {};
+      send(request_);
+      return;
+    }
+    const Callback callback = std::exchange(callback_, nullptr);
+    callback(std::exchange(result_, {}));
+  });
+}
+
+SoakReplica::SoakReplica(SoakContext& context, std::string id, bool with_models)
+    : context_(context), id_(std::move(id)), with_models_(with_models) {
+  server_ = http::createServer(context.dispatcher, {},
+                               [this](const http::Request& request, const http::ResponseWriterPtr& response) {
+                                 handle(request, response);
+                               });
+  beat_timer_ = context.dispatcher.createTimer([this] { beat(); });
+  load_timer_ = context.dispatcher.createTimer([this] {
+    models_.insert(*std::exchange(loading_, std::nullopt));
+    beat();
+  });
+  end_timer_ = context.dispatcher.createTimer([this] { ended_ = true; });
+  beat_timer_->enable(Duration::zero());
+}
+
+void SoakReplica::handle(const http::Request& request, const http::ResponseWriterPtr& response) {
+  if (request.target == "/v1/report") {
+    response->respond(200, {}, reportBody());
+    return;
+  }
+  if (request.target == "/v1/order") {
+    response->respond(takeOrder(request.body), {}, "");
+    return;
+  }
+  const std::string id = header(request, "X-Attempt-Id");
+  const std::string model = header(request, "X-Model");
+  const bool other = header(request, "X-Expect-Instance") != id_;
+  const bool lacking = with_models_ && !models_.contains(model);
+  if (other || lacking) {
+    response->respond(421, {{"X-Attempt-Id", id}}, "");
+  } else if (context_.random.chance(kFaulty)) {
+    response->respond(503, {{"X-Attempt-Id", id}, {"X-Not-Executed", "1"}}, "");
+  } else {
+    context_.oracle.onRun(id, id_, context_.now());
+    run(request, response, id);
+  }
+}
+
+void SoakReplica::run(const http::Request& request, const http::ResponseWriterPtr& response,
+                      const std::string& id) {
+  Random& random = context_.random;
+  if (with_models_) {
+    stream(request, response, id);
+  } else if (random.chance(kFaulty)) {
+    response->respond(500, {{"X-Attempt-Id", id}, {"X-Server-Seal", id_}}, "failed");
+  } else if (random.chance(kFaulty)) {
+    response->respond(200, {{"X-Attempt-Id", "another"}, {"X-Server-Seal", id_}}, "answer to another");
+  } else if (random.chance(kFaulty)) {
+    response->start(200, {{"X-Attempt-Id", id}, {"X-Server-Seal", id_}});
+    response->write("answ");
+    response->abort();
+  } else {
+    response->respond(200, {{"X-Attempt-Id", id}, {"X-Server-Seal", id_}}, "answer to " + id);
+  }
+}
+
+void SoakReplica::stream(const http::Request& request, const http::ResponseWriterPtr& response,
+                         const std::string& id) {
+  const std::string last = header(request, "Last-Event-Id");
+  auto sent = std::make_shared<std::uint64_t>(last.empty() ? 0 : std::stoull(last));
+  const bool breaks = context_.random.chance(kFaulty);
+  response->start(200, {{"Content-Type", "text/event-stream"}, {"X-Attempt-Id", id}, {"X-Server-Seal", id_}});
+  auto timer = std::make_shared<std::unique_ptr<event::Timer>>();
+  auto gone = std::make_shared<bool>(false);
+  response->onClosed([gone] { *gone = true; });
+  *timer = context_.dispatcher.createTimer([this, response, id, sent, breaks, timer, gone] {
+    const bool cut = breaks && *sent == SoakOracle::kStreamEvents / 2;
+    if (*gone || cut || *sent == SoakOracle::kStreamEvents) {
+      cut ? response->abort() : response->finish();
+      context_.dispatcher.post([timer] { timer->reset(); });
+      return;
+    }
+    response->write(eventText(++*sent, id));
+    (*timer)->enable(kEventInterval);
+  });
+  (*timer)->enable(kEventInterval);
+}
+
+/// Checks the count of orders as the platform's replicas do; one model is loaded at a time.
+int SoakReplica::takeOrder(const std::string& body) {
+  const Json order = Json::parse(body);
+  if (order.at("expected").get<std::uint64_t>() != orders_ || loading_) {
+    return 409;
+  }
+  const auto model = order.at("model").get<std::string>();
+  ++orders_;
+  if (order.at("opType") == "model_unload") {
+    models_.erase(model);
+    beat_timer_->enable(Duration::zero());
+    return 202;
+  }
+  if (models_.contains(model)) {
+    return 200;
+  }
+  if (models_.size() >= kModelsHeld) {
+    context_.oracle.onOverfilled(id_);
+  }
+  loading_ = model;
+  load_timer_->enable(kLoadTime);
+  return 202;
+}
+
+std::string SoakReplica::modelsJson() const {
+  Json models = Json::array();
+  for (const std::string& model : models_) {
+    models.push_back({{"name", model}, {"generation", 1}, {"adapters", Json::array()}});
+  }
+  return models.dump();
+}
+
+std::string SoakReplica::reportBody() const {
+  return R"({"stage":"colocated","busy":)" + std::string(loading_ ? "true" : "false") + R"(,"seqNo":)" +
+         std::to_string(orders_) + R"(,"models":)" + modelsJson() + "}";
+}
+
+void SoakReplica::beat() {
+  if (ended_) {
+    return;
+  }
+  beat_timer_->enable(kBeatInterval);
+  const Json body = {{"service", with_models_ ? "llm" : "desk"},
+                     {"address", "127.0.0.1:" + std::to_string(server_->port())},
+                     {"zone", "z"},
+                     {"generation", "v1"},
+                     {"slots", 8},
+                     {"state", leaving_ ? "draining" : "ready"},
+                     {"coldRemainingMs", 0},
+                     {"models", Json::parse(modelsJson())},
+                     {"seqNo", ++beats_}};
+  http::ClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + context_.anyControl() + "/v1/instances/" + id_ + "/heartbeat";
+  request.body = body.dump();
+  request.total_timeout = kControlTime;
+  beat_ = std::make_unique<SoakCall>(
+      context_, request, [this, told = leaving_](const SoakCall::Result& result) { onBeat(result, told); });
+}
+
+void SoakReplica::onBeat(const SoakCall::Result& result, bool told_leaving) {
+  const bool acknowledged = result.whole && result.status / 100 == 2;
+  if (told_leaving && acknowledged && !std::exchange(leave_acknowledged_, true)) {
+    context_.oracle.onLeaveAcknowledged(id_, context_.now());
+    end_timer_->enable(kServesOn);
+  }
+}
+
+SoakClient::SoakClient(SoakContext& context, std::string name) : context_(context), name_(std::move(name)) {
+  timer_ = context.dispatcher.createTimer([this] { next(); });
+  timer_->enable(Duration::zero());
+}
+
+void SoakClient::next() {
+  if (addresses_.empty() || context_.now() - resolved_ > kResolveEvery) {
+    resolve();
+  } else {
+    sendCall();
+  }
+}
+
+void SoakClient::resolve() {
+  http::ClientRequest request;
+  request.url = "http://" + context_.anyDirectory() + "/v1/resolve?name=shop.example&region=r&zone=z";
+  request.total_timeout = kControlTime;
+  call_ = std::make_unique<SoakCall>(context_, request, [this](const SoakCall::Result& result) {
+    const Json answer = Json::parse(result.whole ? result.body : "", nullptr, false);
+    if (result.status == 200 && answer.is_object() && !answer.value("addresses", Json::array()).empty()) {
+      addresses_ = answer.at("addresses").get<std::vector<std::string>>();
+    }
+    resolved_ = context_.now();
+    addresses_.empty() ? timer_->enable(100ms) : sendCall();
+  });
+}
+
+void SoakClient::sendCall() {
+  constexpr std::uint64_t kKinds = 3;
+  const auto kind = static_cast<SoakKind>(context_.random.below(kKinds));
+  const std::string id = name_ + "-" + std::to_string(++calls_);
+  const char* path = kind == SoakKind::Repeatable ? "/safe/x" : kind == SoakKind::AtMostOnce ? "/once/x" : "/stream/x";
+  http::ClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + addresses_[context_.random.below(addresses_.size())] + path;
+  request.headers = {{"Host", "shop.example"}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "2500"}};
+  if (kind == SoakKind::Stream) {
+    request.headers.push_back({"X-Model", "m" + std::to_string(context_.random.below(kModels))});
+  }
+  request.body = "body of " + id;
+  request.total_timeout = kCallTime;
+  request.fresh_connection = context_.random.chance(0.5);
+  context_.oracle.onSent(id, kind);
+  call_ = std::make_unique<SoakCall>(
+      context_, request, [this, id, kind](const SoakCall::Result& result) { onAnswer(id, kind, result); });
+}
+
+void SoakClient::onAnswer(const std::string& id, SoakKind kind, const SoakCall::Result& result) {
+  SoakOutcome outcome;
+  outcome.status = result.status;
+  outcome.whole = result.whole;
+  outcome.body = result.body;
+  std::size_t place = 0;
+  while (kind == SoakKind::Stream && place < result.body.size()) {
+    const std::string expected = eventText(outcome.last_event + 1, id);
+    if (result.body.compare(place, expected.size(), expected) != 0) {
+      outcome.events_in_order = result.status != 200;
+      break;
+    }
+    place += expected.size();
+    ++outcome.last_event;
+  }
+  context_.oracle.onOutcome(id, outcome, context_.now());
+  timer_->enable(20ms + Duration(context_.random.below(80'000'000)));
+}
+
+SoakOperator::SoakOperator(SoakContext& context) : context_(context) {
+  replace_timer_ = context.dispatcher.createTimer([this] { replace(); });
+  read_timer_ = context.dispatcher.createTimer([this] { read(); });
+  replace_timer_->enable(Duration::zero());
+  read_timer_->enable(2s);
+}
+
+std::string SoakOperator::configuration(std::uint64_t version) {
+  const auto route = [](const std::string& name, const char* kind, const char* service, bool resumable) {
+    return Json{{"name", name},        {"host", "shop.example"}, {"pathPrefix", "/" + name + "/"},
+                {"kind", kind},        {"timeoutMs", 2000},      {"targetLatencyMs", 500},
+                {"maxAttempts", 2},    {"service", service},     {"resumable", resumable},
+                {"gapTargetMs", 300},  {"sticky", false}};
+  };
+  Json models = Json::array();
+  for (std::uint64_t i = 0; i < kModels; ++i) {
+    models.push_back({{"name", "m" + std::to_string(i)},
+                      {"weightsMb", 60.0},
+                      {"loadTimeS", 0.3},
+                      {"diskLoadS", 0.3},
+                      {"warmS", 0.3},
+                      {"adapters", 0},
+                      {"adapterMb", 1.0}});
+  }
+  const Json engine = {{"slots", 8},        {"kvCapacity", 1000}, {"weightsMb", 130.0},
+                       {"adapterSlots", 2}, {"loadsPerS", 10.0},  {"models", models}};
+  Json once = route("once", "unsafe", "desk", false);
+  once["maxAttempts"] = 1;
+  return Json{{"generation", version},
+              {"routes",
+               {route("safe", "safe", "desk", false), once, route("stream", "streaming", "llm", true),
+                route("idle-" + std::to_string(version), "safe", "desk", false)}},
+              {"services",
+               {{{"name", "desk"}, {"healthPath", "/health"}, {"maxConns", 90}},
+                {{"name", "llm"}, {"healthPath", "/health"}, {"maxConns", 90}, {"engine", engine}}}},
+              {"limits", Json::object()}}
+      .dump();
+}
+
+void SoakOperator::replace() {
+  http::ClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + context_.anyControl() + "/v1/config/replace";
+  request.body = configuration(version_);
+  request.total_timeout = kControlTime;
+  replace_ = std::make_unique<SoakCall>(context_, request, [this](const SoakCall::Result& result) {
+    if (result.whole && result.status == 200) {
+      context_.oracle.onConfigurationAcknowledged(version_);
+      version_ += 1 + context_.random.below(3);
+      replace_timer_->enable(1500ms);
+    } else if (result.whole && result.status / 100 == 4 && result.status != 408 && result.status != 429) {
+      context_.oracle.breakRule("CONFIG", "a proper configuration was refused with " + std::to_string(result.status));
+      replace_timer_->enable(1500ms);
+    } else {
+      replace_timer_->enable(150ms);
+    }
+  });
+}
+
+void SoakOperator::read() {
+  http::ClientRequest request;
+  request.url = "http://" + context_.anyControl() + "/v1/config/get";
+  request.total_timeout = kControlTime;
+  const std::uint64_t before = context_.oracle.newestAcknowledged();
+  read_ = std::make_unique<SoakCall>(context_, request, [this, before](const SoakCall::Result& result) {
+    const Json answer = Json::parse(result.whole ? result.body : "", nullptr, false);
+    if (result.status == 200 && answer.is_object()) {
+      context_.oracle.onConfigurationRead(answer.value("generation", std::uint64_t{0}), before);
+    }
+    read_timer_->enable(400ms);
+  });
+}
+
+}  // namespace ferryrock::platform
--- /dev/null
+++ b/tests/platform/soak/soak_world.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "http/http.h"
+#include "platform/soak/soak_oracle.h"
+
+namespace ferryrock::platform {
+
+struct SoakAddresses {
+  std::vector<std::string> control;    ///< "host:port" each
+  std::vector<std::string> directory;  ///< likewise
+};
+
+/// What the parts of the world share.
+struct SoakContext {
+  event::Dispatcher& dispatcher;
+  http::Client& client;
+  SoakOracle& oracle;
+  Random& random;
+  SoakAddresses addresses;
+
+  TimePoint now() const { return dispatcher.timeSource().monotonicTime(); }
+  const std::string& anyControl() { return addresses.control[random.below(addresses.control.size())]; }
+  const std::string& anyDirectory() { return addresses.directory[random.below(addresses.directory.size())]; }
+};
+
+/// One HTTP call whose end is told once; follows two redirects.
+class SoakCall {
+ public:
+  struct Result {
+    int status = 0;  ///< 0: none
+    bool whole = false;
+    std::string body;
+  };
+  using Callback = std::function<void(Result)>;
+
+  SoakCall(SoakContext& context, http::ClientRequest request, Callback callback);
+
+ private:
+  void send(http::ClientRequest request);
+  void end();
+
+  SoakContext& context_;
+  http::ClientRequest request_;
+  Callback callback_;
+  Result result_;
+  std::string location_;
+  int redirects_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::unique_ptr<http::ClientCall> call_;
+};
+
+/// A replica of the service "desk" or, with models, of "llm". It answers calls, fails a part of them in various
+/// ways, takes orders, reports itself, and leaves when it is told to.
+class SoakReplica {
+ public:
+  SoakReplica(SoakContext& context, std::string id, bool with_models);
+  const std::string& id() const { return id_; }
+  /// Says that it leaves until that is acknowledged, serves on for a while, and ends.
+  void leave() { leaving_ = true; }
+  bool ended() const { return ended_; }
+
+ private:
+  void handle(const http::Request& request, const http::ResponseWriterPtr& response);
+  void run(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
+  void stream(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
+  int takeOrder(const std::string& body);
+  std::string reportBody() const;
+  std::string modelsJson() const;
+  void beat();
+  void onBeat(const SoakCall::Result& result, bool told_leaving);
+
+  SoakContext& context_;
+  std::string id_;
+  bool with_models_;
+  std::unique_ptr<http::Server> server_;
+  std::unique_ptr<event::Timer> beat_timer_;
+  std::unique_ptr<event::Timer> load_timer_;
+  std::unique_ptr<event::Timer> end_timer_;
+  std::unique_ptr<SoakCall> beat_;
+  std::uint64_t beats_ = 0;
+  std::uint64_t orders_ = 0;
+  std::set<std::string> models_;
+  std::optional<std::string> loading_;
+  bool leaving_ = false;
+  bool leave_acknowledged_ = false;
+  bool ended_ = false;
+};
+
+/// A client: asks a directory now and then, sends one call after the other.
+class SoakClient {
+ public:
+  SoakClient(SoakContext& context, std::string name);
+
+ private:
+  void next();
+  void resolve();
+  void sendCall();
+  void onAnswer(const std::string& id, SoakKind kind, const SoakCall::Result& result);
+
+  SoakContext& context_;
+  std::string name_;
+  std::unique_ptr<event::Timer> timer_;
+  std::unique_ptr<SoakCall> call_;
+  std::vector<std::string> addresses_;
+  TimePoint resolved_{};
+  std::uint64_t calls_ = 0;
+};
+
+/// The operator: replaces the configuration, resends what got no clear answer, reads it back.
+class SoakOperator {
+ public:
+  explicit SoakOperator(SoakContext& context);
+
+ private:
+  void replaceLater();
+  void replace();
+  void read();
+  static std::string configuration(std::uint64_t version);
+
+  SoakContext& context_;
+  std::unique_ptr<event::Timer> replace_timer_;
+  std::unique_ptr<event::Timer> read_timer_;
+  std::unique_ptr<SoakCall> replace_;
+  std::unique_ptr<SoakCall> read_;
+  std::uint64_t version_ = 1;
+};
+
+}  // namespace ferryrock::platform
