Confirm revisions on demand, and answer no status that needs no answer

The new detail of the refusal told why: 64 of 80 routers held revisions 150 to 260 behind, though they had been heard 2 to 190 ms before. The leader worked through seconds of old statuses: each router told its status at once for each revision that it got and for each call that waits, and each of them was answered by an update of its own, for which members and directory were gathered anew. Ruled out: links (the routers' statuses came), one slow router (all lagged). Now routers confirm a revision at once only when an update asks for it, which it does while a notice waits; a status out of turn is answered only if the router lacks something; members and directory are gathered every 50 ms at most. A notice that isn't bound tells in the log which routers lag and by how much.

--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -31,9 +31,7 @@
     return false;
   }
   missed_update_ = false;
-  if (update.revision > revision_) {
-    hurried_ = true;
-  }
+  hurried_ = hurried_ || update.confirm;
   revision_ = update.revision;
   return true;
 }
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -82,6 +82,8 @@
     ModelDemand demand;
     ModelPlacer placer;
     UpdateLedger updates;
+    std::optional<FeedContext> context;
+    TimePoint context_taken{};
     TimePoint since;
     bool complete = false;  ///< every living replica has had the time to report
     std::uint64_t pushed_changes = 0;
@@ -137,8 +139,10 @@
   void relay(const wire::ReplicaReport& report, bool changed, TimePoint now);
   void flushRelay();
   void beginNotice(NoticeOrigin origin, const wire::ReplicaReport& report, TimePoint now);
-  void answerNotice(const LeaveNotice& notice, bool bound);
+  void answerNotice(const LeaveNotice& notice, bool bound, std::string detail = {});
+  std::string whatUnbinds(const LeaveNotice& notice, TimePoint now) const;
   void settleNotices(TimePoint now);
+  bool holdsOrOutOfTouch(const RouterRecord& record, LogIndex revision, TimePoint now) const;
   bool routersHold(LogIndex revision, TimePoint now) const;
   void giveUpForwarded(TimePoint now);
 
@@ -151,7 +155,8 @@
   void hurryPlan(TimePoint now);
   void planModels(TimePoint now);
   void mendMembership(TimePoint now);
-  FeedContext feedContext(TimePoint now) const;
+  const FeedContext& feedContext(TimePoint now);
+  bool owedUpdate(const wire::CallRouterStatus& status, TimePoint now);
   std::vector<NodeName> memberNodes() const;
 
   ServiceControlSettings settings_;
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -14,6 +14,10 @@
 constexpr std::size_t kMostAddresses = 64;
 /// Between pushes to a large fleet that can wait.
 constexpr Duration kPushInterval = std::chrono::milliseconds(20);
+/// Members and the directory, as updates tell them, are gathered anew after this time.
+constexpr Duration kContextLasts = std::chrono::milliseconds(50);
+/// Less than the interval of the routers' regular statuses.
+constexpr Duration kSignOfLife = std::chrono::milliseconds(200);
 /// Up to so many routers are told of each change at once.
 constexpr std::size_t kSmallFleet = 16;
 
@@ -27,6 +31,7 @@
 void ServiceControlImpl::leadOn(TimePoint now) {
   if (!leader_->complete && now - leader_->since > settings_.replica_silence) {
     leader_->complete = true;
+    leader_->context.reset();
     registry_.renewAll();
   }
   settleNotices(now);
@@ -44,10 +49,19 @@
   return nodes;
 }
 
-FeedContext ServiceControlImpl::feedContext(TimePoint now) const {
-  const std::size_t routers = std::max<std::size_t>(1, directory_.acceptingCount(now));
-  return {node_->hosted().catalog(), memberNodes(), static_cast<std::uint32_t>(routers), leader_->complete,
-          directory_.addresses(now, kMostAddresses)};
+/// Of many statuses and pushes in one moment each would gather the same.
+const FeedContext& ServiceControlImpl::feedContext(TimePoint now) {
+  const bool fresh = leader_->context && now - leader_->context_taken < kContextLasts;
+  if (!fresh) {
+    const std::size_t routers = std::max<std::size_t>(1, directory_.acceptingCount(now));
+    std::vector<std::string> directory = directory_.addresses(now, kMostAddresses);
+    const std::uint64_t digest = wire::directoryDigest(directory);
+    leader_->context.emplace(FeedContext{node_->hosted().catalog(), memberNodes(),
+                                         static_cast<std::uint32_t>(routers), leader_->complete,
+                                         std::move(directory), digest});
+    leader_->context_taken = now;
+  }
+  return *leader_->context;
 }
 
 void ServiceControlImpl::updateRouter(const wire::CallRouterStatus& status, TimePoint now) {
@@ -55,15 +69,26 @@
   if (waitsForModel(status)) {
     hurryPlan(now);
   }
-  if (node_->log().hasLease(now)) {
+  if (node_->log().hasLease(now) && owedUpdate(status, now)) {
     sendUpdate(status, feedContext(now), now);
   }
 }
 
+/// A router that holds everything gets no more than a regular sign of life: what it tells in between needs no
+/// answer.
+bool ServiceControlImpl::owedUpdate(const wire::CallRouterStatus& status, TimePoint now) {
+  const wire::CallRouterStatus expected = leader_->updates.expected(status, now);
+  const bool current = leader_->feed.holds(expected, leader_->feed.revision()) &&
+                       expected.catalog >= node_->hosted().catalog().version &&
+                       expected.directory == feedContext(now).directory_digest && !waitsForModel(status);
+  return !current || now - leader_->updates.lastSent(status.router) >= kSignOfLife;
+}
+
 void ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, const FeedContext& context,
                                     TimePoint now) {
   wire::ServiceUpdate update = leader_->feed.updateFor(leader_->updates.expected(status, now), context);
   update.coming = comingFor(status, now);
+  update.confirm = !notices_.all().empty();
   leader_->updates.onSent(status.router, update, now);
   send(status.router, std::move(update));
 }
@@ -111,7 +136,7 @@
   leader_->pushed_changes = registry_.changes();
   leader_->pushed_loads = leader_->placer.loadsBegun();
   leader_->pushed_version = version;
-  const FeedContext context = feedContext(now);
+  const FeedContext& context = feedContext(now);
   for (const auto& [router, record] : directory_.routers()) {
     if (to_all || waitsForModel(record.status)) {
       sendUpdate(record.status, context, now);
--- a/src/services/service_control_replicas.cc
+++ b/src/services/service_control_replicas.cc
@@ -87,9 +87,10 @@
   }
 }
 
-void ServiceControlImpl::answerNotice(const LeaveNotice& notice, bool bound) {
+void ServiceControlImpl::answerNotice(const LeaveNotice& notice, bool bound, std::string detail) {
   if (notice.origin.question) {
-    answer(QuestionNumber{*notice.origin.question}, bound ? ResultCode::Ok : ResultCode::NotBoundEverywhere);
+    answer(QuestionNumber{*notice.origin.question}, bound ? ResultCode::Ok : ResultCode::NotBoundEverywhere,
+           std::move(detail));
   } else {
     send(notice.origin.member, wire::LeaveReply{notice.origin.number, bound});
   }
@@ -121,16 +122,39 @@
   }
   for (const LeaveNotice& notice :
        notices_.takeIf([now](const LeaveNotice& waiting) { return now >= waiting.deadline; })) {
-    answerNotice(notice, false);
+    answerNotice(notice, false, whatUnbinds(notice, now));
   }
 }
 
+/// For whoever asks why a notice took so long.
+std::string ServiceControlImpl::whatUnbinds(const LeaveNotice& notice, TimePoint now) const {
+  if (!notice.revision) {
+    return "it isn't committed yet";
+  }
+  std::size_t behind = 0;
+  std::string first;
+  for (const auto& [name, record] : directory_.routers()) {
+    if (holdsOrOutOfTouch(record, *notice.revision, now)) {
+      continue;
+    }
+    if (++behind == 1) {
+      first = name.value + " holds revision " + std::to_string(record.status.revision.value) + " of " +
+              std::to_string(notice.revision->value) + ", heard " +
+              std::to_string(toMilliseconds(now - record.heard)) + " ms ago";
+    }
+  }
+  return behind == 0 ? "leadership wasn't confirmed yet" : std::to_string(behind) + " routers lag: " + first;
+}
+
 /// A router that has been silent for longer than the limit isn't in touch: nothing binds it until it is.
+bool ServiceControlImpl::holdsOrOutOfTouch(const RouterRecord& record, LogIndex revision,
+                                           TimePoint now) const {
+  return now - record.heard > settings_.router_out_of_touch || leader_->feed.holds(record.status, revision);
+}
+
 bool ServiceControlImpl::routersHold(LogIndex revision, TimePoint now) const {
-  return std::all_of(directory_.routers().begin(), directory_.routers().end(), [&](const auto& item) {
-    const RouterRecord& record = item.second;
-    return now - record.heard > settings_.router_out_of_touch || leader_->feed.holds(record.status, revision);
-  });
+  return std::all_of(directory_.routers().begin(), directory_.routers().end(),
+                     [&](const auto& item) { return holdsOrOutOfTouch(item.second, revision, now); });
 }
 
 void ServiceControlImpl::giveUpForwarded(TimePoint now) {
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -63,7 +63,7 @@
   }
   update.members = context.members;
   update.routers = context.routers;
-  if (status.directory != wire::directoryDigest(context.directory)) {
+  if (status.directory != context.directory_digest) {
     update.directory = context.directory;
   }
   std::uint64_t known = changesAt(status.revision);
--- a/src/services/table_feed.h
+++ b/src/services/table_feed.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <map>
+#include <cstdint>
+#include <string>
 #include <vector>
 
 #include "common/identifiers.h"
@@ -18,6 +19,7 @@
   std::uint32_t routers = 1;
   bool complete = false;               ///< replicas that haven't reported by now are gone
   std::vector<std::string> directory;  ///< where callers may connect
+  std::uint64_t directory_digest = 0;  ///< wire::directoryDigest() of it
 };
 
 /// One leader's updates to the routers: the catalog and the changes of the replica table since what each of
--- a/src/services/update_ledger.cc
+++ b/src/services/update_ledger.cc
@@ -29,6 +29,7 @@
 
 void UpdateLedger::onSent(const NodeName& router, const wire::ServiceUpdate& update, TimePoint now) {
   Sent& sent = sent_[router];
+  sent.last = now;
   sent.revision = update.revision;
   if (update.catalog) {
     sent.catalog = update.catalog->version;
@@ -40,6 +41,11 @@
   }
 }
 
+TimePoint UpdateLedger::lastSent(const NodeName& router) const {
+  const auto found = sent_.find(router);
+  return found == sent_.end() ? TimePoint{} : found->second.last;
+}
+
 void UpdateLedger::keepRouters(const std::map<NodeName, RouterRecord>& routers) {
   std::erase_if(sent_, [&routers](const auto& item) { return !routers.contains(item.first); });
 }
--- a/src/services/update_ledger.h
+++ b/src/services/update_ledger.h
@@ -16,10 +16,13 @@
   /// while, or was reported as missed, is taken as lost.
   wire::CallRouterStatus expected(const wire::CallRouterStatus& status, TimePoint now);
   void onSent(const NodeName& router, const wire::ServiceUpdate& update, TimePoint now);
+  /// When the router was last sent something; long ago if never.
+  TimePoint lastSent(const NodeName& router) const;
   void keepRouters(const std::map<NodeName, RouterRecord>& routers);
 
  private:
   struct Sent {
+    TimePoint last{};
     LogIndex revision;
     TimePoint revision_since{};  ///< when the router's revision was last built upon
     CatalogVersion catalog;
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -122,8 +122,9 @@
   /// Where callers may connect; given when the router holds another directory.
   std::optional<std::vector<std::string>> directory;
   std::vector<ComingModel> coming;  ///< of the models that the router's calls wait for
+  bool confirm = false;             ///< a notice waits until the router tells that it holds the revision
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
-                   members, directory, coming)
+                   members, directory, coming, confirm)
 };
 
 /// Hash of the addresses in their order; 0 for none.
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -364,6 +364,22 @@
   CHECK(fixture.router().knownReplicas() == 3);
 }
 
+TEST_CASE("A router tells at once that it holds a revision when it is asked to, else with its next status") {
+  Begun fixture;
+  fixture.pass(300ms);
+  fixture.all.clear();
+  fixture.addReplicas({CallFixture::replica("r4")});
+  fixture.pass(15ms);
+  CHECK(fixture.count<wire::SendEffect>() == 0);
+  wire::ServiceUpdate update;
+  update.base = LogIndex{(std::uint64_t{1} << 40) | 1};
+  update.replicas = {CallFixture::replica("r5")};
+  update.confirm = true;
+  fixture.send(update);
+  fixture.pass(15ms);
+  REQUIRE(fixture.count<wire::SendEffect>() == 1);
+}
+
 TEST_CASE("Only a whole table that is complete takes replicas away that it doesn't list") {
   Begun fixture;
   wire::ServiceUpdate partial;
--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -68,10 +68,12 @@
 
 int main(int argc, char** argv) {
   cxxopts::Options options("ferryrock-platform-soak", "The world around the processes in a soak.");
-  options.add_options()("control", "Addresses of control members", cxxopts::value<std::vector<std::string>>());
+  options.add_options()("control", "Addresses of control members",
+                        cxxopts::value<std::vector<std::string>>());
   options.add_options()("directory", "Addresses of directories", cxxopts::value<std::vector<std::string>>());
   options.add_options()("seconds", "How long", cxxopts::value<int>()->default_value("60"));
-  options.add_options()("quiet", "Seconds without faults at the end", cxxopts::value<int>()->default_value("15"));
+  options.add_options()("quiet", "Seconds without faults at the end",
+                        cxxopts::value<int>()->default_value("15"));
   options.add_options()("seed", "Of all that is drawn", cxxopts::value<std::uint64_t>()->default_value("1"));
   const auto given = options.parse(argc, argv);
 
@@ -79,12 +81,12 @@
   const auto client = http::createClient(*dispatcher);
   SoakOracle oracle;
   Random random(given["seed"].as<std::uint64_t>());
-  SoakContext context{*dispatcher,
-                      *client,
-                      oracle,
-                      random,
-                      {given["control"].as<std::vector<std::string>>(),
-                       given["directory"].as<std::vector<std::string>>()}};
+  SoakContext context{
+      *dispatcher,
+      *client,
+      oracle,
+      random,
+      {given["control"].as<std::vector<std::string>>(), given["directory"].as<std::vector<std::string>>()}};
   Replicas replicas(context);
   SoakOperator soak_operator(context);
   std::vector<std::unique_ptr<SoakClient>> clients;
--- a/tests/platform/soak/soak_oracle.h
+++ b/tests/platform/soak/soak_oracle.h
@@ -14,9 +14,9 @@
 
 /// What a client was told in the end.
 struct SoakOutcome {
-  int status = 0;       ///< 0: no answer, or one that was cut
-  bool whole = false;   ///< the answer was read to its end
-  std::string body;     ///< of an answer that isn't a stream
+  int status = 0;                ///< 0: no answer, or one that was cut
+  bool whole = false;            ///< the answer was read to its end
+  std::string body;              ///< of an answer that isn't a stream
   std::uint64_t last_event = 0;  ///< of a stream
   bool events_in_order = true;
 };
--- a/tests/platform/soak/soak_world.cc
+++ b/tests/platform/soak/soak_world.cc
@@ -245,7 +245,9 @@
   constexpr std::uint64_t kKinds = 3;
   const auto kind = static_cast<SoakKind>(context_.random.below(kKinds));
   const std::string id = name_ + "-" + std::to_string(++calls_);
-  const char* path = kind == SoakKind::Repeatable ? "/safe/x" : kind == SoakKind::AtMostOnce ? "/once/x" : "/stream/x";
+  const char* path = kind == SoakKind::Repeatable   ? "/safe/x"
+                     : kind == SoakKind::AtMostOnce ? "/once/x"
+                                                    : "/stream/x";
   http::ClientRequest request;
   request.method = "POST";
   request.url = "http://" + addresses_[context_.random.below(addresses_.size())] + path;
@@ -289,10 +291,10 @@
 
 std::string SoakOperator::configuration(std::uint64_t version) {
   const auto route = [](const std::string& name, const char* kind, const char* service, bool resumable) {
-    return Json{{"name", name},        {"host", "shop.example"}, {"pathPrefix", "/" + name + "/"},
-                {"kind", kind},        {"timeoutMs", 2000},      {"targetLatencyMs", 500},
-                {"maxAttempts", 2},    {"service", service},     {"resumable", resumable},
-                {"gapTargetMs", 300},  {"sticky", false}};
+    return Json{{"name", name},       {"host", "shop.example"}, {"pathPrefix", "/" + name + "/"},
+                {"kind", kind},       {"timeoutMs", 2000},      {"targetLatencyMs", 500},
+                {"maxAttempts", 2},   {"service", service},     {"resumable", resumable},
+                {"gapTargetMs", 300}, {"sticky", false}};
   };
   Json models = Json::array();
   for (std::uint64_t i = 0; i < kModels; ++i) {
@@ -331,7 +333,8 @@
       version_ += 1 + context_.random.below(3);
       replace_timer_->enable(1500ms);
     } else if (result.whole && result.status / 100 == 4 && result.status != 408 && result.status != 429) {
-      context_.oracle.breakRule("CONFIG", "a proper configuration was refused with " + std::to_string(result.status));
+      context_.oracle.breakRule("CONFIG",
+                                "a proper configuration was refused with " + std::to_string(result.status));
       replace_timer_->enable(1500ms);
     } else {
       replace_timer_->enable(150ms);
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -58,8 +58,8 @@
   std::unique_ptr<http::ClientCall> call_;
 };
 
-/// A replica of the service "desk" or, with models, of "llm". It answers calls, fails a part of them in various
-/// ways, takes orders, reports itself, and leaves when it is told to.
+/// A replica of the service "desk" or, with models, of "llm". It answers calls, fails a part of them in
+/// various ways, takes orders, reports itself, and leaves when it is told to.
 class SoakReplica {
  public:
   SoakReplica(SoakContext& context, std::string id, bool with_models);
--- a/tests/services/registry_test.cc
+++ b/tests/services/registry_test.cc
@@ -55,7 +55,7 @@
   ReplicaRegistry registry;
   registry.accept(makeReport("r1", "desk", 1), kStart);
   const wire::ServiceCatalog catalog = makeCatalog(3);
-  const FeedContext context{catalog, {}, 2, true, {"edge-1:80"}};
+  const FeedContext context{catalog, {}, 2, true, {"edge-1:80"}, wire::directoryDigest({"edge-1:80"})};
   const TableFeed feed(Term{4}, registry);
   wire::CallRouterStatus status;
   const wire::ServiceUpdate first = feed.updateFor(status, context);
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -131,19 +131,24 @@
   return added;
 }
 
+void ServiceCluster::tell(ScriptedRouter& router) {
+  ++router.status.sequence;
+  wire::CallRouterStatus status = router.status;
+  status.wants = router.wants;
+  for (const auto& member : members_) {
+    deliver(router.status.router, member->node, status);
+  }
+}
+
 void ServiceCluster::beatRouter(ScriptedRouter& router) {
   if (!router.silent) {
-    ++router.status.sequence;
-    wire::CallRouterStatus status = router.status;
-    status.wants = router.wants;
-    for (const auto& member : members_) {
-      deliver(router.status.router, member->node, status);
-    }
+    tell(router);
   }
   after(kRouterInterval, [this, &router] { beatRouter(router); });
 }
 
 void ServiceCluster::takeUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update) {
+  ++router.updates;
   if (update.revision < router.status.revision) {
     return;
   }
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -36,6 +36,7 @@
   std::vector<wire::ModelWant> wants;
   std::map<ReplicaId, wire::RoutedReplica> replicas;
   std::vector<CatalogVersion> versions;  ///< in force, one after the other
+  std::size_t updates = 0;               ///< that it got
   bool silent = false;
 };
 
@@ -59,6 +60,9 @@
 
   ScriptedRouter& addRouter(const std::string& name);
 
+  /// The router tells its status out of turn.
+  void tell(ScriptedRouter& router);
+
   void runFor(Duration duration);
   bool runUntil(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(30));
 
--- a/tests/services/service_control_test.cc
+++ b/tests/services/service_control_test.cc
@@ -158,6 +158,27 @@
   CHECK(router.versions == std::vector<CatalogVersion>{CatalogVersion{1}, CatalogVersion{2}});
 }
 
+TEST_CASE("Statuses out of turn of a router that holds everything are not answered one by one") {
+  FullCell cell;
+  ScriptedRouter& router = cell.cluster.addRouter("edge-1");
+  REQUIRE(cell.cluster.replaceAcknowledged(2));
+  cell.cluster.runFor(3s);
+  const std::size_t before = router.updates;
+  for (int i = 0; i < 50; ++i) {
+    cell.cluster.tell(router);
+    cell.cluster.runFor(20ms);
+  }
+  CHECK(router.updates - before >= 3);
+  CHECK(router.updates - before <= 6);
+  router.wants = {{ServiceName("llm"), ModelName("m1"), "", 1, 0, 1}};
+  const std::size_t before_waiting = router.updates;
+  for (int i = 0; i < 10; ++i) {
+    cell.cluster.tell(router);
+    cell.cluster.runFor(20ms);
+  }
+  CHECK(router.updates - before_waiting >= 10);
+}
+
 TEST_CASE("A member that doesn't lead names the leader") {
   FullCell cell;
   ServiceMember& follower = cell.follower();
