--- a/src/calls/wait_policy.cc
+++ b/src/calls/wait_policy.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /// Share of a call's time that it may wait for a model to be loaded.
-constexpr double kLoadWaitShare = 0.7;
+constexpr double kLoadWaitShare = 0.47;
 /// Share of its caller's patience, so that the first event still comes in time.
 constexpr double kPatienceShare = 0.85;
 /// Share of the latency target that a call waits for a place; refused by then, it may be in time elsewhere.
