--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -280,7 +280,8 @@
     return left.first != right.first ? left.first > right.first : left.second->name < right.second->name;
   });
   dropReservations(candidates, wanted, now);
-  for (const auto& [urgency, model] : wanted) {
+  for (const auto& item : wanted) {
+    const wire::HostedModel* model = item.second;
     const bool room_is_coming = std::any_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
       return candidate.engine->room_for == model->name;
     });
--- a/src/transport/zeromq_transport.cc
+++ b/src/transport/zeromq_transport.cc
@@ -307,7 +307,7 @@
   /// A connection whose peer has connected again is renamed by ZeroMQ: a zero byte and a number. What still
   /// waits on it is as good as lost.
   static bool isReplaced(const zmq::message_t& identity) {
-    return identity.size() > 0 && *identity.data<char>() == 0;
+    return !identity.empty() && *identity.data<char>() == 0;
   }
 
   static bool discardFurtherFrames(zmq::socket_t& socket, const zmq::message_t& last) {
--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -90,6 +90,7 @@
   Replicas replicas(context);
   SoakOperator soak_operator(context);
   std::vector<std::unique_ptr<SoakClient>> clients;
+  clients.reserve(kClients);
   for (int i = 0; i < kClients; ++i) {
     clients.push_back(std::make_unique<SoakClient>(context, "c" + std::to_string(i)));
   }
--- a/tests/transport/resetting_relay.cc
+++ b/tests/transport/resetting_relay.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <stdexcept>
 
 namespace ferryrock::transport {
 namespace {
@@ -45,8 +46,10 @@
 /// Returns the port.
 std::uint16_t listenAnywhere(int listener, int queue) {
   sockaddr_in own = loopback(0);
-  ::bind(listener, reinterpret_cast<const sockaddr*>(&own), sizeof own);
-  ::listen(listener, queue);
+  if (::bind(listener, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0 ||
+      ::listen(listener, queue) != 0) {
+    throw std::runtime_error("the relay can't listen on loopback");
+  }
   socklen_t length = sizeof own;
   ::getsockname(listener, reinterpret_cast<sockaddr*>(&own), &length);
   return ntohs(own.sin_port);
@@ -104,7 +107,8 @@
   const sockaddr_in target = loopback(port_);
   for (int i = 0; i < kMoreThanTheQueue; ++i) {
     waiting_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-    ::connect(waiting_.back(), reinterpret_cast<const sockaddr*>(&target), sizeof target);
+    // It is under way, or waits behind the full queue: both are what is wanted.
+    static_cast<void>(::connect(waiting_.back(), reinterpret_cast<const sockaddr*>(&target), sizeof target));
   }
 }
 
