Order again when room that was asked for isn't made

When the order was only an inspection first, was refused, or freed too little, no further order left for that model for up to 5 s. Room counts as coming only while an order or an unload is under way.

--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -278,7 +278,8 @@
   for (const auto& item : wanted) {
     const wire::HostedModel* model = item.second;
     const bool room_is_coming = std::any_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
-      return candidate.engine->room_for == model->name;
+      const Engine& engine = *candidate.engine;
+      return engine.room_for == model->name && (engine.pending || engine.unloading);
     });
     if (!placeModel(service, *model, candidates, now) && !room_is_coming) {
       makeRoom(service, *model, candidates, now);
--- a/tests/services/model_placer_test.cc
+++ b/tests/services/model_placer_test.cc
@@ -235,6 +235,21 @@
   CHECK(world.loads() > 4);
 }
 
+TEST_CASE("A model for which two others must give way gets its room without a pause between") {
+  PlacerWorld world(1, 3, 0);
+  addModels(world.catalog);
+  for (wire::HostedService& service : world.catalog.services) {
+    for (std::size_t i = 0; service.engine && i < service.engine->models.size(); ++i) {
+      service.engine->models[i].weight_mb = i == 9 ? 120 : 60;
+    }
+  }
+  world.replicas()[0].held = {{ModelName("m3"), {}}, {ModelName("m4"), {}}};
+  world.want("m9", "", 1);
+  world.run(4s);  // two reports of unloads and a load, of a second each on average
+  CHECK(world.placer().loadsBegun() >= 3);
+  CHECK(world.loads() == 1);
+}
+
 TEST_CASE("It is told when a model that is missing should serve") {
   PlacerWorld world(1, 12, 0);
   wire::HostedService& llm = *std::find_if(world.catalog.services.begin(), world.catalog.services.end(),
