Keep members up whose disk is full, hangs or fails

Change: storage::LogStorage::mend() cuts the folder back to what is known to be on disk after a failed write or sync; unwritten() tells what is left to write. The service's writer tries again each 250 ms and acknowledges nothing until a sync has held. Recovery reads a folder on a full disk. A leader whose own writes take longer than a second hands leadership over, whatever the disk's trouble is. Lines storage.blocked and storage.recovered, metric ferryrock_storage_blocked. A process without an identity on a full disk waits for room.

Tests: tests/storage/mend_test.cc (table of troubles and writes, 300 random seeds), the writer's retry, and three cases of the cell: full leader, hanging syncs, two full followers and a restart. Ruled out: writing a failed batch again from its start: entries stand twice in the log (seen as CorruptRecord).

--- a/src/control_process/storage_writer.cc
+++ b/src/control_process/storage_writer.cc
@@ -14,6 +14,17 @@
       on_failed_(std::move(on_failed)),
       thread_([this] { run(); }) {}
 
+StorageWriter::StorageWriter(event::Dispatcher& dispatcher, std::unique_ptr<storage::LogStorage> storage,
+                             PersistedCallback on_persisted, FailedCallback on_failed,
+                             RecoveredCallback on_recovered, Duration retry_pause)
+    : dispatcher_(dispatcher),
+      storage_(std::move(storage)),
+      on_persisted_(std::move(on_persisted)),
+      on_failed_(std::move(on_failed)),
+      on_recovered_(std::move(on_recovered)),
+      retry_pause_(retry_pause),
+      thread_([this] { run(); }) {}
+
 StorageWriter::~StorageWriter() {
   {
     const std::lock_guard lock(mutex_);
@@ -53,7 +64,9 @@
     storage_->persist(writes);
   } catch (const std::exception& fault) {
     dispatcher_.post([this, reason = std::string(fault.what())] { on_failed_(reason); });
-    return false;
+    if (!retry_pause_ || !persistAgain()) {
+      return false;
+    }
   }
   std::vector<std::uint64_t> sequences;
   sequences.reserve(writes.size());
@@ -68,4 +81,26 @@
   return true;
 }
 
+/// What remains is taken anew each time: a try may have written a part of it.
+bool StorageWriter::persistAgain() {
+  while (pause()) {
+    try {
+      const std::vector<consensus::PersistEffect> rest = storage_->unwritten();
+      storage_->mend();
+      storage_->persist(rest);
+      dispatcher_.post([this] { on_recovered_(); });
+      return true;
+    } catch (const std::exception&) {
+      continue;
+    }
+  }
+  return false;
+}
+
+/// False: the writer is stopping.
+bool StorageWriter::pause() {
+  std::unique_lock lock(mutex_);
+  return !changed_.wait_for(lock, *retry_pause_, [this] { return stopping_; });
+}
+
 }  // namespace ferryrock::control_process
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -18,6 +18,8 @@
 /// Catalogs are large and few: the log is replaced by a snapshot early.
 constexpr std::size_t kSnapshotAfterEntries = 300;
 constexpr std::size_t kRetainedEntries = 50;
+/// Between two tries to write to a disk that is full or faulty.
+constexpr Duration kStorageRetry = 250ms;
 constexpr std::uint64_t kSegmentBytes = std::uint64_t{4} << 20;
 
 services::ServiceControlSettings controlSettings(const ServiceControlProcessSettings& settings,
@@ -42,11 +44,10 @@
 
 ServiceControlShell::ServiceControlShell(event::Dispatcher& dispatcher,
                                          ServiceControlProcessSettings settings, const OrderDialect& dialect,
-                                         EventLog& log, event::Callback on_failed)
+                                         EventLog& log)
     : dispatcher_(dispatcher),
       settings_(std::move(settings)),
       log_(log),
-      on_failed_(std::move(on_failed)),
       self_(settings_.host + ":" + std::to_string(settings_.internal_port)) {
   timer_ = dispatcher_.createTimer([this] {
     armed_until_ = TimePoint::max();
@@ -103,9 +104,14 @@
       dispatcher_, std::move(storage),
       [this](std::uint64_t sequence) { carryOut(control_->onPersisted(sequence, now())); },
       [this](const std::string& reason) {
-        log_.write(LogLevel::Error, "storage.failed", {{"reason", std::string_view(reason)}});
-        on_failed_();
-      });
+        storage_blocked_ = true;
+        log_.write(LogLevel::Error, "storage.blocked", {{"reason", std::string_view(reason)}});
+      },
+      [this] {
+        storage_blocked_ = false;
+        log_.write(LogLevel::Info, "storage.recovered", {});
+      },
+      kStorageRetry);
 }
 
 services::QuestionNumber ServiceControlShell::remember(AnswerCallback callback) {
@@ -280,6 +286,8 @@
   };
   set("ferryrock_cell_leads", "1 while this member leads the cell", view.leads ? 1 : 0);
   set("ferryrock_cell_term", "Election term", static_cast<double>(view.term.value));
+  set("ferryrock_storage_blocked", "1 while the disk takes no writes, so that this member takes no part",
+      storage_blocked_ ? 1 : 0);
   set("ferryrock_cell_voters", "Voters of the cell", static_cast<double>(view.voters));
   set("ferryrock_replicas_known", "Replicas that reported of late", static_cast<double>(view.replicas));
   set("ferryrock_routers_offered", "Routers that callers are sent to", static_cast<double>(view.routers));
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -27,7 +27,7 @@
 
   /// Recovers the data folder and opens the internal socket. Throws Error for what it can't start with.
   ServiceControlShell(event::Dispatcher& dispatcher, ServiceControlProcessSettings settings,
-                      const OrderDialect& dialect, EventLog& log, event::Callback on_failed);
+                      const OrderDialect& dialect, EventLog& log);
   ~ServiceControlShell();
 
   /// Each is answered once; see services::ServiceControl.
@@ -61,7 +61,6 @@
   event::Dispatcher& dispatcher_;
   ServiceControlProcessSettings settings_;
   EventLog& log_;
-  event::Callback on_failed_;
   NodeName self_;
   MetricsRegistry metrics_;
   std::unique_ptr<services::ServiceControl> control_;
@@ -76,6 +75,7 @@
   std::vector<NodeName> followed_peers_;
   services::ServiceControlView noted_;
   TimePoint armed_until_ = TimePoint::max();
+  bool storage_blocked_ = false;
   std::optional<TimePoint> stop_began_;
   event::Callback on_stopped_;
 };
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -13,6 +13,8 @@
 constexpr Duration kNewcomerHelloInterval = std::chrono::milliseconds(200);
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
 /// Members that don't lead forget replicas this late, since only the leader's word removes them.
+/// A leader whose own writes take longer lets another member lead.
+constexpr Duration kSlowWrite = std::chrono::seconds(1);
 constexpr Duration kFollowerSilence = std::chrono::seconds(60);
 
 CellKeeperSettings keeperSettings(const ServiceControlSettings& settings) {
@@ -107,7 +109,8 @@
   effects_.emplace_back(std::move(effect));
 }
 
-void ServiceControlImpl::takeOne(consensus::PersistEffect& effect, TimePoint) {
+void ServiceControlImpl::takeOne(consensus::PersistEffect& effect, TimePoint now) {
+  open_writes_.push_back({effect.sequence, now});
   effects_.emplace_back(std::move(effect));
 }
 
@@ -232,6 +235,9 @@
   }
   giveUpForwarded(now);
   sayHello(now);
+  if (node_->leads()) {
+    handOverIfDiskIsSlow(now);
+  }
   return finish(now);
 }
 
@@ -255,6 +261,9 @@
 }
 
 Effects ServiceControlImpl::onPersisted(std::uint64_t sequence, TimePoint now) {
+  while (!open_writes_.empty() && open_writes_.front().sequence <= sequence) {
+    open_writes_.pop_front();
+  }
   take(node_->onPersisted(sequence, now), now);
   return finish(now);
 }
@@ -276,6 +285,15 @@
   return finish(now);
 }
 
+/// A leader whose own disk is full, hangs or is slow serves nobody well; another member with this log can.
+void ServiceControlImpl::handOverIfDiskIsSlow(TimePoint now) {
+  const bool slow = !open_writes_.empty() && now - open_writes_.front().since > kSlowWrite;
+  if (slow && now >= next_hand_over_) {
+    next_hand_over_ = now + kSlowWrite;
+    take(node_->beginStop(now), now);
+  }
+}
+
 Effects ServiceControlImpl::beginStop(TimePoint now) {
   take(node_->beginStop(now), now);
   return finish(now);
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -72,6 +73,11 @@
     QuestionNumber question;
     TimePoint deadline{};
   };
+  /// A write that isn't known to be synced.
+  struct OpenWrite {
+    std::uint64_t sequence = 0;
+    TimePoint since{};
+  };
   /// One leader's term.
   struct LeaderState {
     LeaderState(Term own_term, const ModelPlacerSettings& placer_settings, ReplicaRegistry& registry,
@@ -123,6 +129,7 @@
   void answer(QuestionNumber question, ResultCode code, std::string detail = {}, std::string body = {});
   Effects finish(TimePoint now);
   void followLeadership(TimePoint now);
+  void handOverIfDiskIsSlow(TimePoint now);
   void endLeadership();
   std::uint64_t propose(ProposalPurpose purpose, wire::Command command, TimePoint now);
   void confirmRead(ReadPurpose purpose, TimePoint now);
@@ -177,6 +184,8 @@
   TimePoint relay_due_ = TimePoint::max();
   TimePoint next_hello_;
   TimePoint next_expiry_;
+  std::deque<OpenWrite> open_writes_;  ///< oldest first
+  TimePoint next_hand_over_{};
   std::uint64_t next_id_ = 1;
   Effects effects_;
 };
--- a/src/storage/log_storage.cc
+++ b/src/storage/log_storage.cc
@@ -20,6 +20,8 @@
 
   consensus::RecoveredState recover() override;
   void persist(const std::vector<consensus::PersistEffect>& writes) override;
+  void mend() override;
+  std::vector<consensus::PersistEffect> unwritten() const override { return unwritten_; }
 
  private:
   struct Segment {
@@ -28,10 +30,19 @@
   };
 
   void checkMember(const FolderContents& contents) const;
-  void cutTornTail(FolderContents& contents);
+  /// How far one call of persist() has come.
+  struct Progress {
+    std::size_t recorded = 0;  ///< writes whose records are synced
+    std::size_t finished = 0;  ///< writes whose snapshot is too, if they have one
+  };
+
+  static std::uint64_t forgetTornTail(FolderContents& contents);
+  void persistAll(const std::vector<consensus::PersistEffect>& writes, Progress& progress);
+  void keepUnwritten(const std::vector<consensus::PersistEffect>& writes, const Progress& progress);
   void addRecords(const consensus::PersistEffect& write, Records& records);
   void flush(Records& records);
   void writeSnapshot(const consensus::Snapshot& snapshot);
+  void cutCurrentSegment();
   void beginSegment();
   void removeObsolete();
   std::string currentName() const { return segmentName(segments_.back().number); }
@@ -39,7 +50,10 @@
   std::unique_ptr<FileSystem> files_;
   MemberId member_;
   std::uint64_t maximum_segment_bytes_;
-  bool usable_ = false;  ///< recovered, and no write has failed
+  bool usable_ = false;       ///< recovered, and no write has failed since the folder was mended
+  bool recovered_ = false;    ///< what the folder holds is known
+  bool segment_due_ = false;  ///< the next write goes to a new segment
+  std::vector<consensus::PersistEffect> unwritten_;
   consensus::HardState hard_state_;
   std::optional<SnapshotMark> snapshot_;
   std::vector<Segment> segments_;  ///< oldest first; the last one is written to
@@ -51,7 +65,7 @@
   FolderContents contents;
   readFolder(*files_, contents);
   checkMember(contents);
-  cutTornTail(contents);
+  const std::uint64_t torn_bytes = forgetTornTail(contents);
   last_frame_ = contents.last_frame;
   hard_state_ = contents.hard_state;
   for (const SegmentContents& segment : contents.segments) {
@@ -67,11 +81,23 @@
     snapshot_ = SnapshotMark{recovered.snapshot->last_index, recovered.snapshot->last_term};
   }
   const bool snapshot_is_marked = !snapshot_ || contents.marked == snapshot_->last_index;
-  if (segments_.empty() || !snapshot_is_marked) {
-    beginSegment();
+  segment_due_ = segments_.empty() || !snapshot_is_marked;
+  recovered_ = true;
+  try {
+    if (torn_bytes > 0) {
+      cutCurrentSegment();
+    }
+    if (segment_due_) {
+      beginSegment();
+    }
+    removeObsolete();
+    usable_ = true;
+  } catch (const Error& fault) {
+    // What was read holds; persist() tells that the disk takes no writes.
+    if (fault.code() != ResultCode::DiskFull) {
+      throw;
+    }
   }
-  removeObsolete();
-  usable_ = true;
   return recovered;
 }
 
@@ -84,44 +110,95 @@
   }
 }
 
-void LogStorageImpl::cutTornTail(FolderContents& contents) {
+/// How many bytes don't count. A last segment without a whole header goes entirely: not even the header was
+/// synced, so nothing that was promised is in it.
+std::uint64_t LogStorageImpl::forgetTornTail(FolderContents& contents) {
   if (contents.segments.empty()) {
-    return;
+    return 0;
   }
   const SegmentContents last = contents.segments.back();
-  if (last.valid_bytes == last.bytes && last.bytes > 0) {
-    return;
+  if (last.valid_bytes == 0) {
+    contents.segments.pop_back();
   }
-  if (last.valid_bytes > 0) {
-    files_->truncate(last.name, last.valid_bytes);
-    files_->sync(last.name);
-    return;
+  return last.bytes - last.valid_bytes;
+}
+
+/// Drops what lies behind the last frame that is known to be synced.
+void LogStorageImpl::cutCurrentSegment() {
+  const std::string next = segmentName(segments_.empty() ? 1 : segments_.back().number + 1);
+  if (files_->exists(next)) {
+    files_->remove(next);
+    files_->syncFolder();
+  }
+  if (!segments_.empty()) {
+    files_->truncate(currentName(), segment_bytes_);
+    files_->sync(currentName());
   }
-  // Not even the header was synced, so nothing that was promised is in it.
-  files_->remove(last.name);
-  files_->syncFolder();
-  contents.segments.pop_back();
+}
+
+void LogStorageImpl::mend() {
+  if (!recovered_) {
+    throw Error(ResultCode::StorageFailed, "the log isn't recovered");
+  }
+  cutCurrentSegment();
+  if (segment_due_) {
+    beginSegment();
+  }
+  removeObsolete();
+  usable_ = true;
 }
 
 void LogStorageImpl::persist(const std::vector<consensus::PersistEffect>& writes) {
-  if (!std::exchange(usable_, false)) {
+  if (!usable_) {
+    unwritten_.insert(unwritten_.end(), writes.begin(), writes.end());
     throw Error(ResultCode::StorageFailed, "the log isn't recovered, or an earlier write failed");
   }
+  usable_ = false;
+  unwritten_.clear();
+  Progress progress;
+  try {
+    persistAll(writes, progress);
+  } catch (...) {
+    keepUnwritten(writes, progress);
+    throw;
+  }
+  usable_ = true;
+}
+
+void LogStorageImpl::persistAll(const std::vector<consensus::PersistEffect>& writes, Progress& progress) {
   Records records;
-  for (const consensus::PersistEffect& write : writes) {
-    addRecords(write, records);
-    if (write.snapshot) {
+  for (std::size_t i = 0; i < writes.size(); ++i) {
+    addRecords(writes[i], records);
+    if (writes[i].snapshot) {
       flush(records);
-      writeSnapshot(*write.snapshot);
+      progress.recorded = i + 1;
+      writeSnapshot(*writes[i].snapshot);
+      progress.finished = i + 1;
+      segment_due_ = true;
       beginSegment();
       removeObsolete();
     }
   }
   flush(records);
+  progress = {writes.size(), writes.size()};
   if (segment_bytes_ >= maximum_segment_bytes_) {
+    segment_due_ = true;
     beginSegment();
   }
-  usable_ = true;
+}
+
+void LogStorageImpl::keepUnwritten(const std::vector<consensus::PersistEffect>& writes,
+                                   const Progress& progress) {
+  for (std::size_t i = progress.finished; i < writes.size(); ++i) {
+    consensus::PersistEffect rest;
+    rest.sequence = writes[i].sequence;
+    if (i < progress.recorded) {
+      rest.snapshot = writes[i].snapshot;
+    } else {
+      rest = writes[i];
+    }
+    unwritten_.push_back(std::move(rest));
+  }
 }
 
 void LogStorageImpl::addRecords(const consensus::PersistEffect& write, Records& records) {
@@ -170,10 +247,19 @@
   if (snapshot_) {
     records.emplace_back(*snapshot_);
   }
+  const std::uint64_t earlier_bytes = std::exchange(segment_bytes_, 0);
+  const std::uint64_t earlier_frame = last_frame_;
   segments_.push_back({number, LogIndex{}});
-  segment_bytes_ = 0;
-  flush(records);
-  files_->syncFolder();
+  try {
+    flush(records);
+    files_->syncFolder();
+  } catch (...) {
+    segments_.pop_back();
+    segment_bytes_ = earlier_bytes;
+    last_frame_ = earlier_frame;
+    throw;
+  }
+  segment_due_ = false;
 }
 
 void LogStorageImpl::removeObsolete() {
--- a/src/storage/log_storage.h
+++ b/src/storage/log_storage.h
@@ -34,12 +34,19 @@
 class LogStorage {
  public:
   virtual ~LogStorage() = default;
-  /// Throws CorruptRecord or WrongDataFolder (another member's folder).
+  /// Throws CorruptRecord or WrongDataFolder (another member's folder). A disk that is full or refuses writes
+  /// doesn't stop it: persist() throws until mend() has returned.
   virtual consensus::RecoveredState recover() = 0;
   /// Writes all effects and syncs once (group commit); a snapshot among them takes syncs of its own.
-  /// After an error the process must stop: nothing more is written, each further call throws StorageFailed.
-  /// recover() comes first.
+  /// After an error nothing more is written: each further call throws StorageFailed until mend() has
+  /// returned. recover() comes first.
   virtual void persist(const std::vector<consensus::PersistEffect>& writes) = 0;
+  /// After an error of persist(): cuts the folder back to what is known to be on disk, since a write or a
+  /// sync that failed says nothing of what it left there. Throws what the disk refuses; it may be called
+  /// again.
+  virtual void mend() = 0;
+  /// What of the writes since the last persist() that returned isn't known to be on disk, in order.
+  virtual std::vector<consensus::PersistEffect> unwritten() const = 0;
 };
 
 /// A new segment is begun once the current one has this size.
--- a/tests/control_process/storage_writer_test.cc
+++ b/tests/control_process/storage_writer_test.cc
@@ -114,4 +114,39 @@
   CHECK(fixture.failures.size() == 1);
 }
 
+TEST_CASE("a writer that tries again acknowledges what was refused, in order, once the disk takes it") {
+  const auto fault = GENERATE(values<DiskFault>({
+      {"failed sync", [](storage::MemoryDisk& disk) { disk.setSyncsFail(true); }, "SyncFailed"},
+      {"full disk", [](storage::MemoryDisk& disk) { disk.setCapacity(disk.bytes() + 10); }, "DiskFull"},
+  }));
+  INFO(fault.name);
+  storage::MemoryDisk disk(3);
+  std::vector<std::uint64_t> persisted;
+  std::vector<std::string> failures;
+  std::size_t recoveries = 0;
+  {
+    http::Loop loop;
+    auto storage = storage::createLogStorage(disk.open(), kMember);
+    storage->recover();
+    fault.cause(disk);
+    StorageWriter writer(
+        loop.dispatcher(), std::move(storage), [&](std::uint64_t sequence) { persisted.push_back(sequence); },
+        [&](const std::string& reason) { failures.push_back(reason); }, [&] { ++recoveries; },
+        std::chrono::milliseconds(20));
+    writer.submit(writeOf(1));
+    REQUIRE(loop.runUntil([&] { return !failures.empty(); }));
+    writer.submit(writeOf(2));
+    loop.runFor(std::chrono::milliseconds(100));
+    CHECK(persisted.empty());
+    CHECK(failures.size() == 1);
+    disk.setSyncsFail(false);
+    disk.setCapacity(std::nullopt);
+    REQUIRE(loop.runUntil([&] { return persisted.size() == 2; }));
+    CHECK(persisted == std::vector<std::uint64_t>{1, 2});
+    CHECK(recoveries == 1);
+  }
+  disk.crash();
+  CHECK(storage::createLogStorage(disk.open(), kMember)->recover().entries.size() == 2);
+}
+
 }  // namespace ferryrock::control_process
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -8,6 +8,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr Duration kDiskRetry = std::chrono::milliseconds(250);
 constexpr Duration kMessageDelay = 2ms;
 constexpr Duration kSyncDelay = 1ms;
 constexpr Duration kTickDelay = 10ms;
@@ -231,16 +232,37 @@
   }
 }
 
+/// As the product's writer does: what a full or faulty disk refuses is tried again until it holds.
 void ServiceCluster::sync(ServiceMember& member, std::uint64_t starts) {
   if (member.starts != starts) {
     return;
   }
+  if (member.disk_hangs) {
+    after(kDiskRetry, [this, &member, starts] { sync(member, starts); });
+    return;
+  }
   const std::vector<consensus::PersistEffect> writes = std::exchange(member.unsynced, {});
-  member.storage->persist(writes);
+  std::vector<consensus::PersistEffect> rest;
+  try {
+    if (std::exchange(member.disk_failed, false)) {
+      member.disk_failed = true;
+      member.storage->mend();
+      member.disk_failed = false;
+    }
+    member.storage->persist(writes);
+  } catch (const Error&) {
+    rest = member.disk_failed ? writes : member.storage->unwritten();
+    member.disk_failed = true;
+    after(kDiskRetry, [this, &member, starts] { sync(member, starts); });
+  }
+  const std::uint64_t first_left = rest.empty() ? UINT64_MAX : rest.front().sequence;
+  member.unsynced.insert(member.unsynced.begin(), rest.begin(), rest.end());
   for (const consensus::PersistEffect& write : writes) {
-    act(member, [sequence = write.sequence](ServiceControl& control, TimePoint now) {
-      return control.onPersisted(sequence, now);
-    });
+    if (write.sequence < first_left) {
+      act(member, [sequence = write.sequence](ServiceControl& control, TimePoint now) {
+        return control.onPersisted(sequence, now);
+      });
+    }
   }
 }
 
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -27,6 +27,8 @@
   std::unique_ptr<ServiceControl> control;  ///< null: stopped
   std::uint64_t starts = 0;
   std::vector<consensus::PersistEffect> unsynced;
+  bool disk_hangs = false;
+  bool disk_failed = false;  ///< and wasn't mended since
   std::map<std::uint64_t, AnswerEffect> answers;
 };
 
--- a/tests/services/service_control_test.cc
+++ b/tests/services/service_control_test.cc
@@ -322,5 +322,58 @@
   }
 }
 
+TEST_CASE("A leader whose disk is full lets another lead, and takes part again once there is room") {
+  FullCell cell;
+  REQUIRE(cell.cluster.replaceAcknowledged(2));
+  ServiceMember& full = *cell.cluster.leader();
+  full.disk->setCapacity(full.disk->bytes());
+  const std::uint64_t question = cell.cluster.replace(full, 5);
+  REQUIRE(cell.cluster.runUntil(
+      [&] { return cell.cluster.leader() != nullptr && cell.cluster.leader() != &full; }, 5s));
+  REQUIRE(cell.cluster.replaceAcknowledged(7, 5s));
+  CHECK(cell.cluster.leader() != &full);
+  CHECK(full.control != nullptr);
+  CHECK(full.control->view(cell.cluster.now()).catalog <= CatalogVersion{7});
+  full.disk->setCapacity(std::nullopt);
+  REQUIRE(cell.cluster.runUntil(
+      [&] { return full.control->view(cell.cluster.now()).catalog == CatalogVersion{7}; }, 5s));
+  CHECK(ServiceCluster::codeOf(full, question).has_value());
+}
+
+TEST_CASE("A leader whose syncs hang lets another lead") {
+  FullCell cell;
+  REQUIRE(cell.cluster.replaceAcknowledged(2));
+  ServiceMember& slow = *cell.cluster.leader();
+  slow.disk_hangs = true;
+  cell.cluster.replace(slow, 4);
+  REQUIRE(cell.cluster.runUntil(
+      [&] { return cell.cluster.leader() != nullptr && cell.cluster.leader() != &slow; }, 4s));
+  CHECK(cell.cluster.replaceAcknowledged(6, 4s));
+  CHECK(cell.cluster.leader() != &slow);
+}
+
+TEST_CASE("Full disks of two members lose nothing, and they catch up") {
+  FullCell cell;
+  REQUIRE(cell.cluster.replaceAcknowledged(2));
+  ServiceMember& first = cell.follower(0);
+  ServiceMember& second = cell.follower(1);
+  for (ServiceMember* member : {&first, &second}) {
+    member->disk->setCapacity(member->disk->bytes() + 20);
+  }
+  REQUIRE(cell.cluster.replaceAcknowledged(3, 5s));
+  cell.cluster.kill(first);
+  cell.cluster.start(first);
+  REQUIRE(cell.cluster.replaceAcknowledged(9, 5s));
+  for (ServiceMember* member : {&first, &second}) {
+    member->disk->setCapacity(std::nullopt);
+  }
+  REQUIRE(cell.cluster.runUntil(
+      [&] {
+        return first.control->view(cell.cluster.now()).catalog == CatalogVersion{9} &&
+               second.control->view(cell.cluster.now()).catalog == CatalogVersion{9};
+      },
+      5s));
+}
+
 }  // namespace
 }  // namespace ferryrock::services
--- /dev/null
+++ b/tests/storage/mend_test.cc
@@ -0,0 +1,199 @@
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "storage_fixture.h"
+
+/// A folder whose disk was full or refused syncs for a while, and what is written after that.
+namespace ferryrock::storage {
+namespace {
+
+struct TroubleRow {
+  const char* name;
+  std::function<void(MemoryDisk&)> begin;
+};
+
+const std::vector<TroubleRow> kTroubles{
+    {"no room at all", [](MemoryDisk& disk) { disk.setCapacity(disk.bytes()); }},
+    {"room for a part of the record", [](MemoryDisk& disk) { disk.setCapacity(disk.bytes() + 10); }},
+    {"room for the record, not for what follows",
+     [](MemoryDisk& disk) { disk.setCapacity(disk.bytes() + 90); }},
+    {"syncs fail", [](MemoryDisk& disk) { disk.setSyncsFail(true); }},
+};
+
+struct WritesRow {
+  const char* name;
+  std::function<std::vector<consensus::PersistEffect>(WriteBuilder&)> make;
+  const char* recovered;  ///< ends so
+};
+
+const std::vector<WritesRow> kWrites{
+    {"entries", [](WriteBuilder& make) { return std::vector{make.entries(3, 4)}; }, "1/1 2/1 3/1 4/1"},
+    {"a vote and entries",
+     [](WriteBuilder& make) {
+       return std::vector{make.hardState(3, 2), make.entries(3, 4)};
+     },
+     "1/1 2/1 3/1 4/1"},
+    {"entries that replace others", [](WriteBuilder& make) { return std::vector{make.replacement(2, 3, 2)}; },
+     "1/1 2/2 3/2"},
+    {"entries that fill a segment", [](WriteBuilder& make) { return std::vector{make.entries(3, 40)}; },
+     "39/1 40/1"},
+    {"entries, a snapshot and entries",
+     [](WriteBuilder& make) {
+       return std::vector{make.entries(3, 4), make.snapshot(3), make.entries(5, 5)};
+     },
+     "snapshot 3 4/1 5/1"},
+};
+
+void end(MemoryDisk& disk) {
+  disk.setCapacity(std::nullopt);
+  disk.setSyncsFail(false);
+}
+
+/// Mends and writes what is left until all is written.
+void writeRest(LogStorage& storage) {
+  const std::vector<consensus::PersistEffect> rest = storage.unwritten();
+  storage.mend();
+  storage.persist(rest);
+}
+
+TEST_CASE("what a full or faulty disk refused is written once the disk takes it") {
+  for (const TroubleRow& trouble : kTroubles) {
+    for (const WritesRow& writes : kWrites) {
+      INFO(trouble.name << ", " << writes.name);
+      MemoryDisk disk(1);
+      WriteBuilder make;
+      {
+        const auto storage = createLogStorage(disk.open(), kMember, kSmallSegment);
+        storage->recover();
+        storage->persist({make.hardState(2, 1), make.entries(1, 2)});
+        const std::vector<consensus::PersistEffect> wanted = writes.make(make);
+        trouble.begin(disk);
+        if (faultOf([&] { storage->persist(wanted); }) != ResultCode::Ok) {
+          CHECK_FALSE(storage->unwritten().empty());
+        }
+        end(disk);
+        writeRest(*storage);
+        CHECK(storage->unwritten().empty());
+      }
+      disk.crash();
+      const std::string recovered = describe(recoverFrom(disk.open()));
+      CHECK_THAT(recovered, Catch::EndsWith(writes.recovered));
+    }
+  }
+}
+
+TEST_CASE("a folder is mended only once the disk takes writes, and stays as it was until then") {
+  MemoryDisk disk(1);
+  WriteBuilder make;
+  {
+    const auto storage = createLogStorage(disk.open(), kMember, kSmallSegment);
+    storage->recover();
+    storage->persist({make.entries(1, 2)});
+    disk.setSyncsFail(true);
+    CHECK(faultOf([&] { storage->persist({make.entries(3, 3)}); }) == ResultCode::SyncFailed);
+    for (int again = 0; again < 3; ++again) {
+      CHECK(faultOf([&] { storage->mend(); }) == ResultCode::SyncFailed);
+      CHECK(storage->unwritten().size() == 1);
+    }
+  }
+  disk.setSyncsFail(false);
+  disk.crash();
+  const std::string recovered = describe(recoverFrom(disk.open()));
+  const bool kept = recovered == "term 0 vote 0 1/1 2/1" || recovered == "term 0 vote 0 1/1 2/1 3/1";
+  CHECK(kept);
+}
+
+TEST_CASE("a full disk doesn't keep a member from reading its folder") {
+  MemoryDisk disk(1);
+  WriteBuilder make;
+  {
+    const auto storage = createLogStorage(disk.open(), kMember, kSmallSegment);
+    storage->recover();
+    storage->persist({make.hardState(4, 2), make.entries(1, 2)});
+    disk.setCapacity(disk.bytes() + 10);
+    CHECK(faultOf([&] { storage->persist({make.entries(3, 3)}); }) == ResultCode::DiskFull);
+  }
+  {
+    const auto storage = createLogStorage(disk.open(), kMember, kSmallSegment);
+    CHECK(describe(storage->recover()) == "term 4 vote 2 1/1 2/1");
+    CHECK(faultOf([&] { storage->persist({make.entries(3, 4)}); }) != ResultCode::Ok);
+    disk.setCapacity(std::nullopt);
+    writeRest(*storage);
+  }
+  disk.crash();
+  CHECK(describe(recoverFrom(disk.open())) == "term 4 vote 2 1/1 2/1 3/1 4/1");
+}
+
+TEST_CASE("a member on an empty disk without room waits for it") {
+  MemoryDisk disk(1);
+  WriteBuilder make;
+  disk.setCapacity(0);
+  {
+    const auto storage = createLogStorage(disk.open(), kMember, kSmallSegment);
+    CHECK(describe(storage->recover()) == "term 0 vote 0");
+    CHECK(faultOf([&] { storage->persist({make.entries(1, 1)}); }) != ResultCode::Ok);
+    CHECK(faultOf([&] { storage->mend(); }) == ResultCode::DiskFull);
+    disk.setCapacity(std::nullopt);
+    writeRest(*storage);
+  }
+  disk.crash();
+  CHECK(describe(recoverFrom(disk.open())) == "term 0 vote 0 1/1");
+}
+
+/// Trouble comes and goes at random; a crash at the end keeps all that was acknowledged, and nothing is
+/// damaged.
+TEST_CASE("nothing acknowledged is lost, however often the disk is full or refuses syncs") {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    INFO("seed " << seed);
+    MemoryDisk disk(seed);
+    Random random(seed);
+    WriteBuilder make;
+    std::uint64_t acknowledged = 0;
+    std::uint64_t next = 1;
+    {
+      const auto storage = createLogStorage(disk.open(), kMember, kSmallSegment);
+      storage->recover();
+      std::uint64_t attempted = 0;
+      bool failed = false;
+      for (int step = 0; step < 80; ++step) {
+        if (random.chance(0.3)) {
+          disk.setCapacity(disk.bytes() + random.below(300));
+        } else if (random.chance(0.2)) {
+          disk.setSyncsFail(true);
+        } else {
+          end(disk);
+        }
+        const std::uint64_t last = next + random.below(6);
+        try {
+          if (failed) {
+            writeRest(*storage);
+          } else {
+            std::vector<consensus::PersistEffect> writes{make.entries(next, last)};
+            if (random.chance(0.2) && acknowledged > 0) {
+              writes.push_back(make.snapshot(acknowledged));
+            }
+            attempted = last;
+            next = last + 1;
+            storage->persist(writes);
+          }
+          failed = false;
+          acknowledged = attempted;
+        } catch (const Error&) {
+          failed = true;
+        }
+      }
+      end(disk);
+    }
+    disk.crash();
+    const consensus::RecoveredState recovered = recoverFrom(disk.open());
+    const std::uint64_t last = recovered.entries.empty()
+                                   ? (recovered.snapshot ? recovered.snapshot->last_index.value : 0)
+                                   : recovered.entries.back().index.value;
+    CHECK(last >= acknowledged);
+  }
+}
+
+}  // namespace
+}  // namespace ferryrock::storage
