Ask a replica after an unload whose answer was lost, instead of waiting 12 s

Change: what the replica says of itself settles the doubt, for unloads as for loads; one that isn't at an order and still holds the model gets the next order, and its calls back.

Test: orders lost on their way (three rows).

--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -7,13 +7,6 @@
 #include "services/model_placer_rules.h"
 
 namespace ferryrock::services {
-namespace {
-
-/// An unload that no report shows by then is looked at again.
-constexpr Duration kUnloadTimeLimit = std::chrono::seconds(12);
-
-}  // namespace
-
 PlacerEffects ModelPlacer::plan(const wire::ServiceCatalog& catalog, const std::set<ReplicaId>& unreachable,
                                 TimePoint now) {
   if (now >= settings_.first_order) {
@@ -69,15 +62,15 @@
       }
       forgetLoad(candidate.record->report.id, engine, now);
     }
-    settleUnload(candidate, now);
-    const bool in_doubt = engine.loading && now >= engine.doubted_from;
+    settleUnload(candidate);
+    const bool in_doubt = (engine.loading || engine.unloading) && now >= engine.doubted_from;
     if (in_doubt && ready(candidate, now)) {
       inspect(candidate, now);
     }
   }
 }
 
-void ModelPlacer::settleUnload(Candidate& candidate, TimePoint now) {
+void ModelPlacer::settleUnload(Candidate& candidate) {
   Engine& engine = *candidate.engine;
   if (!engine.unloading) {
     return;
@@ -86,9 +79,6 @@
     engine.models.erase(*engine.unloading);
     std::erase_if(engine.adapters, [&engine](const auto& key) { return key.first == *engine.unloading; });
     engine.unloading.reset();
-  } else if (now - engine.unloading_since > kUnloadTimeLimit) {
-    engine.unloading.reset();
-    engine.orders_taken.reset();
   }
 }
 
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -111,7 +111,7 @@
     bool possible_now = false;
   };
   struct Placement {
-    std::optional<TimePoint> ready;  ///< when the model should serve
+    std::optional<TimePoint> ready;  ///< when the model should serve; none: it can't be told
     UnplacedReason reason = UnplacedReason::None;
   };
   struct Note {
@@ -120,7 +120,7 @@
 
   // model_placer.cc
   void settleFinished(Candidates& candidates, TimePoint now);
-  void settleUnload(Candidate& candidate, TimePoint now);
+  static void settleUnload(Candidate& candidate);
   static bool loadIsLate(const Engine& engine, TimePoint now);
   Candidates candidatesOf(const wire::HostedService& service, const std::set<ReplicaId>& unreachable,
                           TimePoint now);
@@ -175,7 +175,7 @@
   void inspect(Candidate& candidate, TimePoint now);
   static void forgetLoad(const ReplicaId& replica, Engine& engine, TimePoint now);
   static void takeState(Engine& engine, const ReplicaState& state);
-  static void settleDoubt(const ReplicaId& replica, Engine& engine, const ReplicaState& state, TimePoint now);
+  void settleDoubt(const ReplicaId& replica, Engine& engine, const ReplicaState& state, TimePoint now);
   void noteUnplaced(const wire::HostedService& service, const WantedModel& wanted, UnplacedReason reason,
                     TimePoint now);
 
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -183,11 +183,12 @@
   StoreLoads::Forecast forecast = store.forecast(now);
   for (const WantedModel& item : wanted) {
     const Placement placement = placeModel(service, *item.model, candidates, near, forecast, now);
-    if (placement.ready) {
-      expected_[{service.name, item.model->name}] = *placement.ready;
+    if (!placement.ready) {
+      noteUnplaced(service, item, placement.reason, now);
+      continue;
     }
-    const bool in_time = placement.ready && *placement.ready - now <= longest_absence;
-    if (item.missing && in_time) {
+    expected_[{service.name, item.model->name}] = *placement.ready;
+    if (item.missing && *placement.ready - now <= longest_absence) {
       promised_.insert({service.name, item.model->name});
     }
     if (placement.reason != UnplacedReason::None) {
@@ -252,10 +253,8 @@
     if (engine.room_for != model.name || !(engine.pending || engine.unloading)) {
       continue;
     }
-    if (waitsForRuns(service, engine)) {
-      return Placement{std::nullopt, UnplacedReason::RoomComing};
-    }
-    return Placement{now + kRoomTime + loadTime(*candidate.record, model), UnplacedReason::RoomComing};
+    const Duration room_time = waitsForRuns(service, engine) ? kRunsTime : kRoomTime;
+    return Placement{now + room_time + loadTime(*candidate.record, model), UnplacedReason::RoomComing};
   }
   return std::nullopt;
 }
--- a/src/services/model_placer_orders.cc
+++ b/src/services/model_placer_orders.cc
@@ -14,7 +14,8 @@
 /// A replica that doesn't answer is asked again after longer and longer pauses.
 constexpr Duration kLongestSilencePause = std::chrono::seconds(5);
 constexpr int kMostDoublings = 4;
-/// A replica that was at a load that is late is asked again after this time.
+/// An unload that no report shows is asked after, and so is, again, a replica that was at its order.
+constexpr Duration kDoubtedUnload = std::chrono::seconds(4);
 constexpr Duration kDoubtedAgain = std::chrono::seconds(2);
 /// A model that got no order is told of once in this time, and so many of them at most.
 constexpr Duration kNoteInterval = std::chrono::seconds(2);
@@ -48,6 +49,7 @@
     registry_.withdrawModel(report.id, model, now);
     engine.unloading = model;
     engine.unloading_since = now;
+    engine.doubted_from = now + kDoubtedUnload;
     --copies_[model];
   } else if (action == OrderAction::Load && adapter.empty()) {
     engine.loading = model;
@@ -118,7 +120,6 @@
     case OrderOutcome::Unanswered:
       // It may be under way or come late: what it takes stays reckoned with until the replica tells.
       engine.orders_taken.reset();
-      engine.not_before = now + kRetryAfterConflict;
       engine.doubted_from = now;
       break;
   }
@@ -148,18 +149,25 @@
   settleDoubt(found->first, engine, *state, now);
 }
 
-/// A replica that is at no order and doesn't hold the model hasn't taken the load, or has failed at it.
-/// Should the order be carried out late, then before any newer one: the count of orders lets just one of them
-/// through.
+/// A replica that is at no order hasn't taken the one in doubt, or has failed at it. Should that order be
+/// carried out late, then before any newer one: the count of orders lets just one of them through.
 void ModelPlacer::settleDoubt(const ReplicaId& replica, Engine& engine, const ReplicaState& state,
                               TimePoint now) {
-  if (!engine.loading) {
+  if (state.busy) {
+    engine.doubted_from = now + kDoubtedAgain;
     return;
   }
-  if (state.busy || engine.models.contains(*engine.loading)) {
-    engine.doubted_from = now + kDoubtedAgain;
-  } else if (now - engine.loading_since > kReportLag) {
-    forgetLoad(replica, engine, now);
+  if (engine.loading && now - engine.loading_since > kReportLag) {
+    if (engine.models.contains(*engine.loading)) {
+      engine.doubted_from = now + kDoubtedAgain;
+    } else {
+      forgetLoad(replica, engine, now);
+    }
+  }
+  if (engine.unloading && now - engine.unloading_since > kReportLag &&
+      engine.models.contains(*engine.unloading)) {
+    registry_.restoreModel(replica, *engine.unloading);
+    engine.unloading.reset();
   }
 }
 
--- a/tests/services/model_placer_store_test.cc
+++ b/tests/services/model_placer_store_test.cc
@@ -118,6 +118,7 @@
   TimePoint now{1000s};
   std::size_t most_under_way = 0;
   std::size_t unplaced_notes = 0;
+  std::size_t orders_lost = 0;  ///< of the next ones
 
  private:
   static ModelPlacerSettings settings() {
@@ -139,7 +140,8 @@
     return *std::find_if(replicas_.begin(), replicas_.end(), [&id](const auto& r) { return r.id == id; });
   }
   OrderOutcome take(StoreReplica& replica, const OrderReplicaEffect& order) {
-    if (replica.mute) {
+    if (replica.mute || orders_lost > 0) {
+      orders_lost -= orders_lost > 0 ? 1 : 0;
       return OrderOutcome::Unanswered;
     }
     if (replica.loading || order.expected != replica.orders_taken) {
@@ -250,6 +252,20 @@
   CHECK(world.heldCount() == 8);
 }
 
+TEST_CASE("An order that was lost on its way holds its replica up no longer than it takes to ask") {
+  for (const std::size_t lost : {1, 2, 3}) {
+    INFO(lost << " orders lost");
+    StoreWorld world(1, 6, 4);
+    world.replicas()[0].held = {ModelName("m1"), ModelName("m2")};
+    world.replicas()[0].on_disk = {ModelName("m0")};
+    world.report(world.replicas()[0]);
+    world.orders_lost = lost;
+    world.wantAll(0, 0);
+    world.run(2s + 500ms * lost);
+    CHECK(world.held("m0"));
+  }
+}
+
 TEST_CASE("Weights on a replica's disk go before an empty replica") {
   StoreWorld world(3, 12, 4);
   world.replicas()[0].held = {ModelName("m1"), ModelName("m2")};
