Let loads of near weights go before loads from the store

Change: models with near weights are placed first, in the order of their urgency; what is left of the replicas goes to loads from the store.

--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -137,9 +137,12 @@
   void placeModels(const wire::ServiceCatalog& catalog, const wire::HostedService& service,
                    Candidates& candidates, TimePoint now);
   WantedModels wantedModels(const wire::HostedService& service) const;
-  Placement placeModel(const wire::HostedService& service, const wire::HostedModel& model,
-                       Candidates& candidates, const NearWeights& near, StoreLoads::Forecast& forecast,
-                       TimePoint now);
+  std::optional<Placement> placeNear(const wire::HostedService& service, const wire::HostedModel& model,
+                                     Candidates& candidates, const NearWeights& near, TimePoint now);
+  Placement placeFromStore(const wire::HostedService& service, const wire::HostedModel& model,
+                           Candidates& candidates, StoreLoads::Forecast& forecast, TimePoint now);
+  void notePlacement(const wire::HostedService& service, const WantedModel& item, const Placement& placement,
+                     Duration longest_absence, TimePoint now);
   std::optional<Placement> comingRoom(const wire::HostedService& service, const wire::HostedModel& model,
                                       const Candidates& candidates, TimePoint now) const;
   std::optional<Option> optionOn(const wire::HostedService& service, const wire::HostedModel& model,
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -181,19 +181,32 @@
   const NearWeights near(candidates);
   const Duration longest_absence = longestAbsence(catalog, service.name);
   StoreLoads::Forecast forecast = store.forecast(now);
+  // Loads of weights that are near are short: they go before long ones, which would take their replicas.
+  std::vector<const WantedModel*> far;
   for (const WantedModel& item : wanted) {
-    const Placement placement = placeModel(service, *item.model, candidates, near, forecast, now);
-    if (!placement.ready) {
-      noteUnplaced(service, item, placement.reason, now);
-      continue;
+    const auto placement = placeNear(service, *item.model, candidates, near, now);
+    if (placement) {
+      notePlacement(service, item, *placement, longest_absence, now);
+    } else {
+      far.push_back(&item);
     }
+  }
+  for (const WantedModel* item : far) {
+    const Placement placement = placeFromStore(service, *item->model, candidates, forecast, now);
+    notePlacement(service, *item, placement, longest_absence, now);
+  }
+}
+
+void ModelPlacer::notePlacement(const wire::HostedService& service, const WantedModel& item,
+                                const Placement& placement, Duration longest_absence, TimePoint now) {
+  if (placement.ready) {
     expected_[{service.name, item.model->name}] = *placement.ready;
-    if (item.missing && *placement.ready - now <= longest_absence) {
-      promised_.insert({service.name, item.model->name});
-    }
-    if (placement.reason != UnplacedReason::None) {
-      noteUnplaced(service, item, placement.reason, now);
-    }
+  }
+  if (item.missing && placement.ready && *placement.ready - now <= longest_absence) {
+    promised_.insert({service.name, item.model->name});
+  }
+  if (placement.reason != UnplacedReason::None) {
+    noteUnplaced(service, item, placement.reason, now);
   }
 }
 
@@ -205,12 +218,11 @@
   });
 }
 
-/// Where the weights are near if that is sooner than from the store; a replica that can't take the order now
-/// is left alone, and nobody waits for it who can do better.
-ModelPlacer::Placement ModelPlacer::placeModel(const wire::HostedService& service,
-                                               const wire::HostedModel& model, Candidates& candidates,
-                                               const NearWeights& near, StoreLoads::Forecast& forecast,
-                                               TimePoint now) {
+/// Where the weights are near, if that is sooner than from the store; nullopt: it isn't.
+std::optional<ModelPlacer::Placement> ModelPlacer::placeNear(const wire::HostedService& service,
+                                                             const wire::HostedModel& model,
+                                                             Candidates& candidates, const NearWeights& near,
+                                                             TimePoint now) {
   if (const auto coming = comingRoom(service, model, candidates, now)) {
     return *coming;
   }
@@ -221,11 +233,17 @@
       nearest = option;
     }
   }
+  const Duration store_load = std::chrono::milliseconds(model.store_load_ms);
+  const bool sooner = nearest && nearest->ready <= now + store_load;
+  return sooner ? std::optional(take(service, model, *nearest, now)) : std::nullopt;
+}
+
+/// On a replica that can take the order now: nobody waits for one that can't.
+ModelPlacer::Placement ModelPlacer::placeFromStore(const wire::HostedService& service,
+                                                   const wire::HostedModel& model, Candidates& candidates,
+                                                   StoreLoads::Forecast& forecast, TimePoint now) {
   StoreLoads& store = stores_[service.name];
   const Duration store_load = std::chrono::milliseconds(model.store_load_ms);
-  if (nearest && nearest->ready <= now + store_load) {
-    return take(service, model, *nearest, now);
-  }
   if (!store.mayBegin(service.engine->loads_per_second, now)) {
     return {forecast.add(store_load, now), UnplacedReason::StoreFull};
   }
