Tell expected times of missing models alone, order adapters where they are taken

Change: an expected time is told only if no replica holds the model; an adapter goes to a replica that isn't at an order, if there is one.

Test: no expected time for a model that gets another copy.

--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -42,7 +42,8 @@
   stores_[service.name].observeOverdue(now);
   for (Candidate& candidate : candidates) {
     const Engine& engine = *candidate.engine;
-    if (engine.loading && !loadIsLate(engine, now)) {
+    const bool missing = engine.loading && !heldBy(candidates, *engine.loading);
+    if (missing && !loadIsLate(engine, now)) {
       expected_[{service.name, *engine.loading}] = engine.loading_since + engine.loading_time;
     }
     candidate.used_mb = usedMegabytes(*candidate.record, *candidate.engine, *service.engine);
@@ -50,6 +51,13 @@
   return candidates;
 }
 
+/// True if one of them serves calls of the model.
+bool ModelPlacer::heldBy(const Candidates& candidates, const ModelName& model) {
+  return std::any_of(candidates.begin(), candidates.end(), [&model](const Candidate& candidate) {
+    return holds(*candidate.record, model) && candidate.engine->unloading != model;
+  });
+}
+
 /// Takes from reports that a load or an unload has ended. A load that is late isn't given up while its
 /// replica is at it: the replica is asked.
 void ModelPlacer::settleFinished(Candidates& candidates, TimePoint now) {
@@ -126,12 +134,13 @@
   }
 }
 
-/// On the replica that holds the model with the fewest adapters; the one least wanted gives way.
+/// On the replica that holds the model with the fewest adapters, one that can take the order now if there is
+/// any; the adapter least wanted gives way.
 void ModelPlacer::loadAdapter(const wire::HostedService& service, const ModelKey& key, Candidates& candidates,
                               TimePoint now) {
   const wire::HostedModel* model = findModel(*service.engine, key.model);
   Candidate* best = nullptr;
-  std::size_t fewest = 0;
+  std::pair<bool, std::size_t> best_rank;
   for (Candidate& candidate : candidates) {
     const auto adapters = adaptersOf(*candidate.record, *candidate.engine);
     if (adapters.contains({key.model, key.adapter})) {
@@ -144,15 +153,17 @@
       return;
     }
     const bool usable = holds(*candidate.record, key.model) && engine.unloading != key.model;
-    if (usable && (best == nullptr || adapters.size() < fewest)) {
+    const bool occupied = engine.loading || engine.unloading || !ready(candidate, now);
+    const std::pair<bool, std::size_t> rank{occupied, adapters.size()};
+    if (usable && (best == nullptr || rank < best_rank)) {
       best = &candidate;
-      fewest = adapters.size();
+      best_rank = rank;
     }
   }
   if (best == nullptr || model == nullptr || !ready(*best, now)) {
     return;
   }
-  const bool slot_free = fewest < service.engine->adapter_slots;
+  const bool slot_free = best_rank.second < service.engine->adapter_slots;
   const bool fits = best->used_mb + model->adapter_mb <= service.engine->weight_capacity_mb;
   if (slot_free && fits) {
     order(*best, OrderAction::Load, key.model, key.adapter, model->adapter_mb, now);
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -121,6 +121,7 @@
   // model_placer.cc
   void settleFinished(Candidates& candidates, TimePoint now);
   static void settleUnload(Candidate& candidate);
+  static bool heldBy(const Candidates& candidates, const ModelName& model);
   static bool loadIsLate(const Engine& engine, TimePoint now);
   Candidates candidatesOf(const wire::HostedService& service, const std::set<ReplicaId>& unreachable,
                           TimePoint now);
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -199,7 +199,7 @@
 
 void ModelPlacer::notePlacement(const wire::HostedService& service, const WantedModel& item,
                                 const Placement& placement, Duration longest_absence, TimePoint now) {
-  if (placement.ready) {
+  if (item.missing && placement.ready) {
     expected_[{service.name, item.model->name}] = *placement.ready;
   }
   if (item.missing && placement.ready && *placement.ready - now <= longest_absence) {
--- a/tests/services/model_placer_store_test.cc
+++ b/tests/services/model_placer_store_test.cc
@@ -75,6 +75,9 @@
     }
   }
 
+  /// Many calls for a model that is held.
+  void crowd(const std::string& model) { crowded_ = ModelName(model); }
+
   void run(Duration duration) {
     for (const TimePoint end = now + duration; now < end; now += kStep) {
       demand_.accept(NodeName("edge"), wants(), now);
@@ -134,6 +137,9 @@
         wants.push_back({ServiceName("llm"), model, "", 1, 0, 0});
       }
     }
+    if (crowded_) {
+      wants.push_back({ServiceName("llm"), *crowded_, "", 0, 40, 1});
+    }
     return wants;
   }
   StoreReplica& find(const ReplicaId& id) {
@@ -207,6 +213,7 @@
   ModelPlacer placer_;
   std::vector<StoreReplica> replicas_;
   std::set<ModelName> wanted_;
+  std::optional<ModelName> crowded_;
 };
 
 /// A store of four at full speed gives a model each second; all at once would take the time of all.
@@ -290,5 +297,16 @@
   CHECK(world.unplaced_notes <= 20);
 }
 
+/// Its callers would be sent away although a replica serves them.
+TEST_CASE("No expected time is told for a model that a replica holds while it gets another copy") {
+  StoreWorld world(3, 6, 4);
+  world.replicas()[0].held = {ModelName("m0")};
+  world.report(world.replicas()[0]);
+  world.crowd("m0");
+  world.run(1s);
+  REQUIRE(world.loadsUnderWay() >= 1);
+  CHECK_FALSE(world.placer().expectedAt(world.service(), ModelName("m0"), world.now).has_value());
+}
+
 }  // namespace
 }  // namespace ferryrock::services
