Let a copy of a model take more calls, and give each mechanism of placement a switch

Hypothesis: a copy for each 2 calls a second and each tenth of a batch was found on engines with slow reading; copies of busy models take places in which rare ones would be served in time. Change: 4 calls a second, a fifth of a batch; a promise weighs 1.5 calls instead of 3, so that it doesn't outweigh a crowd. A load whose duration isn't stated teaches no width (a test's catalog had none).

Settings placement_learned_store_width, placement_near_weights_first, placement_expected_times and placement_prompt_doubts switch a mechanism off alone. One test's catalog was cut to the models that it asks for; it is as strict as before.

--- a/src/placement/store_estimator.cc
+++ b/src/placement/store_estimator.cc
@@ -108,6 +108,9 @@
 }
 
 void StoreEstimator::onTimedLoad(const TimedLoad& load) {
+  if (load.nominal <= Duration::zero()) {
+    return;
+  }
   const double slowdown = seconds(load.duration) / std::max(seconds(load.nominal), 1e-3);
   const bool at_limit = load.concurrent + 1 >= std::floor(width_);
   if (load.ended && at_limit && slowdown < kFullSpeedTolerance) {
--- a/src/placement/store_estimator.h
+++ b/src/placement/store_estimator.h
@@ -9,7 +9,7 @@
 
 /// A load from the weight store whose duration at full speed is stated by the operator.
 struct TimedLoad {
-  Duration nominal{};     ///< at full speed
+  Duration nominal{};     ///< at full speed; 0: not stated, nothing is learned
   Duration duration{};    ///< so far
   double concurrent = 1;  ///< loads under way meanwhile, itself included, on average
   bool ended = true;
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -37,6 +37,7 @@
   control.replica_heartbeat = settings.replica_heartbeat;
   control.router_out_of_touch = settings.router_out_of_touch;
   control.order_lease = settings.order_lease;
+  control.placement = settings.placement;
   return control;
 }
 
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -82,6 +82,11 @@
       reader.duration("router_out_of_touch", 100ms, 1h, settings.router_out_of_touch);
   settings.order_lease = reader.duration("order_lease", 0ms, 1h, settings.order_lease);
   settings.replica_heartbeat = reader.duration("replica_heartbeat", 10ms, 1h, settings.replica_heartbeat);
+  services::PlacementSwitches& placement = settings.placement;
+  placement.learned_store_width = reader.boolean("placement_learned_store_width", true);
+  placement.near_weights_first = reader.boolean("placement_near_weights_first", true);
+  placement.expected_times = reader.boolean("placement_expected_times", true);
+  placement.prompt_doubts = reader.boolean("placement_prompt_doubts", true);
   constexpr std::uint64_t kSmallestBody = 1'000;
   constexpr std::uint64_t kLargestBody = 1'000'000'000;
   settings.max_body_bytes =
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -8,6 +8,7 @@
 #include "common/event_log.h"
 #include "common/log_settings.h"
 #include "common/settings_reader.h"
+#include "services/placement_switches.h"
 
 /// Settings files of the processes that serve hosted services.
 namespace ferryrock::service_process {
@@ -48,6 +49,7 @@
   Duration router_out_of_touch = std::chrono::seconds(3);
   Duration order_lease = std::chrono::seconds(3);
   Duration replica_heartbeat = std::chrono::seconds(1);
+  services::PlacementSwitches placement;
   std::size_t max_body_bytes = 64 << 20;
 };
 
--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -37,9 +37,9 @@
   for (const Candidate& candidate : candidates) {
     known.insert(candidate.record->report.id);
   }
-  stores_[service.name].keepOnly(known, now);
+  storeOf(service.name).keepOnly(known, now);
   settleFinished(candidates, now);
-  stores_[service.name].observeOverdue(now);
+  storeOf(service.name).observeOverdue(now);
   for (Candidate& candidate : candidates) {
     const Engine& engine = *candidate.engine;
     const bool missing = engine.loading && !heldBy(candidates, *engine.loading);
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "services/model_demand.h"
+#include "services/placement_switches.h"
 #include "services/replica_orders.h"
 #include "services/replica_registry.h"
 #include "services/store_loads.h"
@@ -24,6 +25,7 @@
   Term fence;
   /// No order leaves earlier: until then an earlier leader's lease may hold.
   TimePoint first_order{};
+  PlacementSwitches switches;
 };
 
 /// Decides which replica loads and unloads which model and adapter, for one leader's term. What a replica
@@ -142,6 +144,7 @@
                                      Candidates& candidates, const NearWeights& near, TimePoint now);
   Placement placeFromStore(const wire::HostedService& service, const wire::HostedModel& model,
                            Candidates& candidates, StoreLoads::Forecast& forecast, TimePoint now);
+  StoreLoads& storeOf(const ServiceName& service);
   void notePlacement(const wire::HostedService& service, const WantedModel& item, const Placement& placement,
                      Duration longest_absence, TimePoint now);
   std::optional<Placement> comingRoom(const wire::HostedService& service, const wire::HostedModel& model,
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -14,10 +14,10 @@
 /// A model that was wanted so recently isn't displaced.
 constexpr Duration kKeptAfterUse = std::chrono::seconds(2);
 /// Requests running or waiting on one copy of a model, as a share of a batch, before another is loaded.
-constexpr double kBatchShare = 0.1;
+constexpr double kBatchShare = 0.2;
 /// Calls a second on one copy of a model: reading one prompt holds up the streams beside it, so that copies
 /// are spread until prompts seldom meet.
-constexpr double kCallsPerCopy = 2.0;
+constexpr double kCallsPerCopy = 4.0;
 /// How long room that was asked for is kept for its model.
 constexpr Duration kRoomLasts = std::chrono::seconds(5);
 /// An unload waits for the runs of its model for about so long.
@@ -29,7 +29,7 @@
 constexpr double kUrgencySeconds = 5.0;
 constexpr double kCrowdedShare = 0.12;
 /// What a model gains whose callers were told when to come back, in calls that wait.
-constexpr double kPromisedUrgency = 3.0;
+constexpr double kPromisedUrgency = 1.5;
 /// What displacing a model costs, per recent call for it, against a second of loading.
 constexpr double kDisplacedShare = 0.5;
 /// Worth of a copy that its model's demand doesn't need, against any that it does.
@@ -82,6 +82,10 @@
   std::unordered_map<std::string_view, std::vector<std::size_t>> holders_;
 };
 
+StoreLoads& ModelPlacer::storeOf(const ServiceName& service) {
+  return stores_.try_emplace(service, settings_.switches.learned_store_width).first->second;
+}
+
 ModelPlacer::CopyCounts ModelPlacer::countCopies(const Candidates& candidates, TimePoint now) {
   CopyCounts counts;
   for (const Candidate& candidate : candidates) {
@@ -171,7 +175,7 @@
 
 void ModelPlacer::placeModels(const wire::ServiceCatalog& catalog, const wire::HostedService& service,
                               Candidates& candidates, TimePoint now) {
-  StoreLoads& store = stores_[service.name];
+  StoreLoads& store = storeOf(service.name);
   const WantedModels wanted = wantedModels(service);
   dropReservations(candidates, wanted, now);
   forgetPromises(service, wanted);
@@ -187,8 +191,11 @@
     const auto placement = placeNear(service, *item.model, candidates, near, now);
     if (placement) {
       notePlacement(service, item, *placement, longest_absence, now);
-    } else {
+    } else if (settings_.switches.near_weights_first) {
       far.push_back(&item);
+    } else {
+      notePlacement(service, item, placeFromStore(service, *item.model, candidates, forecast, now),
+                    longest_absence, now);
     }
   }
   for (const WantedModel* item : far) {
@@ -199,7 +206,8 @@
 
 void ModelPlacer::notePlacement(const wire::HostedService& service, const WantedModel& item,
                                 const Placement& placement, Duration longest_absence, TimePoint now) {
-  if (item.missing && placement.ready) {
+  const bool told = placement.reason == UnplacedReason::None || settings_.switches.expected_times;
+  if (item.missing && placement.ready && told) {
     expected_[{service.name, item.model->name}] = *placement.ready;
   }
   if (item.missing && placement.ready && *placement.ready - now <= longest_absence) {
@@ -242,7 +250,7 @@
 ModelPlacer::Placement ModelPlacer::placeFromStore(const wire::HostedService& service,
                                                    const wire::HostedModel& model, Candidates& candidates,
                                                    StoreLoads::Forecast& forecast, TimePoint now) {
-  StoreLoads& store = stores_[service.name];
+  StoreLoads& store = storeOf(service.name);
   const Duration store_load = std::chrono::milliseconds(model.store_load_ms);
   if (!store.mayBegin(service.engine->loads_per_second, now)) {
     return {forecast.add(store_load, now), UnplacedReason::StoreFull};
@@ -397,8 +405,8 @@
   engine.loading_time = loadTime(*candidate.record, model);
   engine.doubted_from = now + kLateFactor * engine.loading_time + kLateSlack;
   if (from_store) {
-    stores_[service.name].onBegun(report.id, engine.loading_time, now);
-    engine.store = &stores_[service.name];
+    storeOf(service.name).onBegun(report.id, engine.loading_time, now);
+    engine.store = &storeOf(service.name);
   }
 }
 
--- a/src/services/model_placer_orders.cc
+++ b/src/services/model_placer_orders.cc
@@ -20,6 +20,8 @@
 /// A model that got no order is told of once in this time, and so many of them at most.
 constexpr Duration kNoteInterval = std::chrono::seconds(2);
 constexpr std::size_t kMostNotes = 16;
+/// From an unanswered order until its replica is asked, if that isn't done at once.
+constexpr Duration kPatientDoubt = std::chrono::seconds(12);
 /// What an inspection showed is believed for this long.
 constexpr Duration kInspectionLasts = std::chrono::seconds(15);
 
@@ -120,7 +122,7 @@
     case OrderOutcome::Unanswered:
       // It may be under way or come late: what it takes stays reckoned with until the replica tells.
       engine.orders_taken.reset();
-      engine.doubted_from = now;
+      engine.doubted_from = settings_.switches.prompt_doubts ? now : now + kPatientDoubt;
       break;
   }
 }
@@ -197,7 +199,7 @@
     return;
   }
   noted_[{service.name, wanted.model->name}] = {now};
-  const StoreLoads& store = stores_[service.name];
+  const StoreLoads& store = storeOf(service.name);
   const KeyDemand demand = demand_.find({service.name, wanted.model->name, {}});
   effects_.emplace_back(ModelUnplacedEffect{service.name, wanted.model->name, reason, demand.waiting,
                                             wanted.urgency, store.underWay(), store.width()});
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -309,6 +309,7 @@
     ModelPlacerSettings placer;
     placer.holder = self_;
     placer.fence = term;
+    placer.switches = settings_.placement;
     placer.first_order = now + settings_.order_lease;
     leader_.emplace(term, placer, registry_, now);
     keeper_.onLeadership(now);
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control/control_node.h"
+#include "services/placement_switches.h"
 #include "services/replica_orders.h"
 #include "services/replica_registry.h"
 #include "services/router_directory.h"
@@ -26,6 +27,7 @@
   Duration router_out_of_touch = std::chrono::milliseconds(3000);
   /// A new leader orders nothing before an earlier one's orders can have left.
   Duration order_lease = std::chrono::milliseconds(3000);
+  PlacementSwitches placement;
   /// Replicas that don't report for longer are forgotten.
   Duration replica_silence = std::chrono::seconds(6);
 };
--- a/src/services/store_loads.cc
+++ b/src/services/store_loads.cc
@@ -30,7 +30,8 @@
 
 }  // namespace
 
-StoreLoads::StoreLoads() : estimator_(TimePoint{}, kFirstWidth) {}
+StoreLoads::StoreLoads(bool bounded_by_width)
+    : bounded_by_width_(bounded_by_width), estimator_(TimePoint{}, kFirstWidth) {}
 
 bool StoreLoads::mayBegin(double loads_per_second, TimePoint now) {
   while (!begun_.empty() && now - begun_.front() > kWindow) {
@@ -38,7 +39,7 @@
   }
   const double most = loads_per_second * seconds(kWindow) * kRateShare;
   const bool within_rate = loads_per_second <= 0 || static_cast<double>(begun_.size()) + 1 <= most;
-  return within_rate && estimator_.hasRoom(underWay());
+  return within_rate && (!bounded_by_width_ || estimator_.hasRoom(underWay()));
 }
 
 void StoreLoads::onBegun(const ReplicaId& replica, Duration nominal, TimePoint now) {
--- a/src/services/store_loads.h
+++ b/src/services/store_loads.h
@@ -16,7 +16,8 @@
 /// thread.
 class StoreLoads {
  public:
-  StoreLoads();
+  /// bounded_by_width: false leaves the operator's rate as the only bound.
+  explicit StoreLoads(bool bounded_by_width = true);
 
   /// loads_per_second: as the operator states it; 0: not limited.
   bool mayBegin(double loads_per_second, TimePoint now);
@@ -57,6 +58,7 @@
   Duration expected(const Load& load) const;
   void remove(std::map<ReplicaId, Load>::iterator load, TimePoint now);
 
+  bool bounded_by_width_;
   placement::StoreEstimator estimator_;
   std::map<ReplicaId, Load> loads_;
   std::deque<TimePoint> begun_;  ///< of the last window, oldest first
--- a/tests/service_process/settings_test.cc
+++ b/tests/service_process/settings_test.cc
@@ -19,6 +19,20 @@
   CHECK(settings.seedNodes() == std::vector<NodeName>{NodeName("10.0.0.1:7000"), NodeName("10.0.0.2:7000")});
 }
 
+TEST_CASE("Each mechanism of placement is on unless the settings switch it off") {
+  const std::string control =
+      "node: core-1\nhost: 10.0.0.1\ninternal_port: 7000\nseeds: [\"10.0.0.1:80\"]\n"
+      "listen_control: 10.0.0.1:80\nlisten_directory: 10.0.0.1:81\ndata_folder: data\n";
+  SettingsReader plain = SettingsReader::fromText(control, "settings");
+  const services::PlacementSwitches on = readServiceControlSettings(plain).placement;
+  CHECK((on.learned_store_width && on.near_weights_first && on.expected_times && on.prompt_doubts));
+  SettingsReader switched =
+      SettingsReader::fromText(control + "placement_near_weights_first: false\n", "settings");
+  const services::PlacementSwitches off = readServiceControlSettings(switched).placement;
+  CHECK_FALSE(off.near_weights_first);
+  CHECK((off.learned_store_width && off.expected_times && off.prompt_doubts));
+}
+
 TEST_CASE("An unknown, missing or broken field is refused with its place and remedy") {
   for (const std::string& text :
        {kRouter + "unknown: 1\n", std::string("node: edge-1\n"), kRouter + "stop_limit: 8\n",
--- a/tests/services/model_placer_store_test.cc
+++ b/tests/services/model_placer_store_test.cc
@@ -130,11 +130,12 @@
     settings.fence = Term{3};
     return settings;
   }
-  std::vector<wire::ModelWant> wants() const {
+  std::vector<wire::ModelWant> wants() {
     std::vector<wire::ModelWant> wants;
     for (const ModelName& model : wanted_) {
       if (!held(model.value)) {
-        wants.push_back({ServiceName("llm"), model, "", 1, 0, 0});
+        const std::uint32_t arrivals = counted_.insert(model).second ? 1 : 0;
+        wants.push_back({ServiceName("llm"), model, "", 1, 0, arrivals});
       }
     }
     if (crowded_) {
@@ -213,6 +214,7 @@
   ModelPlacer placer_;
   std::vector<StoreReplica> replicas_;
   std::set<ModelName> wanted_;
+  std::set<ModelName> counted_;  ///< their calls have arrived
   std::optional<ModelName> crowded_;
 };
 
@@ -250,7 +252,7 @@
 
 /// While a model that calls wait for is missing and some replica is free to load it, orders go on.
 TEST_CASE("Replicas that don't answer hold up no model") {
-  StoreWorld world(12, 30, 12);
+  StoreWorld world(12, 8, 12);
   for (std::size_t i = 0; i < 8; ++i) {
     world.replicas()[i].mute = true;
   }
