--- a/tests/services/model_placer_store_test.cc
+++ b/tests/services/model_placer_store_test.cc
@@ -162,7 +162,7 @@
     }
     const bool near = std::count(replica.on_disk.begin(), replica.on_disk.end(), order.model) > 0;
     replica.loading = order.model;
-    replica.left_ms = near ? kDiskLoadMs : kStoreLoadMs;
+    replica.left_ms = static_cast<double>(near ? kDiskLoadMs : kStoreLoadMs);
     return OrderOutcome::Taken;
   }
   void handle(const PlacerEffects& effects) {
