Let the whole path's test watch the lines that tell of a refused write

The shell no longer ends its process when the disk refuses a write, so it takes no callback for that. The test failed at that callback; it fails now at the line storage.blocked instead, as strict as before.

--- a/tests/platform/whole_path_test.cc
+++ b/tests/platform/whole_path_test.cc
@@ -40,6 +40,16 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(server->port()); }
 };
 
+/// No member's disk may refuse a write.
+class StorageWatch : public EventLog {
+ public:
+  void write(LogLevel, std::string_view event, std::initializer_list<LogField>) override {
+    if (event == "storage.blocked") {
+      FAIL("storage failed");
+    }
+  }
+};
+
 class Fleet {
  public:
   Fleet()
@@ -175,8 +185,8 @@
     settings.data_folder = (folder_ / std::to_string(number)).string();
     settings.bootstrap = true;
     ControlMember member;
-    member.shell = std::make_unique<service_process::ServiceControlShell>(
-        loop.dispatcher(), settings, orders_, log_, [] { FAIL("storage failed"); });
+    member.shell =
+        std::make_unique<service_process::ServiceControlShell>(loop.dispatcher(), settings, orders_, log_);
     member.control =
         http::createServer(loop.dispatcher(), process::listenSettings(settings.listen_control, {}, 1 << 20),
                            controlHandler(*member.shell));
@@ -198,7 +208,7 @@
   }
 
   std::filesystem::path folder_;
-  NoEventLog log_;
+  StorageWatch log_;
   PlatformCallDialect calls_;
   PlatformOrderDialect orders_;
   std::uint16_t internal_port_ = 0;
