Elect a leader at once after a start, and learn replicas and routers meanwhile

Members that hear no leader dropped the heartbeats that came meanwhile, and peers were looked for again up to 500 ms apart.

Change: members of this cell call elections 80 to 240 ms after a start until they know a leader, and vote at once. What the lease protected here is protected otherwise: reads and notices are confirmed by a round, routers take only higher terms, and a leader's first order waits longer by the shortest election timeout (the earlier lease may end that much later). The control plane of completions keeps its wait. Heartbeats are learned without a leader (still refused); a router asks each 50 ms until any member has answered; connections are tried again within 200 ms.

--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -21,6 +21,7 @@
   }
   leader_ = from;
   leader_heard_ = now;
+  answered_ = true;
   members_.insert(update.members.begin(), update.members.end());
   directory_ = update.directory.value_or(directory_);
   const bool whole = update.base == LogIndex{};
@@ -37,6 +38,7 @@
 }
 
 void ControlFeed::accept(const wire::MemberList& list) {
+  answered_ = true;
   members_.insert(list.nodes.begin(), list.nodes.end());
 }
 
@@ -80,7 +82,7 @@
     sends.push_back({leader_, std::move(leaders)});
   }
   last_status_ = now;
-  next_leader_status_ = now + settings_.leader_interval;
+  next_leader_status_ = now + (answered_ ? settings_.leader_interval : settings_.first_interval);
   if (all) {
     next_member_status_ = now + settings_.member_interval;
   }
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -16,7 +16,9 @@
   std::string address;  ///< where callers connect
   std::uint64_t incarnation = 0;
   std::vector<NodeName> seeds;
-  Duration leader_interval = std::chrono::milliseconds(250);   ///< between statuses to the leader
+  Duration leader_interval = std::chrono::milliseconds(250);  ///< between statuses to the leader
+  /// Until a first answer of any member; a status to a peer that isn't connected yet is dropped at no cost.
+  Duration first_interval = std::chrono::milliseconds(50);
   Duration member_interval = std::chrono::milliseconds(1000);  ///< and to the other members
   Duration leader_silence = std::chrono::milliseconds(1000);   ///< after which another is looked for
 };
@@ -72,6 +74,7 @@
   bool hurried_ = false;
   bool missed_update_ = false;
   bool tell_all_ = false;
+  bool answered_ = false;  ///< by any member
 };
 
 }  // namespace ferryrock::calls
--- a/src/consensus/quorum_log.h
+++ b/src/consensus/quorum_log.h
@@ -53,6 +53,12 @@
   Duration heartbeat = std::chrono::milliseconds(100);
   Duration election_timeout_min = std::chrono::milliseconds(500);
   Duration election_timeout_max = std::chrono::milliseconds(1000);
+  /// A member that has heard no leader since its start votes at once and calls elections after
+  /// first_election_*. For cells whose reads are confirmed by rounds: a member that crashed and voted at once
+  /// may have acknowledged a leader whose lease still runs for up to election_timeout_min.
+  bool elect_at_start = false;
+  Duration first_election_min = std::chrono::milliseconds(80);
+  Duration first_election_max = std::chrono::milliseconds(240);
   Duration lease_drift_margin = std::chrono::milliseconds(50);  ///< subtracted from the leader's lease
   std::size_t max_batch_bytes = 1 << 20;
   std::size_t max_inflight_batches = 8;
--- a/src/consensus/quorum_log_election.cc
+++ b/src/consensus/quorum_log_election.cc
@@ -20,9 +20,11 @@
 }
 
 void QuorumLogImpl::resetElectionDeadline() {
-  const Duration spread = settings_.election_timeout_max - settings_.election_timeout_min;
-  const auto extra = random_->below(static_cast<std::uint64_t>(spread.count()) + 1);
-  election_deadline_ = now_ + settings_.election_timeout_min + Duration(extra);
+  const bool first = settings_.elect_at_start && !knew_leader_;
+  const Duration shortest = first ? settings_.first_election_min : settings_.election_timeout_min;
+  const Duration longest = first ? settings_.first_election_max : settings_.election_timeout_max;
+  const auto extra = random_->below(static_cast<std::uint64_t>((longest - shortest).count()) + 1);
+  election_deadline_ = now_ + shortest + Duration(extra);
 }
 
 void QuorumLogImpl::beginElection(bool pre_vote, bool leadership_transfer) {
@@ -82,6 +84,7 @@
   const wire::Membership membership = openingMembership();
   candidacy_.reset();
   role_ = Role::Leader;
+  knew_leader_ = true;
   leader_ = settings_.node;
   leadership_.emplace();
   leadership_->since = now_;
--- a/src/consensus/quorum_log_follower.cc
+++ b/src/consensus/quorum_log_follower.cc
@@ -28,6 +28,7 @@
     becomeFollower(term, from);
   }
   leader_contact_ = now_;
+  knew_leader_ = true;
   resetElectionDeadline();
   return true;
 }
--- a/src/consensus/quorum_log_impl.cc
+++ b/src/consensus/quorum_log_impl.cc
@@ -60,6 +60,9 @@
     snapshot_ = std::make_shared<const Snapshot>(std::move(*recovered.snapshot));
   }
   role_ = isVoter() ? Role::Follower : Role::Learner;
+  if (settings_.elect_at_start) {
+    leader_contact_ = now - settings_.election_timeout_min;
+  }
   resetElectionDeadline();
 }
 
--- a/src/consensus/quorum_log_impl.h
+++ b/src/consensus/quorum_log_impl.h
@@ -154,6 +154,7 @@
   TimePoint now_;             ///< of the call being served
   TimePoint leader_contact_;  ///< no vote is given until the shortest election timeout has passed since
   TimePoint election_deadline_;
+  bool knew_leader_ = false;  ///< since the start
   std::uint64_t hard_state_write_ = 0;
   std::optional<Candidacy> candidacy_;
   std::optional<Leadership> leadership_;
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -23,6 +23,13 @@
   return keeper;
 }
 
+/// Reads and notices are confirmed by rounds and orders wait for a lease of their own, so that a cell whose
+/// power was cut needs no longer without a leader than an election takes.
+control::ControlSettings nodeSettings(control::ControlSettings control) {
+  control.log.elect_at_start = true;
+  return control;
+}
+
 }  // namespace
 
 ServiceControlImpl::ServiceControlImpl(const ServiceControlSettings& settings,
@@ -30,8 +37,8 @@
                                        TimeSource& time_source)
     : settings_(settings),
       self_(settings.control.log.node),
-      node_(
-          control::createControlNode(settings.control, std::move(recovered), std::move(random), time_source)),
+      node_(control::createControlNode(nodeSettings(settings.control), std::move(recovered),
+                                       std::move(random), time_source)),
       keeper_(keeperSettings(settings), time_source.monotonicTime()),
       known_nodes_(settings.seeds.begin(), settings.seeds.end()),
       next_hello_(time_source.monotonicTime()),
@@ -309,7 +316,8 @@
     placer.holder = self_;
     placer.fence = term;
     placer.switches = settings_.placement;
-    placer.first_order = now + settings_.order_lease;
+    // An earlier leader's lease may end that much after this one's election, see elect_at_start.
+    placer.first_order = now + settings_.order_lease + settings_.control.log.election_timeout_min;
     leader_.emplace(term, placer, registry_, now);
     keeper_.onLeadership(now);
   }
--- a/src/services/service_control_replicas.cc
+++ b/src/services/service_control_replicas.cc
@@ -18,15 +18,14 @@
 
 Effects ServiceControlImpl::onReport(QuestionNumber question, const wire::ReplicaReport& report,
                                      TimePoint now) {
-  if (!hearsLeader()) {
-    answer(question, ResultCode::NoQuorum, "this member hears no leader");
-    return finish(now);
-  }
   const ReportNews news = learn(report, now);
   if (news != ReportNews::Late) {
     relay(report, news == ReportNews::Changed, now);
   }
-  if (!report.leaving) {
+  if (!hearsLeader()) {
+    // Learned all the same: whoever leads next has the replica in its first tables.
+    answer(question, ResultCode::NoQuorum, "this member hears no leader");
+  } else if (!report.leaving) {
     answer(question, ResultCode::Ok);
   } else if (node_->leads()) {
     followLeadership(now);
--- a/src/transport/zeromq_transport.cc
+++ b/src/transport/zeromq_transport.cc
@@ -19,7 +19,8 @@
 
 constexpr int kLingerMs = 100;
 constexpr int kReconnectMs = 100;
-constexpr int kReconnectMaximumMs = 500;
+/// A peer that comes back, maybe with hundreds of others, is met again within this time.
+constexpr int kReconnectMaximumMs = 200;
 /// A silent peer is found by the kernel's probes and unacknowledged bytes. ZeroMQ's own heartbeats aren't
 /// used: when a connection breaks while its messages wait unread, their timer ends the process by an
 /// assertion (4.3.4, stream_engine_base.cpp: out_event() after an input/output error).
--- a/tests/services/service_control_test.cc
+++ b/tests/services/service_control_test.cc
@@ -96,6 +96,34 @@
   CHECK(cell.cluster.readConfirmed() == "catalog 4");
 }
 
+TEST_CASE("After a loss of all power a leader is there at once, with the replicas that reported meanwhile") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    INFO("seed " << seed);
+    FullCell cell(seed);
+    ScriptedRouter& router = cell.cluster.addRouter("edge-1");
+    REQUIRE(cell.cluster.replaceAcknowledged(3));
+    for (std::size_t i = 0; i < 5; ++i) {
+      cell.cluster.powerOff(cell.cluster.member(i));
+    }
+    cell.cluster.runFor(500ms);
+    router.status.revision = LogIndex{};
+    router.status.catalog = CatalogVersion{};
+    router.replicas.clear();
+    for (std::size_t i = 0; i < 5; ++i) {
+      cell.cluster.start(cell.cluster.member(i));
+    }
+    cell.cluster.runFor(20ms);
+    const std::uint64_t refused = cell.cluster.report(cell.cluster.member(0), makeReport("r1", "desk", 5));
+    CHECK(ServiceCluster::codeOf(cell.cluster.member(0), refused) == ResultCode::NoQuorum);
+    CHECK(cell.cluster.runUntil([&] { return cell.cluster.leader() != nullptr; }, 400ms));
+    CHECK(cell.cluster.runUntil(
+        [&] {
+          return router.status.catalog == CatalogVersion{3} && router.replicas.contains(ReplicaId("r1"));
+        },
+        300ms));
+  }
+}
+
 TEST_CASE("A silent voter gives its place to a newcomer, and only then") {
   FullCell cell;
   ServiceMember& gone = cell.follower();
