Send callers to routers of their own zone

Cause: the directory told the first 64 routers by name, whoever asked.

A router is told the addresses for its own zone, whose callers ask it first; a member goes by the question's zone.

Weighed: all routers of a zone; then a router meets each connection a fifth as often (new connections are dear there).

--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -158,8 +158,8 @@
   carryOut(control_->onReport(number, report, now()));
 }
 
-std::vector<std::string> ServiceControlShell::routerAddresses(std::size_t limit) {
-  return control_->routerAddresses(limit, now());
+std::vector<std::string> ServiceControlShell::routerAddresses(const ZoneName& zone, std::size_t limit) {
+  return control_->routerAddresses(zone, limit, now());
 }
 
 void ServiceControlShell::carryOut(services::Effects effects) {
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -34,7 +34,7 @@
   void replaceCatalog(wire::ServiceCatalog catalog, std::string source, AnswerCallback callback);
   void readCatalog(AnswerCallback callback);
   void report(const wire::ReplicaReport& report, AnswerCallback callback);
-  std::vector<std::string> routerAddresses(std::size_t limit);
+  std::vector<std::string> routerAddresses(const ZoneName& zone, std::size_t limit);
 
   const ServiceControlProcessSettings& settings() const { return settings_; }
   std::string metricsText();
--- a/src/services/router_directory.cc
+++ b/src/services/router_directory.cc
@@ -30,14 +30,25 @@
   return record.status.accepting && now - record.heard <= kOfferedFor;
 }
 
-std::vector<std::string> RouterDirectory::addresses(TimePoint now, std::size_t limit) const {
-  std::vector<std::string> addresses;
+std::vector<std::string> RouterDirectory::addresses(const ZoneName& zone, TimePoint now,
+                                                    std::size_t limit) const {
+  std::vector<std::string> own;
+  std::vector<std::string> others;
+  std::set<ZoneName> zones;
   for (const auto& [name, record] : routers_) {
-    if (offered(record, now) && addresses.size() < limit) {
-      addresses.push_back(record.status.address);
+    if (offered(record, now)) {
+      zones.insert(record.status.zone);
+      (record.status.zone == zone ? own : others).push_back(record.status.address);
     }
   }
-  return addresses;
+  const std::size_t of_zone = std::max(kFewestChoices, limit / std::max<std::size_t>(1, zones.size()));
+  if (own.size() >= std::min(kFewestChoices, limit)) {
+    own.resize(std::min({own.size(), of_zone, limit}));
+    return own;
+  }
+  own.insert(own.end(), others.begin(), others.end());
+  own.resize(std::min(own.size(), limit));
+  return own;
 }
 
 std::size_t RouterDirectory::acceptingCount(TimePoint now) const {
--- a/src/services/router_directory.h
+++ b/src/services/router_directory.h
@@ -25,8 +25,9 @@
 
   /// Routers heard of late; those that ended without a word are among them for a while.
   const std::map<NodeName, RouterRecord>& routers() const { return routers_; }
-  /// Where callers may connect, at most `limit` addresses.
-  std::vector<std::string> addresses(TimePoint now, std::size_t limit) const;
+  /// Where callers of a zone may connect, at most `limit` addresses: routers of their own zone, as many as
+  /// each zone has its part of the limit; with fewer than kFewestChoices of them, those of other zones too.
+  std::vector<std::string> addresses(const ZoneName& zone, TimePoint now, std::size_t limit) const;
   /// Routers that share the retry budgets.
   std::size_t acceptingCount(TimePoint now) const;
 
@@ -35,6 +36,8 @@
 
   /// A router that is silent for longer isn't offered to callers.
   static constexpr Duration kOfferedFor = std::chrono::milliseconds(3000);
+  /// Callers need others to go to when a router is lost.
+  static constexpr std::size_t kFewestChoices = 4;
 
  private:
   static bool offered(const RouterRecord& record, TimePoint now);
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -342,8 +342,9 @@
   return std::exchange(effects_, {});
 }
 
-std::vector<std::string> ServiceControlImpl::routerAddresses(std::size_t limit, TimePoint now) const {
-  return directory_.addresses(now, limit);
+std::vector<std::string> ServiceControlImpl::routerAddresses(const ZoneName& zone, std::size_t limit,
+                                                             TimePoint now) const {
+  return directory_.addresses(zone, now, limit);
 }
 
 ServiceControlView ServiceControlImpl::view(TimePoint) const {
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -92,8 +92,9 @@
   /// Planned stop: another member takes over.
   virtual Effects beginStop(TimePoint now) = 0;
 
-  /// Where callers may connect.
-  virtual std::vector<std::string> routerAddresses(std::size_t limit, TimePoint now) const = 0;
+  /// Where callers of a zone may connect.
+  virtual std::vector<std::string> routerAddresses(const ZoneName& zone, std::size_t limit,
+                                                   TimePoint now) const = 0;
   /// Nodes to keep connections to.
   virtual std::vector<NodeName> peers() const = 0;
   virtual ServiceControlView view(TimePoint now) const = 0;
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -39,7 +39,8 @@
   Effects onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now) override;
   void addSeeds(const std::vector<NodeName>& seeds) override;
   Effects beginStop(TimePoint now) override;
-  std::vector<std::string> routerAddresses(std::size_t limit, TimePoint now) const override;
+  std::vector<std::string> routerAddresses(const ZoneName& zone, std::size_t limit,
+                                           TimePoint now) const override;
   std::vector<NodeName> peers() const override;
   ServiceControlView view(TimePoint now) const override;
   FleetView fleet(TimePoint now) const override;
@@ -89,8 +90,8 @@
     ModelDemand demand;
     ModelPlacer placer;
     UpdateLedger updates;
-    std::optional<FeedContext> context;
-    TimePoint context_taken{};
+    std::map<ZoneName, FeedContext> contexts;  ///< by the zone of the routers that are told
+    TimePoint contexts_taken{};
     TimePoint since;
     bool complete = false;  ///< every living replica has had the time to report
     std::uint64_t pushed_changes = 0;
@@ -158,7 +159,7 @@
   // service_control_leader.cc
   void leadOn(TimePoint now);
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
-  void sendUpdate(const wire::CallRouterStatus& status, const FeedContext& context, TimePoint now);
+  void sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
   void pushTables(TimePoint now);
   bool hasNews() const;
   bool isLargeFleet() const;
@@ -167,7 +168,7 @@
   void hurryPlan(TimePoint now);
   void planModels(TimePoint now);
   void mendMembership(TimePoint now);
-  const FeedContext& feedContext(TimePoint now);
+  const FeedContext& feedContext(const ZoneName& zone, TimePoint now);
   bool owedUpdate(const wire::CallRouterStatus& status, TimePoint now);
   std::vector<NodeName> memberNodes() const;
 
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -38,7 +38,7 @@
 void ServiceControlImpl::leadOn(TimePoint now) {
   if (!leader_->complete && now - leader_->since > settings_.replica_silence) {
     leader_->complete = true;
-    leader_->context.reset();
+    leader_->contexts.clear();
     registry_.renewAll();
   }
   settleNotices(now);
@@ -57,18 +57,21 @@
 }
 
 /// Of many statuses and pushes in one moment each would gather the same.
-const FeedContext& ServiceControlImpl::feedContext(TimePoint now) {
-  const bool fresh = leader_->context && now - leader_->context_taken < kContextLasts;
-  if (!fresh) {
-    const std::size_t routers = std::max<std::size_t>(1, directory_.acceptingCount(now));
-    std::vector<std::string> directory = directory_.addresses(now, kMostAddresses);
-    const std::uint64_t digest = wire::directoryDigest(directory);
-    leader_->context.emplace(FeedContext{node_->hosted().catalog(), memberNodes(),
-                                         static_cast<std::uint32_t>(routers), leader_->complete,
-                                         std::move(directory), digest});
-    leader_->context_taken = now;
-  }
-  return *leader_->context;
+const FeedContext& ServiceControlImpl::feedContext(const ZoneName& zone, TimePoint now) {
+  if (now - leader_->contexts_taken >= kContextLasts) {
+    leader_->contexts.clear();
+    leader_->contexts_taken = now;
+  }
+  const auto known = leader_->contexts.find(zone);
+  if (known != leader_->contexts.end()) {
+    return known->second;
+  }
+  const std::size_t routers = std::max<std::size_t>(1, directory_.acceptingCount(now));
+  std::vector<std::string> directory = directory_.addresses(zone, now, kMostAddresses);
+  const std::uint64_t digest = wire::directoryDigest(directory);
+  FeedContext context{node_->hosted().catalog(), memberNodes(),        static_cast<std::uint32_t>(routers),
+                      leader_->complete,         std::move(directory), digest};
+  return leader_->contexts.emplace(zone, std::move(context)).first->second;
 }
 
 void ServiceControlImpl::updateRouter(const wire::CallRouterStatus& status, TimePoint now) {
@@ -82,7 +85,7 @@
   if (isLargeFleet()) {
     leader_->unanswered.insert(status.router);
   } else {
-    sendUpdate(status, feedContext(now), now);
+    sendUpdate(status, now);
   }
 }
 
@@ -92,12 +95,13 @@
   const wire::CallRouterStatus expected = leader_->updates.expected(status, now);
   const bool current = leader_->feed.holds(expected, leader_->feed.revision()) &&
                        expected.catalog >= node_->hosted().catalog().version &&
-                       expected.directory == feedContext(now).directory_digest && !waitsForModel(status);
+                       expected.directory == feedContext(status.zone, now).directory_digest &&
+                       !waitsForModel(status);
   return !current || now - leader_->updates.lastSent(status.router) >= kSignOfLife;
 }
 
-void ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, const FeedContext& context,
-                                    TimePoint now) {
+void ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, TimePoint now) {
+  const FeedContext& context = feedContext(status.zone, now);
   wire::ServiceUpdate update = leader_->feed.updateFor(leader_->updates.expected(status, now), context);
   update.coming = comingFor(status, now);
   update.confirm = awaitsConfirmation(status);
@@ -166,14 +170,13 @@
   leader_->pushed_loads = leader_->placer.loadsBegun();
   leader_->pushed_version = version;
   const std::set<NodeName> unanswered = std::exchange(leader_->unanswered, {});
-  const FeedContext& context = feedContext(now);
   std::int64_t sent = 0;
   for (const auto& [router, record] : directory_.routers()) {
     const bool reached = now - record.heard <= kReachedFor;
     const bool told =
         to_all ? reached : unanswered.contains(router) || (news && waitsForModel(record.status));
     if (told) {
-      sendUpdate(record.status, context, now);
+      sendUpdate(record.status, now);
       ++sent;
     }
   }
--- a/tests/services/registry_test.cc
+++ b/tests/services/registry_test.cc
@@ -128,6 +128,37 @@
   void (*spoil)(wire::ServiceCatalog&);
 };
 
+TEST_CASE("Callers are sent to routers of their own zone, and elsewhere only when those are few") {
+  constexpr std::size_t kLimit = 12;
+  RouterDirectory directory;
+  const auto tell = [&directory](const std::string& zone, std::size_t number) {
+    wire::CallRouterStatus status;
+    status.router = NodeName(zone + "-" + std::to_string(number));
+    status.zone = ZoneName(zone);
+    status.address = status.router.value;
+    status.accepting = true;
+    status.sequence = 1;
+    directory.accept(status, kStart);
+  };
+  for (std::size_t i = 0; i < 9; ++i) {
+    tell("east", i);
+    tell("west", i);
+  }
+  tell("north", 0);
+  const auto inZone = [&](const std::string& zone) {
+    const std::vector<std::string> addresses = directory.addresses(ZoneName(zone), kStart, kLimit);
+    CHECK(addresses.size() <= kLimit);
+    return std::count_if(addresses.begin(), addresses.end(),
+                         [&zone](const std::string& address) { return address.rfind(zone, 0) == 0; });
+  };
+  CHECK(inZone("east") == kLimit / 3);
+  CHECK(inZone("west") == kLimit / 3);
+  CHECK(directory.addresses(ZoneName("west"), kStart, kLimit).size() == kLimit / 3);
+  CHECK(directory.addresses(ZoneName("north"), kStart, kLimit).size() == kLimit);
+  CHECK(directory.addresses(ZoneName("north"), kStart, kLimit).front() == "north-0");
+  CHECK(directory.addresses(ZoneName("unknown"), kStart, kLimit).size() == kLimit);
+}
+
 TEST_CASE("A catalog that contradicts itself is refused with its place") {
   const std::vector<InvalidCase> cases = {
       {"unknown service", [](wire::ServiceCatalog& c) { c.routes[0].targets[0].service = ServiceName("x"); }},
--- a/tests/services/service_control_test.cc
+++ b/tests/services/service_control_test.cc
@@ -308,10 +308,10 @@
   cell.cluster.addRouter("edge-1");
   ScriptedRouter& stopping = cell.cluster.addRouter("edge-2");
   cell.cluster.runFor(1s);
-  CHECK(cell.follower().control->routerAddresses(64, cell.cluster.now()).size() == 2);
+  CHECK(cell.follower().control->routerAddresses(ZoneName{}, 64, cell.cluster.now()).size() == 2);
   stopping.status.accepting = false;
   cell.cluster.runFor(500ms);
-  CHECK(cell.follower().control->routerAddresses(64, cell.cluster.now()) ==
+  CHECK(cell.follower().control->routerAddresses(ZoneName{}, 64, cell.cluster.now()) ==
         std::vector<std::string>{"edge-1:80"});
 }
 
