Give each of many routers homes of its own for prompt prefixes

Cause: calls with a common prompt prefix go to one home while it has at most 6 attempts more than the least loaded replica, as far as the router sees: its own attempts. 64 routers with 0 or 1 attempt each all kept to the same home.

Change: the surplus is 0.6 of a home's batch over all routers, as it was with 6 routers and 64 places; where a router's part of it is less than one attempt, its homes are its own, so that all routers together spread over the copies and each still meets kept connections and prefixes again.

The test failed before: 64 of 64 routers chose the same of four replicas.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -321,6 +321,7 @@
                 {"routes", static_cast<std::int64_t>(update.catalog->routes.size())}});
   }
   budget_.setRouters(update.routers);
+  replicas_.setRouters(update.routers);
   loads_.accept(update.coming, now);
   dispatch_wanted_ = dispatch_wanted_ || !update.coming.empty();
   if (!replicas_follow) {
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -11,8 +11,10 @@
 namespace ferryrock::calls {
 namespace {
 
-/// Attempts that an affinity key's home may have beyond the least loaded replica.
-constexpr std::uint32_t kHomeSurplus = 6;
+/// Attempts of all routers that an affinity key's home may have beyond the least loaded replica, as a share
+/// of its batch: 6 for each of 6 routers at engines of 64 places, as on the deployments where that was
+/// chosen.
+constexpr double kHomeSurplusShare = 0.6;
 /// Prompt tokens that are read so soon that they don't matter.
 constexpr std::uint64_t kReadAtOnce = 200;
 /// Replicas of the own zone among which calls stay there.
@@ -190,6 +192,12 @@
 /// First the replicas that read the least of other prompts just now, as each prompt holds up the streams
 /// beside it; then the fast ones; then the own zone where it has a choice; then the key's home; then the
 /// fewest calls.
+/// A router sees its own attempts alone. Its part of what a home may have beyond other replicas is less than
+/// one attempt where many routers share small engines; a home common to them all would get everything then.
+std::uint32_t ReplicaTable::homeSurplus(const Replica& replica) const {
+  return static_cast<std::uint32_t>(kHomeSurplusShare * replica.routed.slots / std::max(1U, routers_));
+}
+
 Replica* ReplicaTable::leastLoaded(Options options, const ReplicaNeed& need) const {
   std::uint64_t least_unread = std::numeric_limits<std::uint64_t>::max();
   for (const Replica* option : options) {
@@ -207,8 +215,11 @@
     least = std::min(least, option->outstanding);
   }
   const auto rank = [&](const Replica& replica) {
-    const bool home_allowed = need.affinity_key != 0 && replica.outstanding <= least + kHomeSurplus;
-    const std::uint64_t home = home_allowed ? homeWeight(replica, need.affinity_key) : 0;
+    const std::uint32_t surplus = homeSurplus(replica);
+    const bool home_allowed = need.affinity_key != 0 && replica.outstanding <= least + surplus;
+    // Homes of this router's own spread the calls of all routers, and meet kept connections again.
+    const std::uint64_t key = surplus > 0 ? need.affinity_key : need.affinity_key ^ own_homes_;
+    const std::uint64_t home = home_allowed ? homeWeight(replica, key) : 0;
     const bool other_zone = replica.routed.zone != zone_;
     return std::make_tuple(~home, replica.outstanding, other_zone, homeWeight(replica, turn_));
   };
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -75,7 +75,7 @@
 class ReplicaTable {
  public:
   /// Equal replicas are taken in an order that differs between routers and from call to call.
-  ReplicaTable(ZoneName zone, std::uint64_t seed) : zone_(std::move(zone)), turn_(seed) {}
+  ReplicaTable(ZoneName zone, std::uint64_t seed) : zone_(std::move(zone)), own_homes_(seed), turn_(seed) {}
 
   /// Takes an update's replicas.
   void apply(const wire::ServiceUpdate& update);
@@ -88,6 +88,9 @@
   /// Those to which no connection comes up just now.
   std::vector<ReplicaId> unreachable(TimePoint now) const;
 
+  /// Routers that send calls to the same replicas, this one included.
+  void setRouters(std::uint32_t routers) { routers_ = routers; }
+
   void onSent(Replica& replica, TimePoint now);
   static void onUnreachable(Replica& replica, TimePoint now);
   /// A sign of life. True if no connection had come up before.
@@ -100,12 +103,15 @@
 
   static void keepIf(Options& options, const std::function<bool(const Replica&)>& wanted);
   static void keepFast(Options& options, const ModelName& model);
+  std::uint32_t homeSurplus(const Replica& replica) const;
   Replica* leastLoaded(Options options, const ReplicaNeed& need) const;
   void unlist(const ReplicaId& id);
 
   ZoneName zone_;
   std::map<ReplicaId, Replica> replicas_;
   std::map<ServiceName, std::set<ReplicaId>> by_service_;
+  std::uint64_t own_homes_;  ///< changes the homes of affinity keys where routers don't share them
+  std::uint32_t routers_ = 1;
   std::uint64_t turn_;
 };
 
--- a/tests/calls/parts_test.cc
+++ b/tests/calls/parts_test.cc
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
 
 #include "calls/call_fixture.h"
+#include "common/hashing.h"
 
 namespace ferryrock::calls {
 namespace {
@@ -69,6 +72,28 @@
   CHECK(table.choose(need("desk", 77), kStart).replica != home);
 }
 
+TEST_CASE("Many routers that share small engines don't send all calls of one key to the same replica") {
+  constexpr std::uint32_t kRouters = 64;
+  constexpr std::uint32_t kSlots = 12;
+  std::map<ReplicaId, int> calls;
+  for (std::uint32_t router = 0; router < kRouters; ++router) {
+    ReplicaTable table(ZoneName(""), stableHash(std::to_string(router), 1));
+    table.setRouters(kRouters);
+    wire::ServiceUpdate update;
+    for (const char* id : {"r1", "r2", "r3", "r4"}) {
+      update.replicas.push_back(CallFixture::replica(id));
+      update.replicas.back().slots = kSlots;
+    }
+    table.apply(update);
+    const Replica* home = table.choose(need("desk", 77), kStart).replica;
+    CHECK(table.choose(need("desk", 77), kStart).replica == home);
+    ++calls[home->routed.id];
+  }
+  for (const auto& [id, count] : calls) {
+    CHECK(count <= static_cast<int>(kRouters) / 2);
+  }
+}
+
 TEST_CASE("An ejected replica is passed over unless it is the last one") {
   ReplicaTable table(ZoneName(""), 3);
   wire::ServiceUpdate update;
