Log changes of a router's replica table once a second

Change: replica.leaving for a replica that takes no new calls any more, replica.gone as before, the rest counted in one line a second. Test: 200 updates of two replicas in 2 s gave 400 lines, now 3 at most.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -17,6 +17,8 @@
 /// How long a call waits for the first catalog, and what share of its time at most.
 constexpr Duration kCatalogWait = 1500ms;
 constexpr double kCatalogWaitShare = 0.5;
+/// Between two log lines of the replica table.
+constexpr Duration kTableNoteInterval = 1s;
 constexpr Duration kComeBackAtOnce = 10ms;
 constexpr Duration kComeBackSoon = 200ms;
 constexpr Duration kComeBackLater = 1s;
@@ -327,18 +329,8 @@
   if (!replicas_follow) {
     return;
   }
+  noteTable(update, now);
   replicas_.apply(update);
-  for (const wire::RoutedReplica& replica : update.replicas) {
-    log_.write(LogLevel::Info, "replica.table",
-               {{"replica", view(replica.id.value)},
-                {"service", view(replica.service.value)},
-                {"accepting", replica.accepting},
-                {"models", static_cast<std::int64_t>(replica.held.size())},
-                {"revision", static_cast<std::int64_t>(update.revision.value)}});
-  }
-  for (const ReplicaId& id : update.removed) {
-    log_.write(LogLevel::Info, "replica.gone", {{"replica", view(id.value)}});
-  }
   dispatch_wanted_ = dispatch_wanted_ || !update.replicas.empty() || !update.removed.empty();
 }
 
@@ -392,6 +384,32 @@
   return finish(now);
 }
 
+/// A line for each replica that leaves or is gone. What else changes in the table, thousands of entries a
+/// minute in a large fleet, is counted.
+void CallRouter::noteTable(const wire::ServiceUpdate& update, TimePoint now) {
+  for (const wire::RoutedReplica& replica : update.replicas) {
+    const Replica* known = replicas_.find(replica.id);
+    if (!replica.accepting && (known == nullptr || known->routed.accepting)) {
+      log_.write(LogLevel::Info, "replica.leaving",
+                 {{"replica", view(replica.id.value)},
+                  {"service", view(replica.service.value)},
+                  {"revision", static_cast<std::int64_t>(update.revision.value)}});
+    }
+  }
+  for (const ReplicaId& id : update.removed) {
+    log_.write(LogLevel::Info, "replica.gone", {{"replica", view(id.value)}});
+  }
+  table_changes_ += update.replicas.size();
+  if (table_changes_ > 0 && now >= next_table_note_) {
+    log_.write(LogLevel::Info, "replica.table",
+               {{"changed", static_cast<std::int64_t>(table_changes_)},
+                {"known", static_cast<std::int64_t>(replicas_.size())},
+                {"revision", static_cast<std::int64_t>(update.revision.value)}});
+    table_changes_ = 0;
+    next_table_note_ = now + kTableNoteInterval;
+  }
+}
+
 std::vector<wire::ModelWant> CallRouter::wants(TimePoint now) {
   std::map<std::tuple<ServiceName, ModelName, std::string>, wire::ModelWant> merged;
   const auto entry = [&merged](const auto& key) -> wire::ModelWant& {
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -141,6 +141,7 @@
   void onTimer(CallPointer call, TimePoint now);
   void setTimer(CallPointer call);
   void applyUpdate(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now);
+  void noteTable(const wire::ServiceUpdate& update, TimePoint now);
   std::vector<wire::ModelWant> wants(TimePoint now);
   void sendStatuses(TimePoint now);
   Effects finish(TimePoint now);
@@ -161,6 +162,8 @@
   std::set<CallNumber> unrouted_;  ///< wait for the first catalog
   std::map<std::tuple<ServiceName, ModelName, std::string>, std::uint32_t> arrivals_;  ///< since last told
   CallRouterCounts counts_;
+  std::uint64_t table_changes_ = 0;  ///< entries of the replica table changed since the last line of it
+  TimePoint next_table_note_{};
   std::uint64_t next_attempt_ = 1;
   bool draining_ = false;
   TimePoint refuse_from_ = TimePoint::max();  ///< while draining
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
 
 #include "calls/call_fixture.h"
 
@@ -380,6 +382,35 @@
   REQUIRE(fixture.count<wire::SendEffect>() == 1);
 }
 
+struct CountingLog : EventLog {
+  void write(LogLevel, std::string_view event, std::initializer_list<LogField>) override {
+    ++lines[std::string(event)];
+  }
+  std::map<std::string, int> lines;
+};
+
+TEST_CASE("Changes of the table are counted in the log, replicas that leave or are gone have a line each") {
+  constexpr int kUpdates = 200;
+  CountingLog log;
+  TimePoint now{1000s};
+  CallRouterSettings settings;
+  settings.feed.router = NodeName("edge-1");
+  CallRouter router(settings, log, now);
+  wire::ServiceUpdate update;
+  for (int i = 1; i <= kUpdates; ++i) {
+    update.revision = LogIndex{(std::uint64_t{1} << 40) | static_cast<std::uint64_t>(i)};
+    update.replicas = {CallFixture::replica("r1"), CallFixture::replica("r2")};
+    update.replicas.front().accepting = i < kUpdates / 2;
+    update.removed = i == kUpdates ? std::vector<ReplicaId>{ReplicaId("r2")} : std::vector<ReplicaId>{};
+    router.receive({NodeName("control-1"), update}, now);
+    now += 10ms;
+  }
+  CHECK(log.lines["replica.table"] <= 3);
+  CHECK(log.lines["replica.table"] >= 2);
+  CHECK(log.lines["replica.leaving"] == 1);
+  CHECK(log.lines["replica.gone"] == 1);
+}
+
 TEST_CASE("Only a whole table that is complete takes replicas away that it doesn't list") {
   Begun fixture;
   wire::ServiceUpdate partial;
