Unload models that nobody calls before spare copies that have runs

Cause: a spare copy of a model was always the first to go, whatever the wait. A crowded model's room was "coming" for 12 s and none came.

Change: a spare copy with runs loses its precedence and costs 3 s.

The test failed before: both replicas unloaded the copy. Ruled out before (docs/design/large-fleets.md): room for several copies at a time, places at the store reserved for room that is being made.

--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -20,8 +20,8 @@
 constexpr double kCallsPerCopy = 4.0;
 /// How long room that was asked for is kept for its model.
 constexpr Duration kRoomLasts = std::chrono::seconds(5);
-/// An unload waits for the runs of its model for about so long.
-constexpr Duration kRunsTime = std::chrono::seconds(1);
+/// An unload waits for the runs of its model for about so long (3 to 8 s on vcs-fleet-large).
+constexpr Duration kRunsTime = std::chrono::seconds(3);
 /// A replica that has to be asked first or that just got an order answers within this time.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(50);
 /// Calls of so many seconds count for how urgent a load is; a call that a crowd makes late counts as a share
@@ -370,6 +370,9 @@
     return std::nullopt;
   }
   const double worth = demand.lasting_arrivals / static_cast<double>(std::max<std::size_t>(held, 1));
+  if (spare_copy && demand.running > 0) {
+    return 0.0;  // it costs the wait for its runs, see optionOn()
+  }
   return spare_copy ? worth - kSpareCopyDiscount : worth;
 }
 
--- a/tests/services/model_placer_store_test.cc
+++ b/tests/services/model_placer_store_test.cc
@@ -75,8 +75,11 @@
     }
   }
 
-  /// Many calls for a model that is held.
-  void crowd(const std::string& model) { crowded_ = ModelName(model); }
+  /// Many calls for a model that is held, or so many.
+  void crowd(const std::string& model, std::uint32_t running = 40) {
+    crowded_ = ModelName(model);
+    running_ = running;
+  }
 
   void run(Duration duration) {
     for (const TimePoint end = now + duration; now < end; now += kStep) {
@@ -139,7 +142,7 @@
       }
     }
     if (crowded_) {
-      wants.push_back({ServiceName("llm"), *crowded_, "", 0, 40, 1});
+      wants.push_back({ServiceName("llm"), *crowded_, "", 0, running_, 1});
     }
     return wants;
   }
@@ -216,6 +219,7 @@
   std::set<ModelName> wanted_;
   std::set<ModelName> counted_;  ///< their calls have arrived
   std::optional<ModelName> crowded_;
+  std::uint32_t running_ = 0;
 };
 
 /// A store of four at full speed gives a model each second; all at once would take the time of all.
@@ -229,6 +233,22 @@
   CHECK(world.heldCount() >= 28);
 }
 
+/// Unloading it would wait for its runs.
+TEST_CASE("A model that nobody calls is unloaded before a spare copy of one that has runs") {
+  StoreWorld world(2, 20, 4);
+  world.replicas()[0].held = {ModelName("m1"), ModelName("m5")};
+  world.replicas()[1].held = {ModelName("m2"), ModelName("m5")};
+  for (StoreReplica& replica : world.replicas()) {
+    world.report(replica);
+  }
+  world.crowd("m5", 1);
+  world.wantAll(9, 9);
+  world.run(1s);
+  CHECK(world.held("m1") != world.held("m2"));
+  CHECK(world.replicas()[0].held.contains(ModelName("m5")));
+  CHECK(world.replicas()[1].held.contains(ModelName("m5")));
+}
+
 TEST_CASE("A wide store is used after some loads") {
   StoreWorld world(60, 100, 60);
   world.wantAll(0, 99);
