Log how far a catalog has come and when a router last heard a leader

- catalog.everywhere and catalog.behind of the leader: time from the commit to the last router in force, and which router is behind, with the version that it holds and how long it has been silent.
- catalog.in_force of a router: who sent the catalog, and how long the one before had been unconfirmed.
- control.silent: the router has lost its leader.
Metric ferryrock_control_heard_seconds_ago.

catalog_spread_test has the two cases. No decision depends on any of it.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -308,6 +308,7 @@
 
 void CallRouter::applyUpdate(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now) {
   const NodeName leader = feed_.leader();
+  const std::optional<TimePoint> heard = feed_.leaderHeard();
   const bool replicas_follow = feed_.accept(from, update, now);
   if (feed_.leader() != leader) {
     log_.write(LogLevel::Info, "control.leader",
@@ -320,7 +321,9 @@
     routeWaiting(now);
     log_.write(LogLevel::Info, "catalog.in_force",
                {{"version", static_cast<std::int64_t>(routes_->version().value)},
-                {"routes", static_cast<std::int64_t>(update.catalog->routes.size())}});
+                {"routes", static_cast<std::int64_t>(update.catalog->routes.size())},
+                {"from", view(from.value)},
+                {"confirmed_ms_ago", heard ? toMilliseconds(now - *heard) : -1}});
   }
   budget_.setRouters(update.routers);
   replicas_.setRouters(update.routers);
@@ -451,10 +454,17 @@
   if (!feed_.due(now)) {
     return;
   }
+  const NodeName leader = feed_.leader();
   RouterNews news{wants(now), replicas_.unreachable(now), ready(), catalogVersion()};
   for (wire::SendEffect& send : feed_.statuses(std::move(news), now)) {
     effects_.emplace_back(std::move(send));
   }
+  if (!leader.empty() && feed_.leader().empty()) {
+    log_.write(LogLevel::Warning, "control.silent",
+               {{"leader", view(leader.value)},
+                {"heard_ms_ago", toMilliseconds(now - *feed_.leaderHeard())},
+                {"catalog", static_cast<std::int64_t>(catalogVersion().value)}});
+  }
 }
 
 Effects CallRouter::finish(TimePoint now) {
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -78,6 +78,8 @@
   const CallRouterCounts& counts() const { return counts_; }
   std::size_t openCalls() const { return calls_.size(); }
   std::size_t knownReplicas() const { return replicas_.size(); }
+  /// When a leader last confirmed the catalog in force or sent a newer one; nullopt: never.
+  std::optional<TimePoint> controlHeard() const { return feed_.leaderHeard(); }
   const std::set<NodeName>& controlMembers() const { return feed_.members(); }
 
  private:
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -56,7 +56,7 @@
   /// Where callers may connect, as the leader last told; kept while there is none.
   const std::vector<std::string>& directory() const { return directory_; }
   const NodeName& leader() const { return leader_; }
-  /// Time since the leader was heard; nullopt: never.
+  /// When a leader was last heard; nullopt: never.
   std::optional<TimePoint> leaderHeard() const { return leader_heard_; }
   const std::set<NodeName>& members() const { return members_; }
 
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -199,6 +199,10 @@
       static_cast<double>(counts.caller_gone));
   set("ferryrock_catalog_version", "Version of the catalog in force",
       static_cast<double>(router_.catalogVersion().value));
+  const std::optional<TimePoint> heard = router_.controlHeard();
+  set("ferryrock_control_heard_seconds_ago",
+      "Since a leader confirmed the catalog in force or sent a newer one; -1: never",
+      heard ? std::chrono::duration<double>(now() - *heard).count() : -1);
   set("ferryrock_replicas_known", "Replicas in the table", static_cast<double>(router_.knownReplicas()));
   return metrics_.serialize();
 }
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -210,6 +210,24 @@
   callback(effect);
 }
 
+void ServiceControlShell::carryOut(const services::CatalogSpreadEffect& effect) {
+  if (effect.behind == 0) {
+    log_.write(LogLevel::Info, "catalog.everywhere",
+               {{"version", static_cast<std::int64_t>(effect.version.value)},
+                {"routers", static_cast<std::int64_t>(effect.routers)},
+                {"after_ms", toMilliseconds(effect.since)}});
+    return;
+  }
+  log_.write(LogLevel::Warning, "catalog.behind",
+             {{"version", static_cast<std::int64_t>(effect.version.value)},
+              {"routers", static_cast<std::int64_t>(effect.routers)},
+              {"behind", static_cast<std::int64_t>(effect.behind)},
+              {"router", std::string_view(effect.router.value)},
+              {"holds", static_cast<std::int64_t>(effect.held.value)},
+              {"heard_ms_ago", toMilliseconds(effect.silent)},
+              {"after_ms", toMilliseconds(effect.since)}});
+}
+
 void ServiceControlShell::followPeers() {
   if (transport_ == nullptr) {
     return;
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -50,6 +50,7 @@
   void carryOut(const services::InspectReplicaEffect& effect) { orders_->send(effect); }
   void carryOut(const services::ModelUnplacedEffect& effect);
   void carryOut(const services::AnswerEffect& effect);
+  void carryOut(const services::CatalogSpreadEffect& effect);
   services::QuestionNumber remember(AnswerCallback callback);
   void openControl(storage::FileSystem& files);
   void followPeers();
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -318,7 +318,7 @@
     placer.switches = settings_.placement;
     // An earlier leader's lease may end that much after this one's election, see elect_at_start.
     placer.first_order = now + settings_.order_lease + settings_.control.log.election_timeout_min;
-    leader_.emplace(term, placer, registry_, now);
+    leader_.emplace(term, placer, registry_, settings_.router_out_of_touch, now);
     keeper_.onLeadership(now);
   }
 }
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control/control_node.h"
+#include "services/catalog_spread.h"
 #include "services/placement_switches.h"
 #include "services/replica_orders.h"
 #include "services/replica_registry.h"
@@ -45,7 +46,7 @@
 };
 
 using Effect = std::variant<wire::SendEffect, consensus::PersistEffect, OrderReplicaEffect,
-                            InspectReplicaEffect, ModelUnplacedEffect, AnswerEffect>;
+                            InspectReplicaEffect, ModelUnplacedEffect, AnswerEffect, CatalogSpreadEffect>;
 using Effects = std::vector<Effect>;
 
 /// What a member shows of itself.
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -83,13 +83,18 @@
   /// One leader's term.
   struct LeaderState {
     LeaderState(Term own_term, const ModelPlacerSettings& placer_settings, ReplicaRegistry& registry,
-                TimePoint now)
-        : term(own_term), feed(own_term, registry), placer(placer_settings, registry, demand), since(now) {}
+                Duration router_out_of_touch, TimePoint now)
+        : term(own_term),
+          feed(own_term, registry),
+          placer(placer_settings, registry, demand),
+          spread(router_out_of_touch),
+          since(now) {}
     Term term;
     TableFeed feed;
     ModelDemand demand;
     ModelPlacer placer;
     UpdateLedger updates;
+    CatalogSpread spread;
     std::map<ZoneName, FeedContext> contexts;  ///< by the zone of the routers that are told
     TimePoint contexts_taken{};
     TimePoint since;
@@ -171,6 +176,7 @@
   const FeedContext& feedContext(const ZoneName& zone, TimePoint now);
   bool owedUpdate(const wire::CallRouterStatus& status, TimePoint now);
   std::vector<NodeName> memberNodes() const;
+  void followSpread(TimePoint now);
 
   ServiceControlSettings settings_;
   NodeName self_;
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -46,6 +46,14 @@
   pushTables(now);
   mendMembership(now);
   settleAcknowledgements(now);
+  followSpread(now);
+}
+
+void ServiceControlImpl::followSpread(TimePoint now) {
+  const CatalogVersion version = node_->hosted().catalog().version;
+  if (auto spread = leader_->spread.look(version, directory_.routers(), now)) {
+    effects_.emplace_back(std::move(*spread));
+  }
 }
 
 std::vector<NodeName> ServiceControlImpl::memberNodes() const {
--- /dev/null
+++ b/tests/services/catalog_spread_test.cc
@@ -0,0 +1,69 @@
+#include "services/catalog_spread.h"
+
+#include <catch2/catch.hpp>
+
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kOutOfTouch = 3s;
+
+struct Fleet {
+  void hear(const std::string& router, std::uint64_t version) {
+    RouterRecord& record = routers[NodeName(router)];
+    record.status.catalog = CatalogVersion{version};
+    record.heard = now;
+  }
+  std::optional<CatalogSpreadEffect> look(std::uint64_t version) {
+    return spread.look(CatalogVersion{version}, routers, now);
+  }
+  TimePoint now{1000s};
+  std::map<NodeName, RouterRecord> routers;
+  CatalogSpread spread{kOutOfTouch};
+};
+
+TEST_CASE("It is told once when a catalog is in force at every router that is heard") {
+  Fleet fleet;
+  fleet.hear("edge-1", 4);
+  fleet.hear("edge-2", 4);
+  CHECK_FALSE(fleet.look(5));
+  fleet.now += 60ms;
+  fleet.hear("edge-1", 5);
+  CHECK_FALSE(fleet.look(5));
+  fleet.now += 60ms;
+  fleet.hear("edge-2", 5);
+  const auto spread = fleet.look(5);
+  REQUIRE(spread);
+  CHECK(spread->behind == 0);
+  CHECK(spread->routers == 2);
+  CHECK(spread->since == 120ms);
+  fleet.now += 5s;
+  CHECK_FALSE(fleet.look(5));
+}
+
+TEST_CASE("A router that stays behind is named once a second until it is out of touch") {
+  Fleet fleet;
+  fleet.hear("edge-1", 4);
+  fleet.hear("edge-2", 5);
+  CHECK_FALSE(fleet.look(5));
+  fleet.now += 1s;
+  fleet.hear("edge-2", 5);
+  const auto spread = fleet.look(5);
+  REQUIRE(spread);
+  CHECK(spread->behind == 1);
+  CHECK(spread->router == NodeName("edge-1"));
+  CHECK(spread->held == CatalogVersion{4});
+  CHECK(spread->silent == 1s);
+  fleet.now += 500ms;
+  CHECK_FALSE(fleet.look(5));
+  fleet.now += 2s;
+  fleet.hear("edge-2", 5);
+  const auto later = fleet.look(5);
+  REQUIRE(later);
+  CHECK(later->behind == 0);
+  CHECK(later->routers == 1);
+}
+
+}  // namespace
+}  // namespace ferryrock::services
