--- a/tests/services/registry_test.cc
+++ b/tests/services/registry_test.cc
@@ -37,6 +37,23 @@
   CHECK(registry.find(ReplicaId("r2")) != nullptr);
 }
 
+/// A heartbeat that was held up by a cut may come after its sender's successor has registered at the address.
+TEST_CASE("A late report of a replica that was replaced at its address changes nothing") {
+  ReplicaRegistry registry;
+  registry.accept(makeReport("r1", "desk", 5), kStart);
+  wire::ReplicaReport next = makeReport("r2", "desk", 1);
+  next.address = "r1:80";
+  registry.accept(next, kStart + 2s);
+  CHECK(registry.accept(makeReport("r1", "desk", 6), kStart + 2500ms) == ReportNews::Late);
+  CHECK(registry.find(ReplicaId("r1")) == nullptr);
+  CHECK(registry.find(ReplicaId("r2")) != nullptr);
+  wire::ReplicaReport leaving = makeReport("r1", "desk", 7);
+  leaving.leaving = true;
+  registry.accept(leaving, kStart + 2600ms);
+  REQUIRE(registry.find(ReplicaId("r2")) != nullptr);
+  CHECK_FALSE(registry.find(ReplicaId("r2"))->leaving);
+}
+
 TEST_CASE("An adapter that was ordered shows at once; a model whose unload was ordered doesn't") {
   ReplicaRegistry registry;
   wire::ReplicaReport report = makeReport("r1", "llm", 1);
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -175,6 +175,34 @@
   }
 }
 
+RunningRouter& ServiceCluster::addCallRouter(const std::string& name) {
+  auto router = std::make_unique<RunningRouter>();
+  router->node = NodeName(name);
+  calls::CallRouterSettings settings;
+  settings.feed.router = router->node;
+  settings.feed.address = name + ":80";
+  settings.feed.incarnation = random_.next();
+  settings.feed.seeds = seeds_;
+  router->logic = std::make_unique<calls::CallRouter>(settings, router->log, time_);
+  RunningRouter& added = *router;
+  call_routers_[added.node] = std::move(router);
+  tickRouter(added);
+  return added;
+}
+
+void ServiceCluster::tickRouter(RunningRouter& router) {
+  carryOut(router, router.logic->tick(time_));
+  after(kTickDelay, [this, &router] { tickRouter(router); });
+}
+
+void ServiceCluster::carryOut(RunningRouter& router, const calls::Effects& effects) {
+  for (const calls::Effect& effect : effects) {
+    if (const auto* send = std::get_if<wire::SendEffect>(&effect)) {
+      deliver(router.node, send->to, send->message);
+    }
+  }
+}
+
 void ServiceCluster::after(Duration delay, std::function<void()> action) {
   events_.push({time_ + delay, next_order_++, std::move(action)});
 }
@@ -282,7 +310,7 @@
     ++addressee->second->sent_updates;
   }
   after(kMessageDelay, [this, from, to, bytes] {
-    if (cuts_.contains(from) || cuts_.contains(to)) {
+    if (cuts_.contains(from) || cuts_.contains(to) || silent_.contains(std::minmax(from, to))) {
       return;
     }
     const wire::Envelope envelope = wire::decodeEnvelope(bytes);
@@ -297,6 +325,10 @@
     if (router != routers_.end() && update != nullptr && !router->second->silent) {
       takeUpdate(*router->second, *update);
     }
+    const auto call_router = call_routers_.find(to);
+    if (call_router != call_routers_.end()) {
+      carryOut(*call_router->second, call_router->second->logic->receive(envelope, time_));
+    }
   });
 }
 
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -7,8 +8,11 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "calls/call_router.h"
+#include "common/event_log.h"
 #include "common/random.h"
 #include "services/service_control.h"
 #include "storage/log_storage.h"
@@ -43,6 +47,13 @@
   bool silent = false;
 };
 
+/// The product's own router of calls.
+struct RunningRouter {
+  NodeName node;
+  NoEventLog log;
+  std::unique_ptr<calls::CallRouter> logic;
+};
+
 class ServiceCluster {
  public:
   explicit ServiceCluster(std::size_t founders, std::uint32_t losses_borne, std::uint64_t seed = 7);
@@ -60,8 +71,12 @@
   void wipe(ServiceMember& member);
   void isolate(const NodeName& node);
   void heal() { cuts_.clear(); }
+  /// The open connection between the two falls silent for good, in both directions and without a reset. One
+  /// that is opened anew works.
+  void silence(const NodeName& one, const NodeName& other) { silent_.insert(std::minmax(one, other)); }
 
   ScriptedRouter& addRouter(const std::string& name);
+  RunningRouter& addCallRouter(const std::string& name);
 
   /// The router tells its status out of turn.
   void tell(ScriptedRouter& router);
@@ -101,6 +116,8 @@
   void deliver(const NodeName& from, const NodeName& to, const wire::Message& message);
   void beatRouter(ScriptedRouter& router);
   void takeUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update);
+  void tickRouter(RunningRouter& router);
+  void carryOut(RunningRouter& router, const calls::Effects& effects);
 
   Random random_;
   std::uint32_t losses_borne_;
@@ -112,7 +129,9 @@
   std::vector<NodeName> seeds_;
   std::vector<wire::Member> founders_;
   std::map<NodeName, std::unique_ptr<ScriptedRouter>> routers_;
+  std::map<NodeName, std::unique_ptr<RunningRouter>> call_routers_;
   std::set<NodeName> cuts_;
+  std::set<std::pair<NodeName, NodeName>> silent_;  ///< the smaller name first
 
   class Clock : public TimeSource {
    public:
--- a/tests/transport/resetting_relay.cc
+++ b/tests/transport/resetting_relay.cc
@@ -43,6 +43,12 @@
   ::close(descriptor);
 }
 
+/// Connections that the listener accepts take no more than this unread.
+void keepReceiveBufferSmall(int listener) {
+  constexpr int kBytes = 8192;
+  ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &kBytes, sizeof kBytes);
+}
+
 /// Returns the port.
 std::uint16_t listenAnywhere(int listener, int queue) {
   sockaddr_in own = loopback(0);
@@ -61,6 +67,7 @@
     : server_port_(static_cast<std::uint16_t>(std::stoi(server.substr(server.rfind(':') + 1)))),
       listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
   constexpr int kQueue = 4;
+  keepReceiveBufferSmall(listener_);
   port_ = listenAnywhere(listener_, kQueue);
   thread_ = std::thread([this] { serve(); });
 }
@@ -68,6 +75,9 @@
 ResettingRelay::~ResettingRelay() {
   end_wanted_ = true;
   thread_.join();
+  for (const int descriptor : stalled_) {
+    ::close(descriptor);
+  }
   ::close(listener_);
 }
 
@@ -86,13 +96,17 @@
     if (::connect(server, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0) {
       pass(client, server);
     }
+    if (stall_wanted_.exchange(false)) {
+      stalled_.insert(stalled_.end(), {client, server});
+      continue;
+    }
     closeWithReset(client);
     closeWithReset(server);
   }
 }
 
 void ResettingRelay::pass(int client, int server) {
-  while (!end_wanted_ && !reset_wanted_.exchange(false)) {
+  while (!end_wanted_ && !stall_wanted_ && !reset_wanted_.exchange(false)) {
     std::array<pollfd, 2> watched{{{client, POLLIN, 0}, {server, POLLIN, 0}}};
     ::poll(watched.data(), watched.size(), kPollMilliseconds);
     if (!passSome(client, server) || !passSome(server, client)) {
--- a/tests/transport/resetting_relay.h
+++ b/tests/transport/resetting_relay.h
@@ -9,7 +9,7 @@
 namespace ferryrock::transport {
 
 /// Passes bytes between clients on loopback, one at a time, and a server; can reset the connection under way
-/// on both sides. The next client is served as the one before.
+/// on both sides, or leave it open without reading it any more. The next client is served as the one before.
 class ResettingRelay {
  public:
   /// server: "127.0.0.1:port".
@@ -21,16 +21,20 @@
   /// "127.0.0.1:port" that clients connect to.
   std::string address() const;
   void reset() { reset_wanted_ = true; }
+  /// The connection under way stays open and takes no more than what its buffers hold.
+  void stall() { stall_wanted_ = true; }
 
  private:
   void serve();
-  /// Passes bytes until either side ends, or a reset or the end is wanted.
+  /// Passes bytes until either side ends, or a reset, a stall or the end is wanted.
   void pass(int client, int server);
 
   std::uint16_t server_port_ = 0;
   int listener_ = -1;
   std::uint16_t port_ = 0;
   std::atomic<bool> reset_wanted_{false};
+  std::atomic<bool> stall_wanted_{false};
+  std::vector<int> stalled_;  ///< of the serving thread, until the end
   std::atomic<bool> end_wanted_{false};
   std::thread thread_;
 };
--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -18,6 +18,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kPollInterval = 5ms;
+/// Of a message that fills a small receive buffer.
+constexpr std::size_t kLargeBytes = 64 * 1024;
 /// Only ends a test that would hang; no assertion depends on it.
 constexpr Duration kGiveUpAfter = 20s;
 
@@ -364,5 +366,28 @@
   CHECK(dispatcher->timeSource().monotonicTime() - healed < kSoon);
 }
 
+/// The users' shortest limit from an acknowledgement to a catalog's being in force is 2 s; a connection that
+/// takes nothing any more mustn't hold a message up for longer than that and half a second of the test's own.
+TEST_CASE("A connection that takes nothing any more is replaced by a new one") {
+  constexpr Duration kReplacedWithin = 2500ms;
+  const auto dispatcher = event::createAceDispatcher();
+  Node receiver(*dispatcher, "control", "127.0.0.1:0");
+  ResettingRelay relay(receiver.transport->boundAddress());
+  Node sender(*dispatcher, "router", "");
+  sender.transport->setPeers({{NodeName{"control"}, relay.address(), ""}});
+  REQUIRE(sendUntilReceived(*dispatcher, sender, "control", receiver));
+  relay.stall();
+  std::this_thread::sleep_for(100ms);
+  runUntil(*dispatcher, [&, tries = 0]() mutable { return ++tries > 10; });  // what came before the stall
+  const TimePoint stalled = dispatcher->timeSource().monotonicTime();
+  const std::size_t before = receiver.received.size();
+  const wire::Message large = wire::MemberList{{NodeName{std::string(kLargeBytes, 'x')}}, {}};
+  CHECK(runUntil(*dispatcher, [&] {
+    sender.transport->send(NodeName{"control"}, large);
+    return receiver.received.size() > before;
+  }));
+  CHECK(dispatcher->timeSource().monotonicTime() - stalled < kReplacedWithin);
+}
+
 }  // namespace
 }  // namespace ferryrock::transport
