Drop late reports of replicas that were replaced at their address

The registry knew only who stands at an address now, took the late report for a new replica's and removed the living one. Until the living one's next whole report, up to five heartbeats later at members that get short ones, routers were told the wrong identity.

Change: replicas that were forgotten, replaced or silent, are remembered for five minutes. A report of one of them is late while another replica at its address has been heard of within 2.5 s; otherwise it is taken up again. A member that never knew the sender can't tell the two apart: the living replica has its address back within 2.5 s of the late report.

Ruled out: going by sequence numbers, since each start counts from one.

--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -8,6 +8,10 @@
 constexpr std::size_t kRememberedRemovals = 4096;
 /// Reports show an adapter or a withdrawn model's end within this time, else the assumption was wrong.
 constexpr Duration kAssumptionLasts = std::chrono::seconds(4);
+/// A living replica has reported within this time: two heartbeats of 1.2 s.
+constexpr Duration kAlive = std::chrono::milliseconds(2500);
+/// How long a report may be on its way behind a cut and still be known as late.
+constexpr Duration kForgottenKnown = std::chrono::minutes(5);
 
 /// True when routers see no difference.
 bool sameForRouters(const wire::ReplicaReport& left, const wire::ReplicaReport& right) {
@@ -47,7 +51,11 @@
     return ReportNews::Changed;
   }
   if (known == replicas_.end()) {
-    removeOthersAt(report.address, report.id);
+    if (isReplaced(report, now)) {
+      return ReportNews::Late;
+    }
+    forgotten_.erase(report.id);
+    removeOthersAt(report.address, report.id, now);
     ReplicaRecord& record = replicas_[report.id];
     record.report = report;
     record.heard = now;
@@ -91,11 +99,18 @@
   }
 }
 
-void ReplicaRegistry::removeOthersAt(const std::string& address, const ReplicaId& id) {
+bool ReplicaRegistry::isReplaced(const wire::ReplicaReport& report, TimePoint now) const {
+  return forgotten_.contains(report.id) &&
+         std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& item) {
+           return item.second.report.address == report.address && now - item.second.heard <= kAlive;
+         });
+}
+
+void ReplicaRegistry::removeOthersAt(const std::string& address, const ReplicaId& id, TimePoint now) {
   for (auto replica = replicas_.begin(); replica != replicas_.end();) {
     const auto next = std::next(replica);
     if (replica->second.report.address == address && replica->first != id) {
-      remove(replica);
+      remove(replica, now);
     }
     replica = next;
   }
@@ -111,11 +126,12 @@
 }
 
 void ReplicaRegistry::expire(TimePoint now, Duration silence) {
+  std::erase_if(forgotten_, [now](const auto& item) { return now - item.second > kForgottenKnown; });
   for (auto replica = replicas_.begin(); replica != replicas_.end();) {
     const auto next = std::next(replica);
     ReplicaRecord& record = replica->second;
     if (now - record.heard > silence) {
-      remove(replica);
+      remove(replica, now);
     } else {
       const auto outlived = [now](const auto& item) { return now - item.second > kAssumptionLasts; };
       const auto dropped =
@@ -192,7 +208,8 @@
   return true;
 }
 
-void ReplicaRegistry::remove(std::map<ReplicaId, ReplicaRecord>::iterator replica) {
+void ReplicaRegistry::remove(std::map<ReplicaId, ReplicaRecord>::iterator replica, TimePoint now) {
+  forgotten_[replica->first] = now;
   removals_.push_back({++changes_, replica->first});
   replicas_.erase(replica);
   if (removals_.size() > kRememberedRemovals) {
--- a/src/services/replica_registry.h
+++ b/src/services/replica_registry.h
@@ -30,7 +30,7 @@
 };
 
 enum class ReportNews : std::uint8_t {
-  Late,     ///< older than what is known: nothing was taken
+  Late,     ///< older than what is known, or of a replica that was replaced: nothing was taken
   Same,     ///< a sign of life
   Changed,  ///< routers need to know
 };
@@ -69,14 +69,18 @@
     ReplicaId id;
   };
 
-  void remove(std::map<ReplicaId, ReplicaRecord>::iterator replica);
-  void removeOthersAt(const std::string& address, const ReplicaId& id);
+  void remove(std::map<ReplicaId, ReplicaRecord>::iterator replica, TimePoint now);
+  /// True for a report that was held up on its way: its sender was forgotten, and its address is another's,
+  /// which is alive.
+  bool isReplaced(const wire::ReplicaReport& report, TimePoint now) const;
+  void removeOthersAt(const std::string& address, const ReplicaId& id, TimePoint now);
   ReplicaRecord* findMutable(const ReplicaId& id);
   void noteChange(ReplicaRecord& record) { record.changed = ++changes_; }
 
   std::map<ReplicaId, ReplicaRecord> replicas_;
-  std::deque<Removal> removals_;           ///< oldest first
-  std::uint64_t removals_known_from_ = 0;  ///< every removal after this count is listed
+  std::map<ReplicaId, TimePoint> forgotten_;  ///< with the time; for a while
+  std::deque<Removal> removals_;              ///< oldest first
+  std::uint64_t removals_known_from_ = 0;     ///< every removal after this count is listed
   std::uint64_t changes_ = 0;
 };
 
--- a/tests/services/registry_test.cc
+++ b/tests/services/registry_test.cc
@@ -54,6 +54,41 @@
   CHECK_FALSE(registry.find(ReplicaId("r2"))->leaving);
 }
 
+TEST_CASE("A replica that was forgotten in a cut doesn't take its address back from a living successor") {
+  ReplicaRegistry registry;
+  registry.accept(makeReport("r1", "desk", 5), kStart);
+  registry.expire(kStart + 7s, 6s);
+  REQUIRE(registry.find(ReplicaId("r1")) == nullptr);
+  wire::ReplicaReport next = makeReport("r2", "desk", 1);
+  next.address = "r1:80";
+  registry.accept(next, kStart + 8s);
+  registry.noteAlive({ReplicaId("r2"), 3}, kStart + 10s);
+  CHECK(registry.accept(makeReport("r1", "desk", 6), kStart + 11s) == ReportNews::Late);
+  CHECK(registry.find(ReplicaId("r2")) != nullptr);
+}
+
+/// A member that started lately can't tell a held-up report from one of a new start.
+TEST_CASE("A living replica has its address back from a late report soon") {
+  ReplicaRegistry registry;
+  wire::ReplicaReport living = makeReport("r2", "desk", 1);
+  living.address = "r1:80";
+  registry.accept(living, kStart);
+  registry.accept(makeReport("r1", "desk", 6), kStart + 100ms);
+  living.sequence = 2;
+  CHECK(registry.accept(living, kStart + 1s) == ReportNews::Late);
+  living.sequence = 4;
+  CHECK(registry.accept(living, kStart + 3s) == ReportNews::Changed);
+  CHECK(registry.find(ReplicaId("r1")) == nullptr);
+  CHECK(registry.find(ReplicaId("r2")) != nullptr);
+}
+
+TEST_CASE("A replica that was forgotten and lives is taken up again") {
+  ReplicaRegistry registry;
+  registry.accept(makeReport("r1", "desk", 5), kStart);
+  registry.expire(kStart + 7s, 6s);
+  CHECK(registry.accept(makeReport("r1", "desk", 9), kStart + 8s) == ReportNews::Changed);
+}
+
 TEST_CASE("An adapter that was ordered shows at once; a model whose unload was ordered doesn't") {
   ReplicaRegistry registry;
   wire::ReplicaReport report = makeReport("r1", "llm", 1);
