End HTTP connections whose peer shows no sign of life

Change: on each socket of the one HTTP client, unacknowledged bytes end the connection after 1.5 s, and one that only receives is probed each second and ends 2 s after its last sign of life. An idle connection that has gone silent is then known as dead before it is used again. A call that was sent on it counts as one that may have run, as before.

Two cases of client_test: a peer that takes nothing any more (zero window), and the options of a socket; silence itself can't be made on loopback, where the kernel acknowledges everything.

--- a/src/http/curl_request.cc
+++ b/src/http/curl_request.cc
@@ -3,9 +3,18 @@
 #include <utility>
 
 #include "common/error.h"
+#include "http/silence_limits.h"
 
 namespace ferryrock::http {
 
+namespace {
+
+int limitSilence(void* /*data*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  return setSilenceLimits(socket) ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
+}  // namespace
+
 void initializeCurl() {
   static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   if (initialized != CURLE_OK) {
@@ -52,6 +61,7 @@
   if (!request_.ca_file.empty()) {
     curl_easy_setopt(curl, CURLOPT_CAINFO, request_.ca_file.c_str());
   }
+  curl_easy_setopt(curl, CURLOPT_SOCKOPTFUNCTION, &limitSilence);
   curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, &beforeSend);
   curl_easy_setopt(curl, CURLOPT_PREREQDATA, this);
   if (request_.exact_headers) {
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -1,3 +1,8 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -5,6 +10,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "common/error.h"
@@ -12,6 +18,7 @@
 #include "http/fixture.h"
 #include "http/http.h"
 #include "http/raw_peer.h"
+#include "http/silence_limits.h"
 
 namespace ferryrock::http {
 namespace {
@@ -96,6 +103,42 @@
   }
 }
 
+TEST_CASE("a call whose peer takes nothing any more ends long before its own limit") {
+  constexpr std::size_t kMoreThanTheBuffers = std::size_t{64} << 20;
+  std::atomic<bool> over = false;
+  const ScriptedServer peer([&over](RawConnection& connection, int) {
+    connection.readUntil("HTTP/1.1");
+    while (!over) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  });
+  Loop loop;
+  const auto client = createClient(loop.dispatcher());
+  CallRecord record;
+  ClientRequest request = makeRequest("POST", urlOf(peer.port(), "/"), std::string(kMoreThanTheBuffers, 'x'));
+  request.total_timeout = std::chrono::seconds(60);
+  const auto call = client->send(request, recordInto(record));
+  CHECK(loop.runUntil([&] { return record.ended(); }));
+  over = true;
+  CHECK(record.failure == SendProgress::MaybeSent);
+}
+
+TEST_CASE("a connection that only receives is probed, and given up when no probe is answered") {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(setSilenceLimits(socket));
+  const auto value = [socket](int level, int name) {
+    int set = -1;
+    socklen_t length = sizeof set;
+    REQUIRE(::getsockopt(socket, level, name, &set, &length) == 0);
+    return set;
+  };
+  CHECK(value(SOL_SOCKET, SO_KEEPALIVE) == 1);
+  CHECK(value(IPPROTO_TCP, TCP_KEEPIDLE) + value(IPPROTO_TCP, TCP_KEEPINTVL) <= 2);
+  CHECK(value(IPPROTO_TCP, TCP_USER_TIMEOUT) <= 2000);
+  ::close(socket);
+  CHECK_FALSE(setSilenceLimits(socket));
+}
+
 TEST_CASE("a call that can't connect is certainly not sent") {
   Loop loop;
   const auto client = createClient(loop.dispatcher());
