Let routers connect anew to control members that answer nothing

A connection may go silent in a way that the kernel's limits don't see or see late, and the connection to a member that doesn't lead may have been dead for long when it is elected.

A router opens a new connection to a member that has answered none for 1.5 s (RenewConnectionEffect, Transport::renew, log line control.reconnect). A member that is gone costs a socket each 1.5 s.

Tests: call_router_test, a member that answers nothing; transport_test, a relay that stays open and passes nothing.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -101,9 +101,14 @@
   std::string detail;
 };
 
-using Effect =
-    std::variant<wire::SendEffect, SendAttemptEffect, CancelAttemptEffect, DeliverAnswerEffect,
-                 StartStreamEffect, PassEventEffect, FinishStreamEffect, BreakStreamEffect, RefuseCallEffect>;
+/// Effect: open a new connection to the control member in place of the one that stands, which may be dead.
+struct RenewConnectionEffect {
+  NodeName member;
+};
+
+using Effect = std::variant<wire::SendEffect, RenewConnectionEffect, SendAttemptEffect, CancelAttemptEffect,
+                            DeliverAnswerEffect, StartStreamEffect, PassEventEffect, FinishStreamEffect,
+                            BreakStreamEffect, RefuseCallEffect>;
 using Effects = std::vector<Effect>;
 
 }  // namespace ferryrock::calls
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -301,7 +301,7 @@
   if (const auto* update = std::get_if<wire::ServiceUpdate>(&envelope.message)) {
     applyUpdate(envelope.from, *update, now);
   } else if (const auto* list = std::get_if<wire::MemberList>(&envelope.message)) {
-    feed_.accept(*list);
+    feed_.accept(envelope.from, *list);
   }
   return finish(now);
 }
@@ -454,6 +454,10 @@
   if (!feed_.due(now)) {
     return;
   }
+  for (NodeName& member : feed_.unansweringMembers(now)) {
+    log_.write(LogLevel::Info, "control.reconnect", {{"member", view(member.value)}});
+    effects_.emplace_back(RenewConnectionEffect{std::move(member)});
+  }
   const NodeName leader = feed_.leader();
   RouterNews news{wants(now), replicas_.unreachable(now), ready(), catalogVersion()};
   for (wire::SendEffect& send : feed_.statuses(std::move(news), now)) {
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -16,6 +16,7 @@
 }  // namespace
 
 bool ControlFeed::accept(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now) {
+  noteAnswer(from);
   if (update.revision < revision_) {
     return false;  // of a leader that was replaced, or overtaken on its way
   }
@@ -37,7 +38,8 @@
   return true;
 }
 
-void ControlFeed::accept(const wire::MemberList& list) {
+void ControlFeed::accept(const NodeName& from, const wire::MemberList& list) {
+  noteAnswer(from);
   answered_ = true;
   members_.insert(list.nodes.begin(), list.nodes.end());
 }
@@ -81,6 +83,9 @@
   if (!leader_.empty()) {
     sends.push_back({leader_, std::move(leaders)});
   }
+  for (const wire::SendEffect& send : sends) {
+    unanswered_since_.try_emplace(send.to, now);
+  }
   last_status_ = now;
   next_leader_status_ = now + (answered_ ? settings_.leader_interval : settings_.first_interval);
   if (all) {
@@ -91,4 +96,15 @@
   return sends;
 }
 
+std::vector<NodeName> ControlFeed::unansweringMembers(TimePoint now) {
+  std::vector<NodeName> members;
+  for (auto& [member, since] : unanswered_since_) {
+    if (now - since >= settings_.answer_limit) {
+      members.push_back(member);
+      since = now;
+    }
+  }
+  return members;
+}
+
 }  // namespace ferryrock::calls
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -21,6 +21,10 @@
   Duration first_interval = std::chrono::milliseconds(50);
   Duration member_interval = std::chrono::milliseconds(1000);  ///< and to the other members
   Duration leader_silence = std::chrono::milliseconds(1000);   ///< after which another is looked for
+  /// A member answers each status within half a second. One that hasn't for this long is connected to anew:
+  /// the connection may have gone silent without an end. Later than the transport's own limit, which needs no
+  /// new connection to a member that is merely slow.
+  Duration answer_limit = std::chrono::milliseconds(1500);
 };
 
 /// What a status tells beside the feed's own state.
@@ -40,7 +44,9 @@
 
   /// True if the update's replicas are to be applied; its catalog is judged by its version alone.
   bool accept(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now);
-  void accept(const wire::MemberList& list);
+  void accept(const NodeName& from, const wire::MemberList& list);
+  /// The member was heard; its connection stands.
+  void noteAnswer(const NodeName& from) { unanswered_since_.erase(from); }
   void addSeeds(const std::vector<NodeName>& seeds) { members_.insert(seeds.begin(), seeds.end()); }
 
   /// The leader should hear soon: wants or revisions have changed.
@@ -51,6 +57,8 @@
   bool due(TimePoint now) const;
   /// Statuses that are due; all members get the leader's while it isn't known.
   std::vector<wire::SendEffect> statuses(RouterNews news, TimePoint now);
+  /// Members that have answered no status within the limit; each is named again only after another such time.
+  std::vector<NodeName> unansweringMembers(TimePoint now);
   TimePoint nextDeadline() const;
 
   /// Where callers may connect, as the leader last told; kept while there is none.
@@ -75,6 +83,8 @@
   bool missed_update_ = false;
   bool tell_all_ = false;
   bool answered_ = false;  ///< by any member
+  /// Members that a status was sent to and that weren't heard since, with the time of the first such status.
+  std::map<NodeName, TimePoint> unanswered_since_;
 };
 
 }  // namespace ferryrock::calls
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -118,6 +118,10 @@
   }
 }
 
+void CallRouterShell::carryOut(const calls::RenewConnectionEffect& effect) {
+  transport_->renew(effect.member);
+}
+
 void CallRouterShell::connectControl() {
   std::vector<transport::Peer> peers;
   for (const NodeName& member : router_.controlMembers()) {
--- a/src/service_process/call_router_shell.h
+++ b/src/service_process/call_router_shell.h
@@ -36,6 +36,7 @@
  private:
   void carryOut(const calls::Effects& effects);
   void carryOut(const wire::SendEffect& effect) { transport_->send(effect.to, effect.message); }
+  void carryOut(const calls::RenewConnectionEffect& effect);
   void carryOut(const calls::SendAttemptEffect& effect);
   void carryOut(const calls::CancelAttemptEffect& effect) { client_->cancel(effect.attempt); }
   void carryOut(const calls::DeliverAnswerEffect& effect);
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -74,6 +74,9 @@
   virtual void send(const NodeName& to, const wire::Message& message) = 0;
   /// Replaces the peers: connects to new ones, closes those that are gone, takes changed keys without a stop.
   virtual void setPeers(std::vector<Peer> peers) = 0;
+  /// Opens a new connection to a peer with an address in place of the one that stands: for a peer that
+  /// answers nothing, since a connection may go silent without an end. Messages on their way may be lost.
+  virtual void renew(const NodeName& peer) = 0;
   /// Takes new keys of this process's own, and ends the connections of keys that setPeers() withdrew: all
   /// sockets are closed and opened again at the same address. Messages on their way may be lost.
   virtual void setKeys(const KeyPair& own) = 0;
--- a/src/transport/zeromq_transport.cc
+++ b/src/transport/zeromq_transport.cc
@@ -75,6 +75,19 @@
     }
   }
 
+  void renew(const NodeName& peer) override {
+    std::vector<PeerKey> keys;
+    for (const auto& [key, connection] : connections_) {
+      if (key.node == peer) {
+        keys.push_back(key);
+      }
+    }
+    for (const PeerKey& key : keys) {
+      connections_.erase(key);
+      connect(key);
+    }
+  }
+
   void setKeys(const KeyPair& own) override {
     connections_.clear();
     listener_.reset();
@@ -151,6 +164,7 @@
     zmq::socket_t& socket = listener_->socket;
     setCommonOptions(socket);
     socket.set(zmq::sockopt::router_mandatory, true);
+    socket.set(zmq::sockopt::backlog, kBacklog);
     socket.set(zmq::sockopt::router_handover, true);
     if (keysOn()) {
       socket.set(zmq::sockopt::curve_server, true);
@@ -164,7 +178,6 @@
                   "the internal address can't be bound: " + std::string(fault.what()),
                   settings_.listen_address);
     }
-    socket.set(zmq::sockopt::backlog, kBacklog);
     constexpr std::size_t kSchemeLength = 6;  // "tcp://"
     bound_address_ = socket.get(zmq::sockopt::last_endpoint).substr(kSchemeLength);
     listener_->watch = watch(socket, [this] { drainListener(); });
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
@@ -382,6 +383,36 @@
   REQUIRE(fixture.count<wire::SendEffect>() == 1);
 }
 
+/// Names of the members whose connections were to be renewed, in order.
+std::vector<std::string> renewals(const CallFixture& fixture) {
+  std::vector<std::string> members;
+  for (const Effect& effect : fixture.all) {
+    if (const auto* renewal = std::get_if<RenewConnectionEffect>(&effect)) {
+      members.push_back(renewal->member.value);
+    }
+  }
+  return members;
+}
+
+TEST_CASE("A member that answers no status is connected to anew, one that answers isn't") {
+  Begun fixture;
+  fixture.all.clear();
+  for (int i = 0; i < 16; ++i) {
+    fixture.pass(250ms);
+    fixture.addReplicas({});  // control-1 leads and answers; control-2 doesn't
+  }
+  const std::vector<std::string> members = renewals(fixture);
+  CHECK(members.size() >= 2);
+  CHECK(std::count(members.begin(), members.end(), "control-2") == static_cast<int>(members.size()));
+  fixture.all.clear();
+  for (int i = 0; i < 16; ++i) {
+    fixture.pass(250ms);
+    fixture.addReplicas({});
+    fixture.take(fixture.router().receive({NodeName("control-2"), wire::MemberList{}}, fixture.now));
+  }
+  CHECK(renewals(fixture).empty());
+}
+
 struct CountingLog : EventLog {
   void write(LogLevel, std::string_view event, std::initializer_list<LogField>) override {
     ++lines[std::string(event)];
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -14,6 +14,8 @@
 constexpr Duration kMessageDelay = 2ms;
 constexpr Duration kSyncDelay = 1ms;
 constexpr Duration kTickDelay = 10ms;
+/// Until a new connection stands in place of a silent one.
+constexpr Duration kReconnection = 200ms;
 constexpr Duration kRouterInterval = 250ms;
 
 NodeName nodeAt(std::size_t number) {
@@ -199,6 +201,10 @@
   for (const calls::Effect& effect : effects) {
     if (const auto* send = std::get_if<wire::SendEffect>(&effect)) {
       deliver(router.node, send->to, send->message);
+    } else if (const auto* renewal = std::get_if<calls::RenewConnectionEffect>(&effect)) {
+      after(kReconnection, [this, node = router.node, member = renewal->member] {
+        silent_.erase(std::minmax(node, member));
+      });
     }
   }
 }
--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -389,5 +389,24 @@
   CHECK(dispatcher->timeSource().monotonicTime() - stalled < kReplacedWithin);
 }
 
+/// The relay's host acknowledges what the old connection gets, so that only the peer's silence shows it.
+TEST_CASE("A renewed connection passes messages though the old one stands and passes none") {
+  const auto dispatcher = event::createAceDispatcher();
+  Node receiver(*dispatcher, "control", "127.0.0.1:0");
+  ResettingRelay relay(receiver.transport->boundAddress());
+  Node sender(*dispatcher, "router", "");
+  sender.transport->setPeers({{NodeName{"control"}, relay.address(), ""}});
+  REQUIRE(sendUntilReceived(*dispatcher, sender, "control", receiver));
+  relay.stall();
+  std::this_thread::sleep_for(100ms);
+  runUntil(*dispatcher, [&, tries = 0]() mutable { return ++tries > 10; });
+  receiver.received.clear();
+  REQUIRE(staysUnreceived(*dispatcher, sender, "control", receiver));
+  sender.transport->renew(NodeName{"control"});
+  CHECK(sendUntilReceived(*dispatcher, sender, "control", receiver));
+  CHECK(sendUntilReceived(*dispatcher, receiver, "router", sender));
+  sender.transport->renew(NodeName{"unknown"});
+}
+
 }  // namespace
 }  // namespace ferryrock::transport
