Let any control member tell a router the newest committed catalog

Change: a member that doesn't lead, or isn't sure that it does, answers the status of a router that holds an older version with the catalog (CatalogUpdate), once it has known the version for 0.5 s; a leader's round of updates takes 75 ms for 300 routers. What is committed is never taken back, and a router's version only rises, so no promise depends on who tells. A router without a catalog still waits for the leader, which tells the replicas as well.

Weighed and not built: an acknowledgement that waits for the routers.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -302,10 +302,28 @@
     applyUpdate(envelope.from, *update, now);
   } else if (const auto* list = std::get_if<wire::MemberList>(&envelope.message)) {
     feed_.accept(envelope.from, *list);
+  } else if (const auto* late = std::get_if<wire::CatalogUpdate>(&envelope.message)) {
+    feed_.noteAnswer(envelope.from);
+    takeCatalog(envelope.from, late->catalog, feed_.leaderHeard(), now);
   }
   return finish(now);
 }
 
+void CallRouter::takeCatalog(const NodeName& from, const wire::ServiceCatalog& catalog,
+                             std::optional<TimePoint> leader_heard, TimePoint now) {
+  if (catalog.version <= catalogVersion()) {
+    return;
+  }
+  routes_ = std::make_shared<const RouteTable>(catalog);
+  feed_.tellAll();
+  routeWaiting(now);
+  log_.write(LogLevel::Info, "catalog.in_force",
+             {{"version", static_cast<std::int64_t>(routes_->version().value)},
+              {"routes", static_cast<std::int64_t>(catalog.routes.size())},
+              {"from", view(from.value)},
+              {"confirmed_ms_ago", leader_heard ? toMilliseconds(now - *leader_heard) : -1}});
+}
+
 void CallRouter::applyUpdate(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now) {
   const NodeName leader = feed_.leader();
   const std::optional<TimePoint> heard = feed_.leaderHeard();
@@ -315,15 +333,8 @@
                {{"leader", view(feed_.leader().value)},
                 {"revision", static_cast<std::int64_t>(update.revision.value)}});
   }
-  if (update.catalog && update.catalog->version > catalogVersion()) {
-    routes_ = std::make_shared<const RouteTable>(*update.catalog);
-    feed_.tellAll();
-    routeWaiting(now);
-    log_.write(LogLevel::Info, "catalog.in_force",
-               {{"version", static_cast<std::int64_t>(routes_->version().value)},
-                {"routes", static_cast<std::int64_t>(update.catalog->routes.size())},
-                {"from", view(from.value)},
-                {"confirmed_ms_ago", heard ? toMilliseconds(now - *heard) : -1}});
+  if (update.catalog) {
+    takeCatalog(from, *update.catalog, heard, now);
   }
   budget_.setRouters(update.routers);
   replicas_.setRouters(update.routers);
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -143,6 +143,9 @@
   void onTimer(CallPointer call, TimePoint now);
   void setTimer(CallPointer call);
   void applyUpdate(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now);
+  /// Versions go up only, whoever tells them.
+  void takeCatalog(const NodeName& from, const wire::ServiceCatalog& catalog,
+                   std::optional<TimePoint> leader_heard, TimePoint now);
   void noteTable(const wire::ServiceUpdate& update, TimePoint now);
   std::vector<wire::ModelWant> wants(TimePoint now);
   void sendStatuses(TimePoint now);
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -99,11 +99,15 @@
   if (status.router != from || !directory_.accept(status, now)) {
     return;
   }
-  if (leader_) {
+  if (leader_ && node_->log().hasLease(now)) {
     updateRouter(status, now);
-  } else {
-    send(from, wire::MemberList{memberNodes(), node_->log().leader()});
+    return;
   }
+  if (leader_) {
+    leader_->demand.accept(status.router, status.wants, now);
+  }
+  send(from, wire::MemberList{memberNodes(), node_->log().leader()});
+  offerCatalog(status, now);
 }
 
 void ServiceControlImpl::take(control::Effects effects, TimePoint now) {
@@ -336,6 +340,11 @@
 
 Effects ServiceControlImpl::finish(TimePoint now) {
   followLeadership(now);
+  const CatalogVersion version = node_->hosted().catalog().version;
+  if (version != held_version_) {
+    held_version_ = version;
+    held_since_ = now;
+  }
   if (leader_) {
     leadOn(now);
   }
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -65,7 +65,8 @@
   friend bool operator==(const FleetView&, const FleetView&) = default;
 };
 
-/// Used by one thread.
+/// Routers have a committed catalog from the leader at once, and from any other member that they reach within
+/// 1.5 s: a lost connection to the leader delays it by no more than that. Used by one thread.
 class ServiceControl {
  public:
   virtual ~ServiceControl() = default;
--- a/src/services/service_control_catalog.cc
+++ b/src/services/service_control_catalog.cc
@@ -10,6 +10,9 @@
 
 /// How long an acknowledgement waits for the cell to be mended.
 constexpr Duration kAcknowledgementLimit = std::chrono::milliseconds(3500);
+/// The leader tells each router that it reaches of a version within a round of updates, 75 ms for 300
+/// routers. One that is behind for longer may have lost its connection to the leader.
+constexpr Duration kLeaderTellsWithin = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -63,6 +66,15 @@
   });
 }
 
+/// A router that waits for its first catalog gets it from the leader, with the replicas that it needs as
+/// well.
+void ServiceControlImpl::offerCatalog(const wire::CallRouterStatus& status, TimePoint now) {
+  const bool behind = status.catalog != CatalogVersion{} && status.catalog < held_version_;
+  if (behind && now - held_since_ >= kLeaderTellsWithin) {
+    send(status.router, wire::CatalogUpdate{catalogForRouters(node_->hosted().catalog())});
+  }
+}
+
 Effects ServiceControlImpl::readCatalog(QuestionNumber question, TimePoint now) {
   if (node_->leads()) {
     confirmRead(CatalogRead{question}, now);
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -147,6 +147,7 @@
   void onCatalogRead(QuestionNumber question, bool confirmed);
   void holdAcknowledgement(QuestionNumber question, TimePoint now);
   void settleAcknowledgements(TimePoint now);
+  void offerCatalog(const wire::CallRouterStatus& status, TimePoint now);
   bool onEnoughDisks() const;
 
   // service_control_replicas.cc
@@ -191,6 +192,8 @@
   std::map<std::uint64_t, ReadPurpose> reads_;
   std::set<ReplicaId> leaving_proposed_;
   std::vector<HeldAcknowledgement> held_acknowledgements_;
+  CatalogVersion held_version_;  ///< of the newest catalog that is known to be committed
+  TimePoint held_since_{};
   std::map<std::uint64_t, ForwardedNotice> forwarded_;
   wire::ReplicaReports relay_;
   TimePoint relay_due_ = TimePoint::max();
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -87,7 +87,7 @@
   if (waitsForModel(status)) {
     hurryPlan(now);
   }
-  if (!node_->log().hasLease(now) || !owedUpdate(status, now)) {
+  if (!owedUpdate(status, now)) {
     return;
   }
   if (isLargeFleet()) {
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -19,9 +19,9 @@
   return replica;
 }
 
-/// The catalog without its models: they are most of its bytes and change seldom, while each of many routers
-/// gets each version.
-wire::ServiceCatalog forRouters(const wire::ServiceCatalog& catalog) {
+}  // namespace
+
+wire::ServiceCatalog catalogForRouters(const wire::ServiceCatalog& catalog) {
   wire::ServiceCatalog part;
   part.version = catalog.version;
   part.routes = catalog.routes;
@@ -39,8 +39,6 @@
   return part;
 }
 
-}  // namespace
-
 LogIndex TableFeed::revisionAt(std::uint64_t change) const {
   return LogIndex{(term_.value << kTermShift) | ((change + 1) & kChangeMask)};
 }
@@ -59,7 +57,7 @@
   update.revision = revision();
   update.version = context.catalog.version;
   if (status.catalog < context.catalog.version) {
-    update.catalog = forRouters(context.catalog);
+    update.catalog = catalogForRouters(context.catalog);
   }
   update.members = context.members;
   update.routers = context.routers;
--- a/src/services/table_feed.h
+++ b/src/services/table_feed.h
@@ -22,6 +22,10 @@
   std::uint64_t directory_digest = 0;  ///< wire::directoryDigest() of it
 };
 
+/// The catalog without its models: they are most of its bytes and change seldom, while each of many routers
+/// gets each version.
+wire::ServiceCatalog catalogForRouters(const wire::ServiceCatalog& catalog);
+
 /// One leader's updates to the routers: the catalog and the changes of the replica table since what each of
 /// them holds. Used by one thread.
 class TableFeed {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -205,7 +205,7 @@
 using Message = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk,
                              SnapshotResponse, TimeoutNow, RouterStatus, DemandReport, RouterCommands,
                              TableUpdate, CommandReplies, MemberHello, MemberList, ReplicaReports,
-                             LeaveRequest, LeaveReply, CallRouterStatus, ServiceUpdate>;
+                             LeaveRequest, LeaveReply, CallRouterStatus, ServiceUpdate, CatalogUpdate>;
 
 /// A message with its sender.
 struct Envelope {
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -127,6 +127,13 @@
                    members, directory, coming, confirm)
 };
 
+/// From a member that doesn't lead, or can't be sure that it does, to a router that holds an older version.
+/// What is committed is never taken back, so that any member may tell it.
+struct CatalogUpdate {
+  ServiceCatalog catalog;  ///< without the models of engines, which routers don't need
+  FERRYROCK_FIELDS(CatalogUpdate, catalog)
+};
+
 /// Hash of the addresses in their order; 0 for none.
 std::uint64_t directoryDigest(const std::vector<std::string>& addresses);
 
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -413,6 +413,19 @@
   CHECK(renewals(fixture).empty());
 }
 
+TEST_CASE("A catalog comes from any member, and none takes a newer one back") {
+  Begun fixture;
+  const auto tell = [&fixture](std::uint64_t version) {
+    fixture.take(fixture.router().receive(
+        {NodeName("control-2"), wire::CatalogUpdate{CallFixture::catalog(version)}}, fixture.now));
+  };
+  tell(4);
+  CHECK(fixture.router().catalogVersion().value == 4);
+  tell(3);
+  CHECK(fixture.router().catalogVersion().value == 4);
+  CHECK(fixture.router().knownReplicas() == 3);
+}
+
 struct CountingLog : EventLog {
   void write(LogLevel, std::string_view event, std::initializer_list<LogField>) override {
     ++lines[std::string(event)];
--- a/tests/services/catalog_delivery_test.cc
+++ b/tests/services/catalog_delivery_test.cc
@@ -49,5 +49,68 @@
   CHECK(deployment.everywhere(2));
 }
 
+TEST_CASE("A router whose every connection has gone silent is back within the limit") {
+  Deployment deployment(7);
+  for (std::size_t i = 0; i < 5; ++i) {
+    deployment.cluster.silence(deployment.routers.front()->node, deployment.cluster.member(i).node);
+  }
+  REQUIRE(deployment.cluster.replaceAcknowledged(2));
+  deployment.cluster.runFor(kInForceWithin);
+  CHECK(deployment.everywhere(2));
+}
+
+TEST_CASE("A leader's loss right after the acknowledgement leaves no router behind") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    Deployment deployment(seed);
+    ServiceMember& leader = *deployment.cluster.leader();
+    deployment.cluster.silence(deployment.routers.front()->node, leader.node);
+    REQUIRE(deployment.cluster.replaceAcknowledged(2));
+    deployment.cluster.kill(leader);
+    deployment.cluster.runFor(kInForceWithin);
+    CHECK(deployment.everywhere(2));
+  }
+}
+
+TEST_CASE(
+    "Routers have each acknowledged catalog in time while their connections go silent one after the other") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    Deployment deployment(seed, 4);
+    Random random(seed);
+    for (std::uint64_t version = 2; version <= 12; ++version) {
+      for (RunningRouter* router : deployment.routers) {
+        if (random.below(2) == 0) {
+          deployment.cluster.silence(router->node, deployment.cluster.member(random.below(5)).node);
+        }
+      }
+      deployment.cluster.runFor(std::chrono::milliseconds(random.below(1500)));
+      REQUIRE(deployment.cluster.replaceAcknowledged(version));
+      deployment.cluster.runFor(kInForceWithin);
+      CHECK(deployment.everywhere(version));
+    }
+  }
+}
+
+TEST_CASE("Members that don't lead tell a catalog only to routers that the leader didn't reach") {
+  Deployment deployment(7);
+  const std::size_t before = deployment.cluster.catalogs_by_others;
+  for (std::uint64_t version = 2; version <= 9; ++version) {
+    REQUIRE(deployment.cluster.replaceAcknowledged(version));
+    deployment.cluster.runFor(1700ms);
+  }
+  CHECK(deployment.cluster.catalogs_by_others == before);
+}
+
+TEST_CASE("A router without a catalog waits for the leader, which tells the replicas as well") {
+  Deployment deployment(7);
+  RunningRouter& fresh = deployment.cluster.addCallRouter("edge-9");
+  deployment.cluster.silence(fresh.node, deployment.cluster.leader()->node);
+  deployment.cluster.runFor(1s);
+  CHECK_FALSE(fresh.logic->ready());
+  CHECK(deployment.cluster.catalogs_by_others == 0);
+  CHECK(deployment.cluster.runUntil([&] { return fresh.logic->ready(); }, 2s));
+}
+
 }  // namespace
 }  // namespace ferryrock::services
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -315,6 +315,7 @@
   if (addressee != routers_.end() && std::holds_alternative<wire::ServiceUpdate>(message)) {
     ++addressee->second->sent_updates;
   }
+  catalogs_by_others += std::holds_alternative<wire::CatalogUpdate>(message) ? 1 : 0;
   after(kMessageDelay, [this, from, to, bytes] {
     if (cuts_.contains(from) || cuts_.contains(to) || silent_.contains(std::minmax(from, to))) {
       return;
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -98,6 +98,7 @@
   /// Orders that left, with their senders; answered as taken.
   std::vector<std::pair<NodeName, OrderReplicaEffect>> orders;
   std::vector<std::pair<NodeName, TimePoint>> order_times;
+  std::size_t catalogs_by_others = 0;  ///< sent by members that don't lead
 
  private:
   struct Event {
