Test that members that don't lead reach a router that the leader can't

With the members' part of the mend switched off (a trial on the working copy), all of catalog_delivery_test still passed, since renewed connections alone were enough for its cases. The new case fails then: a link that no new connection cures. With renewals off, three cases of it and one of call_router_test fail.

--- a/tests/services/catalog_delivery_test.cc
+++ b/tests/services/catalog_delivery_test.cc
@@ -49,6 +49,16 @@
   CHECK(deployment.everywhere(2));
 }
 
+TEST_CASE("A router that can't reach the leader has each catalog in time from the other members") {
+  Deployment deployment(7);
+  deployment.cluster.cutLink(deployment.routers.front()->node, deployment.cluster.leader()->node);
+  for (std::uint64_t version = 2; version <= 6; ++version) {
+    REQUIRE(deployment.cluster.replaceAcknowledged(version));
+    deployment.cluster.runFor(kInForceWithin);
+    CHECK(deployment.everywhere(version));
+  }
+}
+
 TEST_CASE("A router whose every connection has gone silent is back within the limit") {
   Deployment deployment(7);
   for (std::size_t i = 0; i < 5; ++i) {
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -317,7 +317,8 @@
   }
   catalogs_by_others += std::holds_alternative<wire::CatalogUpdate>(message) ? 1 : 0;
   after(kMessageDelay, [this, from, to, bytes] {
-    if (cuts_.contains(from) || cuts_.contains(to) || silent_.contains(std::minmax(from, to))) {
+    const std::pair<NodeName, NodeName> link = std::minmax(from, to);
+    if (cuts_.contains(from) || cuts_.contains(to) || silent_.contains(link) || cut_links_.contains(link)) {
       return;
     }
     const wire::Envelope envelope = wire::decodeEnvelope(bytes);
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -74,6 +74,8 @@
   /// The open connection between the two falls silent for good, in both directions and without a reset. One
   /// that is opened anew works.
   void silence(const NodeName& one, const NodeName& other) { silent_.insert(std::minmax(one, other)); }
+  /// Nothing passes between the two, over a new connection neither.
+  void cutLink(const NodeName& one, const NodeName& other) { cut_links_.insert(std::minmax(one, other)); }
 
   ScriptedRouter& addRouter(const std::string& name);
   RunningRouter& addCallRouter(const std::string& name);
@@ -133,6 +135,7 @@
   std::map<NodeName, std::unique_ptr<RunningRouter>> call_routers_;
   std::set<NodeName> cuts_;
   std::set<std::pair<NodeName, NodeName>> silent_;  ///< the smaller name first
+  std::set<std::pair<NodeName, NodeName>> cut_links_;
 
   class Clock : public TimeSource {
    public:
