Bound what one round of updates to a large fleet lists

Change: a round ends after 100,000 entries (7 MB); the other routers are told in the next one, after a pause in proportion to the entries. 300 routers and 245 replicas, the largest site of the users, are 73,500 entries: one round as before.

large_fleet_test: 50 routers and 2,500 replicas, 125,000 entries at once before, 102,500 at most now, and each router has its table.

--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -166,7 +166,8 @@
   // service_control_leader.cc
   void leadOn(TimePoint now);
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
-  void sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
+  /// Returns how many replicas it lists.
+  std::size_t sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
   void pushTables(TimePoint now);
   bool hasNews() const;
   bool isLargeFleet() const;
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -17,6 +17,12 @@
 /// Pause after a round for each update of it. A leader on 0.6 of a core makes and sends about 9,000 updates a
 /// second when it does nothing else (vcs-fleet-large scale-2, 295 routers); this leaves it more than half.
 constexpr Duration kPausePerUpdate = std::chrono::microseconds(250);
+/// Entries of replica tables that one round sends to a large fleet, some 70 B each in a message. A new leader
+/// owes each router the whole table: 300 routers and 3,000 replicas are 64 MB, which would all wait in its
+/// memory at once.
+constexpr std::size_t kEntriesPerRound = 100'000;
+/// Pause after a round for each entry of it: 28 MB a second.
+constexpr Duration kPausePerEntry = std::chrono::nanoseconds(2500);
 /// Routers tell their status to the leader four times a second, to other members once; one that is silent for
 /// longer is cut off, frozen or gone. Updates for it would only wait in memory; its next status brings what
 /// it lacks.
@@ -108,13 +114,15 @@
   return !current || now - leader_->updates.lastSent(status.router) >= kSignOfLife;
 }
 
-void ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, TimePoint now) {
+std::size_t ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, TimePoint now) {
   const FeedContext& context = feedContext(status.zone, now);
   wire::ServiceUpdate update = leader_->feed.updateFor(leader_->updates.expected(status, now), context);
   update.coming = comingFor(status, now);
   update.confirm = awaitsConfirmation(status);
   leader_->updates.onSent(status.router, update, now);
+  const std::size_t entries = update.replicas.size();
   send(status.router, std::move(update));
+  return entries;
 }
 
 /// Of the models that the router's calls wait for, those that are being loaded.
@@ -157,7 +165,8 @@
 /// One round of updates. Routers of a small fleet are told of each change at once. Those of a large one are
 /// told in rounds with pauses in proportion to the last round, so that the leader's work for updates stays
 /// bounded: all of them if the change can't wait, else those whose status asks for it and those whose calls
-/// wait for a model. The others, and what is lost on the way, follow with the next status.
+/// wait for a model. The others, and what is lost on the way, follow with the next status; routers for which
+/// a round has no room left are told in the next one.
 void ServiceControlImpl::pushTables(TimePoint now) {
   const bool news = hasNews();
   if (!news && leader_->unanswered.empty()) {
@@ -179,16 +188,20 @@
   leader_->pushed_version = version;
   const std::set<NodeName> unanswered = std::exchange(leader_->unanswered, {});
   std::int64_t sent = 0;
+  std::size_t entries = 0;
   for (const auto& [router, record] : directory_.routers()) {
     const bool reached = now - record.heard <= kReachedFor;
     const bool told =
         to_all ? reached : unanswered.contains(router) || (news && waitsForModel(record.status));
-    if (told) {
-      sendUpdate(record.status, now);
+    if (told && large && entries >= kEntriesPerRound) {
+      leader_->unanswered.insert(router);
+    } else if (told) {
+      entries += sendUpdate(record.status, now);
       ++sent;
     }
   }
-  leader_->next_push = now + std::max<Duration>(kPushInterval, kPausePerUpdate * sent);
+  const Duration for_entries = kPausePerEntry * static_cast<std::int64_t>(entries);
+  leader_->next_push = now + std::max<Duration>({kPushInterval, kPausePerUpdate * sent, for_entries});
 }
 
 /// Plans soon, but not for each of many calls that wait.
--- a/tests/services/large_fleet_test.cc
+++ b/tests/services/large_fleet_test.cc
@@ -94,5 +94,26 @@
   CHECK(fleet.routers.front()->versions.back() == CatalogVersion{10});
 }
 
+TEST_CASE("A new leader of thousands of replicas sends its whole tables in rounds of bounded size") {
+  constexpr std::size_t kRouters = 50;
+  constexpr std::size_t kReplicas = 2500;
+  constexpr std::size_t kMostEntries = 100'000 + kReplicas;
+  LargeFleet fleet(kRouters);
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    fleet.cluster.report(*fleet.cluster.leader(), makeReport("r" + std::to_string(i), "llm", 1));
+  }
+  fleet.cluster.runFor(2s);
+  fleet.cluster.most_entries_per_tick = 0;
+  fleet.cluster.kill(*fleet.cluster.leader());
+  fleet.cluster.runFor(4s);
+  CHECK(fleet.cluster.most_entries_per_tick >= kReplicas);
+  CHECK(fleet.cluster.most_entries_per_tick <= kMostEntries);
+  const Term term = fleet.cluster.leader()->control->view(fleet.cluster.now()).term;
+  for (const ScriptedRouter* router : fleet.routers) {
+    CHECK(router->replicas.size() == kReplicas);
+    CHECK(router->status.revision.value >> 40 == term.value);
+  }
+}
+
 }  // namespace
 }  // namespace ferryrock::services
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -315,6 +315,7 @@
   if (addressee != routers_.end() && std::holds_alternative<wire::ServiceUpdate>(message)) {
     ++addressee->second->sent_updates;
   }
+  countEntries(message);
   catalogs_by_others += std::holds_alternative<wire::CatalogUpdate>(message) ? 1 : 0;
   after(kMessageDelay, [this, from, to, bytes] {
     const std::pair<NodeName, NodeName> link = std::minmax(from, to);
@@ -340,6 +341,17 @@
   });
 }
 
+void ServiceCluster::countEntries(const wire::Message& message) {
+  if (const auto* update = std::get_if<wire::ServiceUpdate>(&message)) {
+    if (time_ - entries_since_ >= kTickDelay) {
+      entries_since_ = time_;
+      entries_per_tick_ = 0;
+    }
+    entries_per_tick_ += update->replicas.size();
+    most_entries_per_tick = std::max(most_entries_per_tick, entries_per_tick_);
+  }
+}
+
 std::uint64_t ServiceCluster::replace(ServiceMember& member, std::uint64_t version) {
   return replace(member, makeCatalog(version));
 }
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -101,6 +101,8 @@
   std::vector<std::pair<NodeName, OrderReplicaEffect>> orders;
   std::vector<std::pair<NodeName, TimePoint>> order_times;
   std::size_t catalogs_by_others = 0;  ///< sent by members that don't lead
+  /// Replicas listed by the updates that left within one tick, at most.
+  std::size_t most_entries_per_tick = 0;
 
  private:
   struct Event {
@@ -120,6 +122,7 @@
   void beatRouter(ScriptedRouter& router);
   void takeUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update);
   void tickRouter(RunningRouter& router);
+  void countEntries(const wire::Message& message);
   void carryOut(RunningRouter& router, const calls::Effects& effects);
 
   Random random_;
@@ -127,6 +130,8 @@
   TimePoint time_{std::chrono::seconds(1000)};
   std::uint64_t next_order_ = 1;
   std::uint64_t next_question_ = 1;
+  TimePoint entries_since_{};
+  std::size_t entries_per_tick_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::vector<std::unique_ptr<ServiceMember>> members_;
   std::vector<NodeName> seeds_;
