--- a/src/common/event_log.cc
+++ b/src/common/event_log.cc
@@ -84,7 +84,7 @@
       found = rates.emplace(std::string(event), KindRate{limits.burst, now, 0}).first;
     }
     KindRate& rate = found->second;
-    const double passed = std::chrono::duration<double>(now - rate.refilled).count();
+    const double passed = toSeconds(now - rate.refilled);
     rate.tokens = std::min(limits.burst, rate.tokens + passed * limits.lines_per_second);
     rate.refilled = now;
     if (rate.tokens < 1) {
--- a/src/common/time.h
+++ b/src/common/time.h
@@ -43,4 +43,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Seconds with their fraction.
+constexpr double toSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/// The duration of so many seconds, rounded towards zero to whole nanoseconds.
+constexpr Duration fromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 }  // namespace ferryrock
--- a/src/emulator/model/engine_settings.h
+++ b/src/emulator/model/engine_settings.h
@@ -64,7 +64,7 @@
 inline Duration transferTime(const EngineSettings& settings, std::uint64_t bytes,
                              std::uint64_t bytes_per_second) {
   const double seconds = static_cast<double>(bytes) / static_cast<double>(bytes_per_second);
-  return scaled(settings, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
+  return scaled(settings, fromSeconds(seconds));
 }
 
 }  // namespace ferryrock::emulator
--- a/src/emulator/model/weight_store_model.cc
+++ b/src/emulator/model/weight_store_model.cc
@@ -10,15 +10,11 @@
 /// Less than this is left over by rounding only.
 constexpr double kNegligibleBytes = 0.5;
 
-Duration fromSeconds(double seconds) {
+Duration fromSecondsRoundedUp(double seconds) {
   constexpr double kNanosecondsPerSecond = 1e9;
   return Duration(static_cast<Duration::rep>(std::ceil(seconds * kNanosecondsPerSecond)));
 }
 
-double toSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 double WeightStoreModel::bytesPerSecond() const {
@@ -28,11 +24,11 @@
 }
 
 Duration WeightStoreModel::startInterval() const {
-  return fromSeconds(settings_.time_scale / settings_.starts_per_second);
+  return fromSecondsRoundedUp(settings_.time_scale / settings_.starts_per_second);
 }
 
 TimePoint WeightStoreModel::completionOf(double remaining) const {
-  return advanced_to_ + fromSeconds(remaining / bytesPerSecond());
+  return advanced_to_ + fromSecondsRoundedUp(remaining / bytesPerSecond());
 }
 
 void WeightStoreModel::advance(TimePoint now) {
--- a/src/load/arrivals.cc
+++ b/src/load/arrivals.cc
@@ -11,14 +11,6 @@
 constexpr double kMaxRate = 1e6;
 constexpr std::int64_t kMaxBurst = 1'000'000;
 
-Duration fromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
-double toSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 std::vector<Duration> PoissonArrivals::arrivals(Duration length, Random& random) const {
--- a/src/load/experiment/clairvoyant_bound.cc
+++ b/src/load/experiment/clairvoyant_bound.cc
@@ -8,10 +8,6 @@
 constexpr double kSecondsPerHour = 3600;
 constexpr double kTailShare = 0.01;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 /// An idle stretch of a base model that ends with a use.
 struct Gap {
   double held_cost = 0;      ///< idle accelerator seconds if a replica is kept
@@ -50,9 +46,10 @@
     for (std::size_t index = 0; index < uses.size(); ++index) {
       const Duration at = uses[index]->at;
       if (at > busy_until && at >= settings_.requests_lead) {
-        Gap gap{seconds(at - busy_until) * share, seconds(load + settings_.engine.unload_time) * share, 0, 0};
+        Gap gap{toSeconds(at - busy_until) * share, toSeconds(load + settings_.engine.unload_time) * share, 0,
+                0};
         for (std::size_t next = index; next < uses.size() && uses[next]->at < at + load; ++next) {
-          gap.waits += seconds(at + load - uses[next]->at);
+          gap.waits += toSeconds(at + load - uses[next]->at);
           gap.cold_requests += 1;
         }
         gaps_.push_back(gap);
--- a/src/load/experiment/experiment_meter.cc
+++ b/src/load/experiment/experiment_meter.cc
@@ -8,10 +8,6 @@
 
 constexpr double kSecondsPerHour = 3600;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 /// Quantile over waits, sorted, and zeros before them.
 double quantile(const std::vector<double>& waits, std::uint64_t zeros, double share) {
   const std::uint64_t total = zeros + waits.size();
@@ -31,7 +27,7 @@
   }
   sums_.requests += 1;
   if (cold_start > Duration::zero()) {
-    waits_.push_back(seconds(cold_start));
+    waits_.push_back(toSeconds(cold_start));
   }
 }
 
@@ -51,7 +47,7 @@
   if (now <= advanced_to_) {
     return;
   }
-  const double hours = seconds(now - advanced_to_) / kSecondsPerHour;
+  const double hours = toSeconds(now - advanced_to_) / kSecondsPerHour;
   sums_.held_hours += held_ * hours;
   sums_.idle_hours += (held_ - busy_) * hours;
   advanced_to_ = now;
--- a/src/load/experiment/usage_trace.cc
+++ b/src/load/experiment/usage_trace.cc
@@ -26,14 +26,6 @@
 constexpr double kThinkSigma = 0.8;
 constexpr Duration kTimetableJitter = minutes(4);
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double value) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 double meanActivity() {
   double sum = 0;
   for (int hour = 0; hour < kHoursPerDay * kDaysPerWeek; ++hour) {
@@ -50,7 +42,7 @@
   while (at < end) {
     const Duration hour_end = hours(1) * (at / hours(1) + 1);
     const double rate = activityAt(at);
-    const double in_hour = seconds(hour_end - at) * rate;
+    const double in_hour = toSeconds(hour_end - at) * rate;
     if (in_hour >= left) {
       return at + fromSeconds(left / rate);
     }
@@ -82,7 +74,7 @@
     if (per_day <= 0) {
       return;
     }
-    const double mean_gap = seconds(kDay) / per_day;
+    const double mean_gap = toSeconds(kDay) / per_day;
     Duration at = afterActivity(Duration::zero(), mean_gap * random_.unit(), settings_.length);
     while (at < settings_.length) {
       addSession(at);
@@ -93,18 +85,18 @@
   void addTimetable() {
     std::vector<Duration> times;
     for (std::uint32_t use = 0; use < group_.usage.timetable_uses; ++use) {
-      times.push_back(fromSeconds(seconds(kDay) * random_.unit()));
+      times.push_back(fromSeconds(toSeconds(kDay) * random_.unit()));
     }
     for (Duration day{}; day < settings_.length; day += kDay) {
       for (const Duration time : times) {
-        addSession(day + time + fromSeconds(seconds(kTimetableJitter) * random_.unit()));
+        addSession(day + time + fromSeconds(toSeconds(kTimetableJitter) * random_.unit()));
       }
     }
   }
 
   void addBurst(Duration at) {
     for (std::uint32_t request = 0; request < group_.usage.burst_requests; ++request) {
-      add(at + fromSeconds(seconds(group_.usage.burst_span) * random_.unit()), names_.front());
+      add(at + fromSeconds(toSeconds(group_.usage.burst_span) * random_.unit()), names_.front());
     }
   }
 
@@ -117,14 +109,14 @@
     const std::uint32_t router = drawRouter();
     do {
       add(at, name, router);
-      at += fromSeconds(seconds(group_.usage.think_time) * std::exp(kThinkSigma * normal(random_)));
+      at += fromSeconds(toSeconds(group_.usage.think_time) * std::exp(kThinkSigma * normal(random_)));
     } while (random_.chance(1 - 1 / group_.usage.requests_per_session));
   }
 
   std::uint32_t drawRouter() { return static_cast<std::uint32_t>(random_.below(settings_.routers)); }
   void add(Duration at, std::size_t name) { add(at, name, drawRouter()); }
   void add(Duration at, std::size_t name, std::uint32_t router) {
-    const Duration service = fromSeconds(random_.exponential(seconds(group_.usage.service_time)));
+    const Duration service = fromSeconds(random_.exponential(toSeconds(group_.usage.service_time)));
     if (at < settings_.length) {
       trace_.requests.push_back({at, name, router, service});
     }
@@ -176,7 +168,7 @@
   if (group.usage.bursts_per_week <= 0) {
     return;
   }
-  const double mean_gap = seconds(kDay) * kDaysPerWeek / group.usage.bursts_per_week;
+  const double mean_gap = toSeconds(kDay) * kDaysPerWeek / group.usage.bursts_per_week;
   Duration at = afterActivity(Duration::zero(), random.exponential(mean_gap), settings.length);
   while (at < settings.length) {
     usages[random.below(usages.size())].addBurst(at);
--- a/src/placement/gap_history.cc
+++ b/src/placement/gap_history.cc
@@ -35,7 +35,7 @@
 
 double boundedSeconds(Duration gap) {
   constexpr double kInside = 0.999;
-  const double seconds = std::chrono::duration<double>(gap).count();
+  const double seconds = toSeconds(gap);
   return std::clamp(seconds, kShortestGapSeconds, kLongestGapSeconds * kInside);
 }
 
--- a/src/placement/keep_alive_policy.cc
+++ b/src/placement/keep_alive_policy.cc
@@ -14,14 +14,6 @@
 /// Share of an accelerator below which a replica doesn't get cheaper to keep.
 constexpr double kLeastShare = 0.01;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double value) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 /// Sums over a distribution up to each bin's upper edge.
 struct Cumulative {
   std::vector<double> probability;  ///< of a gap below the edge
@@ -50,7 +42,7 @@
         sums_(cumulate(bins)),
         price_(coldStartPrice(model)),
         accelerators_(model.accelerators),
-        lead_(seconds(model.expected_load) * kPrewarmMargin) {}
+        lead_(toSeconds(model.expected_load) * kPrewarmMargin) {}
 
   KeepAliveDecision best() const {
     double best_cost = std::numeric_limits<double>::infinity();
@@ -111,7 +103,7 @@
 double coldStartPrice(const IdleModel& model) {
   const double weight = std::clamp(model.cold_start_weight, 0.0, kLongestWeight);
   const double odds = weight / (1 - weight);
-  const double load = seconds(model.expected_load);
+  const double load = toSeconds(model.expected_load);
   return load * (load / kTailSeconds) * kIdleSecondsPerColdSecond * odds;
 }
 
@@ -155,7 +147,7 @@
 }
 
 double LearnedKeepAlive::worth(const IdleModel& model, TimePoint now) {
-  const double idle = seconds(now - model.idle_since);
+  const double idle = toSeconds(now - model.idle_since);
   double alive = 0;
   double used_soon = 0;
   for (const GapBin& bin : distributionOf(model.model, model.idle_since)) {
@@ -170,7 +162,7 @@
 }
 
 double FixedKeepAlive::worth(const IdleModel& model, TimePoint now) {
-  return -seconds(now - model.idle_since);
+  return -toSeconds(now - model.idle_since);
 }
 
 AlwaysLoaded::AlwaysLoaded() : FixedKeepAlive(std::chrono::hours(24 * 3650)) {}
--- a/src/placement/load_policies.cc
+++ b/src/placement/load_policies.cc
@@ -19,10 +19,6 @@
 constexpr double kClassDistance = 1e12;
 constexpr double kLateClass = 10;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 std::uint32_t replicasFor(std::uint64_t requests, std::uint32_t concurrency) {
   const std::uint64_t each = std::max(1U, concurrency);
   return static_cast<std::uint32_t>((requests + each - 1) / each);
@@ -31,7 +27,7 @@
 }  // namespace
 
 double SpreadingPlacement::cost(const EngineCandidate& candidate) const {
-  return seconds(candidate.expected_load) + kSharedZoneSeconds * candidate.replicas_in_zone +
+  return toSeconds(candidate.expected_load) + kSharedZoneSeconds * candidate.replicas_in_zone +
          kSharedMachineSeconds * candidate.replicas_on_machine +
          kEmptyAcceleratorSeconds * candidate.free_share_after;
 }
@@ -42,13 +38,13 @@
 
 double WaitingCostOrder::rank(const LoadCandidate& candidate, TimePoint now) const {
   constexpr double kShortestLoad = 0.05;
-  const double duration = std::max(seconds(candidate.expected_load), kShortestLoad);
+  const double duration = std::max(toSeconds(candidate.expected_load), kShortestLoad);
   double urgency = 1;
   if (candidate.earliest_deadline) {
-    const double slack = seconds(*candidate.earliest_deadline - now) - duration;
+    const double slack = toSeconds(*candidate.earliest_deadline - now) - duration;
     urgency = std::exp(-std::max(0.0, slack) / (kUrgencyScale * duration));
   }
-  const double age = seconds(now - candidate.wanted_since);
+  const double age = toSeconds(now - candidate.wanted_since);
   const double cost = (candidate.waiting + 1 + age) * (candidate.cold_start_weight + 0.1) *
                       std::max(1.0, 1.0 + candidate.priority);
   const double late = isLate(candidate, now) ? kLateClass : 0;
@@ -56,7 +52,7 @@
 }
 
 double FirstComeOrder::rank(const LoadCandidate& candidate, TimePoint) const {
-  return seconds(candidate.wanted_since.time_since_epoch());
+  return toSeconds(candidate.wanted_since.time_since_epoch());
 }
 
 std::uint32_t MergedReplicaCount::wanted(const DemandFigures& demand,
--- a/src/placement/planner_explain.cc
+++ b/src/placement/planner_explain.cc
@@ -78,8 +78,7 @@
         state->retry_at ? std::max(*state->retry_at - now, Duration::zero()) : Duration::zero();
     const Duration wait = std::max(until_free, until_retry);
     const auto queue = static_cast<double>(load_queue_.size());
-    const Duration turn =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(queue / store_.rate()));
+    const Duration turn = fromSeconds(queue / store_.rate());
     const Duration load = expectedLoadOf(*state);
     const bool near =
         engines_.heldNear(base, CheckpointTier::Memory) || engines_.heldNear(base, CheckpointTier::Disk);
--- a/src/placement/planner_loads.cc
+++ b/src/placement/planner_loads.cc
@@ -19,12 +19,8 @@
 /// A load that takes longer than expected by this factor shows that the store is slow before it ends.
 constexpr double kOverdueFactor = 1.5;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 Duration scaled(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds(duration) * factor));
+  return fromSeconds(toSeconds(duration) * factor);
 }
 
 std::uint64_t checkpointBytes(const wire::ResolvedModel& settings) {
@@ -80,7 +76,7 @@
       continue;
     }
     const Duration expected = store_.expectedLoad(CheckpointTier::Remote, checkpointBytes(*state->settings));
-    const double overdue = seconds(now - view.decided_at) / std::max(seconds(expected), 1e-3);
+    const double overdue = toSeconds(now - view.decided_at) / std::max(toSeconds(expected), 1e-3);
     factor = overdue > kOverdueFactor ? std::max(factor, overdue) : factor;
   }
   return factor;
--- a/src/placement/store_estimator.cc
+++ b/src/placement/store_estimator.cc
@@ -38,10 +38,6 @@
 /// The best speed fades towards the present one by this share for each load.
 constexpr double kBestFade = 0.005;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 StoreEstimator::StoreEstimator(TimePoint now) : StoreEstimator(now, kInitialWidth) {}
@@ -56,13 +52,13 @@
 Duration StoreEstimator::expectedLoad(CheckpointTier tier, std::uint64_t bytes) const {
   const TierSpeed& speed = tiers_[static_cast<std::size_t>(tier)];
   const double expected = speed.fixed_seconds + speed.seconds_per_byte * static_cast<double>(bytes);
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(expected));
+  return fromSeconds(expected);
 }
 
 void StoreEstimator::expectLoad(Duration nominal) {
   if (!timed_ && nominal > longest_expected_) {
     longest_expected_ = nominal;
-    width_ = std::clamp(kFirstLoadSeconds / seconds(nominal), first_width_, kHighestWidth);
+    width_ = std::clamp(kFirstLoadSeconds / toSeconds(nominal), first_width_, kHighestWidth);
   }
 }
 
@@ -75,7 +71,7 @@
 }
 
 void StoreEstimator::onBegun(TimePoint now) {
-  const auto interval = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate_));
+  const auto interval = fromSeconds(1 / rate_);
   next_begin_ = std::max(next_begin_, now) + interval;
 }
 
@@ -83,8 +79,8 @@
   if (!observation.succeeded || observation.bytes == 0) {
     return;
   }
-  const double expected = seconds(expectedLoad(observation.tier, observation.bytes));
-  const double slowdown = seconds(observation.duration) / std::max(expected, 1e-3);
+  const double expected = toSeconds(expectedLoad(observation.tier, observation.bytes));
+  const double slowdown = toSeconds(observation.duration) / std::max(expected, 1e-3);
   if (observation.tier == CheckpointTier::Remote) {
     learnWidth(observation, slowdown);
     learnRate(observation, slowdown);
@@ -94,7 +90,7 @@
 
 void StoreEstimator::learnSpeed(const LoadObservation& observation, double slowdown) {
   TierSpeed& speed = tiers_[static_cast<std::size_t>(observation.tier)];
-  const double transfer = std::max(seconds(observation.duration) - speed.fixed_seconds, 1e-3);
+  const double transfer = std::max(toSeconds(observation.duration) - speed.fixed_seconds, 1e-3);
   const double observed = transfer / static_cast<double>(observation.bytes);
   const bool crowded =
       observation.tier == CheckpointTier::Remote && observation.concurrent_remote_loads > width_;
@@ -125,8 +121,8 @@
   if (load.nominal <= Duration::zero()) {
     return;
   }
-  const double nominal = std::max(seconds(load.nominal), 1e-3);
-  const double slowdown = seconds(load.duration) / nominal;
+  const double nominal = std::max(toSeconds(load.nominal), 1e-3);
+  const double slowdown = toSeconds(load.duration) / nominal;
   const bool at_limit = load.concurrent + 1 >= std::floor(width_);
   if (load.ended && at_limit && slowdown < kFullSpeedTolerance) {
     const double fast_probe = std::clamp(kProbeLoadSeconds / nominal, 1.0, kWidestProbe);
@@ -141,8 +137,8 @@
 }
 
 void StoreEstimator::learnRate(const LoadObservation& observation, double slowdown) {
-  const double expected = seconds(expectedLoad(observation.tier, observation.bytes));
-  const double extra = seconds(observation.duration) - expected;
+  const double expected = toSeconds(expectedLoad(observation.tier, observation.bytes));
+  const double extra = toSeconds(observation.duration) - expected;
   const bool waited = observation.concurrent_remote_loads <= width_ && extra > 0.5 / rate_;
   if (waited) {
     rate_ = std::max(rate_ * kRateCut, kLowestRate);
--- a/src/router/rate_limiter.cc
+++ b/src/router/rate_limiter.cc
@@ -8,10 +8,6 @@
 
 constexpr double kMinimumBurst = 1.0;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 TokenBucket::TokenBucket(double rate, double capacity, TimePoint now)
@@ -21,7 +17,7 @@
   if (now <= refilled_) {
     return;
   }
-  tokens_ = std::min(capacity_, tokens_ + rate_ * seconds(now - refilled_));
+  tokens_ = std::min(capacity_, tokens_ + rate_ * toSeconds(now - refilled_));
   refilled_ = now;
 }
 
--- a/src/router/replica_speed.cc
+++ b/src/router/replica_speed.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 void ReplicaSpeed::onAnswer(Duration first_to_last_chunk, std::uint64_t chunks, TimePoint now) {
-  const double whole = std::chrono::duration<double>(first_to_last_chunk).count();
+  const double whole = toSeconds(first_to_last_chunk);
   const double sample = whole / static_cast<double>(chunks - 1);
   const double share = secondsPerChunk(now) ? kSmoothing : 1.0;
   seconds_per_chunk_ += share * (sample - seconds_per_chunk_);
--- a/src/router/service_estimate.cc
+++ b/src/router/service_estimate.cc
@@ -9,14 +9,6 @@
 constexpr std::uint64_t kSamplesNeeded = 5;
 constexpr double kSmoothing = 0.1;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double value) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 void blend(double& average, double sample, std::uint64_t samples) {
   const double share = std::max(kSmoothing, 1.0 / static_cast<double>(samples));
   average += share * (sample - average);
@@ -26,10 +18,10 @@
 
 void ServiceEstimate::onCompleted(Duration to_first_chunk, Duration total, std::uint64_t chunks) {
   ++samples_;
-  blend(first_chunk_seconds_, seconds(to_first_chunk), samples_);
-  blend(total_seconds_, seconds(total), samples_);
+  blend(first_chunk_seconds_, toSeconds(to_first_chunk), samples_);
+  blend(total_seconds_, toSeconds(total), samples_);
   if (chunks > 1) {
-    const double between = seconds(total - to_first_chunk) / static_cast<double>(chunks - 1);
+    const double between = toSeconds(total - to_first_chunk) / static_cast<double>(chunks - 1);
     blend(chunk_seconds_, between, samples_);
   }
 }
--- a/src/router_process/caller_api.cc
+++ b/src/router_process/caller_api.cc
@@ -143,7 +143,7 @@
 void CallerApi::writeChunk(Call& call, const router::StreamChunk& chunk) {
   if (!call.started) {
     startStream(call);
-    first_chunk_seconds_.observe(std::chrono::duration<double>(now() - call.arrived).count());
+    first_chunk_seconds_.observe(toSeconds(now() - call.arrived));
   }
   call.response->write(call.chunks.chunk(chunk));
   if (call.slow || call.response->bufferedBytes() > kWorthReporting) {
@@ -215,7 +215,7 @@
 }
 
 void CallerApi::observeEnd(const Call& call, Outcome outcome, ResultCode code) {
-  answer_seconds_.observe(std::chrono::duration<double>(now() - call.arrived).count());
+  answer_seconds_.observe(toSeconds(now() - call.arrived));
   const MetricLabels labels{{"outcome", std::string(outcomeName(outcome))},
                             {"code", std::to_string(static_cast<int>(code))}};
   metrics_.counter("ferryrock_router_answers", "Final answers by outcome and result code", labels)
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -206,7 +206,7 @@
   const std::optional<TimePoint> heard = router_.controlHeard();
   set("ferryrock_control_heard_seconds_ago",
       "Since a leader confirmed the catalog in force or sent a newer one; -1: never",
-      heard ? std::chrono::duration<double>(now() - *heard).count() : -1);
+      heard ? toSeconds(now() - *heard) : -1);
   set("ferryrock_replicas_known", "Replicas in the table", static_cast<double>(router_.knownReplicas()));
   return metrics_.serialize();
 }
--- a/src/services/model_demand.cc
+++ b/src/services/model_demand.cc
@@ -81,7 +81,7 @@
 }
 
 void ModelDemand::fade(TimePoint now) {
-  const double passed = std::chrono::duration<double>(now - faded_).count();
+  const double passed = toSeconds(now - faded_);
   faded_ = now;
   const auto kept = [passed](double fade) { return std::exp(-std::clamp(passed, 0.0, fade) / fade); };
   const double kept_recent = kept(kFadeSeconds);
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -37,10 +37,6 @@
 /// Callers stay away for about this share of their time at most.
 constexpr double kLongestAbsenceShare = 0.32;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 /// The longest that callers of the service stay away when they are told when to come back.
 Duration longestAbsence(const wire::ServiceCatalog& catalog, const ServiceName& service) {
   std::int64_t longest_ms = 0;
@@ -313,7 +309,7 @@
     option.ready += kRoomTime + (victim->running ? kRunsTime : Duration::zero());
     displaced = victim->worth;
   }
-  option.cost = displaced * kDisplacedShare + seconds(option.ready - now);
+  option.cost = displaced * kDisplacedShare + toSeconds(option.ready - now);
   return option;
 }
 
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -12,9 +12,9 @@
 constexpr Duration kMemberHelloInterval = std::chrono::milliseconds(500);
 constexpr Duration kNewcomerHelloInterval = std::chrono::milliseconds(200);
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
-/// Members that don't lead forget replicas this late, since only the leader's word removes them.
 /// A leader whose own writes take longer lets another member lead.
 constexpr Duration kSlowWrite = std::chrono::seconds(1);
+/// Members that don't lead forget replicas this late, since only the leader's word removes them.
 constexpr Duration kFollowerSilence = std::chrono::seconds(60);
 
 CellKeeperSettings keeperSettings(const ServiceControlSettings& settings) {
--- a/src/services/store_loads.cc
+++ b/src/services/store_loads.cc
@@ -20,10 +20,6 @@
 constexpr Duration kLookInterval = std::chrono::milliseconds(500);
 constexpr double kLateFactor = 1.35;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 Duration scaled(Duration duration, double factor) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
@@ -37,7 +33,7 @@
   while (!begun_.empty() && now - begun_.front() > kWindow) {
     begun_.pop_front();
   }
-  const double most = loads_per_second * seconds(kWindow) * kRateShare;
+  const double most = loads_per_second * toSeconds(kWindow) * kRateShare;
   const bool within_rate = loads_per_second <= 0 || static_cast<double>(begun_.size()) + 1 <= most;
   return within_rate && (!bounded_by_width_ || estimator_.hasRoom(underWay()));
 }
@@ -111,14 +107,15 @@
 }
 
 void StoreLoads::advance(TimePoint now) {
-  load_seconds_ += seconds(std::max(Duration::zero(), now - advanced_)) * static_cast<double>(loads_.size());
+  load_seconds_ +=
+      toSeconds(std::max(Duration::zero(), now - advanced_)) * static_cast<double>(loads_.size());
   advanced_ = std::max(advanced_, now);
 }
 
 double StoreLoads::concurrentSince(const Load& load, TimePoint now) const {
   const double lasting =
-      seconds(std::max(Duration::zero(), now - advanced_)) * static_cast<double>(loads_.size());
-  const double passed = seconds(now - load.begun);
+      toSeconds(std::max(Duration::zero(), now - advanced_)) * static_cast<double>(loads_.size());
+  const double passed = toSeconds(now - load.begun);
   return passed <= 0 ? 1 : (load_seconds_ + lasting - load.load_seconds_before) / passed;
 }
 
