--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -152,6 +152,7 @@
 
   // service_control_replicas.cc
   ReportNews learn(const wire::ReplicaReport& report, TimePoint now);
+  std::string nextReportAddress(const ReplicaId& replica, TimePoint now) const;
   void relay(const wire::ReplicaReport& report, bool changed, TimePoint now);
   void flushRelay();
   void beginNotice(NoticeOrigin origin, const wire::ReplicaReport& report, TimePoint now);
@@ -165,7 +166,8 @@
   // service_control_leader.cc
   void leadOn(TimePoint now);
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
-  void sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
+  /// Returns how many replicas it lists.
+  std::size_t sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
   void pushTables(TimePoint now);
   bool hasNews() const;
   bool isLargeFleet() const;
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -74,6 +74,8 @@
   /// The open connection between the two falls silent for good, in both directions and without a reset. One
   /// that is opened anew works.
   void silence(const NodeName& one, const NodeName& other) { silent_.insert(std::minmax(one, other)); }
+  /// Nothing passes between the two, over a new connection neither.
+  void cutLink(const NodeName& one, const NodeName& other) { cut_links_.insert(std::minmax(one, other)); }
 
   ScriptedRouter& addRouter(const std::string& name);
   RunningRouter& addCallRouter(const std::string& name);
@@ -99,6 +101,8 @@
   std::vector<std::pair<NodeName, OrderReplicaEffect>> orders;
   std::vector<std::pair<NodeName, TimePoint>> order_times;
   std::size_t catalogs_by_others = 0;  ///< sent by members that don't lead
+  /// Replicas listed by the updates that left within one tick, at most.
+  std::size_t most_entries_per_tick = 0;
 
  private:
   struct Event {
@@ -118,6 +122,7 @@
   void beatRouter(ScriptedRouter& router);
   void takeUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update);
   void tickRouter(RunningRouter& router);
+  void countEntries(const wire::Message& message);
   void carryOut(RunningRouter& router, const calls::Effects& effects);
 
   Random random_;
@@ -125,6 +130,8 @@
   TimePoint time_{std::chrono::seconds(1000)};
   std::uint64_t next_order_ = 1;
   std::uint64_t next_question_ = 1;
+  TimePoint entries_since_{};
+  std::size_t entries_per_tick_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::vector<std::unique_ptr<ServiceMember>> members_;
   std::vector<NodeName> seeds_;
@@ -133,6 +140,7 @@
   std::map<NodeName, std::unique_ptr<RunningRouter>> call_routers_;
   std::set<NodeName> cuts_;
   std::set<std::pair<NodeName, NodeName>> silent_;  ///< the smaller name first
+  std::set<std::pair<NodeName, NodeName>> cut_links_;
 
   class Clock : public TimeSource {
    public:
