--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -19,7 +19,7 @@
 
 constexpr Duration kPollInterval = 5ms;
 /// Of a message that fills a small receive buffer.
-constexpr std::size_t kLargeBytes = 64 * 1024;
+constexpr std::size_t kLargeBytes = std::size_t{64} * 1024;
 /// Only ends a test that would hang; no assertion depends on it.
 constexpr Duration kGiveUpAfter = 20s;
 
