Add keys, proof of the catalog and quotas of tenants as logic of their own

Cause: nothing on the path that users run knew tenants. Rules on keys and quotas need decisions that can be tested without a network or a clock. Not used by a process yet. Ruled out: equal shares of a quota for each router (a small tenant's part is 31 tokens a second, a call 1,630); credit leased ahead (idle credit would be most of a quota).

--- a/src/common/identifiers.h
+++ b/src/common/identifiers.h
@@ -67,6 +67,9 @@
 /// One life of one replica of a service; a replica that starts again has a new one.
 using ReplicaId = Name<struct ReplicaIdTag>;
 
+/// A customer of the services whose calls carry its keys.
+using TenantName = Name<struct TenantNameTag>;
+
 /// Election term of the quorum log.
 using Term = Number<struct TermTag>;
 /// Position in the quorum log; the first entry is 1.
--- /dev/null
+++ b/src/tenancy/catalog_proof.cc
@@ -0,0 +1,32 @@
+#include "tenancy/catalog_proof.h"
+
+#include <algorithm>
+
+namespace ferryrock::tenancy {
+namespace {
+
+/// Statuses whose sending is remembered: at four a second, more than any lifetime of a proof needs.
+constexpr std::size_t kRememberedStatuses = 64;
+
+}  // namespace
+
+void CatalogProof::onStatusSent(std::uint64_t sequence, TimePoint now) {
+  sent_.push_back({sequence, now});
+  if (sent_.size() > kRememberedStatuses) {
+    sent_.pop_front();
+  }
+}
+
+void CatalogProof::onConfirmed(std::uint64_t sequence, CatalogVersion confirmed, CatalogVersion held) {
+  if (held < confirmed) {
+    return;
+  }
+  const auto found = std::find_if(sent_.begin(), sent_.end(),
+                                  [sequence](const Sent& sent) { return sent.sequence == sequence; });
+  if (found == sent_.end()) {
+    return;
+  }
+  proved_ = proved_ ? std::max(*proved_, found->at) : found->at;
+}
+
+}  // namespace ferryrock::tenancy
--- /dev/null
+++ b/src/tenancy/quota_client.cc
@@ -0,0 +1,186 @@
+#include "tenancy/quota_client.h"
+
+#include <algorithm>
+
+namespace ferryrock::tenancy {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Charges are told together, this long after the first of them.
+constexpr Duration kChargeInterval = 50ms;
+/// Totals are told again for this long after their last change, in case a message is lost.
+constexpr Duration kToldAgainFor = 1s;
+/// A leader tells each router something every 250 ms; one that is silent for longer may be gone. What runs
+/// uncharged meanwhile is bounded by this: at 4 times the rate, 2.8 s of it.
+constexpr Duration kLeaderSilence = 700ms;
+/// An answer takes about 5 ms. A leader that is busy or gone isn't waited for any longer.
+constexpr Duration kAnswerLimit = 250ms;
+/// A router's part of the rate is kept for this long.
+constexpr double kOwnPartSeconds = 1;
+/// Until a cell has a leader again, as measured after a leader was killed: 3 s.
+constexpr double kLeaderlessSeconds = 3;
+/// A tenant may come at this multiple of its rate while nobody counts over all routers.
+constexpr double kHotTenant = 4;
+constexpr Duration kComeBack = 1s;
+
+}  // namespace
+
+std::int64_t QuotaClient::costOf(const wire::TenantQuota& quota, std::optional<std::uint64_t> tokens) {
+  if (quota.unit == wire::QuotaUnit::Calls) {
+    return 1;
+  }
+  return static_cast<std::int64_t>(tokens.value_or(quota.plain_cost));
+}
+
+bool QuotaClient::leaderSilent(TimePoint now) const {
+  return !leader_heard_ || now - *leader_heard_ > kLeaderSilence;
+}
+
+QuotaReply QuotaClient::request(std::uint64_t number, const wire::Tenant& tenant, std::int64_t cost,
+                                TimePoint now) {
+  if (leaderSilent(now)) {
+    return decideAlone(tenant.name, *tenant.quota, cost, now);
+  }
+  if (limited_.contains(tenant.name)) {
+    asks_.emplace(number, Ask{tenant.name, *tenant.quota, cost, now});
+    asks_due_ = true;
+    return {QuotaVerdict::Asked, std::nullopt};
+  }
+  spend(tenant.name, cost, now);
+  return {};
+}
+
+void QuotaClient::spend(const TenantName& tenant, std::int64_t amount, TimePoint now) {
+  Spent& spent = spent_[tenant];
+  spent.total += amount;
+  spent.changed = now;
+  charges_due_ = std::min(charges_due_, now + kChargeInterval);
+}
+
+void QuotaClient::giveBack(const TenantName& tenant, std::int64_t cost, TimePoint now) {
+  spend(tenant, -cost, now);
+}
+
+void QuotaClient::abandon(std::uint64_t number) {
+  const auto ask = asks_.find(number);
+  if (ask == asks_.end()) {
+    return;
+  }
+  if (ask->second.sent) {
+    ask->second.abandoned = true;
+  } else {
+    asks_.erase(ask);
+  }
+}
+
+/// Expected over many calls, this grants no more than the router's part of the rate since the leader was last
+/// heard, and over all routers kLeaderlessPart of what the tolerance allows. By chance, since a call is
+/// larger than the part of one router of many.
+QuotaReply QuotaClient::decideAlone(const TenantName& tenant, const wire::TenantQuota& quota,
+                                    std::int64_t cost, TimePoint now) {
+  const double part_per_second = quota.per_second / routers_;
+  const auto [found, first] = own_parts_.try_emplace(tenant, OwnPart{0, leader_heard_.value_or(now)});
+  OwnPart& part = found->second;
+  part.level =
+      std::min(part.level + part_per_second * toSeconds(now - part.at), part_per_second * kOwnPartSeconds);
+  part.at = now;
+  const auto amount = static_cast<double>(cost);
+  if (part.level > 0 && random_.chance(std::min(1.0, part.level / amount))) {
+    part.level -= amount;
+    spend(tenant, cost, now);
+    return {};
+  }
+  const double beyond = kLeaderlessPart * allowedBeyond(settings_.tolerance, quota);
+  if (random_.chance(std::min(1.0, beyond / (kHotTenant * quota.per_second * kLeaderlessSeconds)))) {
+    spend(tenant, cost, now);
+    return {};
+  }
+  return {QuotaVerdict::Unavailable, kComeBack};
+}
+
+void QuotaClient::onUpdate(const NodeName& leader, const wire::ServiceUpdate& update, TimePoint now) {
+  if (leader != leader_) {
+    leader_ = leader;
+    whole_due_ = true;
+  }
+  leader_heard_ = now;
+  own_parts_.clear();
+  routers_ = std::max(1U, update.routers);
+  limited_ = {update.limited_tenants.begin(), update.limited_tenants.end()};
+}
+
+std::vector<QuotaResolved> QuotaClient::accept(const wire::QuotaAnswer& answer, TimePoint now) {
+  std::vector<QuotaResolved> resolved;
+  if (answer.incarnation != settings_.incarnation) {
+    return resolved;
+  }
+  for (const wire::QuotaDecision& decision : answer.decisions) {
+    const auto ask = asks_.find(decision.number);
+    if (ask == asks_.end()) {
+      continue;
+    }
+    if (ask->second.abandoned && decision.granted) {
+      giveBack(ask->second.tenant, ask->second.cost, now);
+    } else if (!ask->second.abandoned) {
+      const Duration wait = std::chrono::milliseconds(decision.retry_after_ms);
+      resolved.push_back(
+          {decision.number, decision.granted ? QuotaReply{} : QuotaReply{QuotaVerdict::Spent, wait}});
+    }
+    asks_.erase(ask);
+  }
+  return resolved;
+}
+
+std::vector<QuotaResolved> QuotaClient::tick(TimePoint now) {
+  std::vector<QuotaResolved> resolved;
+  for (auto& [number, ask] : asks_) {
+    if (!ask.abandoned && now - ask.since >= kAnswerLimit) {
+      resolved.push_back({number, decideAlone(ask.tenant, ask.quota, ask.cost, now)});
+      // What the leader may still grant is given back.
+      ask.abandoned = true;
+    }
+  }
+  std::erase_if(asks_, [now](const auto& item) {
+    const Ask& ask = item.second;
+    return ask.abandoned && (!ask.sent || now - ask.since >= kToldAgainFor);
+  });
+  return resolved;
+}
+
+std::optional<wire::QuotaUse> QuotaClient::message(const NodeName& leader, TimePoint now) {
+  const bool due = whole_due_ || asks_due_ || now >= charges_due_;
+  if (!due || leader.empty() || leader != leader_) {
+    return std::nullopt;
+  }
+  wire::QuotaUse use;
+  use.router = settings_.router;
+  use.incarnation = settings_.incarnation;
+  use.sequence = ++sequence_;
+  use.whole = whole_due_;
+  for (const auto& [tenant, spent] : spent_) {
+    if (whole_due_ || now - spent.changed <= kToldAgainFor) {
+      use.spent.push_back({tenant, spent.total});
+    }
+  }
+  for (auto& [number, ask] : asks_) {
+    if (!ask.sent) {
+      use.asks.push_back({number, ask.tenant, ask.cost});
+      ask.sent = true;
+    }
+  }
+  whole_due_ = false;
+  asks_due_ = false;
+  charges_due_ = TimePoint::max();
+  return use;
+}
+
+TimePoint QuotaClient::nextDeadline() const {
+  TimePoint deadline = leader_.empty() ? TimePoint::max() : charges_due_;
+  for (const auto& [number, ask] : asks_) {
+    deadline = std::min(deadline, ask.since + (ask.abandoned ? kToldAgainFor : kAnswerLimit));
+  }
+  return deadline;
+}
+
+}  // namespace ferryrock::tenancy
--- /dev/null
+++ b/src/tenancy/quota_client.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "common/identifiers.h"
+#include "common/random.h"
+#include "common/time.h"
+#include "tenancy/quota_tolerance.h"
+#include "wire/service_messages.h"
+
+namespace ferryrock::tenancy {
+
+struct QuotaClientSettings {
+  NodeName router;
+  std::uint64_t incarnation = 0;
+  QuotaTolerance tolerance;
+  std::uint64_t seed = 1;
+};
+
+/// Whether a call's credit is there.
+enum class QuotaVerdict : std::uint8_t {
+  Granted,
+  Asked,        ///< the leader decides; resolved later
+  Spent,        ///< the tenant's quota is used up
+  Unavailable,  ///< no leader decides, and this router's part for such times is used up
+};
+
+struct QuotaReply {
+  QuotaVerdict verdict = QuotaVerdict::Granted;
+  std::optional<Duration> retry_after;
+};
+
+/// The reply to an ask.
+struct QuotaResolved {
+  std::uint64_t number = 0;
+  QuotaReply reply;
+};
+
+/// One router's part in the tenants' quotas; the leader's is QuotaLedger. While no leader is heard it grants
+/// its part of the rate by itself. Used by one thread.
+class QuotaClient {
+ public:
+  explicit QuotaClient(const QuotaClientSettings& settings) : settings_(settings), random_(settings.seed) {}
+
+  /// Cost of a call in the quota's unit.
+  static std::int64_t costOf(const wire::TenantQuota& quota, std::optional<std::uint64_t> tokens);
+
+  /// number: the call's, never used again. The tenant has a quota.
+  QuotaReply request(std::uint64_t number, const wire::Tenant& tenant, std::int64_t cost, TimePoint now);
+  /// A call that was granted its credit has certainly not run and won't.
+  void giveBack(const TenantName& tenant, std::int64_t cost, TimePoint now);
+  /// The call that asked has ended; what may still be granted to it is given back.
+  void abandon(std::uint64_t number);
+
+  /// The leader tells who is limited.
+  void onUpdate(const NodeName& leader, const wire::ServiceUpdate& update, TimePoint now);
+  std::vector<QuotaResolved> accept(const wire::QuotaAnswer& answer, TimePoint now);
+  /// Asks that the leader hasn't answered in time are decided here.
+  std::vector<QuotaResolved> tick(TimePoint now);
+  /// What the leader is to hear now.
+  std::optional<wire::QuotaUse> message(const NodeName& leader, TimePoint now);
+  TimePoint nextDeadline() const;
+
+ private:
+  struct Spent {
+    std::int64_t total = 0;
+    TimePoint changed{};
+  };
+  struct Ask {
+    TenantName tenant;
+    wire::TenantQuota quota;
+    std::int64_t cost = 0;
+    TimePoint since{};
+    bool sent = false;
+    bool abandoned = false;
+  };
+  /// This router's part of a rate while no leader is heard.
+  struct OwnPart {
+    double level = 0;
+    TimePoint at{};
+  };
+
+  bool leaderSilent(TimePoint now) const;
+  void spend(const TenantName& tenant, std::int64_t amount, TimePoint now);
+  QuotaReply decideAlone(const TenantName& tenant, const wire::TenantQuota& quota, std::int64_t cost,
+                         TimePoint now);
+
+  QuotaClientSettings settings_;
+  Random random_;
+  NodeName leader_;
+  std::optional<TimePoint> leader_heard_;
+  std::uint32_t routers_ = 1;
+  std::set<TenantName> limited_;
+  std::map<TenantName, Spent> spent_;
+  std::map<std::uint64_t, Ask> asks_;
+  std::map<TenantName, OwnPart> own_parts_;
+  std::uint64_t sequence_ = 0;
+  bool whole_due_ = false;  ///< the leader is new and knows no totals of this router
+  bool asks_due_ = false;
+  TimePoint charges_due_ = TimePoint::max();
+};
+
+}  // namespace ferryrock::tenancy
--- /dev/null
+++ b/src/tenancy/quota_ledger.cc
@@ -0,0 +1,129 @@
+#include "tenancy/quota_ledger.h"
+
+#include <algorithm>
+#include <set>
+
+namespace ferryrock::tenancy {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Credit, as a share of the burst, below which a tenant is limited. A tenant at 3.3 times its rate uses up
+/// the other half in 0.2 s, about what the charges and the word to all of 300 routers take (50 ms and 75 ms).
+constexpr double kLimitedBelow = 0.5;
+/// Credit from which it isn't any more.
+constexpr double kFreeFrom = 0.9;
+/// A tenant stays limited for this long at least: each change is told to every router.
+constexpr Duration kLimitedFor = 10s;
+/// Callers that were refused are told to come back no later than this, however many wait.
+constexpr Duration kLongestPromise = 5s;
+
+}  // namespace
+
+void QuotaLedger::setCatalog(const wire::ServiceCatalog& catalog, TimePoint now) {
+  std::set<TenantName> listed;
+  for (const wire::Tenant& tenant : catalog.tenants) {
+    if (!tenant.quota) {
+      continue;
+    }
+    listed.insert(tenant.name);
+    const QuotaLimit limit = limitFor(*tenant.quota, tolerance_);
+    const auto known = accounts_.find(tenant.name);
+    if (known != accounts_.end()) {
+      known->second.bucket.setLimit(limit, now);
+      continue;
+    }
+    // What an earlier leader granted of these is in no account of this one.
+    const double level =
+        first_catalog_ ? kNewLeaderPart * allowedBeyond(tolerance_, *tenant.quota) : limit.burst;
+    accounts_.emplace(tenant.name, Account{QuotaBucket(limit, level, first_catalog_ ? began_ : now)});
+  }
+  std::erase_if(accounts_, [&listed](const auto& item) { return !listed.contains(item.first); });
+  first_catalog_ = false;
+}
+
+wire::QuotaAnswer QuotaLedger::accept(const wire::QuotaUse& use, TimePoint now) {
+  RouterTotals& known = routers_[use.router];
+  const bool same_life = known.incarnation == use.incarnation;
+  wire::QuotaAnswer answer;
+  answer.incarnation = use.incarnation;
+  if (same_life && use.sequence <= known.sequence) {
+    return answer;
+  }
+  const bool baseline = use.whole || !same_life;
+  if (!same_life) {
+    known.totals.clear();
+  }
+  known.incarnation = use.incarnation;
+  known.sequence = use.sequence;
+  for (const wire::QuotaSpent& spent : use.spent) {
+    charge(known, spent, baseline, now);
+  }
+  for (const wire::QuotaAsk& ask : use.asks) {
+    answer.decisions.push_back(decide(ask, now));
+  }
+  return answer;
+}
+
+void QuotaLedger::charge(RouterTotals& known, const wire::QuotaSpent& spent, bool baseline, TimePoint now) {
+  const auto [total, first] = known.totals.try_emplace(spent.tenant, baseline ? spent.total : 0);
+  const std::int64_t used = spent.total - total->second;
+  total->second = spent.total;
+  const auto account = accounts_.find(spent.tenant);
+  if (used != 0 && account != accounts_.end()) {
+    account->second.bucket.charge(static_cast<double>(used), now);
+    counts_.charged += static_cast<double>(used);
+  }
+}
+
+wire::QuotaDecision QuotaLedger::decide(const wire::QuotaAsk& ask, TimePoint now) {
+  wire::QuotaDecision decision;
+  decision.number = ask.number;
+  const auto account = accounts_.find(ask.tenant);
+  const auto amount = static_cast<double>(ask.amount);
+  if (account == accounts_.end() || account->second.bucket.grant(amount, now)) {
+    decision.granted = true;
+    counts_.granted += amount;
+    return decision;
+  }
+  ++counts_.refused;
+  decision.retry_after_ms = std::max<std::int64_t>(1, toMilliseconds(promise(account->second, amount, now)));
+  return decision;
+}
+
+/// Callers that are refused one after the other are told one moment after the other, at the pace at which
+/// credit comes, so that they don't return together.
+Duration QuotaLedger::promise(Account& account, double amount, TimePoint now) {
+  const TimePoint credit = now + account.bucket.untilCredit(now);
+  const TimePoint told = std::min(std::max(credit, account.promised), now + kLongestPromise);
+  const std::chrono::duration<double> takes(amount / account.bucket.limit().per_second);
+  account.promised = told + std::chrono::duration_cast<Duration>(takes);
+  return told - now;
+}
+
+bool QuotaLedger::refresh(TimePoint now) {
+  bool changed = false;
+  for (auto& [tenant, account] : accounts_) {
+    const double share = account.bucket.level(now) / account.bucket.limit().burst;
+    const bool held = account.limited && now - account.limited_since < kLimitedFor;
+    const bool limited = held || share < (account.limited ? kFreeFrom : kLimitedBelow);
+    if (limited && share < kLimitedBelow) {
+      account.limited_since = now;
+    }
+    changed = changed || limited != account.limited;
+    account.limited = limited;
+  }
+  return changed;
+}
+
+std::vector<TenantName> QuotaLedger::limited() const {
+  std::vector<TenantName> tenants;
+  for (const auto& [tenant, account] : accounts_) {
+    if (account.limited) {
+      tenants.push_back(tenant);
+    }
+  }
+  return tenants;
+}
+
+}  // namespace ferryrock::tenancy
--- /dev/null
+++ b/src/tenancy/quota_ledger.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/identifiers.h"
+#include "common/time.h"
+#include "tenancy/quota_bucket.h"
+#include "tenancy/quota_tolerance.h"
+#include "wire/service_messages.h"
+
+namespace ferryrock::tenancy {
+
+/// Counts for metrics, over all tenants, in the quotas' units.
+struct QuotaCounts {
+  double charged = 0;  ///< told by routers as used, less what they gave back
+  double granted = 0;  ///< to calls that waited for it
+  std::uint64_t refused = 0;
+};
+
+/// One leader's account of what tenants use over all routers. Calls of a tenant with much credit run at once
+/// and are charged by totals that routers tell every kChargeInterval; once its credit is below half, the
+/// tenant is limited: routers ask before each call, so that nothing is granted beyond the credit. Used by one
+/// thread.
+class QuotaLedger {
+ public:
+  QuotaLedger(const QuotaTolerance& tolerance, TimePoint now) : tolerance_(tolerance), began_(now) {}
+
+  /// Takes the limits of a catalog; a lower one holds at once, a tenant that is new begins with all of it.
+  void setCatalog(const wire::ServiceCatalog& catalog, TimePoint now);
+  /// The answer lists a decision for each ask.
+  wire::QuotaAnswer accept(const wire::QuotaUse& use, TimePoint now);
+  /// Finds out which tenants are limited; true if that has changed.
+  bool refresh(TimePoint now);
+  std::vector<TenantName> limited() const;
+  /// Forgets totals of routers that are gone.
+  template <class Routers>
+  void keepRouters(const Routers& routers) {
+    std::erase_if(routers_, [&routers](const auto& item) { return !routers.contains(item.first); });
+  }
+  const QuotaCounts& counts() const { return counts_; }
+
+ private:
+  struct Account {
+    QuotaBucket bucket;
+    bool limited = false;
+    TimePoint limited_since{};
+    TimePoint promised{};  ///< credit up to then is told to callers that were refused
+  };
+  struct RouterTotals {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::map<TenantName, std::int64_t> totals;
+  };
+
+  void charge(RouterTotals& known, const wire::QuotaSpent& spent, bool baseline, TimePoint now);
+  wire::QuotaDecision decide(const wire::QuotaAsk& ask, TimePoint now);
+  static Duration promise(Account& account, double amount, TimePoint now);
+
+  QuotaTolerance tolerance_;
+  TimePoint began_;
+  bool first_catalog_ = true;
+  std::map<TenantName, Account> accounts_;
+  std::map<NodeName, RouterTotals> routers_;
+  QuotaCounts counts_;
+};
+
+}  // namespace ferryrock::tenancy
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -202,10 +202,11 @@
 };
 
 /// New alternatives go to the end: the index is the type number on the wire.
-using Message = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk,
-                             SnapshotResponse, TimeoutNow, RouterStatus, DemandReport, RouterCommands,
-                             TableUpdate, CommandReplies, MemberHello, MemberList, ReplicaReports,
-                             LeaveRequest, LeaveReply, CallRouterStatus, ServiceUpdate, CatalogUpdate>;
+using Message =
+    std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotResponse,
+                 TimeoutNow, RouterStatus, DemandReport, RouterCommands, TableUpdate, CommandReplies,
+                 MemberHello, MemberList, ReplicaReports, LeaveRequest, LeaveReply, CallRouterStatus,
+                 ServiceUpdate, CatalogUpdate, QuotaUse, QuotaAnswer>;
 
 /// A message with its sender.
 struct Envelope {
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -81,8 +81,9 @@
   std::uint64_t directory = 0;         ///< directoryDigest() of the directory that it holds
   bool missed_update = false;          ///< an update came that builds on one that didn't
   std::vector<ReplicaId> unreachable;  ///< replicas to which no connection comes up just now
+  bool wants_proof = false;            ///< it can't prove its catalog for long, see ServiceUpdate
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
-                   revision, wants, directory, missed_update, unreachable)
+                   revision, wants, directory, missed_update, unreachable, wants_proof)
 };
 
 /// A replica as routers need it.
@@ -106,6 +107,14 @@
   FERRYROCK_FIELDS(ComingModel, service, model, ready_in_ms)
 };
 
+/// A status of a router that a leader got before a majority of the members still followed it: no version
+/// above the one that comes with this had been acknowledged when the status left.
+struct ProvedStatus {
+  std::uint64_t incarnation = 0;  ///< of the router; 0: nothing is proved
+  std::uint64_t sequence = 0;
+  FERRYROCK_FIELDS(ProvedStatus, incarnation, sequence)
+};
+
 /// From the leader. Changes of the replica table after base, or the whole table if base is 0. Revisions carry
 /// the leader's term in the upper bits, so that a router never goes back.
 struct ServiceUpdate {
@@ -123,8 +132,10 @@
   std::optional<std::vector<std::string>> directory;
   std::vector<ComingModel> coming;  ///< of the models that the router's calls wait for
   bool confirm = false;             ///< a notice waits until the router tells that it holds the revision
+  ProvedStatus proved;
+  std::vector<TenantName> limited_tenants;  ///< credit is asked for before their calls run
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
-                   members, directory, coming, confirm)
+                   members, directory, coming, confirm, proved, limited_tenants)
 };
 
 /// From a member that doesn't lead, or can't be sure that it does, to a router that holds an older version.
@@ -134,6 +145,48 @@
   FERRYROCK_FIELDS(CatalogUpdate, catalog)
 };
 
+/// What calls of a tenant have used at one router since its start, less what was given back. In the unit of
+/// the tenant's quota, as all amounts here.
+struct QuotaSpent {
+  TenantName tenant;
+  std::int64_t total = 0;
+  FERRYROCK_FIELDS(QuotaSpent, tenant, total)
+};
+
+/// A call waits for credit.
+struct QuotaAsk {
+  std::uint64_t number = 0;  ///< the router's
+  TenantName tenant;
+  std::int64_t amount = 0;
+  FERRYROCK_FIELDS(QuotaAsk, number, tenant, amount)
+};
+
+/// From a router to the leader. Totals rather than amounts, so that a message that is lost or comes twice
+/// changes nothing.
+struct QuotaUse {
+  NodeName router;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  bool whole = false;  ///< every total is listed: the first message to this leader
+  std::vector<QuotaSpent> spent;
+  std::vector<QuotaAsk> asks;
+  FERRYROCK_FIELDS(QuotaUse, router, incarnation, sequence, whole, spent, asks)
+};
+
+/// The leader's decision on a QuotaAsk. What is granted is charged already.
+struct QuotaDecision {
+  std::uint64_t number = 0;
+  bool granted = false;
+  std::int64_t retry_after_ms = 0;  ///< until there may be credit again
+  FERRYROCK_FIELDS(QuotaDecision, number, granted, retry_after_ms)
+};
+
+struct QuotaAnswer {
+  std::uint64_t incarnation = 0;  ///< of the router that asked
+  std::vector<QuotaDecision> decisions;
+  FERRYROCK_FIELDS(QuotaAnswer, incarnation, decisions)
+};
+
 /// Hash of the addresses in their order; 0 for none.
 std::uint64_t directoryDigest(const std::vector<std::string>& addresses);
 
--- a/src/wire/service_types.h
+++ b/src/wire/service_types.h
@@ -41,8 +41,9 @@
   bool affinity = false;               ///< calls with a common prompt prefix go to the same replica
   bool resumable = false;              ///< a broken stream may go on at another replica
   std::vector<RouteTarget> targets;
+  bool open_to_all = false;  ///< a call needs no key
   FERRYROCK_FIELDS(CallRoute, name, host, path_prefix, kind, timeout_ms, target_latency_ms, target_pause_ms,
-                   priority, max_attempts, affinity, resumable, targets, patience_ms)
+                   priority, max_attempts, affinity, resumable, targets, patience_ms, open_to_all)
 };
 
 /// A model that the replicas of a service can load.
@@ -78,6 +79,30 @@
   FERRYROCK_FIELDS(HostedService, name, health_path, max_connections, engine)
 };
 
+/// What a quota counts.
+enum class QuotaUnit : std::uint8_t {
+  Calls = 0,
+  Tokens = 1,  ///< of the prompt and, at most, of the answer
+};
+
+/// What a tenant may run, over all routers.
+struct TenantQuota {
+  QuotaUnit unit = QuotaUnit::Calls;
+  double per_second = 0;         ///< above 0
+  double burst = 0;              ///< on top, at once
+  std::uint64_t plain_cost = 1;  ///< of a call that doesn't tell its tokens, where they are counted
+  FERRYROCK_FIELDS(TenantQuota, unit, per_second, burst, plain_cost)
+};
+
+/// A customer whose calls carry its keys.
+struct Tenant {
+  TenantName name;
+  std::vector<std::string> keys;
+  std::optional<std::uint32_t> priority;  ///< goes before the route's
+  std::optional<TenantQuota> quota;       ///< nullopt: no limit
+  FERRYROCK_FIELDS(Tenant, name, keys, priority, quota)
+};
+
 /// Bounds on what a caller may send.
 struct CallLimits {
   std::uint64_t max_header_bytes = 0;
@@ -93,7 +118,9 @@
   std::vector<CallRoute> routes;
   std::vector<HostedService> services;
   CallLimits limits;
-  FERRYROCK_FIELDS(ServiceCatalog, version, routes, services, limits)
+  std::vector<Tenant> tenants;
+  bool has_tenants = false;  ///< calls need a key, also while the list is empty
+  FERRYROCK_FIELDS(ServiceCatalog, version, routes, services, limits, tenants, has_tenants)
 };
 
 /// A model that a replica holds, with the adapters loaded on it.
--- /dev/null
+++ b/tests/tenancy/key_table_test.cc
@@ -0,0 +1,42 @@
+#include "tenancy/key_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace ferryrock::tenancy {
+namespace {
+
+wire::ServiceCatalog catalogOf(std::vector<wire::Tenant> tenants) {
+  wire::ServiceCatalog catalog;
+  catalog.tenants = std::move(tenants);
+  catalog.has_tenants = true;
+  return catalog;
+}
+
+wire::Tenant tenant(const std::string& name, std::vector<std::string> keys) {
+  wire::Tenant tenant;
+  tenant.name = TenantName(name);
+  tenant.keys = std::move(keys);
+  return tenant;
+}
+
+TEST_CASE("A key leads to the tenant that holds it, whole keys only") {
+  const wire::ServiceCatalog catalog = catalogOf({tenant("a", {"key-1", "key-2"}), tenant("b", {"key-3"})});
+  const KeyTable keys(catalog);
+  CHECK(keys.inUse());
+  REQUIRE(keys.find("key-2") != nullptr);
+  CHECK(keys.find("key-2")->name == TenantName("a"));
+  CHECK(keys.find("key-3")->name == TenantName("b"));
+  for (const char* wrong : {"", "key", "key-", "key-4", "key-11", "KEY-1", "key-1 ", "key-1,key-2"}) {
+    CHECK(keys.find(wrong) == nullptr);
+  }
+}
+
+TEST_CASE("Keys mean something as soon as a catalog names tenants, also when none is left") {
+  CHECK_FALSE(KeyTable(wire::ServiceCatalog{}).inUse());
+  CHECK(KeyTable(catalogOf({})).inUse());
+  const wire::ServiceCatalog without_keys = catalogOf({tenant("a", {})});
+  CHECK(KeyTable(without_keys).inUse());
+}
+
+}  // namespace
+}  // namespace ferryrock::tenancy
