--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -9,6 +9,7 @@
 #include "common/identifiers.h"
 #include "common/result_code.h"
 #include "common/time.h"
+#include "tenancy/key_table.h"
 #include "wire/messages.h"
 
 /// Routing of calls, which are requests of any HTTP service. Logic only: headers and bodies stay with the
@@ -31,7 +32,9 @@
   std::uint64_t affinity_key = 0;  ///< hash of the prompt's shared parts; 0: none
   std::uint64_t prompt_tokens = 0;
   std::uint64_t answer_tokens = 0;            ///< at most
+  bool tells_tokens = false;                  ///< the two counts above came with the call
   std::optional<std::uint64_t> resume_after;  ///< the caller has this event of the stream already
+  tenancy::Credential credential;
 };
 
 /// What an answer of a replica means for the call.
@@ -57,6 +60,8 @@
   bool streaming = false;
   std::uint32_t priority = 0;
   std::optional<std::uint64_t> resume_after;
+  std::optional<TenantName> tenant;  ///< that the caller's key belongs to
+  bool withhold_key = false;         ///< the replica doesn't get the caller's key
 };
 
 /// Effect: give the attempt up; its connection is closed, so that the replica stops.
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -36,6 +36,10 @@
   return text;
 }
 
+tenancy::QuotaClientSettings quotaSettings(const CallRouterSettings& settings) {
+  return {settings.feed.router, settings.feed.incarnation, settings.quota_tolerance, settings.seed};
+}
+
 }  // namespace
 
 CallRouter::CallRouter(const CallRouterSettings& settings, EventLog& log, TimePoint now)
@@ -44,6 +48,7 @@
       random_(settings.seed),
       feed_(settings.feed),
       budget_(settings.retries),
+      quota_(quotaSettings(settings)),
       replicas_(settings.feed.zone, settings.seed) {
   static_cast<void>(now);
 }
@@ -60,14 +65,14 @@
     refuse(call, ResultCode::QueueFull, "this router has too many calls", kComeBackSoon, now);
     return finish(now);
   }
+  const Duration whole = state.deadline - now;
+  state.waits_until = now + std::min(kCatalogWait, scaled(whole, kCatalogWaitShare));
   if (routes_) {
     routeCall(call, now);
     return finish(now);
   }
   // A router that has just started gets its catalog in a moment.
   unrouted_.insert(number);
-  const Duration whole = state.deadline - now;
-  state.waits_until = now + std::min(kCatalogWait, scaled(whole, kCatalogWaitShare));
   state.last_failure = ResultCode::NoCatalog;
   setTimer(call);
   return finish(now);
@@ -89,15 +94,28 @@
     refuse(call, ResultCode::UnknownRoute, state.request.host + state.request.path, std::nullopt, now);
     return;
   }
+  const wire::Tenant* tenant = nullptr;
+  if (!identifyTenant(call, *route, tenant, now)) {
+    return;
+  }
   state.routes = routes_;
   state.route = route;
+  state.priority = route->priority;
   state.deadline = std::min(state.deadline, state.arrived + std::chrono::milliseconds(route->timeout_ms));
   if (now >= refuse_from_ && state.deadline > drain_end_) {
     refuse(call, ResultCode::RouterDraining, "the call might outlast this router", kComeBackAtOnce, now);
     return;
   }
+  if (tenant == nullptr || charge(call, *tenant, now)) {
+    beginCall(call, now);
+  }
+}
+
+void CallRouter::beginCall(CallPointer call, TimePoint now) {
+  Call& state = call->second;
+  const wire::CallRoute* route = state.route;
   state.need.service = split_.next(*route);
-  const wire::HostedService* service = routes_->findService(state.need.service);
+  const wire::HostedService* service = state.routes->findService(state.need.service);
   if (service != nullptr && service->engine) {
     state.need.model = state.request.model;
     state.need.adapter = state.request.adapter;
@@ -114,7 +132,8 @@
               {"service", view(state.need.service.value)},
               {"model", view(state.need.model.value)},
               {"adapter", view(state.need.adapter)},
-              {"catalog", static_cast<std::int64_t>(routes_->version().value)},
+              {"tenant", state.tenant ? view(state.tenant->value) : std::string_view()},
+              {"catalog", static_cast<std::int64_t>(state.routes->version().value)},
               {"time_left_ms", toMilliseconds(state.deadline - now)}});
   dispatch(call, now);
 }
@@ -122,6 +141,9 @@
 void CallRouter::dispatch(CallPointer call, TimePoint now) {
   Call& state = call->second;
   state.retry.reset();
+  if (state.tenant && !mayStillRun(call, now)) {
+    return;
+  }
   if (state.deadline - now < kLeastTimeLeft) {
     refuse(call, ResultCode::DeadlineTooShort, "no time is left", std::nullopt, now);
     return;
@@ -152,7 +174,9 @@
   effect.address = replica.routed.address;
   effect.time_left = state.deadline - now;
   effect.streaming = state.route->kind == wire::CallKind::Streaming;
-  effect.priority = state.route->priority;
+  effect.priority = state.priority;
+  effect.tenant = state.tenant;
+  effect.withhold_key = state.routes->keys().inUse();
   effect.resume_after = state.last_event ? state.last_event : state.request.resume_after;
   log_.write(LogLevel::Info, "call.sent",
              {{"request", view(state.request.id.value)},
@@ -225,7 +249,7 @@
 void CallRouter::dispatchWaiting(TimePoint now) {
   std::vector<std::pair<std::uint32_t, CallNumber>> order;
   for (const CallNumber number : waiting_) {
-    order.emplace_back(calls_.at(number).route->priority, number);
+    order.emplace_back(calls_.at(number).priority, number);
   }
   std::sort(order.begin(), order.end());
   for (const auto& [priority, number] : order) {
@@ -251,6 +275,7 @@
   timers_.erase({call->second.timer, call->first});
   waiting_.erase(call->first);
   unrouted_.erase(call->first);
+  awaiting_credit_.erase(call->first);
   calls_.erase(call);
 }
 
@@ -266,6 +291,7 @@
   if (call->second.attempt) {
     effects_.emplace_back(CancelAttemptEffect{call->second.attempt->number});
   }
+  giveBack(call->second, now);
   erase(call);
   return finish(now);
 }
@@ -274,7 +300,7 @@
   Call& state = call->second;
   timers_.erase({state.timer, call->first});
   state.timer = state.deadline;
-  if (!state.attempt) {
+  if (!state.attempt && !awaiting_credit_.contains(call->first)) {
     state.timer = std::min(state.timer, state.waits_until);
     state.timer = state.retry ? std::min(state.timer, *state.retry) : state.timer;
   }
@@ -288,7 +314,7 @@
   } else if (state.attempt) {
     setTimer(call);
   } else if (state.route == nullptr) {
-    refuse(call, ResultCode::NoCatalog, "no catalog is known yet", kComeBackLater, now);
+    refuse(call, state.last_failure, "no catalog is known and proved yet", kComeBackLater, now);
   } else if (now >= state.deadline || now >= state.waits_until) {
     refuse(call, state.last_failure, "no replica could take it in time",
            state.last_failure == ResultCode::LoadCannotFinishInTime ? kComeBackLater : kComeBackSoon, now);
@@ -305,6 +331,9 @@
   } else if (const auto* late = std::get_if<wire::CatalogUpdate>(&envelope.message)) {
     feed_.noteAnswer(envelope.from);
     takeCatalog(envelope.from, late->catalog, feed_.leaderHeard(), now);
+  } else if (const auto* answer = std::get_if<wire::QuotaAnswer>(&envelope.message)) {
+    feed_.noteAnswer(envelope.from);
+    resolveQuotas(quota_.accept(*answer, now), now);
   }
   return finish(now);
 }
@@ -333,9 +362,17 @@
                {{"leader", view(feed_.leader().value)},
                 {"revision", static_cast<std::int64_t>(update.revision.value)}});
   }
+  quota_.onUpdate(from, update, now);
   if (update.catalog) {
     takeCatalog(from, *update.catalog, heard, now);
   }
+  const bool proved = feed_.proof().holds(now);
+  feed_.confirm(update, catalogVersion());
+  if (!proved && feed_.proof().holds(now)) {
+    log_.write(LogLevel::Info, "catalog.proved",
+               {{"version", static_cast<std::int64_t>(catalogVersion().value)}, {"by", view(from.value)}});
+    routeWaiting(now);
+  }
   budget_.setRouters(update.routers);
   replicas_.setRouters(update.routers);
   loads_.accept(update.coming, now);
@@ -349,6 +386,7 @@
 }
 
 Effects CallRouter::tick(TimePoint now) {
+  resolveQuotas(quota_.tick(now), now);
   while (!timers_.empty() && timers_.begin()->first <= now) {
     const CallNumber number = timers_.begin()->second;
     timers_.erase(timers_.begin());
@@ -361,7 +399,7 @@
 }
 
 TimePoint CallRouter::nextDeadline() const {
-  const TimePoint status = feed_.nextDeadline();
+  const TimePoint status = std::min(feed_.nextDeadline(), quota_.nextDeadline());
   return timers_.empty() ? status : std::min(status, timers_.begin()->first);
 }
 
@@ -487,6 +525,7 @@
     dispatchWaiting(now);
   }
   sendStatuses(now);
+  tellQuotaUse(now);
   return std::exchange(effects_, {});
 }
 
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -19,12 +19,14 @@
 #include "calls/wait_policy.h"
 #include "common/event_log.h"
 #include "common/random.h"
+#include "tenancy/quota_client.h"
 
 namespace ferryrock::calls {
 
 struct CallRouterSettings {
   ControlFeedSettings feed;
   RetryBudgetSettings retries;
+  tenancy::QuotaTolerance quota_tolerance;
   std::size_t max_calls = 5'000;  ///< at once; further ones are refused
   std::uint64_t seed = 1;
 };
@@ -39,6 +41,11 @@
   std::uint64_t retries = 0;
   std::uint64_t resumed = 0;
   std::uint64_t caller_gone = 0;
+  std::uint64_t unknown_keys = 0;   ///< calls without a key that a tenant holds
+  std::uint64_t unproved = 0;       ///< refused: the catalog isn't proved
+  std::uint64_t quota_spent = 0;    ///< refused: the tenant's quota is used up
+  std::uint64_t quota_asked = 0;    ///< credit was asked for before they ran
+  std::uint64_t quota_unknown = 0;  ///< refused: no leader decides on their credit
 };
 
 /// One router of calls as logic without input or output. Every call gets exactly one final answer (an answer
@@ -81,6 +88,7 @@
   /// When a leader last confirmed the catalog in force or sent a newer one; nullopt: never.
   std::optional<TimePoint> controlHeard() const { return feed_.leaderHeard(); }
   const std::set<NodeName>& controlMembers() const { return feed_.members(); }
+  const tenancy::CatalogProof& catalogProof() const { return feed_.proof(); }
 
  private:
   struct Attempt {
@@ -99,8 +107,11 @@
     TimePoint waits_until{};         ///< for a replica
     std::optional<TimePoint> retry;  ///< when to look for a replica again
     std::optional<Attempt> attempt;
-    std::uint32_t attempts = 0;  ///< replicas that may have run it
-    std::uint32_t unrun = 0;     ///< sendings that certainly didn't run
+    std::optional<TenantName> tenant;  ///< that holds the call's key
+    std::int64_t charged = 0;          ///< to the tenant's quota
+    std::uint32_t priority = 0;        ///< 0 is the most urgent
+    std::uint32_t attempts = 0;        ///< replicas that may have run it
+    std::uint32_t unrun = 0;           ///< sendings that certainly didn't run
     bool counted_missing = false;
     bool may_have_run = false;
     bool started = false;  ///< the caller got the head of a stream
@@ -114,6 +125,22 @@
 
   /// Finds the call's route in the catalog in force and sends it on its way.
   void routeCall(CallPointer call, TimePoint now);
+  /// Continues with a call whose tenant may run it.
+  void beginCall(CallPointer call, TimePoint now);
+  // call_router_tenants.cc
+  /// Finds the tenant by the key; false: the call was refused, or waits for a proof of the catalog.
+  bool identifyTenant(CallPointer call, const wire::CallRoute& route, const wire::Tenant*& tenant,
+                      TimePoint now);
+  void refuseUnproved(CallPointer call, TimePoint now);
+  /// The key is still a tenant's and the catalog still proved; else the call is refused.
+  bool mayStillRun(CallPointer call, TimePoint now);
+  /// Charges the tenant's quota; false: the call was refused, or waits for credit.
+  bool charge(CallPointer call, const wire::Tenant& tenant, TimePoint now);
+  void onQuotaReply(CallPointer call, const tenancy::QuotaReply& reply, TimePoint now);
+  void resolveQuotas(const std::vector<tenancy::QuotaResolved>& resolved, TimePoint now);
+  /// A call that is certain not to run gives its credit back.
+  void giveBack(Call& call, TimePoint now);
+  void tellQuotaUse(TimePoint now);
   void routeWaiting(TimePoint now);
   void dispatch(CallPointer call, TimePoint now);
   void sendTo(CallPointer call, Replica& replica, TimePoint now);
@@ -156,6 +183,7 @@
   Random random_;
   ControlFeed feed_;
   RetryBudget budget_;
+  tenancy::QuotaClient quota_;
   ReplicaTable replicas_;
   TrafficSplit split_;
   ExpectedLoads loads_;
@@ -164,7 +192,8 @@
   std::map<AttemptNumber, CallNumber> attempts_;
   std::set<std::pair<TimePoint, CallNumber>> timers_;
   std::set<CallNumber> waiting_;
-  std::set<CallNumber> unrouted_;  ///< wait for the first catalog
+  std::set<CallNumber> unrouted_;         ///< wait for the first catalog, or its first proof
+  std::set<CallNumber> awaiting_credit_;  ///< of their tenants
   std::map<std::tuple<ServiceName, ModelName, std::string>, std::uint32_t> arrivals_;  ///< since last told
   CallRouterCounts counts_;
   std::uint64_t table_changes_ = 0;  ///< entries of the replica table changed since the last line of it
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -261,10 +261,12 @@
              {{"request", view(state.request.id.value)},
               {"code", static_cast<std::int64_t>(code)},
               {"name", resultCodeInfo(code).name},
+              {"tenant", state.tenant ? view(state.tenant->value) : std::string_view()},
               {"not_run", !state.may_have_run},
               {"detail", view(detail)},
               {"took_ms", toMilliseconds(now - state.arrived)},
               {"attempts", static_cast<std::int64_t>(state.attempts)}});
+  giveBack(state, now);
   effects_.emplace_back(RefuseCallEffect{call->first, code, !state.may_have_run, retry_after, detail});
   erase(call);
 }
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -7,6 +7,8 @@
 
 /// Hurried statuses keep this distance.
 constexpr Duration kLeastDistance = std::chrono::milliseconds(10);
+/// A proof that ends sooner is asked to be renewed out of turn; regular updates renew it twice a second.
+constexpr Duration kProofInHand = std::chrono::milliseconds(3000);
 constexpr unsigned kTermShift = 40;
 
 bool sameTerm(LogIndex left, LogIndex right) {
@@ -44,6 +46,12 @@
   members_.insert(list.nodes.begin(), list.nodes.end());
 }
 
+void ControlFeed::confirm(const wire::ServiceUpdate& update, CatalogVersion held) {
+  if (update.proved.incarnation == settings_.incarnation) {
+    proof_.onConfirmed(update.proved.sequence, update.version, held);
+  }
+}
+
 bool ControlFeed::due(TimePoint now) const {
   return tell_all_ || now >= next_member_status_ || now >= next_leader_status_ ||
          (hurried_ && now >= last_status_ + kLeastDistance);
@@ -71,6 +79,8 @@
   status.revision = revision_;
   status.missed_update = missed_update_;
   status.directory = wire::directoryDigest(directory_);
+  status.wants_proof = proof_.isNeeded() && !proof_.holds(now + kProofInHand);
+  proof_.onStatusSent(sequence_, now);
   wire::CallRouterStatus leaders = status;
   leaders.wants = std::move(news.wants);
   leaders.unreachable = std::move(news.unreachable);
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "calls/call.h"
+#include "tenancy/catalog_proof.h"
 
 namespace ferryrock::calls {
 
@@ -25,6 +26,8 @@
   /// the connection may have gone silent without an end. Later than the transport's own limit, which needs no
   /// new connection to a member that is merely slow.
   Duration answer_limit = std::chrono::milliseconds(1500);
+  /// How long after an acknowledgement an older catalog's keys may be obeyed; nullopt: for ever.
+  std::optional<Duration> key_lifetime;
 };
 
 /// What a status tells beside the feed's own state.
@@ -40,11 +43,16 @@
 class ControlFeed {
  public:
   explicit ControlFeed(const ControlFeedSettings& settings)
-      : settings_(settings), members_(settings.seeds.begin(), settings.seeds.end()) {}
+      : settings_(settings),
+        members_(settings.seeds.begin(), settings.seeds.end()),
+        proof_(settings.key_lifetime) {}
 
   /// True if the update's replicas are to be applied; its catalog is judged by its version alone.
   bool accept(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now);
   void accept(const NodeName& from, const wire::MemberList& list);
+  /// The update proves the catalog `held`, if it names a status of this process and no newer version.
+  void confirm(const wire::ServiceUpdate& update, CatalogVersion held);
+  const tenancy::CatalogProof& proof() const { return proof_; }
   /// The member was heard; its connection stands.
   void noteAnswer(const NodeName& from) { unanswered_since_.erase(from); }
   void addSeeds(const std::vector<NodeName>& seeds) { members_.insert(seeds.begin(), seeds.end()); }
@@ -83,6 +91,7 @@
   bool missed_update_ = false;
   bool tell_all_ = false;
   bool answered_ = false;  ///< by any member
+  tenancy::CatalogProof proof_;
   /// Members that a status was sent to and that weren't heard since, with the time of the first such status.
   std::map<NodeName, TimePoint> unanswered_since_;
 };
--- a/src/calls/route_table.cc
+++ b/src/calls/route_table.cc
@@ -15,7 +15,7 @@
   return name;
 }
 
-RouteTable::RouteTable(wire::ServiceCatalog catalog) : catalog_(std::move(catalog)) {
+RouteTable::RouteTable(wire::ServiceCatalog catalog) : catalog_(std::move(catalog)), keys_(catalog_) {
   for (const wire::CallRoute& route : catalog_.routes) {
     routes_[normalizedHost(route.host)][route.path_prefix] = &route;
   }
--- a/src/calls/route_table.h
+++ b/src/calls/route_table.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tenancy/key_table.h"
 #include "wire/service_types.h"
 
 namespace ferryrock::calls {
@@ -20,11 +21,13 @@
   const wire::CallRoute* find(std::string_view host, std::string_view path) const;
   /// nullptr: unknown.
   const wire::HostedService* findService(const ServiceName& name) const;
+  const tenancy::KeyTable& keys() const { return keys_; }
   CatalogVersion version() const { return catalog_.version; }
   const wire::ServiceCatalog& catalog() const { return catalog_; }
 
  private:
   wire::ServiceCatalog catalog_;
+  tenancy::KeyTable keys_;
   /// By host, then by prefix.
   std::map<std::string, std::map<std::string, const wire::CallRoute*, std::less<>>, std::less<>> routes_;
   std::map<ServiceName, const wire::HostedService*> services_;
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -21,6 +21,7 @@
   MethodNotAllowed = 1007,
   KeyReusedForOtherRequest = 1008,
   UnknownRoute = 1009,
+  UnknownKey = 1010,
 
   // 2xxx: refusals and failures of a request that was well formed.
   DeadlineTooShort = 2001,
@@ -44,6 +45,8 @@
   NoCatalog = 2019,
   ReplicaRefused = 2020,
   ReplicaFailed = 2021,
+  CatalogUnproved = 2022,
+  QuotaSpent = 2023,
 
   // 3xxx: operators' changes and reads.
   VersionConflict = 3001,
--- a/src/consensus/quorum_log.h
+++ b/src/consensus/quorum_log.h
@@ -155,6 +155,9 @@
   virtual LogIndex lastIndex() const = 0;
   /// True while no other member can have been elected, by this process's clock and the drift margin.
   virtual bool hasLease(TimePoint now) const = 0;
+  /// The latest moment at which a majority of the voters is known to have followed this leader, so that no
+  /// other had been elected by then; nullopt: it doesn't lead, or has committed no entry of its own term yet.
+  virtual std::optional<TimePoint> followedAt(TimePoint now) const = 0;
   virtual const wire::Membership& membership() const = 0;
 };
 
--- a/src/consensus/quorum_log_impl.h
+++ b/src/consensus/quorum_log_impl.h
@@ -51,6 +51,7 @@
   LogIndex committed() const override { return committed_; }
   LogIndex lastIndex() const override { return log_.lastIndex(); }
   bool hasLease(TimePoint now) const override;
+  std::optional<TimePoint> followedAt(TimePoint now) const override;
   const wire::Membership& membership() const override { return memberships_.latest(); }
 
  private:
--- a/src/consensus/quorum_log_leader.cc
+++ b/src/consensus/quorum_log_leader.cc
@@ -287,6 +287,11 @@
   return contact && now < *contact + settings_.election_timeout_min - settings_.lease_drift_margin;
 }
 
+std::optional<TimePoint> QuorumLogImpl::followedAt(TimePoint now) const {
+  const bool opened = leadership_ && log_.termAt(committed_) == hard_state_.term;
+  return opened ? quorumContact(now) : std::nullopt;
+}
+
 void QuorumLogImpl::tickLeader() {
   if (now_ < leadership_->heartbeat_due) {
     return;
--- a/src/service_process/call_dialect.cc
+++ b/src/service_process/call_dialect.cc
@@ -43,13 +43,14 @@
 
 }  // namespace
 
-http::Headers endToEndHeaders(const http::Headers& headers) {
+http::Headers endToEndHeaders(const http::Headers& headers, std::span<const char* const> kept_names) {
   const std::string connection = http::findHeader(headers, "Connection").value_or("");
   http::Headers kept;
   for (const http::Header& header : headers) {
-    const bool hop = std::any_of(kHopByHop.begin(), kHopByHop.end(),
-                                 [&header](const char* name) { return sameName(header.name, name); });
-    if (!hop && !listed(connection, header.name)) {
+    const auto named = [&header](const char* name) { return sameName(header.name, name); };
+    const bool hop = std::any_of(kHopByHop.begin(), kHopByHop.end(), named);
+    const bool stays = std::any_of(kept_names.begin(), kept_names.end(), named);
+    if (!hop && (stays || !listed(connection, header.name))) {
       kept.push_back(header);
     }
   }
--- a/src/service_process/call_dialect.h
+++ b/src/service_process/call_dialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string>
 
 #include "calls/call.h"
@@ -50,7 +51,8 @@
   virtual calls::AnswerSummary summarize(int status, const http::Headers& headers) const = 0;
 };
 
-/// Headers without those that concern one connection only, and those that frame the body.
-http::Headers endToEndHeaders(const http::Headers& headers);
+/// Headers without those that concern one connection only, and those that frame the body. A Connection header
+/// removes what it lists, but for the names in `kept`.
+http::Headers endToEndHeaders(const http::Headers& headers, std::span<const char* const> kept = {});
 
 }  // namespace ferryrock::service_process
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -17,6 +17,8 @@
 constexpr Duration kStopCheck = std::chrono::milliseconds(100);
 /// Callers keep connections for a while; the server closes them later than they stop using them.
 constexpr Duration kIdleTimeout = std::chrono::seconds(60);
+/// Keys are obeyed for this much less than the limit, for timers and clocks that run unevenly.
+constexpr Duration kRevocationMargin = std::chrono::milliseconds(250);
 constexpr std::size_t kMaximumBodyBytes = std::size_t{8} << 20;
 
 calls::CallRouterSettings routerSettings(const CallRouterProcessSettings& settings) {
@@ -27,6 +29,10 @@
   router.feed.incarnation = systemSeed();
   router.feed.seeds = settings.seedNodes();
   router.retries = settings.retries;
+  router.quota_tolerance = settings.quota_tolerance;
+  if (settings.key_revocation_limit) {
+    router.feed.key_lifetime = *settings.key_revocation_limit - kRevocationMargin;
+  }
   router.seed = router.feed.incarnation;
   return router;
 }
@@ -201,6 +207,19 @@
       static_cast<double>(counts.resumed));
   set("ferryrock_callers_gone", "Callers that left before their answer",
       static_cast<double>(counts.caller_gone));
+  set("ferryrock_calls_unknown_key", "Calls without a key that a tenant holds",
+      static_cast<double>(counts.unknown_keys));
+  set("ferryrock_calls_unproved", "Calls refused since the catalog isn't proved to be the newest",
+      static_cast<double>(counts.unproved));
+  set("ferryrock_calls_quota_spent", "Calls refused since their tenant's quota is used up",
+      static_cast<double>(counts.quota_spent));
+  set("ferryrock_calls_quota_asked", "Calls whose credit was asked for before they ran",
+      static_cast<double>(counts.quota_asked));
+  set("ferryrock_calls_quota_unknown", "Calls refused since no leader decides on their tenant's quota",
+      static_cast<double>(counts.quota_unknown));
+  const std::optional<TimePoint> proved = router_.catalogProof().provedAt();
+  set("ferryrock_catalog_proved_seconds_ago", "Age of the proof that the catalog is the newest; -1: none",
+      proved ? toSeconds(now() - *proved) : -1);
   set("ferryrock_catalog_version", "Version of the catalog in force",
       static_cast<double>(router_.catalogVersion().value));
   const std::optional<TimePoint> heard = router_.controlHeard();
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -47,6 +47,7 @@
   control.router_out_of_touch = settings.router_out_of_touch;
   control.order_lease = settings.order_lease;
   control.placement = settings.placement;
+  control.quota_tolerance = settings.quota_tolerance;
   return control;
 }
 
@@ -367,6 +368,14 @@
   set("ferryrock_routers_offered", "Routers that callers are sent to", static_cast<double>(fleet.routers));
   set("ferryrock_catalog_version", "Version of the catalog committed",
       static_cast<double>(view.catalog.value));
+  set("ferryrock_quota_charged", "Quota that routers told as used, since this member leads",
+      view.quota.charged);
+  set("ferryrock_quota_granted", "Quota granted to calls that asked, since this member leads",
+      view.quota.granted);
+  set("ferryrock_quota_refused", "Calls that asked and were refused, since this member leads",
+      static_cast<double>(view.quota.refused));
+  set("ferryrock_tenants_limited", "Tenants whose calls ask for credit before they run",
+      static_cast<double>(view.limited_tenants));
   set("ferryrock_transport_sent_bytes", "Bytes sent to other processes of the system",
       static_cast<double>(transport_->counts().sent_bytes));
   set("ferryrock_transport_dropped", "Messages dropped: their peer is unknown or its queue is full",
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -31,6 +31,10 @@
       limits.number("lines_per_second", 0, 1e6, settings.log_limits.lines_per_second);
   settings.log_limits.burst = limits.number("burst", 1, 1e6, settings.log_limits.burst);
   limits.finish();
+  tenancy::QuotaTolerance& quota = settings.quota_tolerance;
+  quota.window = reader.duration("quota_window", 100ms, 1h, quota.window);
+  quota.overshoot = reader.number("quota_overshoot", 0, 100, quota.overshoot);
+  quota.slack = reader.number("quota_slack", 0, 1e12, quota.slack);
   settings.log = readLogSettings(reader.section("log"));
   settings.log.bounded_standard_output = settings.log.file.empty();
 }
@@ -59,6 +63,9 @@
   settings.retries.share = reader.number("retry_share", 0, 100, settings.retries.share);
   settings.retries.slack = reader.number("retry_slack", 0, 1e9, settings.retries.slack);
   settings.retries.window = reader.duration("retry_window", 100ms, 1h, settings.retries.window);
+  if (reader.has("key_revocation_limit")) {
+    settings.key_revocation_limit = reader.duration("key_revocation_limit", 500ms, 1h);
+  }
   settings.stop_limit = reader.duration("stop_limit", 0ms, 1h, settings.stop_limit);
   settings.stop_accepts = reader.duration("stop_accepts", 0ms, 1h, settings.stop_accepts);
   settings.stop_linger = reader.duration("stop_linger", 0ms, 1h, settings.stop_linger);
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "common/log_settings.h"
 #include "common/settings_reader.h"
 #include "services/placement_switches.h"
+#include "tenancy/quota_tolerance.h"
 
 /// Settings files of the processes that serve hosted services.
 namespace ferryrock::service_process {
@@ -24,6 +26,7 @@
   Duration directory_lifetime = std::chrono::seconds(1);  ///< of an answer to them
   LogSettings log;
   EventLogLimits log_limits;
+  tenancy::QuotaTolerance quota_tolerance;
 
   /// The seeds as internal addresses.
   std::vector<NodeName> seedNodes() const;
@@ -33,6 +36,9 @@
   std::string listen_calls;   ///< "host:port"
   std::string listen_status;  ///< "host:port"
   calls::RetryBudgetSettings retries;
+  /// A key that was taken away isn't obeyed by any router later than this; nullopt: routers that are cut off
+  /// go on obeying what they know.
+  std::optional<Duration> key_revocation_limit;
   /// A planned stop takes this long at most.
   Duration stop_limit = std::chrono::seconds(8);
   /// New calls are taken in for this long, from callers that haven't heard yet.
--- a/src/services/catalog_rules.cc
+++ b/src/services/catalog_rules.cc
@@ -1,8 +1,10 @@
 #include "services/catalog_rules.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "common/error.h"
@@ -28,9 +30,27 @@
   }
 }
 
+void checkTenants(const std::vector<wire::Tenant>& tenants) {
+  std::set<TenantName> names;
+  std::map<std::string_view, TenantName> holders;
+  for (const wire::Tenant& tenant : tenants) {
+    const std::string place = "tenant '" + tenant.name.value + "'";
+    if (!names.insert(tenant.name).second) {
+      refuse("another tenant has the same name", place);
+    }
+    for (const std::string& key : tenant.keys) {
+      const auto [holder, first] = holders.emplace(key, tenant.name);
+      if (!first && holder->second != tenant.name) {
+        refuse("it shares a key with tenant '" + holder->second.value + "'", place);
+      }
+    }
+  }
+}
+
 }  // namespace
 
 void checkCatalog(const wire::ServiceCatalog& catalog) {
+  checkTenants(catalog.tenants);
   std::set<ServiceName> services;
   for (const wire::HostedService& service : catalog.services) {
     if (!services.insert(service.name).second) {
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -99,6 +99,9 @@
   if (status.router != from || !directory_.accept(status, now)) {
     return;
   }
+  if (leader_) {
+    leader_->receipts.onStatus(status, now);
+  }
   if (leader_ && node_->log().hasLease(now)) {
     updateRouter(status, now);
     return;
@@ -110,6 +113,18 @@
   offerCatalog(status, now);
 }
 
+/// Without a lease another member may lead already and account for the same credit.
+void ServiceControlImpl::onMessage(const NodeName& from, const wire::QuotaUse& use, TimePoint now) {
+  if (use.router != from || !leader_ || !node_->log().hasLease(now)) {
+    return;
+  }
+  followQuotas(now);
+  wire::QuotaAnswer answered = leader_->quotas.accept(use, now);
+  if (!answered.decisions.empty()) {
+    send(from, std::move(answered));
+  }
+}
+
 void ServiceControlImpl::take(control::Effects effects, TimePoint now) {
   for (control::Effect& effect : effects) {
     std::visit([this, now](auto& typed) { takeOne(typed, now); }, effect);
@@ -242,6 +257,8 @@
     if (leader_) {
       leader_->demand.keepRouters(directory_.routers());
       leader_->updates.keepRouters(directory_.routers());
+      leader_->receipts.keepRouters(directory_.routers());
+      leader_->quotas.keepRouters(directory_.routers());
     }
   }
   giveUpForwarded(now);
@@ -322,7 +339,7 @@
     placer.switches = settings_.placement;
     // An earlier leader's lease may end that much after this one's election, see elect_at_start.
     placer.first_order = now + settings_.order_lease + settings_.control.log.election_timeout_min;
-    leader_.emplace(term, placer, registry_, settings_.router_out_of_touch, now);
+    leader_.emplace(term, placer, registry_, settings_.quota_tolerance, settings_.router_out_of_touch, now);
     keeper_.onLeadership(now);
   }
 }
@@ -363,6 +380,10 @@
   view.term = node_->log().term();
   view.voters = consensus::voterCount(node_->log().membership());
   view.catalog = node_->hosted().catalog().version;
+  if (leader_) {
+    view.quota = leader_->quotas.counts();
+    view.limited_tenants = leader_->quotas.limited().size();
+  }
   return view;
 }
 
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -13,6 +13,7 @@
 #include "services/replica_orders.h"
 #include "services/replica_registry.h"
 #include "services/router_directory.h"
+#include "tenancy/quota_ledger.h"
 
 /// One control member of hosted services as logic without input or output.
 namespace ferryrock::services {
@@ -29,6 +30,7 @@
   /// A new leader orders nothing before an earlier one's orders can have left.
   Duration order_lease = std::chrono::milliseconds(3000);
   PlacementSwitches placement;
+  tenancy::QuotaTolerance quota_tolerance;
   /// Replicas that don't report for longer are forgotten.
   Duration replica_silence = std::chrono::seconds(6);
 };
@@ -58,6 +60,8 @@
   Term term;
   std::size_t voters = 0;
   CatalogVersion catalog;
+  tenancy::QuotaCounts quota;       ///< of this member's leadership
+  std::size_t limited_tenants = 0;  ///< credit is asked for before their calls run
 };
 
 /// Replicas and routers that a member knows.
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -14,6 +14,7 @@
 #include "services/model_demand.h"
 #include "services/model_placer.h"
 #include "services/service_control.h"
+#include "services/status_receipts.h"
 #include "services/table_feed.h"
 #include "services/update_ledger.h"
 
@@ -83,11 +84,12 @@
   /// One leader's term.
   struct LeaderState {
     LeaderState(Term own_term, const ModelPlacerSettings& placer_settings, ReplicaRegistry& registry,
-                Duration router_out_of_touch, TimePoint now)
+                const tenancy::QuotaTolerance& quota_tolerance, Duration router_out_of_touch, TimePoint now)
         : term(own_term),
           feed(own_term, registry),
           placer(placer_settings, registry, demand),
           spread(router_out_of_touch),
+          quotas(quota_tolerance, now),
           since(now) {}
     Term term;
     TableFeed feed;
@@ -95,6 +97,10 @@
     ModelPlacer placer;
     UpdateLedger updates;
     CatalogSpread spread;
+    StatusReceipts receipts;
+    std::set<NodeName> proof_wanted;  ///< routers that can't prove their catalog for long
+    tenancy::QuotaLedger quotas;
+    CatalogVersion quota_version;              ///< whose limits hold
     std::map<ZoneName, FeedContext> contexts;  ///< by the zone of the routers that are told
     TimePoint contexts_taken{};
     TimePoint since;
@@ -118,6 +124,7 @@
   void onMessage(const NodeName& from, const wire::LeaveRequest& request, TimePoint now);
   void onMessage(const NodeName& from, const wire::LeaveReply& reply, TimePoint now);
   void onMessage(const NodeName& from, const wire::CallRouterStatus& status, TimePoint now);
+  void onMessage(const NodeName& from, const wire::QuotaUse& use, TimePoint now);
   template <class OtherMessage>
   void onMessage(const NodeName& from, const OtherMessage& message, TimePoint now) {
     take(node_->receive({from, message}, now), now);
@@ -180,6 +187,8 @@
   bool owedUpdate(const wire::CallRouterStatus& status, TimePoint now);
   std::vector<NodeName> memberNodes() const;
   void followSpread(TimePoint now);
+  void proveCatalogs(TimePoint now);
+  void followQuotas(TimePoint now);
 
   ServiceControlSettings settings_;
   NodeName self_;
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -48,8 +48,10 @@
     registry_.renewAll();
   }
   settleNotices(now);
+  followQuotas(now);
   planModels(now);
   pushTables(now);
+  proveCatalogs(now);
   mendMembership(now);
   settleAcknowledgements(now);
   followSpread(now);
@@ -62,6 +64,38 @@
   }
 }
 
+/// Routers whose proof is missing or about to end don't wait for their next regular update.
+void ServiceControlImpl::proveCatalogs(TimePoint now) {
+  const auto followed = leader_->proof_wanted.empty() ? std::nullopt : node_->log().followedAt(now);
+  if (!followed || !node_->log().hasLease(now)) {
+    return;
+  }
+  std::erase_if(leader_->proof_wanted, [&](const NodeName& router) {
+    const auto record = directory_.routers().find(router);
+    if (record == directory_.routers().end()) {
+      return true;
+    }
+    const wire::ProvedStatus proved = leader_->receipts.provedBy(router, *followed);
+    const bool provable = proved.incarnation == record->second.status.incarnation;
+    if (provable) {
+      sendUpdate(record->second.status, now);
+    }
+    return provable;
+  });
+}
+
+/// A tenant that is limited, or isn't any more, can't wait for the routers' next statuses.
+void ServiceControlImpl::followQuotas(TimePoint now) {
+  const wire::ServiceCatalog& catalog = node_->hosted().catalog();
+  if (catalog.version != leader_->quota_version) {
+    leader_->quota_version = catalog.version;
+    leader_->quotas.setCatalog(catalog, now);
+  }
+  if (leader_->quotas.refresh(now)) {
+    leader_->push_to_all = true;
+  }
+}
+
 std::vector<NodeName> ServiceControlImpl::memberNodes() const {
   std::vector<NodeName> nodes;
   for (const wire::Member& member : node_->log().membership().members) {
@@ -93,6 +127,9 @@
   if (waitsForModel(status)) {
     hurryPlan(now);
   }
+  if (status.wants_proof) {
+    leader_->proof_wanted.insert(status.router);
+  }
   if (!owedUpdate(status, now)) {
     return;
   }
@@ -119,6 +156,10 @@
   wire::ServiceUpdate update = leader_->feed.updateFor(leader_->updates.expected(status, now), context);
   update.coming = comingFor(status, now);
   update.confirm = awaitsConfirmation(status);
+  update.limited_tenants = leader_->quotas.limited();
+  if (const auto followed = node_->log().followedAt(now)) {
+    update.proved = leader_->receipts.provedBy(status.router, *followed);
+  }
   leader_->updates.onSent(status.router, update, now);
   const std::size_t entries = update.replicas.size();
   send(status.router, std::move(update));
@@ -157,7 +198,7 @@
 }
 
 bool ServiceControlImpl::hasNews() const {
-  return registry_.changes() != leader_->pushed_changes ||
+  return leader_->push_to_all || registry_.changes() != leader_->pushed_changes ||
          node_->hosted().catalog().version != leader_->pushed_version ||
          leader_->placer.loadsBegun() != leader_->pushed_loads;
 }
--- /dev/null
+++ b/src/services/status_receipts.cc
@@ -0,0 +1,39 @@
+#include "services/status_receipts.h"
+
+namespace ferryrock::services {
+namespace {
+
+/// Receipts kept of a router: more than come until the cell's next heartbeat, 100 ms, and its answers.
+constexpr std::size_t kKept = 12;
+/// Between two of them; routers that are in a hurry tell their status each 10 ms.
+constexpr Duration kLeastDistance = std::chrono::milliseconds(40);
+
+}  // namespace
+
+void StatusReceipts::onStatus(const wire::CallRouterStatus& status, TimePoint now) {
+  std::deque<Receipt>& of_router = receipts_[status.router];
+  if (!of_router.empty() && of_router.back().incarnation == status.incarnation &&
+      now - of_router.back().at < kLeastDistance) {
+    return;
+  }
+  of_router.push_back({status.incarnation, status.sequence, now});
+  if (of_router.size() > kKept) {
+    of_router.pop_front();
+  }
+}
+
+wire::ProvedStatus StatusReceipts::provedBy(const NodeName& router, TimePoint followed) const {
+  const auto found = receipts_.find(router);
+  if (found == receipts_.end()) {
+    return {};
+  }
+  const std::deque<Receipt>& of_router = found->second;
+  for (auto receipt = of_router.rbegin(); receipt != of_router.rend(); ++receipt) {
+    if (receipt->at <= followed) {
+      return {receipt->incarnation, receipt->sequence};
+    }
+  }
+  return {};
+}
+
+}  // namespace ferryrock::services
--- /dev/null
+++ b/src/services/status_receipts.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+
+#include "common/identifiers.h"
+#include "common/time.h"
+#include "wire/service_messages.h"
+
+namespace ferryrock::services {
+
+/// When a leader got the routers' latest statuses, so that it can tell which of them it got before a majority
+/// of the members still followed it. Used by one thread.
+class StatusReceipts {
+ public:
+  void onStatus(const wire::CallRouterStatus& status, TimePoint now);
+  /// The router's newest status that came no later than `followed`; nothing proved if there is none.
+  wire::ProvedStatus provedBy(const NodeName& router, TimePoint followed) const;
+  template <class Routers>
+  void keepRouters(const Routers& routers) {
+    std::erase_if(receipts_, [&routers](const auto& item) { return !routers.contains(item.first); });
+  }
+
+ private:
+  struct Receipt {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    TimePoint at{};
+  };
+  std::map<NodeName, std::deque<Receipt>> receipts_;  ///< oldest first
+};
+
+}  // namespace ferryrock::services
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -26,6 +26,8 @@
   part.version = catalog.version;
   part.routes = catalog.routes;
   part.limits = catalog.limits;
+  part.tenants = catalog.tenants;
+  part.has_tenants = catalog.has_tenants;
   for (const wire::HostedService& service : catalog.services) {
     wire::HostedService& told = part.services.emplace_back(
         wire::HostedService{service.name, service.health_path, service.max_connections, {}});
--- /dev/null
+++ b/tests/calls/tenant_test.cc
@@ -0,0 +1,263 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "calls/call_fixture.h"
+
+/// Keys and quotas as a router's calls meet them.
+namespace ferryrock::calls {
+namespace {
+
+using namespace std::chrono_literals;
+using tenancy::Credential;
+
+constexpr Duration kKeyLifetime = 5s;
+constexpr std::uint64_t kIncarnation = 77;
+const NodeName kLeader("control-1");
+
+/// A router with the key "secret" of tenant "a", quota 1,000 tokens a second, and the open route /open/.
+class TenantFixture : public CallFixture {
+ public:
+  TenantFixture() : router_(keyedSettings(), log_, now) {}
+
+  static CallRouterSettings keyedSettings() {
+    CallRouterSettings settings = CallFixture::settings(100);
+    settings.feed.incarnation = kIncarnation;
+    settings.feed.key_lifetime = kKeyLifetime;
+    return settings;
+  }
+  static wire::ServiceCatalog keyedCatalog(std::uint64_t version, const std::string& key) {
+    wire::ServiceCatalog catalog = CallFixture::catalog(version);
+    catalog.has_tenants = true;
+    wire::Tenant tenant;
+    tenant.name = TenantName("a");
+    tenant.keys = {key};
+    tenant.priority = 6;
+    tenant.quota = wire::TenantQuota{wire::QuotaUnit::Tokens, 1000, 1000, 200};
+    catalog.tenants = {tenant};
+    catalog.routes.front().open_to_all = true;  // /safe/
+    return catalog;
+  }
+  void update(wire::ServiceUpdate update, std::uint64_t proved_sequence) {
+    update.revision = LogIndex{(std::uint64_t{1} << 40) | ++revisions_};
+    update.version = CatalogVersion{version_};
+    update.proved = {kIncarnation, proved_sequence};
+    take(router_.receive({kLeader, update}, now));
+  }
+  void begin(bool limited = false) {
+    take(router_.tick(now));  // status 1
+    wire::ServiceUpdate first;
+    version_ = 1;
+    first.catalog = keyedCatalog(1, "secret");
+    first.replicas = {replica("r1"), replica("r2"), replica("r3")};
+    if (limited) {
+      first.limited_tenants = {TenantName("a")};
+    }
+    update(first, 1);
+  }
+  CallNumber keyed(const Credential& credential, const std::string& path = "/once/x") {
+    CallRequest request;
+    request.number = CallNumber{++numbers_};
+    request.id = RequestId("call-" + std::to_string(numbers_));
+    request.host = "example";
+    request.path = path;
+    request.time_limit = 10s;
+    request.prompt_tokens = 300;
+    request.answer_tokens = 100;
+    request.tells_tokens = true;
+    request.credential = credential;
+    take(router_.onCall(request, now));
+    return CallNumber{numbers_};
+  }
+  void passTime(Duration duration) {
+    const TimePoint end = now + duration;
+    while (now < end) {
+      now = std::min(end, std::max(now + 1ms, router_.nextDeadline()));
+      take(router_.tick(now));
+    }
+  }
+  ResultCode refusal() const {
+    const auto* refused = last<RefuseCallEffect>();
+    return refused == nullptr ? ResultCode::Ok : refused->code;
+  }
+  /// What the leader was told last; nullptr: nothing.
+  const wire::QuotaUse* told() const {
+    for (auto effect = all.rbegin(); effect != all.rend(); ++effect) {
+      const auto* send = std::get_if<wire::SendEffect>(&*effect);
+      const auto* use = send == nullptr ? nullptr : std::get_if<wire::QuotaUse>(&send->message);
+      if (use != nullptr) {
+        return use;
+      }
+    }
+    return nullptr;
+  }
+  void decide(std::uint64_t number, bool granted, std::int64_t retry_after_ms = 0) {
+    wire::QuotaAnswer answer;
+    answer.incarnation = kIncarnation;
+    answer.decisions = {{number, granted, retry_after_ms}};
+    take(router_.receive({kLeader, answer}, now));
+  }
+  CallRouter& keyedRouter() { return router_; }
+
+  std::uint64_t version_ = 0;
+
+ private:
+  NoEventLog log_;
+  CallRouter router_;
+  std::uint64_t numbers_ = 0;
+  std::uint64_t revisions_ = 0;
+};
+
+const Credential kSecret{Credential::Form::Key, "secret"};
+
+TEST_CASE("Only a tenant's key opens a route, and the replica gets the tenant's name and priority") {
+  TenantFixture fixture;
+  fixture.begin();
+  fixture.keyed(kSecret);
+  const auto* sent = fixture.last<SendAttemptEffect>();
+  REQUIRE(sent != nullptr);
+  CHECK(sent->tenant == TenantName("a"));
+  CHECK(sent->withhold_key);
+  CHECK(sent->priority == 6);
+  const auto wrong = GENERATE(
+      Credential{}, Credential{Credential::Form::Malformed, {}}, Credential{Credential::Form::Key, "secre"},
+      Credential{Credential::Form::Key, "secret2"}, Credential{Credential::Form::Key, ""});
+  fixture.keyed(wrong);
+  CHECK(fixture.refusal() == ResultCode::UnknownKey);
+  CHECK(fixture.last<RefuseCallEffect>()->not_run);
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+}
+
+TEST_CASE("A route that is open to all needs no key, and runs no call with a wrong one") {
+  TenantFixture fixture;
+  fixture.begin();
+  fixture.keyed({}, "/safe/x");
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+  CHECK_FALSE(fixture.last<SendAttemptEffect>()->tenant.has_value());
+  fixture.keyed({Credential::Form::Key, "wrong"}, "/safe/x");
+  CHECK(fixture.refusal() == ResultCode::UnknownKey);
+}
+
+TEST_CASE("Once the catalog isn't proved any more, calls with a key are refused at once and open ones run") {
+  TenantFixture fixture;
+  fixture.begin();
+  fixture.passTime(kKeyLifetime);
+  fixture.keyed(kSecret);
+  CHECK(fixture.refusal() == ResultCode::CatalogUnproved);
+  CHECK(fixture.last<RefuseCallEffect>()->retry_after.has_value());
+  fixture.keyed({Credential::Form::Key, "may be new"});
+  CHECK(fixture.refusal() == ResultCode::CatalogUnproved);
+  CHECK(fixture.count<SendAttemptEffect>() == 0);
+  fixture.keyed({}, "/safe/x");
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+}
+
+TEST_CASE("The proof and the key are looked at again when a call that waited is sent") {
+  TenantFixture fixture;
+  fixture.begin();
+  wire::ServiceUpdate none;
+  none.base = LogIndex{(std::uint64_t{1} << 40) | 1};
+  none.removed = {ReplicaId("r1"), ReplicaId("r2"), ReplicaId("r3")};
+  fixture.update(none, 1);
+  fixture.keyed(kSecret);
+  CHECK(fixture.count<SendAttemptEffect>() == 0);
+  REQUIRE(fixture.count<RefuseCallEffect>() == 0);
+  wire::ServiceUpdate back;
+  back.base = none.base;
+  back.replicas = {CallFixture::replica("r4")};
+  SECTION("the key was taken away meanwhile") {
+    fixture.version_ = 2;
+    back.catalog = TenantFixture::keyedCatalog(2, "other");
+    fixture.update(back, 1);
+    CHECK(fixture.count<SendAttemptEffect>() == 0);
+    CHECK(fixture.refusal() == ResultCode::UnknownKey);
+  }
+  SECTION("another catalog still lists it") {
+    fixture.version_ = 2;
+    back.catalog = TenantFixture::keyedCatalog(2, "secret");
+    fixture.update(back, 1);
+    CHECK(fixture.count<SendAttemptEffect>() == 1);
+  }
+}
+
+TEST_CASE("A router that has a catalog and no proof yet holds calls until the proof comes") {
+  TenantFixture fixture;
+  fixture.take(fixture.keyedRouter().tick(fixture.now));
+  wire::ServiceUpdate first;
+  fixture.version_ = 1;
+  first.catalog = TenantFixture::keyedCatalog(1, "secret");
+  first.replicas = {CallFixture::replica("r1")};
+  fixture.update(first, 0);
+  fixture.keyed(kSecret);
+  CHECK(fixture.count<SendAttemptEffect>() == 0);
+  CHECK(fixture.count<RefuseCallEffect>() == 0);
+  fixture.update({}, 1);
+  CHECK(fixture.count<SendAttemptEffect>() == 1);
+}
+
+TEST_CASE("A tenant that isn't limited runs at once, and its use is told together a moment later") {
+  TenantFixture fixture;
+  fixture.begin();
+  fixture.keyed(kSecret);
+  fixture.keyed(kSecret);
+  CHECK(fixture.count<SendAttemptEffect>() == 2);
+  fixture.passTime(60ms);
+  REQUIRE(fixture.told() != nullptr);
+  REQUIRE(fixture.told()->spent.size() == 1);
+  CHECK(fixture.told()->spent[0].total == 800);
+  CHECK(fixture.told()->asks.empty());
+}
+
+TEST_CASE("A call of a limited tenant waits for its credit") {
+  TenantFixture fixture;
+  fixture.begin(true);
+  const CallNumber call = fixture.keyed(kSecret);
+  CHECK(fixture.count<SendAttemptEffect>() == 0);
+  REQUIRE(fixture.told() != nullptr);
+  REQUIRE(fixture.told()->asks.size() == 1);
+  CHECK(fixture.told()->asks[0].amount == 400);
+  SECTION("granted") {
+    fixture.decide(call.value, true);
+    CHECK(fixture.count<SendAttemptEffect>() == 1);
+    fixture.decide(call.value, true);
+    CHECK(fixture.count<SendAttemptEffect>() == 1);
+  }
+  SECTION("refused, with the time at which there is credit") {
+    fixture.decide(call.value, false, 700);
+    CHECK(fixture.refusal() == ResultCode::QuotaSpent);
+    CHECK(fixture.last<RefuseCallEffect>()->not_run);
+    CHECK(fixture.last<RefuseCallEffect>()->retry_after == 700ms);
+  }
+  SECTION("its caller leaves first, and the credit is given back") {
+    fixture.take(fixture.keyedRouter().onCallerGone(call, fixture.now));
+    fixture.decide(call.value, true);
+    fixture.passTime(60ms);
+    REQUIRE(fixture.told()->spent.size() == 1);
+    CHECK(fixture.told()->spent[0].total == -400);
+  }
+}
+
+TEST_CASE("A call that was charged and certainly didn't run gives its credit back, once") {
+  TenantFixture fixture;
+  fixture.begin();
+  fixture.keyed(kSecret);
+  fixture.passTime(60ms);
+  REQUIRE(fixture.told()->spent[0].total == 400);
+  SECTION("refused by replicas") {
+    for (int i = 0; i < 3; ++i) {
+      fixture.take(fixture.keyedRouter().onAnswer(fixture.attempt(), {503, true}, fixture.now));
+    }
+    REQUIRE(fixture.count<RefuseCallEffect>() == 1);
+    fixture.passTime(60ms);
+    CHECK(fixture.told()->spent[0].total == 0);
+  }
+  SECTION("it may have run") {
+    fixture.take(
+        fixture.keyedRouter().onFailure(fixture.attempt(), AttemptFailure::Unproved, "reset", fixture.now));
+    REQUIRE(fixture.count<RefuseCallEffect>() == 1);
+    fixture.passTime(60ms);
+    CHECK(fixture.told()->spent[0].total == 400);
+  }
+}
+
+}  // namespace
+}  // namespace ferryrock::calls
--- a/tests/consensus/fault_table_test.cc
+++ b/tests/consensus/fault_table_test.cc
@@ -72,7 +72,12 @@
 
 void leaderCutOffForAnHour(CellHarness& cell) {
   SimulatedMember& old_leader = awaitLeader(cell);
+  cell.runFor(seconds(1));
+  const TimePoint cut_at = cell.localTime(old_leader);
+  CHECK(old_leader.log->followedAt(cut_at) > cut_at - milliseconds(400));
   cutOff(cell, old_leader, minutes(60));
+  cell.runFor(milliseconds(300));
+  CHECK(old_leader.log->followedAt(cell.localTime(old_leader)).value_or(cut_at) <= cut_at);
   cell.runFor(seconds(3));
   CHECK(old_leader.log->role() != Role::Leader);
   CHECK_FALSE(old_leader.log->hasLease(cell.localTime(old_leader)));
--- a/tests/platform/names_test.sh
+++ b/tests/platform/names_test.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$1"
 
-readonly names='X-Server-Seal|X-Not-Executed|X-Expect-Instance|X-Token-Count|X-Prompt-Prefix|Kv-Fetch|kv-events|/v1/order|/v1/report|/v1/config|/v1/resolve|/v1/instances|beatAddr|faultCounted|pathPrefix|trafficSplit|fencingToken'
+readonly names='X-Server-Seal|X-Not-Executed|X-Expect-Instance|X-Token-Count|X-Prompt-Prefix|Kv-Fetch|kv-events|/v1/order|/v1/report|/v1/config|/v1/resolve|/v1/instances|beatAddr|faultCounted|apiKeys|ratePerS|plainTokens|allowAnonymous|X-Tenant|X-Hold|X-Pin-Ms|X-Kv-Backup|Kv-From|pathPrefix|trafficSplit|fencingToken'
 failed=0
 if found=$(grep -rnE "$names" src bench tests --include='*.cc' --include='*.h' --exclude-dir=platform); then
   echo "names of the platform stand outside platform/:"
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -72,6 +72,53 @@
   CHECK(http::findHeader(kDialect.attempt(effect, call.content).headers, "Last-Event-Id") == "20");
 }
 
+/// What a client may send in the place of a header that only the system sets.
+TEST_CASE("A header that only the system sets never reaches a replica as a client sent it") {
+  const auto name = GENERATE("X-Hold", "x-hold", "X-PIN-MS", "X-Kv-Backup", "kv-from", "Kv-Fetch", "X-Tenant",
+                             "x-TENANT", "X-Request-Priority", "X-Expect-Version");
+  http::Request forged = request();
+  forged.headers.push_back({name, "forged"});
+  forged.headers.push_back({name, "forged again"});
+  forged.headers.push_back({"X-Expect-Instance", "forged"});
+  const auto call = kDialect.parse(forged);
+  calls::SendAttemptEffect effect;
+  effect.replica = ReplicaId("i-7f");
+  const http::ClientRequest sent = kDialect.attempt(effect, call.content);
+  CHECK_FALSE(http::findHeader(sent.headers, name).has_value());
+  for (const http::Header& header : sent.headers) {
+    CHECK(header.value.find("forged") == std::string::npos);
+  }
+  CHECK(http::findHeader(sent.headers, "X-Expect-Instance") == "i-7f");
+}
+
+TEST_CASE("A Connection header takes away no header that the platform gives a meaning to") {
+  http::Request listed = request();
+  listed.headers.push_back({"X-Hop", "1"});
+  listed.headers[7].value =
+      "close, X-Attempt-Id, x-model, X-Token-Count, X-Prompt-Prefix, X-Hop, Last-Event-Id";
+  const auto call = kDialect.parse(listed);
+  const http::ClientRequest sent = kDialect.attempt({}, call.content);
+  CHECK(http::findHeader(sent.headers, "X-Attempt-Id") == "9c41");
+  CHECK(http::findHeader(sent.headers, "X-Model") == "daka51/a3");
+  CHECK(http::findHeader(sent.headers, "X-Token-Count") == "1460,80");
+  CHECK(http::findHeader(sent.headers, "X-Prompt-Prefix") == "5c:800,91:410,e4:250");
+  CHECK(http::findHeader(sent.headers, "Last-Event-Id") == "12");
+  CHECK_FALSE(http::findHeader(sent.headers, "X-Hop").has_value());
+}
+
+TEST_CASE("A replica gets the tenant's name in place of the key") {
+  http::Request keyed = request();
+  keyed.headers.push_back({"authorization", "Bearer secret"});
+  const auto call = kDialect.parse(keyed);
+  calls::SendAttemptEffect effect;
+  CHECK(http::findHeader(kDialect.attempt(effect, call.content).headers, "Authorization") == "Bearer secret");
+  effect.withhold_key = true;
+  effect.tenant = TenantName("hule930");
+  const http::ClientRequest sent = kDialect.attempt(effect, call.content);
+  CHECK_FALSE(http::findHeader(sent.headers, "Authorization").has_value());
+  CHECK(http::findHeader(sent.headers, "X-Tenant") == "hule930");
+}
+
 TEST_CASE("A success needs this call's id and a seal, a failure the id alone") {
   const RequestId id("9c41");
   CHECK(kDialect.answersCall(id, 200, {{"X-Attempt-Id", "9c41"}, {"X-Server-Seal", "s"}}));
--- /dev/null
+++ b/tests/services/key_revocation_test.cc
@@ -0,0 +1,184 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "services/service_cluster.h"
+
+/// How long a key that was taken away is still obeyed, and whether one that is valid is obeyed, while
+/// machines and links fail.
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The users' limit is 5 s; routers keep 250 ms of it in hand.
+constexpr Duration kRevocationLimit = 5s;
+constexpr Duration kKeyLifetime = 4750ms;
+constexpr Duration kProbeInterval = 50ms;
+
+wire::ServiceCatalog catalogWithKeys(std::uint64_t version, std::vector<std::string> keys) {
+  wire::ServiceCatalog catalog = makeCatalog(version);
+  catalog.has_tenants = true;
+  wire::Tenant tenant;
+  tenant.name = TenantName("a");
+  tenant.keys = std::move(keys);
+  catalog.tenants = {tenant};
+  return catalog;
+}
+
+/// Five voters and three of the product's own routers, whose catalog lists the keys "stays" and "goes".
+struct KeyedDeployment {
+  explicit KeyedDeployment(std::uint64_t seed) : cluster(3, 2, seed) {
+    cluster.key_lifetime = kKeyLifetime;
+    cluster.addMember("10.0.0.4:7000");
+    cluster.addMember("10.0.0.5:7000");
+    REQUIRE(cluster.runUntil([this] {
+      ServiceMember* leader = cluster.leader();
+      return leader != nullptr && leader->control->view(cluster.now()).voters == 5;
+    }));
+    for (const char* name : {"edge-1", "edge-2", "edge-3"}) {
+      routers.push_back(&cluster.addCallRouter(name));
+    }
+    REQUIRE(cluster.replaceAcknowledged(catalogWithKeys(1, {"stays", "goes"})));
+    cluster.runFor(2s);
+  }
+  /// One call with the key at each router that runs; how many routers admit it.
+  std::size_t admittedBy(const std::string& key) {
+    std::size_t admitted = 0;
+    for (RunningRouter* router : routers) {
+      if (cluster.now() < router->frozen_until) {
+        continue;
+      }
+      const std::size_t before = router->log.admitted;
+      cluster.call(*router, key);
+      admitted += router->log.admitted - before;
+    }
+    return admitted;
+  }
+  ServiceMember& otherThan(const ServiceMember& member) {
+    return cluster.member(&cluster.member(0) == &member ? 1 : 0);
+  }
+  void cutOff(ServiceMember& member) {
+    for (std::size_t i = 0; i < 5; ++i) {
+      if (&cluster.member(i) != &member) {
+        cluster.cutLink(member.node, cluster.member(i).node);
+      }
+    }
+  }
+
+  ServiceCluster cluster;
+  std::vector<RunningRouter*> routers;
+};
+
+/// A fault that begins `before` the key is taken away.
+struct RevocationFault {
+  const char* name;
+  std::function<void(KeyedDeployment&)> begin;
+};
+
+const std::vector<RevocationFault>& faults() {
+  static const std::vector<RevocationFault> kFaults = {
+      {"none", [](KeyedDeployment&) {}},
+      {"a router is cut off", [](KeyedDeployment& it) { it.cluster.isolate(it.routers[0]->node); }},
+      {"a router's connection to the leader falls silent",
+       [](KeyedDeployment& it) { it.cluster.silence(it.routers[0]->node, it.cluster.leader()->node); }},
+      {"a router is frozen for 6 s", [](KeyedDeployment& it) { it.cluster.freeze(*it.routers[0], 6s); }},
+      {"a router is frozen for 4 s", [](KeyedDeployment& it) { it.cluster.freeze(*it.routers[0], 4s); }},
+      {"a router starts again", [](KeyedDeployment& it) { it.cluster.restart(*it.routers[0]); }},
+      {"the leader is killed", [](KeyedDeployment& it) { it.cluster.kill(*it.cluster.leader()); }},
+      {"the leader is frozen for 3 s",
+       [](KeyedDeployment& it) { it.cluster.freeze(*it.cluster.leader(), 3s); }},
+      {"the leader is frozen for 7 s",
+       [](KeyedDeployment& it) { it.cluster.freeze(*it.cluster.leader(), 7s); }},
+      {"the leader is cut from the members, not from the routers",
+       [](KeyedDeployment& it) { it.cutOff(*it.cluster.leader()); }},
+      {"the leader is cut from the members, and two of these start again at once",
+       [](KeyedDeployment& it) {
+         ServiceMember& leader = *it.cluster.leader();
+         it.cutOff(leader);
+         for (std::size_t i = 0, restarted = 0; restarted < 2; ++i) {
+           if (&it.cluster.member(i) != &leader) {
+             it.cluster.kill(it.cluster.member(i));
+             it.cluster.start(it.cluster.member(i));
+             ++restarted;
+           }
+         }
+       }},
+      {"a member loses its disk",
+       [](KeyedDeployment& it) {
+         ServiceMember& member = it.otherThan(*it.cluster.leader());
+         it.cluster.wipe(member);
+         it.cluster.start(member);
+       }},
+      {"every member loses power", [](KeyedDeployment& it) {
+         for (std::size_t i = 0; i < 5; ++i) {
+           it.cluster.powerOff(it.cluster.member(i));
+         }
+         for (std::size_t i = 0; i < 5; ++i) {
+           it.cluster.start(it.cluster.member(i));
+         }
+       }}};
+  return kFaults;
+}
+
+TEST_CASE("A key that was taken away is obeyed by no router after the limit, whatever fails") {
+  const auto fault = GENERATE(range(0, 13));
+  const auto before = GENERATE(0ms, 300ms, 2000ms, 4000ms);
+  const auto seed = GENERATE(range(1, 4));
+  const RevocationFault& played = faults().at(static_cast<std::size_t>(fault));
+  INFO(played.name << ", " << before.count() << " ms before, seed " << seed);
+  KeyedDeployment deployment(static_cast<std::uint64_t>(seed));
+  REQUIRE(deployment.admittedBy("goes") == 3);
+  played.begin(deployment);
+  deployment.cluster.runFor(before);
+  REQUIRE(deployment.cluster.replaceAcknowledged(catalogWithKeys(2, {"stays"}), 20s));
+  const TimePoint acknowledged = deployment.cluster.now();
+  std::size_t late = 0;
+  while (deployment.cluster.now() < acknowledged + 12s) {
+    deployment.cluster.runFor(kProbeInterval);
+    const std::size_t admitted = deployment.admittedBy("goes");
+    late += deployment.cluster.now() > acknowledged + kRevocationLimit ? admitted : 0;
+  }
+  CHECK(late == 0);
+}
+
+TEST_CASE("Routers go on obeying a valid key through the loss of a leader") {
+  const auto fault = GENERATE(0, 6, 7, 9);
+  const auto seed = GENERATE(range(1, 6));
+  const RevocationFault& played = faults().at(static_cast<std::size_t>(fault));
+  INFO(played.name << ", seed " << seed);
+  KeyedDeployment deployment(static_cast<std::uint64_t>(seed));
+  played.begin(deployment);
+  std::size_t refused = 0;
+  for (Duration passed{}; passed < 10s; passed += kProbeInterval) {
+    deployment.cluster.runFor(kProbeInterval);
+    refused += 3 - deployment.admittedBy("stays");
+  }
+  CHECK(refused == 0);
+}
+
+TEST_CASE(
+    "A router that starts again, or whose cell lost power, obeys a valid key within a second of a leader") {
+  const auto fault = GENERATE(5, 12);
+  const auto seed = GENERATE(range(1, 6));
+  const RevocationFault& played = faults().at(static_cast<std::size_t>(fault));
+  INFO(played.name << ", seed " << seed);
+  KeyedDeployment deployment(static_cast<std::uint64_t>(seed));
+  played.begin(deployment);
+  REQUIRE(deployment.cluster.runUntil([&] { return deployment.cluster.leader() != nullptr; }));
+  deployment.cluster.runFor(1s);
+  CHECK(deployment.admittedBy("stays") == 3);
+}
+
+TEST_CASE("A key that is new is obeyed, and never refused as unknown, by routers that can be sure") {
+  KeyedDeployment deployment(3);
+  REQUIRE(deployment.cluster.replaceAcknowledged(catalogWithKeys(2, {"stays", "new"})));
+  deployment.cluster.runFor(500ms);
+  CHECK(deployment.admittedBy("new") == 3);
+  CHECK(deployment.admittedBy("goes") == 0);
+}
+
+}  // namespace
+}  // namespace ferryrock::services
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -180,20 +180,37 @@
 RunningRouter& ServiceCluster::addCallRouter(const std::string& name) {
   auto router = std::make_unique<RunningRouter>();
   router->node = NodeName(name);
-  calls::CallRouterSettings settings;
-  settings.feed.router = router->node;
-  settings.feed.address = name + ":80";
-  settings.feed.incarnation = random_.next();
-  settings.feed.seeds = seeds_;
-  router->logic = std::make_unique<calls::CallRouter>(settings, router->log, time_);
+  restart(*router);
   RunningRouter& added = *router;
   call_routers_[added.node] = std::move(router);
   tickRouter(added);
   return added;
 }
 
+void ServiceCluster::restart(RunningRouter& router) {
+  calls::CallRouterSettings settings;
+  settings.feed.router = router.node;
+  settings.feed.address = router.node.value + ":80";
+  settings.feed.incarnation = random_.next();
+  settings.feed.seeds = seeds_;
+  settings.feed.key_lifetime = key_lifetime;
+  router.logic = std::make_unique<calls::CallRouter>(settings, router.log, time_);
+}
+
+void ServiceCluster::call(RunningRouter& router, const std::string& key) {
+  calls::CallRequest request;
+  request.number = calls::CallNumber{++router.calls};
+  request.id = RequestId("call-" + std::to_string(router.calls));
+  request.host = "example";
+  request.path = "/desk/x";
+  request.credential = {tenancy::Credential::Form::Key, key};
+  carryOut(router, router.logic->onCall(std::move(request), time_));
+}
+
 void ServiceCluster::tickRouter(RunningRouter& router) {
-  carryOut(router, router.logic->tick(time_));
+  if (time_ >= router.frozen_until) {
+    carryOut(router, router.logic->tick(time_));
+  }
   after(kTickDelay, [this, &router] { tickRouter(router); });
 }
 
@@ -246,6 +263,14 @@
   if (!member.control) {
     return;
   }
+  if (time_ < member.frozen_until) {
+    after(member.frozen_until - time_, [this, &member, action, starts = member.starts] {
+      if (member.starts == starts) {
+        act(member, action);
+      }
+    });
+    return;
+  }
   Effects effects = action(*member.control, time_);
   for (Effect& effect : effects) {
     if (const auto* send = std::get_if<wire::SendEffect>(&effect)) {
@@ -326,7 +351,7 @@
     for (const auto& member : members_) {
       if (member->node == to) {
         act(*member,
-            [&envelope](ServiceControl& control, TimePoint now) { return control.receive(envelope, now); });
+            [envelope](ServiceControl& control, TimePoint now) { return control.receive(envelope, now); });
       }
     }
     const auto router = routers_.find(to);
@@ -336,11 +361,19 @@
     }
     const auto call_router = call_routers_.find(to);
     if (call_router != call_routers_.end()) {
-      carryOut(*call_router->second, call_router->second->logic->receive(envelope, time_));
+      receive(*call_router->second, envelope);
     }
   });
 }
 
+void ServiceCluster::receive(RunningRouter& router, const wire::Envelope& envelope) {
+  if (time_ < router.frozen_until) {
+    after(router.frozen_until - time_, [this, &router, envelope] { receive(router, envelope); });
+    return;
+  }
+  carryOut(router, router.logic->receive(envelope, time_));
+}
+
 void ServiceCluster::countEntries(const wire::Message& message) {
   if (const auto* update = std::get_if<wire::ServiceUpdate>(&message)) {
     if (time_ - entries_since_ >= kTickDelay) {
@@ -356,11 +389,11 @@
   return replace(member, makeCatalog(version));
 }
 
-std::uint64_t ServiceCluster::replace(ServiceMember& member, wire::ServiceCatalog catalog) {
+std::uint64_t ServiceCluster::replace(ServiceMember& member, const wire::ServiceCatalog& catalog) {
   const QuestionNumber question{next_question_++};
   const std::string source = "catalog " + std::to_string(catalog.version.value);
-  act(member, [&](ServiceControl& control, TimePoint now) {
-    return control.replaceCatalog(question, std::move(catalog), source, now);
+  act(member, [question, catalog, source](ServiceControl& control, TimePoint now) {
+    return control.replaceCatalog(question, catalog, source, now);
   });
   return question.value;
 }
@@ -374,8 +407,9 @@
 
 std::uint64_t ServiceCluster::report(ServiceMember& member, const wire::ReplicaReport& report) {
   const QuestionNumber question{next_question_++};
-  act(member,
-      [&](ServiceControl& control, TimePoint now) { return control.onReport(question, report, now); });
+  act(member, [question, report](ServiceControl& control, TimePoint now) {
+    return control.onReport(question, report, now);
+  });
   return question.value;
 }
 
@@ -385,13 +419,17 @@
 }
 
 bool ServiceCluster::replaceAcknowledged(std::uint64_t version, Duration limit) {
+  return replaceAcknowledged(makeCatalog(version), limit);
+}
+
+bool ServiceCluster::replaceAcknowledged(const wire::ServiceCatalog& catalog, Duration limit) {
   const TimePoint end = time_ + limit;
   while (time_ < end) {
     if (!runUntil([this] { return leader() != nullptr; }, end - time_)) {
       return false;
     }
     ServiceMember& member = *leader();
-    const std::uint64_t question = replace(member, version);
+    const std::uint64_t question = replace(member, catalog);
     runUntil([&] { return codeOf(member, question).has_value() || !member.control; }, 5s);
     if (codeOf(member, question) == ResultCode::Ok) {
       return true;
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -33,6 +33,7 @@
   std::vector<consensus::PersistEffect> unsynced;
   bool disk_hangs = false;
   bool disk_failed = false;  ///< and wasn't mended since
+  TimePoint frozen_until{};
   std::map<std::uint64_t, AnswerEffect> answers;
 };
 
@@ -47,11 +48,22 @@
   bool silent = false;
 };
 
+/// Counts the calls that a router admits.
+class AdmissionLog : public EventLog {
+ public:
+  void write(LogLevel, std::string_view event, std::initializer_list<LogField>) override {
+    admitted += event == "call.admitted" ? 1 : 0;
+  }
+  std::size_t admitted = 0;
+};
+
 /// The product's own router of calls.
 struct RunningRouter {
   NodeName node;
-  NoEventLog log;
+  AdmissionLog log;
   std::unique_ptr<calls::CallRouter> logic;
+  std::uint64_t calls = 0;
+  TimePoint frozen_until{};
 };
 
 class ServiceCluster {
@@ -79,6 +91,15 @@
 
   ScriptedRouter& addRouter(const std::string& name);
   RunningRouter& addCallRouter(const std::string& name);
+  /// Another process at the same address; messages to the one before may still come to it.
+  void restart(RunningRouter& router);
+  /// Takes messages and looks at its clock again only after this time.
+  void freeze(RunningRouter& router, Duration duration) { router.frozen_until = time_ + duration; }
+  void freeze(ServiceMember& member, Duration duration) { member.frozen_until = time_ + duration; }
+  /// A call with the key arrives at the router.
+  void call(RunningRouter& router, const std::string& key);
+  /// Of routers that are added or restarted later.
+  std::optional<Duration> key_lifetime;
 
   /// The router tells its status out of turn.
   void tell(ScriptedRouter& router);
@@ -87,13 +108,14 @@
   bool runUntil(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(30));
 
   std::uint64_t replace(ServiceMember& member, std::uint64_t version);
-  std::uint64_t replace(ServiceMember& member, wire::ServiceCatalog catalog);
+  std::uint64_t replace(ServiceMember& member, const wire::ServiceCatalog& catalog);
   std::uint64_t read(ServiceMember& member);
   std::uint64_t report(ServiceMember& member, const wire::ReplicaReport& report);
   /// nullopt: not answered yet.
   static std::optional<ResultCode> codeOf(const ServiceMember& member, std::uint64_t question);
   /// Replaces at whoever leads until it is acknowledged; false if it never was.
   bool replaceAcknowledged(std::uint64_t version, Duration limit = std::chrono::seconds(30));
+  bool replaceAcknowledged(const wire::ServiceCatalog& catalog, Duration limit = std::chrono::seconds(30));
   /// Reads at whoever leads until it is answered.
   std::string readConfirmed();
 
@@ -122,6 +144,7 @@
   void beatRouter(ScriptedRouter& router);
   void takeUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update);
   void tickRouter(RunningRouter& router);
+  void receive(RunningRouter& router, const wire::Envelope& envelope);
   void countEntries(const wire::Message& message);
   void carryOut(RunningRouter& router, const calls::Effects& effects);
 
