--- a/tests/services/store_loads_test.cc
+++ b/tests/services/store_loads_test.cc
@@ -43,6 +43,19 @@
   CHECK(loads.width() >= 2 * 4);
 }
 
+/// Four loads of 16 s that share a store of one place all end after 64 s; one after the other, three of them
+/// have ended by then, the first after 16 s.
+TEST_CASE("Long loads begin one at a time until the store's width is known") {
+  constexpr Duration kLong = 16s;
+  StoreLoads loads;
+  loads.expectLoad(kLong);
+  std::size_t begun = 0;
+  while (loads.mayBegin(0, kStart)) {
+    loads.onBegun(replica(begun++), kLong, kStart);
+  }
+  CHECK(begun == 1);
+}
+
 TEST_CASE("The store's width follows from how much loads slow each other") {
   StoreLoads loads;
   constexpr std::size_t kTrueWidth = 2;
