Test how keys and tenants are read, and that no message shows a key

Cause: the reading of keys and of catalogs with tenants had no case of its own. Change: a table of malformed keys, catalogs cut short at each byte, tenants that share a key or a name.

--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -119,6 +119,40 @@
   CHECK(http::findHeader(sent.headers, "X-Tenant") == "hule930");
 }
 
+struct CredentialCase {
+  const char* name;
+  std::vector<http::Header> headers;
+  tenancy::Credential::Form form;
+  const char* key;
+};
+
+TEST_CASE("A key is read from one well-formed header only") {
+  using Form = tenancy::Credential::Form;
+  const std::string longest(8'000, 'k');
+  const std::vector<CredentialCase> cases = {
+      {"none", {}, Form::None, ""},
+      {"a key", {{"Authorization", "Bearer k1"}}, Form::Key, "k1"},
+      {"odd case", {{"aUTHORIZATION", "bEARER k1"}}, Form::Key, "k1"},
+      {"an overlong key", {{"Authorization", "Bearer " + longest}}, Form::Key, longest.c_str()},
+      {"empty", {{"Authorization", ""}}, Form::Malformed, ""},
+      {"no key", {{"Authorization", "Bearer"}}, Form::Malformed, ""},
+      {"an empty key", {{"Authorization", "Bearer "}}, Form::Malformed, ""},
+      {"another scheme", {{"Authorization", "Basic azE="}}, Form::Malformed, ""},
+      {"two keys in one header", {{"Authorization", "Bearer k1 k2"}}, Form::Malformed, ""},
+      {"a key twice", {{"Authorization", "Bearer k1"}, {"authorization", "Bearer k1"}}, Form::Malformed, ""},
+      {"not ASCII", {{"Authorization", "Bearer k\xc3\xa9"}}, Form::Malformed, ""},
+      {"a control character", {{"Authorization", "Bearer k\t1"}}, Form::Malformed, ""},
+  };
+  for (const CredentialCase& given : cases) {
+    INFO(given.name);
+    http::Request keyed = request();
+    keyed.headers.insert(keyed.headers.end(), given.headers.begin(), given.headers.end());
+    const tenancy::Credential credential = kDialect.parse(keyed).request.credential;
+    CHECK(credential.form == given.form);
+    CHECK(credential.key == given.key);
+  }
+}
+
 TEST_CASE("A success needs this call's id and a seal, a failure the id alone") {
   const RequestId id("9c41");
   CHECK(kDialect.answersCall(id, 200, {{"X-Attempt-Id", "9c41"}, {"X-Server-Seal", "s"}}));
@@ -157,6 +191,37 @@
     R"("loadTimeS":2.5,"adapters":37,"adapterMb":66.0,"warmS":0.89,"diskLoadS":1.2}]}},{"name":"t"}],)"
     R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
+const std::string kTenants =
+    R"({"generation":7,"routes":[{"name":"r1","host":"h","pathPrefix":"/a/","kind":"safe","timeoutMs":1000,)"
+    R"("service":"s","allowAnonymous":true}],"services":[{"name":"s"}],"tenants":[{"name":"a",)"
+    R"("apiKeys":["secret-1","secret-2"],"priority":1,"unit":"token_stream","plainTokens":200,"ratePerS":2700,)"
+    R"("burst":900},{"name":"b","apiKeys":[],"unit":"request","ratePerS":5},{"name":"c","ratePerS":0}]})";
+
+TEST_CASE("A configuration's tenants are read, and an absent limit is none") {
+  const wire::ServiceCatalog catalog = parseCatalog(kTenants);
+  CHECK(catalog.has_tenants);
+  CHECK(catalog.routes.at(0).open_to_all);
+  REQUIRE(catalog.tenants.size() == 3);
+  CHECK(catalog.tenants[0].keys == std::vector<std::string>{"secret-1", "secret-2"});
+  CHECK(catalog.tenants[0].priority == 1U);
+  CHECK(catalog.tenants[0].quota == wire::TenantQuota{wire::QuotaUnit::Tokens, 2700, 900, 200});
+  CHECK_FALSE(catalog.tenants[1].priority.has_value());
+  CHECK(catalog.tenants[1].quota == wire::TenantQuota{wire::QuotaUnit::Calls, 5, 0, 1});
+  CHECK_FALSE(catalog.tenants[2].quota.has_value());
+  CHECK_FALSE(parseCatalog(kCatalog).has_tenants);
+}
+
+TEST_CASE("What is said of a configuration that can't be read shows no key of it") {
+  for (std::size_t length = 1; length < kTenants.size(); ++length) {
+    try {
+      parseCatalog(std::string_view(kTenants).substr(0, length));
+      FAIL("read a part of " << length << " bytes");
+    } catch (const Error& fault) {
+      CHECK(std::string(fault.what()).find("secr") == std::string::npos);
+    }
+  }
+}
+
 TEST_CASE("A configuration is read whole") {
   const wire::ServiceCatalog catalog = parseCatalog(kCatalog);
   CHECK(catalog.version == CatalogVersion{7});
--- a/tests/services/registry_test.cc
+++ b/tests/services/registry_test.cc
@@ -218,6 +218,14 @@
       {"no target", [](wire::ServiceCatalog& c) { c.routes[0].targets.clear(); }},
       {"no timeout", [](wire::ServiceCatalog& c) { c.routes[0].timeout_ms = 0; }},
       {"same place", [](wire::ServiceCatalog& c) { c.routes[0].path_prefix = c.routes[1].path_prefix; }},
+      {"shared key",
+       [](wire::ServiceCatalog& c) {
+         c.tenants = {{TenantName("a"), {"k1", "k2"}, {}, {}}, {TenantName("b"), {"k3", "k2"}, {}, {}}};
+       }},
+      {"same tenant",
+       [](wire::ServiceCatalog& c) {
+         c.tenants = {{TenantName("a"), {"k1"}, {}, {}}, {TenantName("a"), {"k2"}, {}, {}}};
+       }},
       {"same service", [](wire::ServiceCatalog& c) { c.services[0].name = c.services[1].name; }},
   };
   CHECK_NOTHROW(checkCatalog(makeCatalog(1)));
@@ -231,6 +239,7 @@
     } catch (const Error& fault) {
       CHECK(fault.code() == ResultCode::InvalidCatalog);
       CHECK_FALSE(fault.place().empty());
+      CHECK(std::string(fault.what()).find("k2") == std::string::npos);
     }
   }
 }
