Play a store of one place and check how many models callers get

Cause: the first width for long loads had a test of the decision, none of what callers get from it. Change: a store that loads share, asked for models that nobody has near.

--- a/tests/services/store_loads_test.cc
+++ b/tests/services/store_loads_test.cc
@@ -1,6 +1,9 @@
 #include "services/store_loads.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -56,6 +59,46 @@
   CHECK(begun == 1);
 }
 
+/// A store in which `places` loads have full speed and more share it, asked for models that nobody has near.
+std::size_t modelsServing(std::size_t places, Duration nominal, Duration within) {
+  constexpr std::size_t kModels = 12;
+  constexpr Duration kStep = 100ms;
+  StoreLoads loads;
+  std::map<std::size_t, Duration> left;  ///< of the loads under way, at full speed
+  std::size_t next = 0;
+  std::size_t serving = 0;
+  for (TimePoint now = kStart; now < kStart + within; now += kStep) {
+    loads.expectLoad(nominal);
+    while (next < kModels && loads.mayBegin(0, now)) {
+      loads.onBegun(replica(next), nominal, now);
+      left[next++] = nominal;
+    }
+    const auto crowd = static_cast<std::int64_t>(std::max(places, left.size()));
+    const Duration progress = kStep * static_cast<std::int64_t>(places) / crowd;
+    for (auto& [model, rest] : left) {
+      rest -= progress;
+      if (rest <= Duration::zero()) {
+        loads.onEnded(replica(model), now + kReport);
+        ++serving;
+      }
+    }
+    std::erase_if(left, [](const auto& item) { return item.second <= Duration::zero(); });
+    loads.observeOverdue(now);
+  }
+  return serving;
+}
+
+/// Models of 16 s at a store of one place, as its callers see them. Before long loads began one at a time none
+/// was served within 50 s.
+TEST_CASE("A store of one place and long loads brings one model after the other") {
+  CHECK(modelsServing(1, 16s, 50s) >= 2);
+  CHECK(modelsServing(1, 16s, 120s) >= 6);
+}
+
+TEST_CASE("A store of many places and short loads isn't held back") {
+  CHECK(modelsServing(8, 3s, 10s) >= 12);
+}
+
 TEST_CASE("The store's width follows from how much loads slow each other") {
   StoreLoads loads;
   constexpr std::size_t kTrueWidth = 2;
