--- a/tests/services/store_loads_test.cc
+++ b/tests/services/store_loads_test.cc
@@ -88,8 +88,8 @@
   return serving;
 }
 
-/// Models of 16 s at a store of one place, as its callers see them. Before long loads began one at a time none
-/// was served within 50 s.
+/// Models of 16 s at a store of one place, as its callers see them. Before long loads began one at a time
+/// none was served within 50 s.
 TEST_CASE("A store of one place and long loads brings one model after the other") {
   CHECK(modelsServing(1, 16s, 50s) >= 2);
   CHECK(modelsServing(1, 16s, 120s) >= 6);
