Split what a call router exchanges with control members into a file of its own

Change: catalogs, replica tables and wants move to call_router_control.cc as they are; no behaviour changes.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -1,7 +1,6 @@
 #include "calls/call_router.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace ferryrock::calls {
@@ -17,8 +16,6 @@
 /// How long a call waits for the first catalog, and what share of its time at most.
 constexpr Duration kCatalogWait = 1500ms;
 constexpr double kCatalogWaitShare = 0.5;
-/// Between two log lines of the replica table.
-constexpr Duration kTableNoteInterval = 1s;
 constexpr Duration kComeBackAtOnce = 10ms;
 constexpr Duration kComeBackSoon = 200ms;
 constexpr Duration kComeBackLater = 1s;
@@ -329,68 +326,6 @@
   }
 }
 
-Effects CallRouter::receive(const wire::Envelope& envelope, TimePoint now) {
-  if (const auto* update = std::get_if<wire::ServiceUpdate>(&envelope.message)) {
-    applyUpdate(envelope.from, *update, now);
-  } else if (const auto* list = std::get_if<wire::MemberList>(&envelope.message)) {
-    feed_.accept(envelope.from, *list);
-  } else if (const auto* late = std::get_if<wire::CatalogUpdate>(&envelope.message)) {
-    feed_.noteAnswer(envelope.from);
-    takeCatalog(envelope.from, late->catalog, feed_.leaderHeard(), now);
-  } else if (const auto* answer = std::get_if<wire::QuotaAnswer>(&envelope.message)) {
-    feed_.noteAnswer(envelope.from);
-    resolveQuotas(quota_.accept(*answer, now), now);
-  }
-  return finish(now);
-}
-
-void CallRouter::takeCatalog(const NodeName& from, const wire::ServiceCatalog& catalog,
-                             std::optional<TimePoint> leader_heard, TimePoint now) {
-  if (catalog.version <= catalogVersion()) {
-    return;
-  }
-  routes_ = std::make_shared<const RouteTable>(catalog);
-  feed_.tellAll();
-  routeWaiting(now);
-  log_.write(LogLevel::Info, "catalog.in_force",
-             {{"version", static_cast<std::int64_t>(routes_->version().value)},
-              {"routes", static_cast<std::int64_t>(catalog.routes.size())},
-              {"from", view(from.value)},
-              {"confirmed_ms_ago", leader_heard ? toMilliseconds(now - *leader_heard) : -1}});
-}
-
-void CallRouter::applyUpdate(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now) {
-  const NodeName leader = feed_.leader();
-  const std::optional<TimePoint> heard = feed_.leaderHeard();
-  const bool replicas_follow = feed_.accept(from, update, now);
-  if (feed_.leader() != leader) {
-    log_.write(LogLevel::Info, "control.leader",
-               {{"leader", view(feed_.leader().value)},
-                {"revision", static_cast<std::int64_t>(update.revision.value)}});
-  }
-  quota_.onUpdate(from, update, now);
-  if (update.catalog) {
-    takeCatalog(from, *update.catalog, heard, now);
-  }
-  const bool proved = feed_.proof().holds(now);
-  feed_.confirm(update, catalogVersion());
-  if (!proved && feed_.proof().holds(now)) {
-    log_.write(LogLevel::Info, "catalog.proved",
-               {{"version", static_cast<std::int64_t>(catalogVersion().value)}, {"by", view(from.value)}});
-    routeWaiting(now);
-  }
-  budget_.setRouters(update.routers);
-  replicas_.setRouters(update.routers);
-  loads_.accept(update.coming, now);
-  dispatch_wanted_ = dispatch_wanted_ || !update.coming.empty();
-  if (!replicas_follow) {
-    return;
-  }
-  noteTable(update, now);
-  replicas_.apply(update);
-  dispatch_wanted_ = dispatch_wanted_ || !update.replicas.empty() || !update.removed.empty();
-}
-
 Effects CallRouter::tick(TimePoint now) {
   resolveQuotas(quota_.tick(now), now);
   while (!timers_.empty() && timers_.begin()->first <= now) {
@@ -422,14 +357,6 @@
   return finish(now);
 }
 
-std::vector<std::string> CallRouter::directory() const {
-  std::vector<std::string> addresses = feed_.directory();
-  if (draining_) {
-    std::erase(addresses, settings_.feed.address);
-  }
-  return addresses;
-}
-
 Effects CallRouter::endDrain(TimePoint now) {
   while (!calls_.empty()) {
     const CallPointer call = calls_.begin();
@@ -442,90 +369,6 @@
   return finish(now);
 }
 
-/// A line for each replica that leaves or is gone. What else changes in the table, thousands of entries a
-/// minute in a large fleet, is counted.
-void CallRouter::noteTable(const wire::ServiceUpdate& update, TimePoint now) {
-  for (const wire::RoutedReplica& replica : update.replicas) {
-    const Replica* known = replicas_.find(replica.id);
-    if (!replica.accepting && (known == nullptr || known->routed.accepting)) {
-      log_.write(LogLevel::Info, "replica.leaving",
-                 {{"replica", view(replica.id.value)},
-                  {"service", view(replica.service.value)},
-                  {"revision", static_cast<std::int64_t>(update.revision.value)}});
-    }
-  }
-  for (const ReplicaId& id : update.removed) {
-    log_.write(LogLevel::Info, "replica.gone", {{"replica", view(id.value)}});
-  }
-  table_changes_ += update.replicas.size();
-  if (table_changes_ > 0 && now >= next_table_note_) {
-    log_.write(LogLevel::Info, "replica.table",
-               {{"changed", static_cast<std::int64_t>(table_changes_)},
-                {"known", static_cast<std::int64_t>(replicas_.size())},
-                {"revision", static_cast<std::int64_t>(update.revision.value)}});
-    table_changes_ = 0;
-    next_table_note_ = now + kTableNoteInterval;
-  }
-}
-
-std::vector<wire::ModelWant> CallRouter::wants(TimePoint now) {
-  std::map<std::tuple<ServiceName, ModelName, std::string>, wire::ModelWant> merged;
-  const auto entry = [&merged](const auto& key) -> wire::ModelWant& {
-    wire::ModelWant& want = merged[key];
-    std::tie(want.service, want.model, want.adapter) = key;
-    return want;
-  };
-  for (const auto& [key, count] : std::exchange(arrivals_, {})) {
-    entry(key).arrivals = count;
-  }
-  for (const auto& [number, call] : calls_) {
-    if (call.route == nullptr || call.need.model.empty()) {
-      continue;
-    }
-    wire::ModelWant& want = entry(std::make_tuple(call.need.service, call.need.model, call.need.adapter));
-    if (call.attempt) {
-      ++want.running;
-    } else if (!replicas_.anyHolds(call.need, now)) {
-      ++want.waiting;
-    }
-  }
-  for (const auto& [key, callers] : loads_.expectedBack(now)) {
-    const auto& [service, model] = key;
-    wire::ModelWant& want = entry(std::make_tuple(service, model, std::string()));
-    ReplicaNeed need;
-    need.service = service;
-    need.model = model;
-    (replicas_.anyHolds(need, now) ? want.running : want.waiting) += callers;
-  }
-  std::vector<wire::ModelWant> wants;
-  wants.reserve(merged.size());
-  for (auto& [key, want] : merged) {
-    wants.push_back(std::move(want));
-  }
-  return wants;
-}
-
-void CallRouter::sendStatuses(TimePoint now) {
-  if (!feed_.due(now)) {
-    return;
-  }
-  for (NodeName& member : feed_.unansweringMembers(now)) {
-    log_.write(LogLevel::Info, "control.reconnect", {{"member", view(member.value)}});
-    effects_.emplace_back(RenewConnectionEffect{std::move(member)});
-  }
-  const NodeName leader = feed_.leader();
-  RouterNews news{wants(now), replicas_.unreachable(now), ready(), catalogVersion()};
-  for (wire::SendEffect& send : feed_.statuses(std::move(news), now)) {
-    effects_.emplace_back(std::move(send));
-  }
-  if (!leader.empty() && feed_.leader().empty()) {
-    log_.write(LogLevel::Warning, "control.silent",
-               {{"leader", view(leader.value)},
-                {"heard_ms_ago", toMilliseconds(now - *feed_.leaderHeard())},
-                {"catalog", static_cast<std::int64_t>(catalogVersion().value)}});
-  }
-}
-
 Effects CallRouter::finish(TimePoint now) {
   if (std::exchange(dispatch_wanted_, false)) {
     dispatchWaiting(now);
