--- a/src/placement/store_estimator.cc
+++ b/src/placement/store_estimator.cc
@@ -44,7 +44,7 @@
 StoreEstimator::StoreEstimator(TimePoint now) : StoreEstimator(now, kInitialWidth) {}
 
 StoreEstimator::StoreEstimator(TimePoint now, double width)
-    : rate_(kInitialRate), width_(width), first_width_(width), next_begin_(now) {
+    : rate_(kInitialRate), width_(width), next_begin_(now) {
   for (std::size_t tier = 0; tier < tiers_.size(); ++tier) {
     tiers_[tier] = {kInitialSecondsPerByte[tier], kInitialFixedSeconds, 0};
   }
--- a/src/placement/store_estimator.h
+++ b/src/placement/store_estimator.h
@@ -65,7 +65,6 @@
   double width_;
   bool probing_fast_ = true;  ///< no load has been slowed by others yet
   bool timed_ = false;        ///< a load was timed: the width is learned from now on
-  double first_width_;
   Duration longest_expected_{};
   TimePoint next_begin_;
 };
