Give each call on trial replicas of its own, so that harmless calls beside crashing ones aren't blamed

Cause: calls that were on one replica when it ended are released at the same moment and sent again together. Where a crashing call and a harmless one met on three replicas in a row, counting couldn't tell them apart. Change: the sending after a call's second end decides on it. Every router knows the calls on trial and works out by hashing which replicas each of them has to itself; the sending waits 50 ms from the second end, until all can know. The test's bounds for the first two loads are 0 now, where they were 1.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -158,6 +158,9 @@
     refuse(call, ResultCode::DeadlineTooShort, "no time is left", std::nullopt, now);
     return;
   }
+  if (waitForTrial(call, now)) {
+    return;
+  }
   const Choice choice = replicas_.choose(state.need, now);
   if (choice.replica == nullptr) {
     waitForReplica(call, choice, now);
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -177,6 +177,9 @@
   /// The call was run to an answer, so it ends no replicas.
   void noteRun(const Call& call, TimePoint now);
   void takeCrashRecords(const NodeName& from, const wire::CrashRecords& records, TimePoint now);
+  /// Keeps a call that one more end quarantines to replicas of its own. True: it waits until all routers can
+  /// know of the calls that it must not meet there.
+  bool waitForTrial(CallPointer call, TimePoint now);
   /// Ends the calls of this fingerprint that no replica shows progress on.
   void enforceQuarantine(const wire::CallFingerprint& fingerprint, TimePoint now);
   void refuseQuarantined(CallPointer call, TimePoint now);
--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -11,6 +11,11 @@
 
 using quarantine::Standing;
 
+/// From a call's second end until all routers know of it and of the calls beside it: router to member to
+/// router, 2 to 6 ms on the way and as much in processes that have a tenth of a core, with room for one
+/// delay.
+constexpr Duration kTrialSpread = std::chrono::milliseconds(50);
+
 }  // namespace
 
 /// A broken connection proves nothing: it may have been reset on its way, or an answer cut short. Several
@@ -107,6 +112,30 @@
   }
 }
 
+bool CallRouter::waitForTrial(CallPointer call, TimePoint now) {
+  Call& state = call->second;
+  const wire::CallFingerprint& fingerprint = state.request.fingerprint;
+  if (!crashes_.onTrial().contains(fingerprint)) {
+    state.need.trial.reset();
+    return false;
+  }
+  state.need.trial = quarantine::Trial{fingerprint, crashes_.onTrial()};
+  const TimePoint from = now - crashes_.age(fingerprint, now) + kTrialSpread;
+  if (now >= from || replicas_.routers() <= 1) {
+    return false;
+  }
+  waiting_.insert(call->first);
+  state.retry = from;
+  state.waits_until = std::max(state.waits_until, from + kTrialSpread);
+  setTimer(call);
+  log_.write(LogLevel::Info, "call.awaits_trial",
+             {{"request", std::string_view(state.request.id.value)},
+              {"fingerprint", quarantine::toText(fingerprint)},
+              {"calls_on_trial", static_cast<std::int64_t>(state.need.trial->on_trial.size())},
+              {"for_ms", toMilliseconds(from - now)}});
+  return true;
+}
+
 /// A stream that has shown events goes on: what ends its replica ends it before, and its caller has a part of
 /// its answer.
 void CallRouter::enforceQuarantine(const wire::CallFingerprint& fingerprint, TimePoint now) {
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -151,6 +151,9 @@
     return none;
   }
   keepIf(options, [now](const Replica& replica) { return replica.health.admits(now); });
+  if (need.trial) {
+    keepIf(options, [&need](const Replica& replica) { return need.trial->owns(replica.routed.id); });
+  }
   keepIf(options, [&need](const Replica& replica) { return !need.tried.contains(replica.routed.id); });
   ++turn_;
   return {leastLoaded(options, need), ChoiceFailure::None, std::nullopt};
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "common/random.h"
+#include "quarantine/trial.h"
 #include "router/replica_health.h"
 #include "wire/service_messages.h"
 
@@ -56,6 +57,9 @@
   std::uint64_t affinity_key = 0;
   std::uint64_t prompt_tokens = 0;
   std::set<ReplicaId> tried;  ///< taken again only when nothing else is left
+  /// Of a call that one more end of a replica quarantines; replicas that it doesn't own are taken only when
+  /// nothing else is left.
+  std::optional<quarantine::Trial> trial;
 };
 
 enum class ChoiceFailure : std::uint8_t {
@@ -90,6 +94,7 @@
 
   /// Routers that send calls to the same replicas, this one included.
   void setRouters(std::uint32_t routers) { routers_ = routers; }
+  std::uint32_t routers() const { return routers_; }
 
   void onSent(Replica& replica, TimePoint now);
   static void onUnreachable(Replica& replica, TimePoint now);
@@ -110,6 +115,7 @@
   ZoneName zone_;
   std::map<ReplicaId, Replica> replicas_;
   std::map<ServiceName, std::set<ReplicaId>> by_service_;
+  std::map<std::string, ReplicaId> lives_;  ///< the latest, by the name that the replica gives itself
   std::uint64_t own_homes_;  ///< changes the homes of affinity keys where routers don't share them
   std::uint32_t routers_ = 1;
   std::uint64_t turn_;
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -85,9 +85,13 @@
   ++changes_;
   digest_ = digestOf(shared(TimePoint{}));
   quarantined_.clear();
+  on_trial_.clear();
   for (const auto& [call, record] : calls_) {
-    if (counted(record) >= settings_.ends_borne) {
+    const std::size_t ends = counted(record);
+    if (ends >= settings_.ends_borne) {
       quarantined_.insert(call);
+    } else if (ends > 0 && ends + 1 == settings_.ends_borne) {
+      on_trial_.insert(call);
     }
   }
 }
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -56,6 +56,8 @@
   /// Since the last end that is known; zero if none is.
   Duration age(const wire::CallFingerprint& call, TimePoint now) const;
   const std::set<wire::CallFingerprint>& quarantined() const { return quarantined_; }
+  /// The calls that one more end quarantines, see Trial.
+  const std::set<wire::CallFingerprint>& onTrial() const { return on_trial_; }
   /// Rises when anything changes.
   std::uint64_t changes() const { return changes_; }
   std::size_t size() const { return calls_.size(); }
@@ -86,6 +88,7 @@
   CrashLedgerSettings settings_;
   std::map<wire::CallFingerprint, Record> calls_;
   std::set<wire::CallFingerprint> quarantined_;
+  std::set<wire::CallFingerprint> on_trial_;
   std::uint64_t changes_ = 0;
   std::uint64_t digest_ = 0;  ///< of what is shared; statuses carry it many times between two changes
 };
--- a/tests/services/crash_containment_test.cc
+++ b/tests/services/crash_containment_test.cc
@@ -190,7 +190,7 @@
 
 TEST_CASE("Calls beside several crashing ones are served, and hardly any is blamed") {
   const std::vector<std::pair<CrashingLoad, Outcome>> kLeast = {
-      {kOneByOne, {0.99, 1, 0}}, {kTogether, {0.99, 1, 0}}, {kOverwhelming, {0.9, 100, 0}}};
+      {kOneByOne, {0.99, 0, 0}}, {kTogether, {0.99, 0, 0}}, {kOverwhelming, {0.9, 100, 0}}};
   for (const auto& [load, least] : kLeast) {
     INFO(load.name);
     CrashingFleetSettings settings;
