Take a replica that starts again under its name for another life

Cause: a report with a count not above the last was dropped, so that a replica that starts again under its name, empty and with its counts anew, was taken for what it had been: its models, its orders, its notice of leaving, its blame. Change: an id names one life (name and start). The registry, the routers' tables, the placer and the log of notices follow from that; a former life goes with the first word of its successor, wherever that one stands; what comes late of it changes nothing, also after the successor is lost or the leader has changed. A bare notice means the present life. A load that the former life left unanswered keeps its room for 12 s, since the next life may carry it out. Ruled out: a field beside the id in each message, which every table would have to compare. Tests: registry, table, placer, and a leader lost between two lives. An id is 9 bytes longer where the start is told.

--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "common/hashing.h"
+#include "wire/replica_life.h"
 
 namespace ferryrock::calls {
 namespace {
@@ -75,6 +76,9 @@
 void ReplicaTable::apply(const wire::ServiceUpdate& update) {
   std::set<ReplicaId> named;
   for (const wire::RoutedReplica& routed : update.replicas) {
+    if (!followLife(routed.id)) {
+      continue;
+    }
     Replica& replica = replicas_[routed.id];
     replica.routed = routed;
     replica.missing.clear();
@@ -95,12 +99,34 @@
   }
 }
 
+/// A new leader may list the present life long before it knows that the former one is gone.
+bool ReplicaTable::followLife(const ReplicaId& id) {
+  const std::uint64_t born = wire::replicaBorn(id);
+  if (born == 0) {
+    return true;
+  }
+  const std::string name = wire::replicaName(id);
+  const auto known = lives_.find(name);
+  if (known != lives_.end() && wire::replicaBorn(known->second) > born) {
+    return false;
+  }
+  if (known != lives_.end() && known->second != id) {
+    unlist(ReplicaId(known->second));
+  }
+  lives_[name] = id;
+  return true;
+}
+
 void ReplicaTable::unlist(const ReplicaId& id) {
   const auto found = replicas_.find(id);
   if (found == replicas_.end()) {
     return;
   }
   found->second.listed = false;
+  const auto life = lives_.find(wire::replicaName(id));
+  if (life != lives_.end() && life->second == id) {
+    lives_.erase(life);
+  }
   by_service_[found->second.routed.service].erase(id);
   if (found->second.outstanding == 0) {
     replicas_.erase(found);
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -111,6 +111,8 @@
   std::uint32_t homeSurplus(const Replica& replica) const;
   Replica* leastLoaded(Options options, const ReplicaNeed& need) const;
   void unlist(const ReplicaId& id);
+  /// Unlists the life that the replica had before; false if a later one is listed.
+  bool followLife(const ReplicaId& id);
 
   ZoneName zone_;
   std::map<ReplicaId, Replica> replicas_;
--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -5,12 +5,20 @@
 #include <utility>
 
 #include "services/model_placer_rules.h"
+#include "wire/replica_life.h"
 
 namespace ferryrock::services {
+namespace {
+
+/// An order that wasn't answered may be carried out so much later: the longest that the users name.
+constexpr Duration kLateOrders = std::chrono::seconds(12);
+
+}  // namespace
+
 PlacerEffects ModelPlacer::plan(const wire::ServiceCatalog& catalog, const std::set<ReplicaId>& unreachable,
                                 TimePoint now) {
   if (now >= settings_.first_order) {
-    std::erase_if(engines_, [this](const auto& item) { return registry_.find(item.first) == nullptr; });
+    followLives(now);
     expected_.clear();
     for (const wire::HostedService& service : catalog.services) {
       if (service.engine) {
@@ -24,6 +32,22 @@
   return std::exchange(effects_, {});
 }
 
+/// An order names the replica and the count of orders taken; both may be the same in its next life.
+void ModelPlacer::followLives(TimePoint now) {
+  std::erase_if(strays_, [now](const auto& item) { return now >= item.second.until; });
+  std::erase_if(engines_, [&](const auto& item) {
+    const auto& [id, engine] = item;
+    if (registry_.find(id) != nullptr) {
+      return false;
+    }
+    const bool answered = !engine.pending && engine.orders_taken;
+    if (engine.loading && !answered) {
+      strays_[wire::replicaName(id)] = {engine.loading_mb, now + kLateOrders};
+    }
+    return true;
+  });
+}
+
 ModelPlacer::Candidates ModelPlacer::candidatesOf(const wire::HostedService& service,
                                                   const std::set<ReplicaId>& unreachable, TimePoint now) {
   Candidates candidates;
@@ -105,12 +129,14 @@
 }
 
 double ModelPlacer::usedMegabytes(const ReplicaRecord& record, const Engine& engine,
-                                  const wire::EngineTraits& traits) {
+                                  const wire::EngineTraits& traits) const {
   std::set<ModelName> models = engine.models;
   for (const wire::HeldModel& held : record.report.held) {
     models.insert(held.model);
   }
   double used = engine.loading && !models.contains(*engine.loading) ? engine.loading_mb : 0;
+  const auto stray = strays_.find(wire::replicaName(record.report.id));
+  used += stray == strays_.end() ? 0 : stray->second.megabytes;
   for (const ModelName& name : models) {
     const wire::HostedModel* model = findModel(traits, name);
     used += model != nullptr ? model->weight_mb : traits.weight_capacity_mb;
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -120,16 +120,24 @@
   struct Note {
     TimePoint at{};
   };
+  /// A load that a former life of a replica was ordered and didn't answer for: its present life may carry it
+  /// out until then.
+  struct StrayLoad {
+    double megabytes = 0;
+    TimePoint until{};
+  };
 
   // model_placer.cc
+  /// Forgets replicas, and former lives of replicas, that are gone.
+  void followLives(TimePoint now);
   void settleFinished(Candidates& candidates, TimePoint now);
   static void settleUnload(Candidate& candidate);
   static bool heldBy(const Candidates& candidates, const ModelName& model);
   static bool loadIsLate(const Engine& engine, TimePoint now);
   Candidates candidatesOf(const wire::HostedService& service, const std::set<ReplicaId>& unreachable,
                           TimePoint now);
-  static double usedMegabytes(const ReplicaRecord& record, const Engine& engine,
-                              const wire::EngineTraits& traits);
+  double usedMegabytes(const ReplicaRecord& record, const Engine& engine,
+                       const wire::EngineTraits& traits) const;
   /// Adapters on a replica or on their way, as far as they may be there.
   static std::set<AdapterKey> adaptersOf(const ReplicaRecord& record, const Engine& engine);
   bool ready(const Candidate& candidate, TimePoint now) const;
@@ -191,6 +199,7 @@
   ReplicaRegistry& registry_;
   ModelDemand& demand_;
   std::map<ReplicaId, Engine> engines_;
+  std::map<std::string, StrayLoad> strays_;  ///< by the name that the replica gives itself
   std::map<ServiceName, StoreLoads> stores_;
   std::map<ServiceModel, TimePoint>
       expected_;                     ///< when models that are missing should serve, by the last plan
--- a/src/services/model_placer_orders.cc
+++ b/src/services/model_placer_orders.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "services/model_placer.h"
+#include "wire/replica_life.h"
 
 /// The part of ModelPlacer that follows orders: one at a time to a replica, what came back, what an
 /// inspection showed.
@@ -143,6 +144,12 @@
     return;
   }
   engine.unanswered = 0;
+  const std::uint64_t born = wire::replicaBorn(found->first);
+  if (born != 0 && state->born != 0 && state->born != born) {
+    // Another life of the replica answered: what it counts and holds isn't this one's.
+    engine.not_before = now + kRetryAfterConflict;
+    return;
+  }
   if (state->busy) {
     engine.not_before = now + kRetryAfterConflict;
   }
--- a/src/services/replica_orders.h
+++ b/src/services/replica_orders.h
@@ -76,6 +76,7 @@
   bool busy = false;
   std::vector<wire::HeldModel> held;
   std::vector<wire::HeldModel> coming;  ///< adapters on their way to it
+  std::uint64_t born = 0;               ///< Unix milliseconds of its start; 0: not told
 };
 
 }  // namespace ferryrock::services
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "wire/replica_life.h"
+
 namespace ferryrock::services {
 namespace {
 
@@ -44,28 +46,20 @@
   return held;
 }
 
-ReportNews ReplicaRegistry::accept(const wire::ReplicaReport& report, TimePoint now) {
-  const auto known = replicas_.find(report.id);
+ReportNews ReplicaRegistry::accept(const wire::ReplicaReport& report, TimePoint now, bool is_configured) {
   if (report.address.empty()) {
-    markLeaving(report.id);
+    markLeaving(currentLife(report.id));
     return ReportNews::Changed;
   }
+  if (hasLaterLife(report.id)) {
+    return ReportNews::Late;
+  }
+  const auto known = replicas_.find(report.id);
   if (known == replicas_.end()) {
-    if (isReplaced(report, now)) {
-      return ReportNews::Late;
-    }
-    forgotten_.erase(report.id);
-    removeOthersAt(report.address, report.id, now);
-    ReplicaRecord& record = replicas_[report.id];
-    record.report = report;
-    record.heard = now;
-    noteChange(record);
-    if (report.leaving) {
-      record.leaving = true;
-      record.left = record.changed;
-    }
-    return ReportNews::Changed;
+    const bool refused = isReplaced(report, now) || (!is_configured && addressIsInUse(report, now));
+    return refused ? ReportNews::Late : addReplica(report, now);
   }
+  noteLife(report.id, now);
   ReplicaRecord& record = known->second;
   const bool newly_leaving = report.leaving && !record.leaving;
   if (report.sequence <= record.report.sequence && !newly_leaving) {
@@ -91,19 +85,70 @@
   return ReportNews::Changed;
 }
 
+ReportNews ReplicaRegistry::addReplica(const wire::ReplicaReport& report, TimePoint now) {
+  forgotten_.erase(report.id);
+  removeOthersAt(report.address, report.id, now);
+  noteLife(report.id, now);
+  ReplicaRecord& record = replicas_[report.id];
+  record.report = report;
+  record.heard = now;
+  noteChange(record);
+  if (report.leaving) {
+    record.leaving = true;
+    record.left = record.changed;
+  }
+  return ReportNews::Changed;
+}
+
+ReplicaId ReplicaRegistry::currentLife(const ReplicaId& id) const {
+  const auto life = lives_.find(wire::replicaName(id));
+  const bool named_alone = wire::replicaBorn(id) == 0;
+  return named_alone && life != lives_.end() ? life->second.id : id;
+}
+
+bool ReplicaRegistry::hasLaterLife(const ReplicaId& id) const {
+  const auto life = lives_.find(wire::replicaName(id));
+  return life != lives_.end() && wire::replicaBorn(life->second.id) > wire::replicaBorn(id);
+}
+
+/// The former life ends with the first word of its successor: what it held, its counts and its notices are
+/// not the successor's.
+void ReplicaRegistry::noteLife(const ReplicaId& id, TimePoint now) {
+  if (wire::replicaBorn(id) == 0) {
+    return;
+  }
+  const std::string name = wire::replicaName(id);
+  Life& life = lives_[name];
+  if (!life.id.empty() && life.id != id) {
+    const auto former = replicas_.find(life.id);
+    if (former != replicas_.end()) {
+      remove(former, now);
+    }
+  }
+  life = {id, now};
+  const auto unborn = replicas_.find(ReplicaId(name));
+  if (unborn != replicas_.end()) {
+    remove(unborn, now);
+  }
+}
+
 void ReplicaRegistry::noteAlive(const wire::ReplicaAlive& alive, TimePoint now) {
   ReplicaRecord* record = findMutable(alive.id);
   if (record != nullptr && alive.sequence > record->report.sequence) {
     record->report.sequence = alive.sequence;
     record->heard = now;
+    noteLife(alive.id, now);
   }
 }
 
 bool ReplicaRegistry::isReplaced(const wire::ReplicaReport& report, TimePoint now) const {
-  return forgotten_.contains(report.id) &&
-         std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& item) {
-           return item.second.report.address == report.address && now - item.second.heard <= kAlive;
-         });
+  return forgotten_.contains(report.id) && addressIsInUse(report, now);
+}
+
+bool ReplicaRegistry::addressIsInUse(const wire::ReplicaReport& report, TimePoint now) const {
+  return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& item) {
+    return item.second.report.address == report.address && now - item.second.heard <= kAlive;
+  });
 }
 
 void ReplicaRegistry::removeOthersAt(const std::string& address, const ReplicaId& id, TimePoint now) {
@@ -127,6 +172,7 @@
 
 void ReplicaRegistry::expire(TimePoint now, Duration silence) {
   std::erase_if(forgotten_, [now](const auto& item) { return now - item.second > kForgottenKnown; });
+  std::erase_if(lives_, [now](const auto& item) { return now - item.second.heard > kForgottenKnown; });
   for (auto replica = replicas_.begin(); replica != replicas_.end();) {
     const auto next = std::next(replica);
     ReplicaRecord& record = replica->second;
--- a/src/services/replica_registry.h
+++ b/src/services/replica_registry.h
@@ -30,17 +30,22 @@
 };
 
 enum class ReportNews : std::uint8_t {
-  Late,     ///< older than what is known, or of a replica that was replaced: nothing was taken
+  Late,     ///< older than what is known, or of a replica or a life that was replaced: nothing was taken
   Same,     ///< a sign of life
   Changed,  ///< routers need to know
 };
 
-/// Replicas that report themselves. Soft state: a member that starts knows none until they report. Used by
-/// one thread.
+/// Replicas that report themselves. Soft state: a member that starts knows none until they report. A replica
+/// that starts again under its name replaces its former life, wherever that one stood, and reports of the
+/// former life that come late change nothing. Used by one thread.
 class ReplicaRegistry {
  public:
   /// A report without an address is a bare notice that the replica leaves.
-  ReportNews accept(const wire::ReplicaReport& report, TimePoint now);
+  /// is_configured: the catalog names the report's service. A report of another service takes no address from
+  /// a replica that is alive.
+  ReportNews accept(const wire::ReplicaReport& report, TimePoint now, bool is_configured = true);
+  /// The life that a notice means which names a replica and no start; the id itself if none is known.
+  ReplicaId currentLife(const ReplicaId& id) const;
   /// A known replica reported the same as before.
   void noteAlive(const wire::ReplicaAlive& alive, TimePoint now);
   /// Sticky for the replica's life; known replicas only.
@@ -69,16 +74,27 @@
     ReplicaId id;
   };
 
+  /// The latest life that is known of a replica that tells its start.
+  struct Life {
+    ReplicaId id;
+    TimePoint heard{};
+  };
+
   void remove(std::map<ReplicaId, ReplicaRecord>::iterator replica, TimePoint now);
+  ReportNews addReplica(const wire::ReplicaReport& report, TimePoint now);
   /// True for a report that was held up on its way: its sender was forgotten, and its address is another's,
   /// which is alive.
   bool isReplaced(const wire::ReplicaReport& report, TimePoint now) const;
+  bool addressIsInUse(const wire::ReplicaReport& report, TimePoint now) const;
+  bool hasLaterLife(const ReplicaId& id) const;
+  void noteLife(const ReplicaId& id, TimePoint now);
   void removeOthersAt(const std::string& address, const ReplicaId& id, TimePoint now);
   ReplicaRecord* findMutable(const ReplicaId& id);
   void noteChange(ReplicaRecord& record) { record.changed = ++changes_; }
 
   std::map<ReplicaId, ReplicaRecord> replicas_;
   std::map<ReplicaId, TimePoint> forgotten_;  ///< with the time; for a while
+  std::map<std::string, Life> lives_;         ///< by the name that the replica gives itself
   std::deque<Removal> removals_;              ///< oldest first
   std::uint64_t removals_known_from_ = 0;     ///< every removal after this count is listed
   std::uint64_t changes_ = 0;
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -78,8 +78,9 @@
   origin.member = from;
   origin.number = request.number;
   if (leader_) {
-    learn(request.report, now);
-    beginNotice(origin, request.report, now);
+    const wire::ReplicaReport report = withCurrentLife(request.report);
+    learn(report, now);
+    beginNotice(origin, report, now);
   } else {
     send(from, wire::LeaveReply{request.number, false});
   }
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -167,6 +167,8 @@
   bool onEnoughDisks() const;
 
   // service_control_replicas.cc
+  wire::ReplicaReport withCurrentLife(const wire::ReplicaReport& told) const;
+  bool isConfigured(const ServiceName& service) const;
   ReportNews learn(const wire::ReplicaReport& report, TimePoint now);
   std::string nextReportAddress(const ReplicaId& replica, TimePoint now) const;
   void relay(const wire::ReplicaReport& report, bool changed, TimePoint now);
--- a/src/services/service_control_replicas.cc
+++ b/src/services/service_control_replicas.cc
@@ -20,8 +20,9 @@
 
 }  // namespace
 
-Effects ServiceControlImpl::onReport(QuestionNumber question, const wire::ReplicaReport& report,
+Effects ServiceControlImpl::onReport(QuestionNumber question, const wire::ReplicaReport& told,
                                      TimePoint now) {
+  const wire::ReplicaReport report = withCurrentLife(told);
   const ReportNews news = learn(report, now);
   if (news != ReportNews::Late) {
     relay(report, news == ReportNews::Changed, now);
@@ -60,8 +61,25 @@
   return members[stableHash(replica.value) % members.size()];
 }
 
+/// A bare notice names its replica without the start of its life.
+wire::ReplicaReport ServiceControlImpl::withCurrentLife(const wire::ReplicaReport& told) const {
+  wire::ReplicaReport report = told;
+  if (report.address.empty()) {
+    report.id = registry_.currentLife(report.id);
+  }
+  return report;
+}
+
+/// Without a catalog no service is known to be missing in it.
+bool ServiceControlImpl::isConfigured(const ServiceName& service) const {
+  const std::vector<wire::HostedService>& services = node_->hosted().catalog().services;
+  return services.empty() ||
+         std::any_of(services.begin(), services.end(),
+                     [&service](const wire::HostedService& hosted) { return hosted.name == service; });
+}
+
 ReportNews ServiceControlImpl::learn(const wire::ReplicaReport& report, TimePoint now) {
-  const ReportNews news = registry_.accept(report, now);
+  const ReportNews news = registry_.accept(report, now, isConfigured(report.service));
   if (node_->hosted().leaving(report.id)) {
     registry_.markLeaving(report.id);
   }
--- /dev/null
+++ b/src/wire/replica_life.cc
@@ -0,0 +1,44 @@
+#include "wire/replica_life.h"
+
+#include <array>
+#include <charconv>
+
+namespace ferryrock::wire {
+namespace {
+
+/// Between the name and the start; the last one in an id, since a name may hold it too.
+constexpr char kSeparator = '@';
+/// Of the start as text: 8 signs in place of 13, in tables of thousands of replicas.
+constexpr int kBase = 36;
+constexpr std::size_t kMostDigits = 13;
+
+}  // namespace
+
+ReplicaId replicaLife(std::string_view name, std::uint64_t born) {
+  const bool plain = born == 0 && name.find(kSeparator) == std::string_view::npos;
+  if (plain) {
+    return ReplicaId(std::string(name));
+  }
+  std::array<char, kMostDigits> digits{};
+  const auto written = std::to_chars(digits.data(), digits.data() + digits.size(), born, kBase);
+  std::string id(name);
+  id += kSeparator;
+  id.append(digits.data(), written.ptr);
+  return ReplicaId(std::move(id));
+}
+
+std::string replicaName(const ReplicaId& id) {
+  return id.value.substr(0, id.value.rfind(kSeparator));
+}
+
+std::uint64_t replicaBorn(const ReplicaId& id) {
+  const std::size_t separator = id.value.rfind(kSeparator);
+  std::uint64_t born = 0;
+  if (separator != std::string::npos) {
+    const char* begin = id.value.data() + separator + 1;
+    std::from_chars(begin, id.value.data() + id.value.size(), born, kBase);
+  }
+  return born;
+}
+
+}  // namespace ferryrock::wire
--- a/tests/calls/parts_test.cc
+++ b/tests/calls/parts_test.cc
@@ -4,6 +4,7 @@
 
 #include "calls/call_fixture.h"
 #include "common/hashing.h"
+#include "wire/replica_life.h"
 
 namespace ferryrock::calls {
 namespace {
@@ -125,6 +126,35 @@
   CHECK(table.find(ReplicaId("r1")) == nullptr);
 }
 
+TEST_CASE("A replica that starts again under its name is known as new, and no earlier life takes its place") {
+  ReplicaTable table(ZoneName(""), 3);
+  const auto list = [&table](std::uint64_t born) {
+    wire::ServiceUpdate update;
+    update.base = LogIndex{1};
+    update.replicas = {CallFixture::replica("r1")};
+    update.replicas[0].id = wire::replicaLife("r1", born);
+    update.replicas[0].held = {{ModelName("m"), {}}};
+    table.apply(update);
+    return table.find(update.replicas[0].id);
+  };
+  Replica* former = list(1000);
+  former->noteMissing(ModelName("m"), {}, kStart);
+  former->notePause(ModelName("m"), 700ms);
+  table.onSent(*former, kStart);
+  Replica* present = list(2000);
+  REQUIRE(present != nullptr);
+  CHECK(present->outstanding == 0);
+  CHECK(present->missing.empty());
+  CHECK(present->paceOf(ModelName("m")) == Duration::zero());
+  ReplicaNeed wanted = need("desk");
+  wanted.model = ModelName("m");
+  CHECK(table.choose(wanted, kStart).replica == present);
+  CHECK(table.find(wire::replicaLife("r1", 1000)) != nullptr);  // until its attempt has ended
+  table.onReleased(*table.find(wire::replicaLife("r1", 1000)));
+  CHECK(list(1000) == nullptr);
+  CHECK(table.size() == 1);
+}
+
 TEST_CASE("Hosts are compared without port and case, prefixes by whole segments, the longest first") {
   wire::ServiceCatalog catalog = CallFixture::catalog(1);
   wire::CallRoute nested = catalog.routes.front();
--- a/tests/services/model_placer_test.cc
+++ b/tests/services/model_placer_test.cc
@@ -7,6 +7,7 @@
 
 #include "common/random.h"
 #include "services/service_cluster.h"
+#include "wire/replica_life.h"
 
 /// The placer against replicas that leave orders unanswered, carry them out late, check the expected count
 /// and fall when they are ordered more than they hold.
@@ -185,6 +186,60 @@
   CHECK(world.replicas()[0].held.contains(ModelName("m0")));
 }
 
+/// The order names the replica and the count of orders taken, which are the same in both lives.
+TEST_CASE("A load that a replica's former life left unanswered keeps its room in the next life") {
+  ReplicaRegistry registry;
+  ModelDemand demand;
+  ModelPlacerSettings settings;
+  settings.holder = NodeName("leader");
+  ModelPlacer placer(settings, registry, demand);
+  const wire::ServiceCatalog catalog = makeCatalog(1);
+  const NodeName router("edge");
+  const auto plan = [&](TimePoint now) {
+    PlacerEffects effects = placer.plan(catalog, {}, now);
+    for (const PlacerEffect& effect : effects) {
+      if (const auto* inspection = std::get_if<InspectReplicaEffect>(&effect)) {
+        placer.onInspected(inspection->number, ReplicaState{}, now);
+        effects = placer.plan(catalog, {}, now);
+        break;
+      }
+    }
+    std::erase_if(effects, [](const PlacerEffect& effect) {
+      return !std::holds_alternative<OrderReplicaEffect>(effect);
+    });
+    return effects;
+  };
+  const auto report = [](std::uint64_t born, std::uint64_t sequence) {
+    wire::ReplicaReport told = makeReport("r1", "llm", sequence);
+    told.id = wire::replicaLife("r1", born);
+    return told;
+  };
+  TimePoint now{1000s};
+  registry.accept(report(1000, 5), now);
+  demand.accept(router, {{ServiceName("llm"), ModelName("m0"), {}, 1, 0, 1}}, now);
+  const PlacerEffects first = plan(now);
+  REQUIRE(first.size() == 1);
+  placer.onOrderDone(std::get<OrderReplicaEffect>(first[0]).number, OrderOutcome::Unanswered, now);
+  // It starts again, empty. Of its 130 MB 60 may be taken by the order that is on its way still.
+  now += 1s;
+  registry.accept(report(2000, 1), now);
+  demand.accept(router,
+                {{ServiceName("llm"), ModelName("m1"), {}, 1, 0, 1},
+                 {ServiceName("llm"), ModelName("m2"), {}, 1, 0, 1}},
+                now);
+  const PlacerEffects second = plan(now);
+  REQUIRE(second.size() == 1);
+  const auto& load = std::get<OrderReplicaEffect>(second[0]);
+  placer.onOrderDone(load.number, OrderOutcome::Taken, now);
+  wire::ReplicaReport loaded = report(2000, 2);
+  loaded.held = {{load.model, {}}};
+  registry.accept(loaded, now + 1s);
+  CHECK(plan(now + 2s).empty());
+  registry.accept(report(2000, 3), now + 12s);
+  registry.accept(loaded, now + 12s);
+  CHECK_FALSE(plan(now + 13s).empty());
+}
+
 TEST_CASE("A model whose only holder can't be reached is loaded elsewhere at once") {
   PlacerWorld world(2, 5, 0);
   world.replicas()[1].held.clear();
--- a/tests/services/registry_test.cc
+++ b/tests/services/registry_test.cc
@@ -7,6 +7,7 @@
 #include "services/service_cluster.h"
 #include "services/table_feed.h"
 #include "services/update_ledger.h"
+#include "wire/replica_life.h"
 
 namespace ferryrock::services {
 namespace {
@@ -89,6 +90,77 @@
   CHECK(registry.accept(makeReport("r1", "desk", 9), kStart + 8s) == ReportNews::Changed);
 }
 
+/// A replica's report in the life that began then.
+wire::ReplicaReport reportOfLife(std::uint64_t born, std::uint64_t sequence) {
+  wire::ReplicaReport report = makeReport("r1", "llm", sequence);
+  report.id = wire::replicaLife("r1", born);
+  return report;
+}
+
+TEST_CASE("A replica that starts again under its name is another one, with its count of reports anew") {
+  ReplicaRegistry registry;
+  wire::ReplicaReport before = reportOfLife(1000, 40);
+  before.held = {{ModelName("m0"), {}}};
+  registry.accept(before, kStart);
+  registry.assumeAdapter(before.id, ModelName("m0"), "a2", kStart);
+  registry.markLeaving(before.id);
+  const std::uint64_t changes = registry.changes();
+  CHECK(registry.accept(reportOfLife(2000, 1), kStart + 1s) == ReportNews::Changed);
+  CHECK(registry.find(before.id) == nullptr);
+  const ReplicaRecord* record = registry.find(wire::replicaLife("r1", 2000));
+  REQUIRE(record != nullptr);
+  CHECK_FALSE(record->leaving);
+  CHECK(record->usable().empty());
+  std::vector<ReplicaId> removed;
+  CHECK(registry.removedSince(changes, removed));
+  CHECK(removed == std::vector<ReplicaId>{before.id});
+}
+
+TEST_CASE(
+    "What comes late of a former life changes nothing, whatever its count, also after the next is lost") {
+  ReplicaRegistry registry;
+  registry.accept(reportOfLife(1000, 40), kStart);
+  wire::ReplicaReport next = reportOfLife(2000, 1);
+  next.address = "elsewhere:80";
+  registry.accept(next, kStart + 1s);
+  CHECK(registry.accept(reportOfLife(1000, 41), kStart + 1s) == ReportNews::Late);
+  registry.noteAlive({wire::replicaLife("r1", 1000), 42}, kStart + 1s);
+  wire::ReplicaReport leaving = reportOfLife(1000, 43);
+  leaving.leaving = true;
+  CHECK(registry.accept(leaving, kStart + 1s) == ReportNews::Late);
+  REQUIRE(registry.replicas().size() == 1);
+  CHECK_FALSE(registry.replicas().begin()->second.leaving);
+  registry.expire(kStart + 10s, 6s);
+  REQUIRE(registry.replicas().empty());
+  CHECK(registry.accept(reportOfLife(1000, 44), kStart + 10s) == ReportNews::Late);
+  CHECK(registry.accept(reportOfLife(2000, 2), kStart + 10s) == ReportNews::Changed);
+}
+
+TEST_CASE("A bare notice that a replica leaves means its present life") {
+  ReplicaRegistry registry;
+  registry.accept(reportOfLife(1000, 40), kStart);
+  registry.accept(reportOfLife(2000, 1), kStart);
+  wire::ReplicaReport bare;
+  bare.id = ReplicaId("r1");
+  bare.leaving = true;
+  registry.accept(bare, kStart);
+  CHECK(registry.find(wire::replicaLife("r1", 2000))->leaving);
+  CHECK(registry.accept(reportOfLife(3000, 1), kStart + 1s) == ReportNews::Changed);
+  CHECK_FALSE(registry.find(wire::replicaLife("r1", 3000))->leaving);
+}
+
+TEST_CASE("A report of a service that isn't configured takes no address from a replica that is alive") {
+  ReplicaRegistry registry;
+  constexpr bool kConfigured = false;
+  registry.accept(makeReport("r1", "desk", 5), kStart);
+  wire::ReplicaReport foreign = makeReport("r2", "unheard-of", 1);
+  foreign.address = "r1:80";
+  CHECK(registry.accept(foreign, kStart + 1s, kConfigured) == ReportNews::Late);
+  CHECK(registry.find(ReplicaId("r1")) != nullptr);
+  foreign.address = "r2:80";
+  CHECK(registry.accept(foreign, kStart + 1s, kConfigured) == ReportNews::Changed);
+}
+
 TEST_CASE("An adapter that was ordered shows at once; a model whose unload was ordered doesn't") {
   ReplicaRegistry registry;
   wire::ReplicaReport report = makeReport("r1", "llm", 1);
--- a/tests/services/service_control_test.cc
+++ b/tests/services/service_control_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "services/service_cluster.h"
+#include "wire/replica_life.h"
 
 /// The cell of hosted services under faults: formation, durability, repair, drains, orders.
 namespace ferryrock::services {
@@ -288,6 +289,40 @@
   CHECK_FALSE(router.replicas.at(ReplicaId("r1")).accepting);
 }
 
+/// The two lives are told to different members, and the leader is lost between them.
+TEST_CASE(
+    "A replica that starts again under its name serves anew, whatever its former life told, and to whom") {
+  FullCell cell;
+  ScriptedRouter& router = cell.cluster.addRouter("edge-1");
+  cell.cluster.runFor(2s);
+  const RunningRouter& running = cell.cluster.addCallRouter("edge-2");
+  const ReplicaId former = wire::replicaLife("r1", 1000);
+  const ReplicaId present = wire::replicaLife("r1", 2000);
+  wire::ReplicaReport report = makeReport("r1", "desk", 40);
+  report.id = former;
+  report.leaving = true;
+  ServiceMember& first = *cell.cluster.leader();
+  const std::uint64_t question = cell.cluster.report(first, report);
+  REQUIRE(cell.cluster.runUntil([&] { return ServiceCluster::codeOf(first, question).has_value(); }, 2s));
+  REQUIRE(ServiceCluster::codeOf(first, question) == ResultCode::Ok);
+  REQUIRE_FALSE(router.replicas.at(former).accepting);
+  cell.cluster.kill(first);
+  wire::ReplicaReport next = makeReport("r1", "desk", 1);
+  next.id = present;
+  cell.cluster.report(cell.cluster.member(&first == &cell.cluster.member(0) ? 1 : 0), next);
+  REQUIRE(cell.cluster.runUntil([&] { return cell.cluster.leader() != nullptr; }));
+  next.sequence = 5;
+  cell.cluster.report(*cell.cluster.leader(), next);
+  cell.cluster.runFor(1s);
+  report.leaving = false;
+  report.sequence = 41;
+  cell.cluster.report(*cell.cluster.leader(), report);
+  cell.cluster.runFor(1s);
+  REQUIRE(router.replicas.contains(present));
+  CHECK(router.replicas.at(present).accepting);
+  CHECK(running.logic->knownReplicas() == 1);
+}
+
 /// How often each member is named for the next report, over replicas 1 to count that report to the leader.
 std::map<std::string, std::size_t> nextMembers(FullCell& cell, std::size_t count, std::uint64_t sequence) {
   std::map<std::string, std::size_t> named;
