Refuse heartbeats of another writer with the field that is wrong, and hold the replicas known before

Cause: fields of another type were read as defaults (a state that isn't named as ready, counts below 0 or beyond what an integer holds with undefined results), and a report of an unknown service could take a sound replica's address. The answer to bytes that are no UTF-8 couldn't be written itself and became a 500 without a reason. `born` is read.

--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -160,6 +160,16 @@
   carryOut(control_->onReport(number, report, now()));
 }
 
+void ServiceControlShell::noteUnreadable(const std::string& path, const Error& fault) {
+  // Of another writer's path, enough to find it by.
+  constexpr std::size_t kShown = 120;
+  log_.write(LogLevel::Warning, "question.unreadable",
+             {{"path", std::string_view(path).substr(0, kShown)},
+              {"code", static_cast<std::int64_t>(fault.code())},
+              {"field", std::string_view(fault.place())},
+              {"detail", std::string_view(fault.detail()).substr(0, kShown)}});
+}
+
 std::vector<std::string> ServiceControlShell::routerAddresses(const ZoneName& zone, std::size_t limit) {
   return control_->routerAddresses(zone, limit, now());
 }
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "common/error.h"
 #include "common/event_log.h"
 #include "common/metrics.h"
 #include "control_process/storage_writer.h"
@@ -34,6 +35,8 @@
   void replaceCatalog(wire::ServiceCatalog catalog, std::string source, AnswerCallback callback);
   void readCatalog(AnswerCallback callback);
   void report(const wire::ReplicaReport& report, AnswerCallback callback);
+  /// A question or a report that can't be read; nothing of it was taken.
+  void noteUnreadable(const std::string& path, const Error& fault);
   std::vector<std::string> routerAddresses(const ZoneName& zone, std::size_t limit);
   std::vector<services::SuspectedCall> suspectedCalls() { return control_->suspectedCalls(now()); }
   void releaseCall(const wire::CallFingerprint& call);
--- a/tests/fuzz/fuzz_target.cc
+++ b/tests/fuzz/fuzz_target.cc
@@ -20,6 +20,7 @@
     FuzzTarget{"engine_stream", runEngineStream, engineStreamSeeds},
     FuzzTarget{"caller_request", runCallerRequest, callerRequestSeeds},
     FuzzTarget{"load_answer", runLoadAnswer, loadAnswerSeeds},
+    FuzzTarget{"replica_report", runReplicaReport, replicaReportSeeds},
 };
 
 }  // namespace
--- a/tests/fuzz/fuzz_target.h
+++ b/tests/fuzz/fuzz_target.h
@@ -53,5 +53,7 @@
 std::vector<std::string> callerRequestSeeds();
 bool runLoadAnswer(std::string_view bytes);
 std::vector<std::string> loadAnswerSeeds();
+bool runReplicaReport(std::string_view bytes);
+std::vector<std::string> replicaReportSeeds();
 
 }  // namespace ferryrock::fuzz
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -1,10 +1,12 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "common/error.h"
 #include "platform/call_dialect.h"
 #include "platform/catalog_json.h"
 #include "platform/order_dialect.h"
 #include "platform/replica_json.h"
+#include "wire/replica_life.h"
 
 /// The translations of platform/, case by case.
 namespace ferryrock::platform {
@@ -264,6 +266,88 @@
   CHECK(parseLeave("i-1", body).address == "10.0.0.9:80");
 }
 
+constexpr const char* kHeartbeat =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,"state":"ready","coldRemainingMs":5,)"
+    R"("models":[{"name":"m","generation":1,"adapters":["a1"]}],"seqNo":4,"born":1780000000123,)"
+    R"("available":{"resident":["m"],"onDisk":["m","n"]}})";
+
+TEST_CASE("A replica's life is told by its start, and towards replicas its name stands alone") {
+  const wire::ReplicaReport report = parseHeartbeat("i-1", kHeartbeat);
+  CHECK(report.id == wire::replicaLife("i-1", 1'780'000'000'123));
+  CHECK(parseLeave("i-1", kHeartbeat).id == report.id);
+  CHECK(parseLeave("i-1", "").id == ReplicaId("i-1"));
+  services::InspectReplicaEffect inspection;
+  inspection.replica = report.id;
+  const PlatformOrderDialect orders;
+  CHECK(http::findHeader(orders.inspection(inspection).headers, "X-Expect-Instance") == "i-1");
+  CHECK(orders.state(200, R"({"seqNo":3,"born":1780000000123})")->born == 1'780'000'000'123);
+  calls::ProbeReplicaEffect probe;
+  probe.replica = report.id;
+  CHECK(http::findHeader(kDialect.probe(probe).headers, "X-Expect-Instance") == "i-1");
+  calls::SendAttemptEffect send;
+  send.replica = report.id;
+  const auto call = kDialect.parse(request());
+  CHECK(http::findHeader(kDialect.attempt(send, call.content).headers, "X-Expect-Instance") == "i-1");
+}
+
+/// Each entry spoils one field as another writer might, and names the field that the answer must name.
+TEST_CASE("A heartbeat of another writer is refused with the field that is wrong") {
+  struct Spoiled {
+    const char* field;
+    const char* value;  ///< nullptr: the field is missing
+  };
+  const std::vector<Spoiled> cases = {{"service", nullptr},
+                                      {"service", "7"},
+                                      {"address", nullptr},
+                                      {"address", R"("nohost")"},
+                                      {"address", R"("h:0")"},
+                                      {"address", R"("h:80x")"},
+                                      {"address", R"("h:70000")"},
+                                      {"address", "[]"},
+                                      {"zone", "1"},
+                                      {"slots", nullptr},
+                                      {"slots", "-1"},
+                                      {"slots", R"("64")"},
+                                      {"slots", "1e300"},
+                                      {"state", nullptr},
+                                      {"state", R"("resting")"},
+                                      {"state", "3"},
+                                      {"coldRemainingMs", "[]"},
+                                      {"coldRemainingMs", "-5"},
+                                      {"remainingMs", "null"},
+                                      {"remainingMs", "1e99"},
+                                      {"seqNo", nullptr},
+                                      {"seqNo", "-1"},
+                                      {"seqNo", "1.5"},
+                                      {"seqNo", "{}"},
+                                      {"born", R"("now")"},
+                                      {"born", "-1"},
+                                      {"born", "0.5"},
+                                      {"models", "7"},
+                                      {"models", "[7]"},
+                                      {"models", "[{}]"},
+                                      {"models", R"([{"name":7}])"},
+                                      {"available", "[]"}};
+  for (const Spoiled& spoiled : cases) {
+    INFO(spoiled.field << " = " << (spoiled.value == nullptr ? "missing" : spoiled.value));
+    nlohmann::json document = nlohmann::json::parse(kHeartbeat);
+    document.erase(spoiled.field);
+    if (spoiled.value != nullptr) {
+      document[spoiled.field] = nlohmann::json::parse(spoiled.value);
+    }
+    try {
+      parseHeartbeat("i-1", document.dump());
+      FAIL("it was accepted");
+    } catch (const Error& fault) {
+      CHECK(fault.code() == ResultCode::InvalidReport);
+      CHECK(fault.place() == spoiled.field);
+    }
+  }
+  for (const char* bytes : {"", "{", "[]", "null", "\"x\"", "{\"service\":\"\xff\xfe\"}", "\x00\x01"}) {
+    CHECK_THROWS_AS(parseHeartbeat("i-1", bytes), Error);
+  }
+}
+
 TEST_CASE("Orders carry the fence, the holder and the expected count; statuses tell what became of them") {
   const PlatformOrderDialect orders;
   services::OrderReplicaEffect order;
--- a/tests/platform/whole_path_test.cc
+++ b/tests/platform/whole_path_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <functional>
+#include <nlohmann/json.hpp>
 
 #include "http/fixture.h"
 #include "platform/call_dialect.h"
@@ -282,6 +283,27 @@
   CHECK(fleet.tryUntil([&] { return fleet.call("/a/x", "e2").status == 502; }));
 }
 
+TEST_CASE(
+    "A heartbeat of another writer is answered with what is wrong in it, and the replicas known before "
+    "serve") {
+  Fleet fleet;
+  REQUIRE(fleet.askControl("POST", "/v1/config/replace", Fleet::catalog(1)).status == 200);
+  ScriptedReplica& replica = fleet.addReplica("i-1");
+  REQUIRE(fleet.beat(replica, 1, "ready").status == 200);
+  const std::string path = "/v1/instances/i-1/heartbeat";
+  const std::string unknown_state =
+      R"({"service":"desk","address":"10.0.0.1:80","slots":4,"state":"new","seqNo":9})";
+  const http::CallRecord refused = fleet.askControl("POST", path, unknown_state);
+  CHECK(refused.status == 400);
+  CHECK(refused.body.find("'state'") != std::string::npos);
+  for (const char* bytes : {"{\"service\":\"\xff\xfe\"}", "\xff", "[", "{\"service\":7}"}) {
+    const http::CallRecord answer = fleet.askControl("POST", path, bytes);
+    CHECK(answer.status == 400);
+    CHECK(nlohmann::json::accept(answer.body));
+  }
+  REQUIRE(fleet.tryUntil([&] { return fleet.call("/a/x", "c1").status == 200; }));
+}
+
 TEST_CASE("Operators see which calls are kept away from replicas; a release that can't be read says why") {
   Fleet fleet;
   CHECK(fleet.askControl("GET", "/api/quarantine", "").body == R"({"calls":[]})");
