--- /dev/null
+++ b/src/balance/load_board.cc
@@ -0,0 +1,68 @@
+#include "balance/load_board.h"
+
+#include <algorithm>
+
+namespace ferryrock::balance {
+namespace {
+
+/// Loads are told every 0.4 s in fleets of today's size. A stream of the users' lasts about 2 s: older sums
+/// tell of streams that have ended.
+constexpr Duration kFresh = std::chrono::milliseconds(2500);
+/// A speed is kept for so long after it was last told. Replicas differ for long; a new life has another key.
+constexpr Duration kSpeedKnown = std::chrono::seconds(60);
+constexpr double kPercent = 100;
+
+}  // namespace
+
+void LoadBoard::onTold(const std::vector<wire::ReplicaUse>& uses) {
+  told_.clear();
+  for (const wire::ReplicaUse& use : uses) {
+    told_[use.replica] = use;
+  }
+}
+
+void LoadBoard::accept(const std::vector<wire::ReplicaLoad>& loads, TimePoint now) {
+  loads_.clear();
+  for (const wire::ReplicaLoad& load : loads) {
+    loads_[load.replica] = load;
+    if (load.slowness_percent > 0) {
+      speeds_[load.replica] = {load.slowness_percent / kPercent, now};
+    }
+  }
+  std::erase_if(speeds_, [now](const auto& item) { return now - item.second.told > kSpeedKnown; });
+  accepted_ = now;
+}
+
+bool LoadBoard::isFresh(TimePoint now) const {
+  return accepted_ && now - *accepted_ <= kFresh;
+}
+
+std::optional<Duration> LoadBoard::age(TimePoint now) const {
+  return accepted_ ? std::optional(now - *accepted_) : std::nullopt;
+}
+
+double LoadBoard::slowness(std::uint32_t replica) const {
+  const auto speed = speeds_.find(replica);
+  return speed == speeds_.end() ? 1 : std::max(1.0, speed->second.slowness);
+}
+
+FleetUse LoadBoard::use(std::uint32_t replica, const OwnUse& own) const {
+  FleetUse use;
+  use.slowness = slowness(replica);
+  const auto load = loads_.find(replica);
+  const auto told = told_.find(replica);
+  if (load != loads_.end()) {
+    use.streams = load->second.streams;
+    use.unread_tokens = load->second.unread_tokens;
+    use.tokens_per_s = load->second.tokens_per_s;
+  }
+  if (told != told_.end()) {
+    use.streams -= told->second.streams;
+    use.unread_tokens -= told->second.unread_tokens;
+  }
+  use.streams = std::max(0.0, use.streams) + own.streams;
+  use.unread_tokens = std::max(0.0, use.unread_tokens) + static_cast<double>(own.unread_tokens);
+  return use;
+}
+
+}  // namespace ferryrock::balance
--- /dev/null
+++ b/src/balance/pace_table.cc
@@ -0,0 +1,127 @@
+#include "balance/pace_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ferryrock::balance {
+namespace {
+
+/// Streams whose pace was seen, of one model at one replica, until that says something: the shortest of a few
+/// is undisturbed as a rule.
+constexpr std::uint32_t kFewestSeen = 3;
+/// A replica that gets no streams, as a slow one may, is known for as slow for a minute.
+constexpr int kIdleWindows = 10;
+/// Rounds in which speeds settle that are known only across several models.
+constexpr int kRounds = 10;
+
+Duration shorter(Duration left, Duration right) {
+  if (left == Duration::zero() || right == Duration::zero()) {
+    return std::max(left, right);
+  }
+  return std::min(left, right);
+}
+
+/// One model at one replica, with natural logarithms of times and of ratios.
+struct Sample {
+  std::uint32_t model = 0;
+  std::uint32_t replica = 0;
+  double pace = 0;
+};
+
+/// Each model's pace on a replica of full speed, from the best of its replicas.
+std::map<std::uint32_t, double> modelPaces(const std::vector<Sample>& samples,
+                                           std::map<std::uint32_t, double>& slowness) {
+  std::map<std::uint32_t, double> paces;
+  for (const Sample& sample : samples) {
+    const double pace = sample.pace - slowness[sample.replica];
+    const auto [place, fresh] = paces.try_emplace(sample.model, pace);
+    place->second = fresh ? pace : std::min(place->second, pace);
+  }
+  return paces;
+}
+
+/// Each replica's slowness, as the mean over its models.
+std::map<std::uint32_t, double> replicaSlowness(const std::vector<Sample>& samples,
+                                                const std::map<std::uint32_t, double>& paces) {
+  std::map<std::uint32_t, std::pair<double, int>> sums;
+  for (const Sample& sample : samples) {
+    auto& [sum, count] = sums[sample.replica];
+    sum += sample.pace - paces.at(sample.model);
+    ++count;
+  }
+  std::map<std::uint32_t, double> slowness;
+  for (const auto& [replica, sum] : sums) {
+    slowness[replica] = sum.first / sum.second;
+  }
+  return slowness;
+}
+
+}  // namespace
+
+Duration PaceTable::Pace::shortest() const {
+  return shorter(present, before);
+}
+
+void PaceTable::accept(const std::vector<wire::ObservedPace>& paces, TimePoint now) {
+  expire(now);
+  for (const wire::ObservedPace& observed : paces) {
+    Pace& pace = paces_[{observed.model, observed.replica}];
+    pace.present = shorter(pace.present, std::chrono::microseconds(observed.pause_us));
+    ++pace.seen_present;
+  }
+}
+
+void PaceTable::expire(TimePoint now) {
+  if (now < window_end_) {
+    return;
+  }
+  window_end_ = now + kWindow;
+  for (auto& [key, pace] : paces_) {
+    if (pace.present == Duration::zero()) {
+      ++pace.idle_windows;
+      continue;
+    }
+    pace.before = std::exchange(pace.present, Duration::zero());
+    pace.seen_before = std::exchange(pace.seen_present, 0);
+    pace.idle_windows = 0;
+  }
+  std::erase_if(paces_, [](const auto& item) { return item.second.idle_windows > kIdleWindows; });
+}
+
+/// A model tells something of its replicas only if there are several. Where all of them are slow, that shows
+/// in the other models that they hold: speeds and paces are worked out in turn.
+std::map<std::uint32_t, double> PaceTable::slowness() const {
+  std::vector<Sample> samples;
+  for (auto first = paces_.begin(); first != paces_.end();) {
+    const std::uint32_t model = first->first.first;
+    const std::size_t begin = samples.size();
+    for (; first != paces_.end() && first->first.first == model; ++first) {
+      const Pace& pace = first->second;
+      const bool known =
+          pace.shortest() > Duration::zero() && pace.seen_present + pace.seen_before >= kFewestSeen;
+      if (known) {
+        samples.push_back({model, first->first.second, std::log(toSeconds(pace.shortest()))});
+      }
+    }
+    if (samples.size() == begin + 1) {
+      samples.pop_back();
+    }
+  }
+  std::map<std::uint32_t, double> slowness;
+  for (int round = 0; round < kRounds; ++round) {
+    const auto paces = modelPaces(samples, slowness);
+    slowness = replicaSlowness(samples, paces);
+  }
+  double least = slowness.empty() ? 0 : slowness.begin()->second;
+  for (const auto& [replica, value] : slowness) {
+    least = std::min(least, value);
+  }
+  std::map<std::uint32_t, double> ratios;
+  for (const auto& [replica, value] : slowness) {
+    ratios[replica] = std::exp(value - least);
+  }
+  return ratios;
+}
+
+}  // namespace ferryrock::balance
--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -31,6 +31,7 @@
   std::string adapter;
   std::uint64_t affinity_key = 0;  ///< hash of the prompt's shared parts; 0: none
   std::uint64_t prompt_tokens = 0;
+  std::uint64_t shared_tokens = 0;            ///< of the prompt, in parts that other calls share
   std::uint64_t answer_tokens = 0;            ///< at most
   bool tells_tokens = false;                  ///< the two counts above came with the call
   std::optional<std::uint64_t> resume_after;  ///< the caller has this event of the stream already
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -125,6 +125,9 @@
     state.need.model = state.request.model;
     state.need.adapter = state.request.adapter;
     state.need.prompt_tokens = state.request.prompt_tokens;
+    state.need.shared_tokens = state.request.shared_tokens;
+    const auto stream_time = stream_times_.find(route->name);
+    state.need.stream_time = stream_time == stream_times_.end() ? Duration::zero() : stream_time->second;
     state.need.affinity_key = route->affinity ? state.request.affinity_key : 0;
     if (!state.need.model.empty()) {
       ++arrivals_[{state.need.service, state.need.model, state.need.adapter}];
@@ -165,16 +168,18 @@
   if (choice.replica == nullptr) {
     waitForReplica(call, choice, now);
   } else {
-    sendTo(call, *choice.replica, now);
+    sendTo(call, *choice.replica, choice.use, now);
   }
 }
 
-void CallRouter::sendTo(CallPointer call, Replica& replica, TimePoint now) {
+void CallRouter::sendTo(CallPointer call, Replica& replica, const std::optional<balance::FleetUse>& use,
+                        TimePoint now) {
   Call& state = call->second;
   waiting_.erase(call->first);
   const AttemptNumber number{next_attempt_++};
-  state.attempt = Attempt{number, replica.routed.id, now, state.need.prompt_tokens};
+  state.attempt = Attempt{number, replica.routed.id, now, state.need.prompt_tokens, 0, {}};
   replica.unread_tokens += state.need.prompt_tokens;
+  replica.sent_tokens += state.need.prompt_tokens;
   state.need.tried.insert(replica.routed.id);
   ++state.attempts;
   ++counts_.attempts;
@@ -199,6 +204,15 @@
               {"waited_ms", toMilliseconds(now - state.arrived)},
               {"time_left_ms", toMilliseconds(effect.time_left)}});
   effects_.emplace_back(std::move(effect));
+  if (use) {
+    log_.write(LogLevel::Info, "call.balanced",
+               {{"request", view(state.request.id.value)},
+                {"streams", use->streams},
+                {"unread_tokens", use->unread_tokens},
+                {"tokens_per_s", use->tokens_per_s},
+                {"slowness", use->slowness},
+                {"loads_age_ms", toMilliseconds(*replicas_.loadBoard().age(now))}});
+  }
   setTimer(call);
 }
 
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -104,6 +104,8 @@
     ReplicaId replica;
     TimePoint sent{};
     std::uint64_t unread_tokens = 0;  ///< counted at the replica until it shows a sign of life
+    int paced_events = 0;             ///< since paced_since
+    TimePoint paced_since{};
   };
   struct Call {
     CallRequest request;
@@ -161,7 +163,7 @@
   void tellQuotaUse(TimePoint now);
   void routeWaiting(TimePoint now);
   void dispatch(CallPointer call, TimePoint now);
-  void sendTo(CallPointer call, Replica& replica, TimePoint now);
+  void sendTo(CallPointer call, Replica& replica, const std::optional<balance::FleetUse>& use, TimePoint now);
   void waitForReplica(CallPointer call, const Choice& choice, TimePoint now);
   static WaitingCall waitingCall(const Call& call);
   /// Sends the caller away until its model is loaded if that serves it better; true if the call has ended.
@@ -190,6 +192,7 @@
   /// counts: the sending reached a replica, so that the next one is paid from the retry budget.
   void retryUnrun(CallPointer call, ResultCode reason, bool counts, TimePoint now);
   void retryMaybeRun(CallPointer call, ResultCode reason, const std::string& detail, TimePoint now);
+  void noteStreamTime(const Call& call, TimePoint now);
   static bool isRepeatable(const Call& call);
   static bool mayRunAgain(const Call& call);
   void deliver(CallPointer call, AttemptNumber attempt, int status, TimePoint now);
@@ -232,6 +235,7 @@
   std::uint64_t table_changes_ = 0;  ///< entries of the replica table changed since the last line of it
   TimePoint next_table_note_{};
   std::uint64_t next_attempt_ = 1;
+  std::map<RouteName, Duration> stream_times_;  ///< that streams of a route took, as a moving mean
   quarantine::CrashLedger crashes_;
   std::map<ReplicaId, std::vector<ProbedCall>> probes_;  ///< under way, with the calls that it broke off
   TimePoint next_crash_expiry_{};
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -19,6 +19,9 @@
 constexpr Duration kComeBackSoon = 200ms;
 constexpr int kFirstErrorStatus = 500;
 constexpr int kMisdirected = 421;
+/// Over which pauses of a stream are averaged: a router with a tenth of a core reads two or three events at
+/// once.
+constexpr int kPacedEvents = 8;
 
 std::string_view view(const std::string& text) {
   return text;
@@ -126,10 +129,20 @@
 void CallRouter::notePause(Call& call, TimePoint now) {
   const Duration pause = now - std::exchange(call.last_event_at, now);
   call.longest_pause = std::max(call.longest_pause, pause);
-  Replica* replica = pause > Duration::zero() ? replicas_.find(call.attempt->replica) : nullptr;
-  if (replica != nullptr && !call.need.model.empty()) {
+  Attempt& attempt = *call.attempt;
+  Replica* replica = replicas_.find(attempt.replica);
+  if (replica == nullptr || call.need.model.empty()) {
+    return;
+  }
+  if (pause > Duration::zero()) {
     replica->notePause(call.need.model, pause);
   }
+  if (attempt.paced_since == TimePoint{}) {
+    attempt.paced_since = now;
+  } else if (++attempt.paced_events == kPacedEvents) {
+    replica->noteMeanPause(call.need.model, (now - std::exchange(attempt.paced_since, now)) / kPacedEvents);
+    attempt.paced_events = 0;
+  }
 }
 
 void CallRouter::startStream(CallPointer call, AttemptNumber attempt, TimePoint now) {
@@ -156,6 +169,7 @@
     replica->health.onSuccess(now);
   }
   noteRun(state, now);
+  noteStreamTime(state, now);
   ++counts_.answered;
   log_.write(LogLevel::Info, "call.stream_finished",
              {{"request", view(state.request.id.value)},
@@ -167,6 +181,16 @@
   return finish(now);
 }
 
+void CallRouter::noteStreamTime(const Call& call, TimePoint now) {
+  // A stream in sixteen moves the mean by its whole difference.
+  constexpr int kWeight = 16;
+  const Duration took = now - call.arrived;
+  const auto [mean, fresh] = stream_times_.try_emplace(call.route->name, took);
+  if (!fresh) {
+    mean->second += (took - mean->second) / kWeight;
+  }
+}
+
 Effects CallRouter::onFailure(AttemptNumber attempt, AttemptFailure failure, const std::string& reason,
                               TimePoint now) {
   const auto call = callOf(attempt);
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -76,6 +76,9 @@
   budget_.setRouters(update.routers);
   replicas_.setRouters(update.routers);
   loads_.accept(update.coming, now);
+  if (update.loads) {
+    replicas_.acceptLoads(*update.loads, now);
+  }
   dispatch_wanted_ = dispatch_wanted_ || !update.coming.empty();
   if (!replicas_follow) {
     return;
@@ -165,7 +168,9 @@
     effects_.emplace_back(RenewConnectionEffect{std::move(member)});
   }
   const NodeName leader = feed_.leader();
-  RouterNews news{wants(now), replicas_.unreachable(now), ready(), catalogVersion(), crashes_.digest()};
+  RouterNews news{wants(now),           replicas_.unreachable(now), ready(),
+                  catalogVersion(),     crashes_.digest(),          replicas_.takeUses(),
+                  replicas_.takePaces()};
   for (wire::SendEffect& send : feed_.statuses(std::move(news), now)) {
     effects_.emplace_back(std::move(send));
   }
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -85,6 +85,8 @@
   wire::CallRouterStatus leaders = status;
   leaders.wants = std::move(news.wants);
   leaders.unreachable = std::move(news.unreachable);
+  leaders.uses = std::move(news.uses);
+  leaders.paces = std::move(news.paces);
   std::vector<wire::SendEffect> sends;
   for (const NodeName& member : members_) {
     if (member != leader_ && all) {
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -32,11 +32,13 @@
 
 /// What a status tells beside the feed's own state.
 struct RouterNews {
-  std::vector<wire::ModelWant> wants;  ///< for the leader
-  std::vector<ReplicaId> unreachable;  ///< for the leader
-  bool accepting = false;              ///< callers may be sent to the router
-  CatalogVersion catalog;              ///< in force
-  std::uint64_t crash_digest = 0;      ///< of the crash records that the router shares
+  std::vector<wire::ModelWant> wants;     ///< for the leader
+  std::vector<ReplicaId> unreachable;     ///< for the leader
+  bool accepting = false;                 ///< callers may be sent to the router
+  CatalogVersion catalog;                 ///< in force
+  std::uint64_t crash_digest = 0;         ///< of the crash records that the router shares
+  std::vector<wire::ReplicaUse> uses;     ///< for the leader
+  std::vector<wire::ObservedPace> paces;  ///< for the leader
 };
 
 /// A router's exchange with the control members: tells them its status, finds the leader, and lets only
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <utility>
 
+#include "balance/load_key.h"
+#include "balance/uneven.h"
 #include "common/hashing.h"
 #include "wire/replica_life.h"
 
@@ -29,6 +31,9 @@
 /// Replicas whose pace is so much above the best one's are slow. They make the pauses of all their streams
 /// longer while they read prompts, so that others are preferred.
 constexpr double kSlowPace = 1.15;
+/// Costs within this share of each other are taken as equal: loads are some hundred ms old, and all routers
+/// would send to one and the same replica meanwhile.
+constexpr double kCostSpread = 0.25;
 /// Between two probes of a replica to which no connection comes up.
 constexpr Duration kProbePause = std::chrono::milliseconds(500);
 
@@ -55,6 +60,11 @@
   pace = pace == Duration::zero() || pause < pace ? pause : pace + (pause - pace) / kPaceRise;
 }
 
+void Replica::noteMeanPause(const ModelName& model, Duration pause) {
+  const auto [untold, fresh] = untold_paces.try_emplace(model, pause);
+  untold->second = fresh ? pause : std::min(untold->second, pause);
+}
+
 Duration Replica::paceOf(const ModelName& model) const {
   const auto found = paces.find(model);
   return found == paces.end() ? Duration::zero() : found->second;
@@ -81,6 +91,7 @@
     }
     Replica& replica = replicas_[routed.id];
     replica.routed = routed;
+    replica.load_key = balance::loadKey(routed.id.value);
     replica.missing.clear();
     replica.listed = true;
     by_service_[routed.service].insert(routed.id);
@@ -150,7 +161,7 @@
 
 Choice ReplicaTable::choose(const ReplicaNeed& need, TimePoint now) {
   Options options;
-  Choice none{nullptr, ChoiceFailure::NoReplica, std::nullopt};
+  Choice none{nullptr, ChoiceFailure::NoReplica, std::nullopt, std::nullopt};
   const auto leaveOut = [&none](ChoiceFailure failure, TimePoint until) {
     none.failure = std::max(none.failure, failure);
     none.look_again = std::min(none.look_again.value_or(until), until);
@@ -182,7 +193,11 @@
   }
   keepIf(options, [&need](const Replica& replica) { return !need.tried.contains(replica.routed.id); });
   ++turn_;
-  return {leastLoaded(options, need), ChoiceFailure::None, std::nullopt};
+  if (!need.model.empty() && board_.isFresh(now) && isUneven(options)) {
+    Replica* replica = cheapest(options, need);
+    return {replica, ChoiceFailure::None, fleetUse(*replica), std::nullopt};
+  }
+  return {leastLoaded(options, need), ChoiceFailure::None, std::nullopt, std::nullopt};
 }
 
 bool ReplicaTable::anyHolds(const ReplicaNeed& need, TimePoint now) const {
@@ -257,6 +272,66 @@
       [&rank](const Replica* left, const Replica* right) { return rank(*left) < rank(*right); });
 }
 
+bool ReplicaTable::isUneven(const Options& options) const {
+  return options.size() > 1 && std::any_of(options.begin(), options.end(), [this](const Replica* option) {
+           return board_.slowness(option->load_key) >= balance::kUnevenSlowness;
+         });
+}
+
+balance::FleetUse ReplicaTable::fleetUse(const Replica& replica) const {
+  return board_.use(replica.load_key, {replica.outstanding, replica.unread_tokens});
+}
+
+Replica* ReplicaTable::cheapest(const Options& options, const ReplicaNeed& need) const {
+  const Replica* home = nullptr;
+  if (need.affinity_key != 0) {
+    home =
+        *std::max_element(options.begin(), options.end(), [&need](const Replica* left, const Replica* right) {
+          return homeWeight(*left, need.affinity_key) < homeWeight(*right, need.affinity_key);
+        });
+  }
+  const balance::CallShape call{static_cast<double>(need.prompt_tokens),
+                                static_cast<double>(need.shared_tokens), toSeconds(need.stream_time)};
+  Replica* best = nullptr;
+  double least = 0;
+  for (Replica* option : options) {
+    const balance::CallPlace place{fleetUse(*option), option == home, option->routed.zone != zone_};
+    const double drawn = static_cast<double>(homeWeight(*option, turn_)) /
+                         static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    const double cost = balance::callCost(call, place) * (1 + kCostSpread * drawn);
+    if (best == nullptr || cost < least) {
+      best = option;
+      least = cost;
+    }
+  }
+  return best;
+}
+
+std::vector<wire::ReplicaUse> ReplicaTable::takeUses() {
+  std::vector<wire::ReplicaUse> uses;
+  for (auto& [id, replica] : replicas_) {
+    const std::uint64_t sent = std::exchange(replica.sent_tokens, 0);
+    if (replica.outstanding > 0 || sent > 0) {
+      uses.push_back({replica.load_key, replica.outstanding,
+                      static_cast<std::uint32_t>(replica.unread_tokens), static_cast<std::uint32_t>(sent)});
+    }
+  }
+  board_.onTold(uses);
+  return uses;
+}
+
+std::vector<wire::ObservedPace> ReplicaTable::takePaces() {
+  std::vector<wire::ObservedPace> paces;
+  for (auto& [id, replica] : replicas_) {
+    for (const auto& [model, pause] : std::exchange(replica.untold_paces, {})) {
+      const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(pause).count();
+      paces.push_back(
+          {replica.load_key, balance::loadKey(model.value), static_cast<std::uint32_t>(microseconds)});
+    }
+  }
+  return paces;
+}
+
 void ReplicaTable::onSent(Replica& replica, TimePoint now) {
   ++replica.outstanding;
   if (replica.probe_at) {
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "balance/call_cost.h"
 #include "common/random.h"
 #include "quarantine/trial.h"
 #include "router/replica_health.h"
@@ -29,11 +30,15 @@
   router::ReplicaHealth health;
   std::uint32_t outstanding = 0;    ///< attempts of this router
   std::uint64_t unread_tokens = 0;  ///< prompts of its attempts that have shown no sign of life yet
+  std::uint64_t sent_tokens = 0;    ///< of prompts, since the leader was last told
   TimePoint refused_until{};        ///< it said that it is full or leaves
   /// Models and adapters that it said it doesn't hold, though the table says so.
   std::map<std::pair<ModelName, std::string>, MissingModel> missing;
   /// Time between two events of a stream by model, as far as streams come undisturbed.
   std::map<ModelName, Duration> paces;
+  /// Mean pauses of undisturbed parts of streams, the shortest since the leader was last told.
+  std::map<ModelName, Duration> untold_paces;
+  std::uint32_t load_key = 0;  ///< balance::loadKey() of its id
   /// No connection came up; until then it gets nothing, then one call probes it.
   std::optional<TimePoint> probe_at;
   bool listed = true;  ///< the leader still lists it
@@ -41,6 +46,8 @@
   bool unreachable(TimePoint now) const { return probe_at && now < *probe_at; }
   bool holds(const ModelName& model, const std::string& adapter) const;
   void notePause(const ModelName& model, Duration pause);
+  /// The mean pause over several events; single ones may come together and tell nothing.
+  void noteMeanPause(const ModelName& model, Duration pause);
   /// Zero: not known.
   Duration paceOf(const ModelName& model) const;
   /// When it may be asked for the model again; in the past if it never said that it lacks it.
@@ -56,7 +63,9 @@
   std::string adapter;
   std::uint64_t affinity_key = 0;
   std::uint64_t prompt_tokens = 0;
-  std::set<ReplicaId> tried;  ///< taken again only when nothing else is left
+  std::uint64_t shared_tokens = 0;  ///< of the prompt, in parts that other calls share
+  Duration stream_time{};           ///< that streams of the call's route take; zero: not known
+  std::set<ReplicaId> tried;        ///< taken again only when nothing else is left
   /// Of a call that one more end of a replica quarantines; replicas that it doesn't own are taken only when
   /// nothing else is left.
   std::optional<quarantine::Trial> trial;
@@ -72,7 +81,8 @@
 struct Choice {
   Replica* replica = nullptr;
   ChoiceFailure failure = ChoiceFailure::None;
-  std::optional<TimePoint> look_again;  ///< earliest instant at which one that was left out may be asked
+  std::optional<balance::FleetUse> use;  ///< of the replica, where that decided
+  std::optional<TimePoint> look_again;   ///< earliest instant at which one that was left out may be asked
 };
 
 /// The replicas that the leader lists, and those with attempts still under way. Used by one thread.
@@ -96,6 +106,13 @@
   void setRouters(std::uint32_t routers) { routers_ = routers; }
   std::uint32_t routers() const { return routers_; }
 
+  /// What the leader tells of the load of replicas.
+  void acceptLoads(const std::vector<wire::ReplicaLoad>& loads, TimePoint now) { board_.accept(loads, now); }
+  const balance::LoadBoard& loadBoard() const { return board_; }
+  /// What this router has at replicas, and the paces that it saw; counted anew from here on.
+  std::vector<wire::ReplicaUse> takeUses();
+  std::vector<wire::ObservedPace> takePaces();
+
   void onSent(Replica& replica, TimePoint now);
   static void onUnreachable(Replica& replica, TimePoint now);
   /// A sign of life. True if no connection had come up before.
@@ -110,6 +127,11 @@
   static void keepFast(Options& options, const ModelName& model);
   std::uint32_t homeSurplus(const Replica& replica) const;
   Replica* leastLoaded(Options options, const ReplicaNeed& need) const;
+  /// True if some of these are known to be so much slower than others that calls had better be told apart.
+  bool isUneven(const Options& options) const;
+  /// The one where the call costs its caller and the others there least, by the load over all routers.
+  Replica* cheapest(const Options& options, const ReplicaNeed& need) const;
+  balance::FleetUse fleetUse(const Replica& replica) const;
   void unlist(const ReplicaId& id);
   /// Unlists the life that the replica had before; false if a later one is listed.
   bool followLife(const ReplicaId& id);
@@ -120,6 +142,7 @@
   std::map<std::string, ReplicaId> lives_;  ///< the latest, by the name that the replica gives itself
   std::uint64_t own_homes_;  ///< changes the homes of affinity keys where routers don't share them
   std::uint32_t routers_ = 1;
+  balance::LoadBoard board_;
   std::uint64_t turn_;
 };
 
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -48,6 +48,7 @@
   control.router_out_of_touch = settings.router_out_of_touch;
   control.order_lease = settings.order_lease;
   control.placement = settings.placement;
+  control.tells_loads = settings.tells_loads;
   control.quota_tolerance = settings.quota_tolerance;
   return control;
 }
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -94,6 +94,7 @@
   placement.near_weights_first = reader.boolean("placement_near_weights_first", true);
   placement.expected_times = reader.boolean("placement_expected_times", true);
   placement.prompt_doubts = reader.boolean("placement_prompt_doubts", true);
+  settings.tells_loads = reader.boolean("balance_by_fleet_load", false);
   constexpr std::uint64_t kSmallestBody = 1'000;
   constexpr std::uint64_t kLargestBody = 1'000'000'000;
   settings.max_body_bytes =
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -56,6 +56,7 @@
   Duration order_lease = std::chrono::seconds(3);
   Duration replica_heartbeat = std::chrono::seconds(1);
   services::PlacementSwitches placement;
+  bool tells_loads = false;  ///< routers choose replicas by the load over all routers
   std::size_t max_body_bytes = 64 << 20;
 };
 
--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -24,6 +24,7 @@
       if (service.engine) {
         Candidates candidates = candidatesOf(service, unreachable, now);
         copies_ = countCopies(candidates, now);
+        lost_capacity_ = lostCapacities(candidates);
         placeAdapters(service, candidates, now);
         placeModels(catalog, service, candidates, now);
       }
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -41,6 +41,9 @@
   /// orders.
   PlacerEffects plan(const wire::ServiceCatalog& catalog, const std::set<ReplicaId>& unreachable,
                      TimePoint now);
+  /// Replicas that are slower than others, by balance::loadKey() of their ids; those that aren't listed are
+  /// taken as equal.
+  void takeSlowness(std::map<std::uint32_t, double> slowness) { slowness_ = std::move(slowness); }
   /// When a model that no replica holds should serve; nullopt: it isn't known, or a replica holds it.
   std::optional<TimePoint> expectedAt(const wire::HostedService& service, const ModelName& model,
                                       TimePoint now) const;
@@ -89,6 +92,7 @@
   };
   using Candidates = std::vector<Candidate>;
   using CopyCounts = std::map<ModelName, std::size_t>;
+  using Capacities = std::map<ModelName, double>;
   struct WantedModel {
     double urgency = 0;
     bool missing = false;  ///< no replica holds it
@@ -174,11 +178,16 @@
   /// Copies that serve or are about to, by model.
   static CopyCounts countCopies(const Candidates& candidates, TimePoint now);
   std::size_t copies(const ModelName& model) const;
+  /// The copies of a model as so many on replicas of full speed.
+  double capacity(const ModelName& model) const;
+  Capacities lostCapacities(const Candidates& candidates) const;
+  double slownessOf(const ReplicaId& replica) const;
   double urgency(const wire::HostedService& service, const ModelName& model, const KeyDemand& demand) const;
   static void dropReservations(Candidates& candidates, const WantedModels& wanted, TimePoint now);
   /// Calls running or waiting for which one copy is enough.
   static double callsInHandPerCopy(const wire::HostedService& service);
-  std::size_t wantedCopies(const wire::HostedService& service, const ModelName& model) const;
+  /// Copies on replicas of full speed for which the demand is enough.
+  double wantedCapacity(const wire::HostedService& service, const ModelName& model) const;
   static Duration loadTime(const ReplicaRecord& record, const wire::HostedModel& model);
   bool waitsForRuns(const wire::HostedService& service, const Engine& engine) const;
   /// The shortest on any replica of the service that may get orders.
@@ -207,7 +216,9 @@
   std::map<ServiceModel, Note> noted_;
   std::uint64_t next_number_ = 1;
   std::uint64_t loads_begun_ = 0;
-  CopyCounts copies_;  ///< of the service that is planned, as the plan goes on
+  std::map<std::uint32_t, double> slowness_;
+  Capacities lost_capacity_;  ///< what the copies lack that stand on slow replicas
+  CopyCounts copies_;         ///< of the service that is planned, as the plan goes on
   PlacerEffects effects_;
 };
 
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -3,6 +3,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "balance/load_key.h"
+#include "balance/uneven.h"
 #include "services/model_placer.h"
 #include "services/model_placer_rules.h"
 
@@ -32,6 +34,9 @@
 constexpr double kPromisedUrgency = 1.5;
 /// What displacing a model costs, per recent call for it, against a second of loading.
 constexpr double kDisplacedShare = 0.5;
+/// A copy on a replica of half the speed is taken only if it serves this much sooner: callers use a copy for
+/// some ten seconds at least, and get half as much of it.
+constexpr double kSlowCopySeconds = 5;
 /// Worth of a copy that its model's demand doesn't need, against any that it does.
 constexpr double kSpareCopyDiscount = 1000;
 /// Callers stay away for about this share of their time at most.
@@ -102,6 +107,29 @@
   return counts;
 }
 
+double ModelPlacer::slownessOf(const ReplicaId& replica) const {
+  const auto found = slowness_.find(balance::loadKey(replica.value));
+  return found == slowness_.end() ? 1 : balance::countedSlowness(found->second);
+}
+
+ModelPlacer::Capacities ModelPlacer::lostCapacities(const Candidates& candidates) const {
+  Capacities lost;
+  for (const Candidate& candidate : candidates) {
+    const double part = 1 - 1 / slownessOf(candidate.record->report.id);
+    for (const wire::HeldModel& held : candidate.record->report.held) {
+      if (part > 0 && candidate.engine->unloading != held.model) {
+        lost[held.model] += part;
+      }
+    }
+  }
+  return lost;
+}
+
+double ModelPlacer::capacity(const ModelName& model) const {
+  const auto lost = lost_capacity_.find(model);
+  return static_cast<double>(copies(model)) - (lost == lost_capacity_.end() ? 0 : lost->second);
+}
+
 std::size_t ModelPlacer::copies(const ModelName& model) const {
   const auto found = copies_.find(model);
   return found == copies_.end() ? 0 : found->second;
@@ -111,12 +139,12 @@
   return std::max(1.0, kBatchShare * service.engine->slots);
 }
 
-std::size_t ModelPlacer::wantedCopies(const wire::HostedService& service, const ModelName& model) const {
+double ModelPlacer::wantedCapacity(const wire::HostedService& service, const ModelName& model) const {
   const KeyDemand demand = demand_.find({service.name, model, {}});
   const double in_hand = demand.running + demand.waiting;
-  const double by_load = std::ceil(in_hand / callsInHandPerCopy(service));
-  const double by_rate = std::ceil(demand.rate() / kCallsPerCopy);
-  return static_cast<std::size_t>(std::max({1.0, by_load, by_rate}));
+  const double by_load = in_hand / callsInHandPerCopy(service);
+  const double by_rate = demand.rate() / kCallsPerCopy;
+  return std::max(by_load, by_rate);
 }
 
 /// Calls of the next seconds that another copy serves better: a model that is missing keeps them waiting, one
@@ -128,9 +156,9 @@
     const bool promised = promised_.contains({service.name, model});
     return demand.waiting + demand.rate() * kUrgencySeconds + (promised ? kPromisedUrgency : 0);
   }
-  const auto copies = static_cast<double>(held);
-  const double calls_over = (demand.rate() - copies * kCallsPerCopy) * kUrgencySeconds;
-  const double in_hand_over = demand.running + demand.waiting - copies * callsInHandPerCopy(service);
+  const double full_copies = capacity(model);
+  const double calls_over = (demand.rate() - full_copies * kCallsPerCopy) * kUrgencySeconds;
+  const double in_hand_over = demand.running + demand.waiting - full_copies * callsInHandPerCopy(service);
   return kCrowdedShare * std::max(calls_over, in_hand_over);
 }
 
@@ -157,7 +185,7 @@
     }
     const std::size_t held = copies(key.model);
     const bool missing = held == 0 && demand.waiting > 0;
-    const bool crowded = held > 0 && held < wantedCopies(service, key.model);
+    const bool crowded = held > 0 && capacity(key.model) < wantedCapacity(service, key.model);
     if (missing || crowded) {
       wanted.push_back({urgency(service, key.model, demand), missing, model});
     }
@@ -313,7 +341,8 @@
     option.ready += kRoomTime + (victim->running ? kRunsTime : Duration::zero());
     displaced = victim->worth;
   }
-  option.cost = displaced * kDisplacedShare + toSeconds(option.ready - now);
+  const double slow_copy = (slownessOf(candidate.record->report.id) - 1) * kSlowCopySeconds;
+  option.cost = displaced * kDisplacedShare + toSeconds(option.ready - now) + slow_copy;
   return option;
 }
 
@@ -364,7 +393,7 @@
                                              TimePoint now) const {
   const KeyDemand demand = demand_.find({service.name, model, {}});
   const std::size_t held = copies(model);
-  const bool spare_copy = held > wantedCopies(service, model);
+  const bool spare_copy = capacity(model) - 1 >= std::max(1.0, wantedCapacity(service, model));
   const bool in_use = demand.running + demand.waiting > 0 || now - demand.last_wanted < kKeptAfterUse;
   if (in_use && !spare_copy) {
     return std::nullopt;
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -103,6 +103,7 @@
   compareCrashes(status, now);
   if (leader_) {
     leader_->receipts.onStatus(status, now);
+    leader_->loads.accept(status, now);
   }
   if (leader_ && node_->log().hasLease(now)) {
     updateRouter(status, now);
@@ -262,6 +263,7 @@
     registry_.expire(now, settled ? settings_.replica_silence : kFollowerSilence);
     if (leader_) {
       leader_->demand.keepRouters(directory_.routers());
+      leader_->loads.expire(now);
       leader_->updates.keepRouters(directory_.routers());
       leader_->receipts.keepRouters(directory_.routers());
       leader_->quotas.keepRouters(directory_.routers());
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -30,6 +30,8 @@
   /// A new leader orders nothing before an earlier one's orders can have left.
   Duration order_lease = std::chrono::milliseconds(3000);
   PlacementSwitches placement;
+  /// Routers are told the load of replicas over all routers.
+  bool tells_loads = false;
   tenancy::QuotaTolerance quota_tolerance;
   /// Replicas that don't report for longer are forgotten.
   Duration replica_silence = std::chrono::seconds(6);
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "balance/load_tally.h"
 #include "quarantine/crash_ledger.h"
 #include "services/cell_keeper.h"
 #include "services/leave_notices.h"
@@ -102,6 +103,7 @@
     Term term;
     TableFeed feed;
     ModelDemand demand;
+    balance::LoadTally loads;
     ModelPlacer placer;
     UpdateLedger updates;
     CatalogSpread spread;
@@ -195,6 +197,8 @@
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
   /// Returns how many replicas it lists.
   std::size_t sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
+  /// The loads of all replicas, if the router is due to be told them.
+  std::optional<std::vector<wire::ReplicaLoad>> loadsFor(const NodeName& router, TimePoint now);
   void pushTables(TimePoint now);
   bool hasNews() const;
   bool isLargeFleet() const;
@@ -234,6 +238,7 @@
   TimePoint relay_due_ = TimePoint::max();
   TimePoint next_hello_;
   TimePoint next_expiry_;
+  TimePoint began_;                    ///< of this process
   std::deque<OpenWrite> open_writes_;  ///< oldest first
   TimePoint next_hand_over_{};
   std::uint64_t next_id_ = 1;
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -33,6 +33,13 @@
 constexpr Duration kSignOfLife = std::chrono::milliseconds(200);
 /// Up to so many routers are told of each change at once.
 constexpr std::size_t kSmallFleet = 16;
+/// Between two tellings of loads to a router, at least. Streams last about 2 s; what a router sends in
+/// between it knows itself.
+constexpr Duration kLoadsInterval = std::chrono::milliseconds(400);
+/// Of loads to all routers: 0.8% of what a leader's link of 1,000 Mbit/s carries, and a tenth of what calls
+/// of today's fleets send from zone to zone.
+constexpr double kLoadBytesPerSecond = 100'000;
+constexpr double kBytesPerLoad = 14;
 
 bool waitsForModel(const wire::CallRouterStatus& status) {
   return std::any_of(status.wants.begin(), status.wants.end(),
@@ -161,12 +168,25 @@
   if (const auto followed = node_->log().followedAt(now)) {
     update.proved = leader_->receipts.provedBy(status.router, *followed);
   }
+  update.loads = loadsFor(status.router, now);
   leader_->updates.onSent(status.router, update, now);
   const std::size_t entries = update.replicas.size();
   send(status.router, std::move(update));
   return entries;
 }
 
+std::optional<std::vector<wire::ReplicaLoad>> ServiceControlImpl::loadsFor(const NodeName& router,
+                                                                           TimePoint now) {
+  const Duration since = now - leader_->updates.loadsSent(router);
+  if (!settings_.tells_loads || since < kLoadsInterval) {
+    return std::nullopt;
+  }
+  std::vector<wire::ReplicaLoad> loads = leader_->loads.loads(now);
+  const auto entries = static_cast<double>(loads.size() * directory_.routers().size());
+  const auto paced = std::chrono::duration<double>(entries * kBytesPerLoad / kLoadBytesPerSecond);
+  return since < paced ? std::nullopt : std::optional(std::move(loads));
+}
+
 /// Of the models that the router's calls wait for, those that are being loaded.
 std::vector<wire::ComingModel> ServiceControlImpl::comingFor(const wire::CallRouterStatus& status,
                                                              TimePoint now) const {
@@ -260,6 +280,9 @@
   leader_->planned = now;
   leader_->demand.fade(now);
   const std::set<ReplicaId> unreachable = directory_.unreachable(now);
+  if (settings_.tells_loads) {
+    leader_->placer.takeSlowness(leader_->loads.slowness());
+  }
   for (PlacerEffect& effect : leader_->placer.plan(node_->hosted().catalog(), unreachable, now)) {
     std::visit([this](auto& typed) { effects_.emplace_back(std::move(typed)); }, effect);
   }
--- a/src/services/update_ledger.cc
+++ b/src/services/update_ledger.cc
@@ -31,6 +31,9 @@
   Sent& sent = sent_[router];
   sent.last = now;
   sent.revision = update.revision;
+  if (update.loads) {
+    sent.loads_sent = now;
+  }
   if (update.catalog) {
     sent.catalog = update.catalog->version;
     sent.catalog_sent = now;
@@ -46,6 +49,11 @@
   return found == sent_.end() ? TimePoint{} : found->second.last;
 }
 
+TimePoint UpdateLedger::loadsSent(const NodeName& router) const {
+  const auto found = sent_.find(router);
+  return found == sent_.end() ? TimePoint{} : found->second.loads_sent;
+}
+
 void UpdateLedger::keepRouters(const std::map<NodeName, RouterRecord>& routers) {
   std::erase_if(sent_, [&routers](const auto& item) { return !routers.contains(item.first); });
 }
--- a/src/services/update_ledger.h
+++ b/src/services/update_ledger.h
@@ -16,6 +16,8 @@
   /// while, or was reported as missed, is taken as lost.
   wire::CallRouterStatus expected(const wire::CallRouterStatus& status, TimePoint now);
   void onSent(const NodeName& router, const wire::ServiceUpdate& update, TimePoint now);
+  /// When the router was last told the loads of replicas; long ago if never.
+  TimePoint loadsSent(const NodeName& router) const;
   /// When the router was last sent something; long ago if never.
   TimePoint lastSent(const NodeName& router) const;
   void keepRouters(const std::map<NodeName, RouterRecord>& routers);
@@ -29,6 +31,7 @@
     TimePoint catalog_sent{};
     std::uint64_t directory = 0;
     TimePoint directory_sent{};
+    TimePoint loads_sent{};
   };
   std::map<NodeName, Sent> sent_;
 };
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -67,6 +67,33 @@
   FERRYROCK_FIELDS(ModelWant, service, model, adapter, waiting, running, arrivals)
 };
 
+/// What a router has at one replica, for the sums of all routers.
+struct ReplicaUse {
+  std::uint32_t replica = 0;        ///< balance::loadKey() of its id
+  std::uint32_t streams = 0;        ///< attempts under way
+  std::uint32_t unread_tokens = 0;  ///< of prompts that show no event yet
+  std::uint32_t sent_tokens = 0;    ///< of prompts sent there since the last status
+  FERRYROCK_FIELDS(ReplicaUse, replica, streams, unread_tokens, sent_tokens)
+};
+
+/// The shortest pause between two events of a model's streams since the last status.
+struct ObservedPace {
+  std::uint32_t replica = 0;  ///< balance::loadKey() of its id
+  std::uint32_t model = 0;    ///< balance::loadKey() of its name
+  std::uint32_t pause_us = 0;
+  FERRYROCK_FIELDS(ObservedPace, replica, model, pause_us)
+};
+
+/// What all routers together have at one replica.
+struct ReplicaLoad {
+  std::uint32_t replica = 0;  ///< balance::loadKey() of its id
+  std::uint32_t streams = 0;
+  std::uint32_t unread_tokens = 0;
+  std::uint32_t tokens_per_s = 0;      ///< of prompts sent there lately
+  std::uint32_t slowness_percent = 0;  ///< its pace against the fastest replica's; 0: not known
+  FERRYROCK_FIELDS(ReplicaLoad, replica, streams, unread_tokens, tokens_per_s, slowness_percent)
+};
+
 /// A router of calls: where callers reach it, what it has in force and what its calls want.
 struct CallRouterStatus {
   NodeName router;
@@ -83,8 +110,11 @@
   std::vector<ReplicaId> unreachable;  ///< replicas to which no connection comes up just now
   bool wants_proof = false;            ///< it can't prove its catalog for long, see ServiceUpdate
   std::uint64_t crash_digest = 0;      ///< of the crash records that it shares, see CrashRecords
+  std::vector<ReplicaUse> uses;        ///< for the leader; replicas with nothing on them aren't listed
+  std::vector<ObservedPace> paces;     ///< for the leader
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
-                   revision, wants, directory, missed_update, unreachable, wants_proof, crash_digest)
+                   revision, wants, directory, missed_update, unreachable, wants_proof, crash_digest, uses,
+                   paces)
 };
 
 /// A replica as routers need it.
@@ -135,8 +165,10 @@
   bool confirm = false;             ///< a notice waits until the router tells that it holds the revision
   ProvedStatus proved;
   std::vector<TenantName> limited_tenants;  ///< credit is asked for before their calls run
+  /// All replicas that serve something; told now and then.
+  std::optional<std::vector<ReplicaLoad>> loads;
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
-                   members, directory, coming, confirm, proved, limited_tenants)
+                   members, directory, coming, confirm, proved, limited_tenants, loads)
 };
 
 /// From a member that doesn't lead, or can't be sure that it does, to a router that holds an older version.
@@ -168,7 +200,7 @@
   NodeName router;
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
-  bool whole = false;  ///< every total is listed: the first message to this leader
+  bool whole = false;                   ///< every total is listed: the first message to this leader
   std::vector<QuotaSpent> spent;
   std::vector<QuotaAsk> asks;
   FERRYROCK_FIELDS(QuotaUse, router, incarnation, sequence, whole, spent, asks)
--- /dev/null
+++ b/tests/balance/load_test.cc
@@ -0,0 +1,96 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "balance/load_board.h"
+#include "balance/load_key.h"
+#include "balance/load_tally.h"
+
+/// What routers tell, the leader's sums, and a router's view of them.
+namespace ferryrock::balance {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{1000s};
+
+wire::CallRouterStatus status(const std::string& router, std::vector<wire::ReplicaUse> uses) {
+  wire::CallRouterStatus told;
+  told.router = NodeName(router);
+  told.uses = std::move(uses);
+  return told;
+}
+
+wire::ReplicaLoad loadOf(LoadTally& tally, std::uint32_t replica, TimePoint now) {
+  for (const wire::ReplicaLoad& load : tally.loads(now)) {
+    if (load.replica == replica) {
+      return load;
+    }
+  }
+  return {};
+}
+
+TEST_CASE("The sums are those of each router's last status, whatever came before") {
+  CHECK(rc::check("sums", [] {
+    LoadTally tally;
+    std::map<std::string, std::uint32_t> last;
+    TimePoint now = kStart;
+    for (int i = 0; i < 40; ++i) {
+      now += 10ms;
+      const std::string router = "edge-" + std::to_string(*rc::gen::inRange(0, 5));
+      last[router] = *rc::gen::inRange<std::uint32_t>(0, 50);
+      tally.accept(status(router, {{7, last[router], last[router] * 100, 0}}), now);
+    }
+    std::uint32_t streams = 0;
+    for (const auto& [router, own] : last) {
+      streams += own;
+    }
+    const wire::ReplicaLoad load = loadOf(tally, 7, now + 100ms);
+    RC_ASSERT(load.streams == streams);
+    RC_ASSERT(load.unread_tokens == streams * 100);
+  }));
+}
+
+TEST_CASE("A router that is silent counts no more, and prompts fade from the rate") {
+  LoadTally tally;
+  tally.accept(status("edge-1", {{7, 3, 9'000, 20'000}}), kStart);
+  tally.accept(status("edge-2", {{7, 1, 0, 0}}), kStart);
+  const wire::ReplicaLoad at_once = loadOf(tally, 7, kStart + 60ms);
+  CHECK(at_once.streams == 4);
+  CHECK(at_once.tokens_per_s == Approx(10'000).epsilon(0.05));
+  tally.accept(status("edge-2", {{7, 1, 0, 0}}), kStart + 2s);
+  tally.expire(kStart + 2s);
+  const wire::ReplicaLoad later = loadOf(tally, 7, kStart + 2100ms);
+  CHECK(later.streams == 1);
+  CHECK(later.unread_tokens == 0);
+  CHECK(later.tokens_per_s < 4'000);
+  tally.accept(status("edge-2", {}), kStart + 20s);
+  tally.expire(kStart + 20s);
+  CHECK(tally.loads(kStart + 20s).empty());
+}
+
+TEST_CASE("A router replaces its own part of the sums by what it has there now") {
+  LoadBoard board;
+  board.onTold({{7, 2, 500, 0}});
+  CHECK_FALSE(board.isFresh(kStart));
+  board.accept({{7, 10, 4'000, 1'000, 220}}, kStart);
+  CHECK(board.isFresh(kStart + 2s));
+  CHECK_FALSE(board.isFresh(kStart + 3s));
+  const FleetUse use = board.use(7, {5, 900});
+  CHECK(use.streams == 13);
+  CHECK(use.unread_tokens == 4'400);
+  CHECK(use.slowness == Approx(2.2));
+  CHECK(board.use(8, {1, 100}).streams == 1);
+  CHECK(board.slowness(8) == 1);
+  board.onTold({{7, 40, 90'000, 0}});  // the sums are older than that
+  CHECK(board.use(7, {}).streams == 0);
+  CHECK(board.use(7, {}).unread_tokens == 0);
+}
+
+TEST_CASE("Names differ in messages about loads") {
+  CHECK(loadKey("i-7f3a91c2") != loadKey("i-7f3a91c3"));
+  CHECK(loadKey("i-7f3a91c2") == loadKey("i-7f3a91c2"));
+}
+
+}  // namespace
+}  // namespace ferryrock::balance
--- /dev/null
+++ b/tests/balance/pace_table_test.cc
@@ -0,0 +1,75 @@
+#include "balance/pace_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace ferryrock::balance {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{1000s};
+
+/// As routers tell it: several streams of a model at a replica, of which the shortest pause counts.
+void see(PaceTable& table, std::uint32_t model, std::uint32_t replica, std::uint32_t pause_us, TimePoint at) {
+  for (const std::uint32_t disturbed_by : {9'000U, 0U, 4'000U}) {
+    table.accept({{replica, model, pause_us + disturbed_by}}, at);
+  }
+}
+
+TEST_CASE("A replica's slowness is its shortest pause against the best one of the same model") {
+  PaceTable table;
+  see(table, 1, 11, 30'000, kStart);
+  see(table, 1, 12, 66'000, kStart);
+  const auto slowness = table.slowness();
+  CHECK(slowness.at(11) == Approx(1));
+  CHECK(slowness.at(12) == Approx(2.2));
+}
+
+/// Model 1 stands on slow replicas alone; that they are slow shows in model 2.
+TEST_CASE("Where all copies of a model are slow, other models that they hold tell") {
+  PaceTable table;
+  see(table, 1, 12, 66'000, kStart);
+  see(table, 1, 13, 66'000, kStart);
+  see(table, 2, 11, 20'000, kStart);
+  see(table, 2, 12, 44'000, kStart);
+  const auto slowness = table.slowness();
+  CHECK(slowness.at(12) == Approx(2.2).epsilon(0.01));
+  CHECK(slowness.at(13) == Approx(2.2).epsilon(0.01));
+}
+
+TEST_CASE("A model on one replica, and one that was hardly seen, tell nothing") {
+  PaceTable table;
+  see(table, 1, 11, 30'000, kStart);
+  see(table, 2, 12, 90'000, kStart);
+  table.accept({{12, 1, 90'000}}, kStart);
+  CHECK(table.slowness().empty());
+}
+
+TEST_CASE("A replica that gets no streams is known for as slow for a minute") {
+  PaceTable table;
+  see(table, 1, 11, 30'000, kStart);
+  see(table, 1, 12, 66'000, kStart);
+  for (TimePoint at = kStart; at < kStart + 50s; at += 1s) {
+    see(table, 1, 11, 30'000, at);
+  }
+  CHECK(table.slowness().at(12) == Approx(2.2));
+  for (TimePoint at = kStart + 50s; at < kStart + 90s; at += 1s) {
+    see(table, 1, 11, 30'000, at);
+  }
+  CHECK(table.slowness().empty());
+}
+
+TEST_CASE("A replica that was slow for a while counts as quick again after two windows") {
+  PaceTable table;
+  for (TimePoint at = kStart; at < kStart + 20s; at += 1s) {
+    see(table, 1, 11, 30'000, at);
+    see(table, 1, 12, at < kStart + 7s ? 90'000 : 30'000, at);
+    if (at == kStart + 6s) {
+      CHECK(table.slowness().at(12) == Approx(3));
+    }
+  }
+  CHECK(table.slowness().at(12) == Approx(1));
+}
+
+}  // namespace
+}  // namespace ferryrock::balance
--- a/tests/service_process/settings_test.cc
+++ b/tests/service_process/settings_test.cc
@@ -33,6 +33,19 @@
   CHECK((off.learned_store_width && off.expected_times && off.prompt_doubts));
 }
 
+TEST_CASE(
+    "Loads are told to routers only where the settings say so, and a value that is no switch is refused") {
+  const std::string control =
+      "node: core-1\nhost: 10.0.0.1\ninternal_port: 7000\nseeds: [\"10.0.0.1:80\"]\n"
+      "listen_control: 10.0.0.1:80\nlisten_directory: 10.0.0.1:81\ndata_folder: data\n";
+  SettingsReader plain = SettingsReader::fromText(control, "settings");
+  CHECK_FALSE(readServiceControlSettings(plain).tells_loads);
+  SettingsReader on = SettingsReader::fromText(control + "balance_by_fleet_load: true\n", "settings");
+  CHECK(readServiceControlSettings(on).tells_loads);
+  SettingsReader broken = SettingsReader::fromText(control + "balance_by_fleet_load: 7\n", "settings");
+  CHECK_THROWS_AS(readServiceControlSettings(broken), Error);
+}
+
 TEST_CASE("An unknown, missing or broken field is refused with its place and remedy") {
   for (const std::string& text :
        {kRouter + "unknown: 1\n", std::string("node: edge-1\n"), kRouter + "stop_limit: 8\n",
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -72,6 +72,7 @@
   settings.http = member.node.value;
   settings.seeds = seeds_;
   settings.losses_borne = losses_borne_;
+  settings.tells_loads = tells_loads;
   member.control = createServiceControl(settings, member.storage->recover(), Random(random_.next()), clock_);
   act(member, [](ServiceControl& control, TimePoint now) { return control.tick(now); });
   const std::uint64_t starts = member.starts;
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -48,13 +48,15 @@
   bool silent = false;
 };
 
-/// Counts the calls that a router admits.
+/// Counts the calls that a router admits, and those that it sends by what it was told.
 class AdmissionLog : public EventLog {
  public:
   void write(LogLevel, std::string_view event, std::initializer_list<LogField>) override {
     admitted += event == "call.admitted" ? 1 : 0;
+    balanced += event == "call.balanced" ? 1 : 0;
   }
   std::size_t admitted = 0;
+  std::size_t balanced = 0;  ///< sent by the load over all routers
 };
 
 /// The product's own router of calls.
@@ -98,6 +100,8 @@
   void freeze(ServiceMember& member, Duration duration) { member.frozen_until = time_ + duration; }
   /// A call with the key arrives at the router.
   void call(RunningRouter& router, const std::string& key);
+  /// Of members that are started later.
+  bool tells_loads = false;
   /// Of routers that are added or restarted later.
   std::optional<Duration> key_lifetime;
   /// Takes what routers do towards callers and replicas; may be empty.
