Let a tenant use what it left of its limit in the window, and keep the account beyond a leader's loss

Change: credit is what the limit allows in a window less what was used in the one up to now. Routers keep their uses by seconds and tell a new leader; the share of routers that are gone or young is assumed as used. Without a leader a router grants what leaves its own window.

--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -42,7 +42,8 @@
       keeper_(keeperSettings(settings), time_source.monotonicTime()),
       known_nodes_(settings.seeds.begin(), settings.seeds.end()),
       next_hello_(time_source.monotonicTime()),
-      next_expiry_(time_source.monotonicTime() + kExpiryInterval) {}
+      next_expiry_(time_source.monotonicTime() + kExpiryInterval),
+      began_(time_source.monotonicTime()) {}
 
 Effects ServiceControlImpl::receive(const wire::Envelope& envelope, TimePoint now) {
   std::visit([&](const auto& message) { onMessage(envelope.from, message, now); }, envelope.message);
@@ -267,6 +268,7 @@
       leader_->updates.keepRouters(directory_.routers());
       leader_->receipts.keepRouters(directory_.routers());
       leader_->quotas.keepRouters(directory_.routers());
+      leader_->quotas.followRouters(directory_.routers(), now - began_ >= settings_.quota_tolerance.window);
     }
   }
   giveUpForwarded(now);
--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -16,14 +16,19 @@
 constexpr Duration kLeaderSilence = 700ms;
 /// An answer takes about 5 ms. A leader that is busy or gone isn't waited for any longer.
 constexpr Duration kAnswerLimit = 250ms;
-/// A router's part of the rate is kept for this long.
-constexpr double kOwnPartSeconds = 1;
+/// For so long without a leader a router knows what leaves the window: a cell is without one for 3 s as a
+/// rule.
+constexpr Duration kLongestSilence = 30s;
 /// Until a cell has a leader again, as measured after a leader was killed: 3 s.
 constexpr double kLeaderlessSeconds = 3;
 /// A tenant may come at this multiple of its rate while nobody counts over all routers.
 constexpr double kHotTenant = 4;
 constexpr Duration kComeBack = 1s;
 
+std::int64_t slotsOf(Duration window) {
+  return (window + kHistorySlot - Duration(1)) / kHistorySlot;
+}
+
 QuotaReply granted(std::uint64_t account) {
   return {QuotaVerdict::Granted, std::nullopt, account};
 }
@@ -60,6 +65,52 @@
   spent.total += amount;
   spent.changed = now;
   charges_due_ = std::min(charges_due_, now + kChargeInterval);
+  remember(tenant, amount, now);
+}
+
+/// What is given back is taken from the oldest second, so that no leader counts less than what ran.
+void QuotaClient::remember(const TenantName& tenant, std::int64_t amount, TimePoint now) {
+  auto& by_second = spent_[tenant].by_second;
+  const std::int64_t second = now.time_since_epoch() / kHistorySlot;
+  by_second.erase(by_second.begin(),
+                  by_second.lower_bound(second - slotsOf(settings_.tolerance.window + kLongestSilence)));
+  if (amount > 0) {
+    by_second[second] += amount;
+    return;
+  }
+  for (auto& [at, used] : by_second) {
+    const std::int64_t taken = std::min(used, -amount);
+    used -= taken;
+    amount += taken;
+  }
+}
+
+double QuotaClient::rolledOff(const TenantName& tenant, TimePoint from, TimePoint to) const {
+  const auto spent = spent_.find(tenant);
+  if (spent == spent_.end()) {
+    return 0;
+  }
+  const auto slotsUpTo = [this](TimePoint time) {
+    return (time - settings_.tolerance.window).time_since_epoch() / kHistorySlot;
+  };
+  std::int64_t sum = 0;
+  for (const auto& [second, used] : spent->second.by_second) {
+    // A second has left the window once its end has.
+    sum += second >= slotsUpTo(from) && second < slotsUpTo(to) ? used : 0;
+  }
+  return static_cast<double>(sum);
+}
+
+std::vector<std::int64_t> QuotaClient::recent(const Spent& spent, TimePoint now) const {
+  const std::int64_t second = now.time_since_epoch() / kHistorySlot;
+  std::vector<std::int64_t> amounts(static_cast<std::size_t>(slotsOf(settings_.tolerance.window)) + 1);
+  for (const auto& [at, used] : spent.by_second) {
+    const auto age = static_cast<std::size_t>(std::max<std::int64_t>(0, second - at));
+    if (age < amounts.size()) {
+      amounts[age] += used;
+    }
+  }
+  return amounts;
 }
 
 void QuotaClient::giveBack(const TenantName& tenant, std::int64_t cost, std::uint64_t account,
@@ -81,16 +132,14 @@
   }
 }
 
-/// Expected over many calls, this grants no more than the router's part of the rate since the leader was last
-/// heard, and over all routers kLeaderlessPart of what the tolerance allows. By chance, since a call is
-/// larger than the part of one router of many.
+/// Grants what has left the window of this router's own uses since the leader was last heard: over all
+/// routers that is what the leader would have had to grant again, however full the tenant's window was.
+/// Beyond that, by chance and over all routers, kLeaderlessPart of what the tolerance allows.
 QuotaReply QuotaClient::decideAlone(const TenantName& tenant, const wire::TenantQuota& quota,
                                     std::int64_t cost, TimePoint now) {
-  const double part_per_second = quota.per_second / routers_;
   const auto [found, first] = own_parts_.try_emplace(tenant, OwnPart{0, leader_heard_.value_or(now)});
   OwnPart& part = found->second;
-  part.level =
-      std::min(part.level + part_per_second * toSeconds(now - part.at), part_per_second * kOwnPartSeconds);
+  part.level += rolledOff(tenant, part.at, now);
   part.at = now;
   const auto amount = static_cast<double>(cost);
   if (part.level > 0 && random_.chance(std::min(1.0, part.level / amount))) {
@@ -107,6 +156,7 @@
 }
 
 void QuotaClient::onUpdate(const NodeName& leader, const wire::ServiceUpdate& update, TimePoint now) {
+  began_ = began_.value_or(now);
   if (leader != leader_) {
     leader_ = leader;
     whole_due_ = true;
@@ -132,6 +182,9 @@
       giveBack(ask->second.tenant, ask->second.cost, ask->second.account, now);
     } else if (!ask->second.abandoned) {
       const Duration wait = std::chrono::milliseconds(decision.retry_after_ms);
+      if (decision.granted) {
+        remember(ask->second.tenant, ask->second.cost, now);
+      }
       resolved.push_back({decision.number, decision.granted ? granted(ask->second.account)
                                                             : QuotaReply{QuotaVerdict::Spent, wait}});
     }
@@ -166,12 +219,16 @@
   use.incarnation = settings_.incarnation;
   use.sequence = ++sequence_;
   use.whole = whole_due_;
+  use.history_ms = began_ ? toMilliseconds(now - *began_) : 0;
   // What was charged up to now stands in the totals that the leader takes as given.
   account_ += whole_due_ ? 1 : 0;
   for (const auto& [tenant, spent] : spent_) {
     if (whole_due_ || now - spent.changed <= kToldAgainFor) {
       use.spent.push_back({tenant, spent.total});
     }
+    if (whole_due_) {
+      use.histories.push_back({tenant, recent(spent, now)});
+    }
   }
   for (auto& [number, ask] : asks_) {
     if (!ask.sent) {
--- a/src/tenancy/quota_client.h
+++ b/src/tenancy/quota_client.h
@@ -73,6 +73,8 @@
   struct Spent {
     std::int64_t total = 0;
     TimePoint changed{};
+    std::map<std::int64_t, std::int64_t>
+        by_second;  ///< what ran, by whole seconds, as far as a window reaches
   };
   struct Ask {
     TenantName tenant;
@@ -83,13 +85,18 @@
     bool sent = false;
     bool abandoned = false;
   };
-  /// This router's part of a rate while no leader is heard.
+  /// What this router may grant while no leader is heard.
   struct OwnPart {
     double level = 0;
     TimePoint at{};
   };
 
   bool leaderSilent(TimePoint now) const;
+  /// Keeps in mind what ran, for the next leader.
+  void remember(const TenantName& tenant, std::int64_t amount, TimePoint now);
+  /// What this router ran for the tenant and what left the window between the two moments.
+  double rolledOff(const TenantName& tenant, TimePoint from, TimePoint to) const;
+  std::vector<std::int64_t> recent(const Spent& spent, TimePoint now) const;
   void spend(const TenantName& tenant, std::int64_t amount, TimePoint now);
   QuotaReply decideAlone(const TenantName& tenant, const wire::TenantQuota& quota, std::int64_t cost,
                          TimePoint now);
@@ -99,6 +106,7 @@
   NodeName leader_;
   std::optional<TimePoint> leader_heard_;
   std::uint32_t routers_ = 1;
+  std::optional<TimePoint> began_;
   std::set<TenantName> limited_;
   std::map<TenantName, Spent> spent_;
   std::map<std::uint64_t, Ask> asks_;
--- a/src/tenancy/quota_ledger.cc
+++ b/src/tenancy/quota_ledger.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace ferryrock::tenancy {
 namespace {
@@ -30,14 +31,16 @@
     const QuotaLimit limit = limitFor(*tenant.quota, tolerance_);
     const auto known = accounts_.find(tenant.name);
     if (known != accounts_.end()) {
-      known->second.bucket.setLimit(limit, now);
+      known->second.bucket.setLimit(limit);
       continue;
     }
     // What an earlier leader granted of these is in no account of this one.
     const double level =
         first_catalog_ ? kNewLeaderPart * allowedBeyond(tolerance_, *tenant.quota) : limit.burst;
     Account account{QuotaBucket(limit, level, first_catalog_ ? began_ : now)};
+    account.bucket.setUntold(first_catalog_ ? untold_ : 1);
     account.filling = first_catalog_;
+    account.of_new_leader = first_catalog_;
     accounts_.emplace(tenant.name, account);
   }
   std::erase_if(accounts_, [&listed](const auto& item) { return !listed.contains(item.first); });
@@ -58,9 +61,16 @@
   }
   known.incarnation = use.incarnation;
   known.sequence = use.sequence;
+  const bool told_before = std::exchange(known.told_history, known.told_history || use.whole);
   for (const wire::QuotaSpent& spent : use.spent) {
     charge(known, spent, baseline, now);
   }
+  if (!told_before || !same_life) {
+    for (const wire::QuotaHistory& history : use.histories) {
+      takeHistory(history, now);
+    }
+  }
+  known.history = std::max(known.history, std::chrono::milliseconds(use.history_ms) + (began_ - now));
   for (const wire::QuotaAsk& ask : use.asks) {
     answer.decisions.push_back(decide(ask, now));
   }
@@ -78,6 +88,27 @@
   }
 }
 
+/// By seconds before now; the latest moment of each, so that it counts long enough.
+void QuotaLedger::takeHistory(const wire::QuotaHistory& history, TimePoint now) {
+  const auto account = accounts_.find(history.tenant);
+  TimePoint at = now;
+  for (const std::int64_t amount : history.amounts) {
+    if (amount > 0 && account != accounts_.end()) {
+      account->second.bucket.addPast(static_cast<double>(amount), at, now);
+    }
+    at -= kHistorySlot;
+  }
+}
+
+void QuotaLedger::setUntold(double share) {
+  untold_ = share;
+  for (auto& [tenant, account] : accounts_) {
+    if (account.of_new_leader) {
+      account.bucket.setUntold(share);
+    }
+  }
+}
+
 wire::QuotaDecision QuotaLedger::decide(const wire::QuotaAsk& ask, TimePoint now) {
   wire::QuotaDecision decision;
   decision.number = ask.number;
--- a/src/tenancy/quota_ledger.h
+++ b/src/tenancy/quota_ledger.h
@@ -40,13 +40,27 @@
   void keepRouters(const Routers& routers) {
     std::erase_if(routers_, [&routers](const auto& item) { return !routers.contains(item.first); });
   }
+  /// routers: those that were heard within the last window, as far as all_heard says so. The history of those
+  /// that are gone, or have started since, isn't known: that share of the window before this leader is
+  /// assumed as used.
+  template <class Routers>
+  void followRouters(const Routers& routers, bool all_heard) {
+    std::size_t told = 0;
+    for (const auto& [router, record] : routers) {
+      const auto known = routers_.find(router);
+      told += known != routers_.end() && known->second.history >= tolerance_.window ? 1 : 0;
+    }
+    const bool any = all_heard && !routers.empty();
+    setUntold(any ? 1 - static_cast<double>(told) / static_cast<double>(routers.size()) : 1);
+  }
   const QuotaCounts& counts() const { return counts_; }
 
  private:
   struct Account {
     QuotaBucket bucket;
     bool limited = false;
-    bool filling = false;  ///< of a new leader, that hasn't seen half of the credit yet
+    bool of_new_leader = false;  ///< what ran before is known by what routers tell alone
+    bool filling = false;        ///< of a new leader, that hasn't seen half of the credit yet
     TimePoint limited_since{};
     TimePoint promised{};  ///< credit up to then is told to callers that were refused
   };
@@ -54,9 +68,13 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     std::map<TenantName, std::int64_t> totals;
+    bool told_history = false;
+    Duration history{};  ///< before this leader began
   };
 
   void charge(RouterTotals& known, const wire::QuotaSpent& spent, bool baseline, TimePoint now);
+  void takeHistory(const wire::QuotaHistory& history, TimePoint now);
+  void setUntold(double share);
   wire::QuotaDecision decide(const wire::QuotaAsk& ask, TimePoint now);
   /// True if the tenant's calls have to ask.
   static bool isShort(Account& account, TimePoint now);
@@ -64,6 +82,7 @@
 
   QuotaTolerance tolerance_;
   TimePoint began_;
+  double untold_ = 1;  ///< share of the routers whose history isn't known
   bool first_catalog_ = true;
   std::map<TenantName, Account> accounts_;
   std::vector<TenantName> limited_;
--- a/src/tenancy/quota_tolerance.h
+++ b/src/tenancy/quota_tolerance.h
@@ -20,6 +20,9 @@
          tolerance.slack;
 }
 
+/// Routers keep in mind what ran by slots of this length, for the next leader.
+constexpr Duration kHistorySlot = std::chrono::seconds(1);
+
 /// Parts of allowedBeyond(), each held back for one way in which the leader's account lags behind what runs;
 /// together below 1. The rest is left to calls larger than the credit at hand and to clocks.
 /// Held in hand by a full bucket, so that calls which reach the leader bunched aren't refused.
@@ -31,7 +34,7 @@
 
 /// The limit that the leader keeps for a quota.
 inline QuotaLimit limitFor(const wire::TenantQuota& quota, const QuotaTolerance& tolerance) {
-  return {quota.per_second, quota.burst + kBurstPart * allowedBeyond(tolerance, quota)};
+  return {quota.per_second, quota.burst + kBurstPart * allowedBeyond(tolerance, quota), tolerance.window};
 }
 
 }  // namespace ferryrock::tenancy
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -186,6 +186,13 @@
   FERRYROCK_FIELDS(QuotaSpent, tenant, total)
 };
 
+/// What calls of a tenant used at one router in the seconds up to now, the latest first.
+struct QuotaHistory {
+  TenantName tenant;
+  std::vector<std::int64_t> amounts;
+  FERRYROCK_FIELDS(QuotaHistory, tenant, amounts)
+};
+
 /// A call waits for credit.
 struct QuotaAsk {
   std::uint64_t number = 0;  ///< the router's
@@ -201,9 +208,11 @@
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
   bool whole = false;                   ///< every total is listed: the first message to this leader
+  std::vector<QuotaHistory> histories;  ///< in a whole message
+  std::int64_t history_ms = 0;          ///< how far back these reach
   std::vector<QuotaSpent> spent;
   std::vector<QuotaAsk> asks;
-  FERRYROCK_FIELDS(QuotaUse, router, incarnation, sequence, whole, spent, asks)
+  FERRYROCK_FIELDS(QuotaUse, router, incarnation, sequence, whole, histories, history_ms, spent, asks)
 };
 
 /// The leader's decision on a QuotaAsk. What is granted is charged already.
--- a/tests/tenancy/quota_test.cc
+++ b/tests/tenancy/quota_test.cc
@@ -306,6 +306,73 @@
   CHECK(world.most(8s) >= 0.9 * load.per_second * 8);
 }
 
+/// The load of a tenant that sends at half of its limit and rises to 3.3 times it. What callers get in the
+/// first two seconds of the rise, of what the limit allows in them: rate x window + burst less what ran in
+/// the window before.
+TEST_CASE("A tenant that rises has what it left unused of its limit, at once") {
+  const auto seed = GENERATE(range(1, 9));
+  const wire::Tenant tenant = limitedTenant(180'000, 0);
+  QuotaWorld world(87, tenant, kTolerance, static_cast<std::uint64_t>(seed));
+  world.run(9s, 33, 3'000);
+  const TimePoint rise = world.now();
+  world.run(2s, 190, 3'000);
+  const double within = 180'000.0 * 8 - inWindow(world.ran, rise - 6s, 6s);
+  INFO("seed " << seed);
+  CHECK(inWindow(world.ran, rise, 2s) >= 0.95 * within);
+  CHECK(world.most(8s) <= allowed(tenant, kTolerance));
+}
+
+/// Half of the routers and the leader are lost in the second after a tenant used up its window.
+TEST_CASE("What lost routers ran is assumed as used, and what living ones tell isn't counted twice") {
+  QuotaLedger ledger(kTolerance, kStart);
+  ledger.setCatalog(catalogOf(limitedTenant(180'000, 0)), kStart);
+  const TenantName tenant("a");
+  const auto tell = [&](const std::string& name, std::int64_t amount) {
+    wire::QuotaUse use;
+    use.router = NodeName(name);
+    use.incarnation = 7;
+    use.sequence = 1;
+    use.whole = true;
+    use.history_ms = 20'000;
+    use.spent = {{tenant, amount}};
+    use.histories = {{tenant, {amount}}};
+    ledger.accept(use, kStart + 10ms);
+  };
+  std::map<NodeName, int> routers;
+  for (const char* name : {"edge-1", "edge-2", "edge-3", "edge-4"}) {
+    routers[NodeName(name)] = 0;
+  }
+  tell("edge-1", 100'000);
+  tell("edge-2", 100'000);
+  constexpr bool kAllHeard = true;
+  ledger.followRouters(routers, kAllHeard);
+  std::uint64_t sequence = 1;
+  const auto granted = [&](TimePoint at) {
+    wire::QuotaUse ask;
+    ask.router = NodeName("edge-1");
+    ask.incarnation = 7;
+    ask.sequence = ++sequence;
+    ask.asks = {{sequence, tenant, 1}};
+    return ledger.accept(ask, at).decisions.at(0).granted;
+  };
+  // 1,440,000 in a window, of which 200,000 are told and half of the window is assumed.
+  CHECK(granted(kStart + 20ms));
+  wire::QuotaUse spent;
+  spent.router = NodeName("edge-1");
+  spent.incarnation = 7;
+  spent.sequence = ++sequence;
+  spent.spent = {{tenant, 100'000 + 600'000}};
+  ledger.accept(spent, kStart + 30ms);
+  CHECK_FALSE(granted(kStart + 40ms));
+  constexpr bool kNotAllHeard = false;
+  ledger.followRouters(routers, kNotAllHeard);
+  CHECK_FALSE(granted(kStart + 50ms));
+  tell("edge-3", 0);
+  tell("edge-4", 0);
+  ledger.followRouters(routers, kAllHeard);
+  CHECK(granted(kStart + 60ms));
+}
+
 TEST_CASE("A quota holds when the leader is lost before, while or after a tenant sends six times its usual") {
   const auto load = GENERATE(LoadCase{"large", 180'000, 370}, LoadCase{"small", 2'700, 5.5});
   const auto lost_at = GENERATE(-200ms, 0ms, 300ms, 1000ms, 3000ms);
