--- a/tests/services/fleet_load_test.cc
+++ b/tests/services/fleet_load_test.cc
@@ -214,8 +214,10 @@
     cluster.start(cluster.member(i));
   }
   REQUIRE(cluster.replaceAcknowledged(1));
+  constexpr int kRouters = 200;
   std::vector<ScriptedRouter*> routers;
-  for (int i = 0; i < 200; ++i) {
+  routers.reserve(kRouters);
+  for (int i = 0; i < kRouters; ++i) {
     routers.push_back(&cluster.addRouter("edge-" + std::to_string(i)));
   }
   const auto serve = [&](std::uint32_t replicas) {
