Decode and log what replicas say of themselves in the heads of answers

Cause: the log of an incident can't tell whether a replica that refused a call had asked for time: no line names the replica, and nothing reads Retry-After or Server-Leaving of a replica's answer. Change: the dialect decodes both into a typed notice, which the replica client and the prober tell by replica before the answer's own event; the router logs it. No decision changes. A 421 says nothing: another replica has the address by then. Ruled out: fields of AnswerSummary.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -45,6 +45,16 @@
   bool unrun = false;  ///< the replica says that it didn't run the call
 };
 
+/// What a replica says of itself in the head of any answer. It holds for the replica's life, whatever becomes
+/// of the call that was answered.
+struct ReplicaNotice {
+  bool leaving = false;                 ///< it takes no new calls
+  std::optional<Duration> retry_after;  ///< it wants no call from this router for so long; above zero
+  std::string unread_retry_after;       ///< what it wrote instead, where that is no time
+
+  bool empty() const { return !leaving && !retry_after && unread_retry_after.empty(); }
+};
+
 /// How an attempt failed without an answer that can be passed on.
 enum class AttemptFailure : std::uint8_t {
   NotSent,   ///< no byte left: not run
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -68,6 +68,9 @@
   Effects onStreamEnd(AttemptNumber attempt, TimePoint now);
   Effects onFailure(AttemptNumber attempt, AttemptFailure failure, const std::string& reason, TimePoint now);
 
+  /// The head of an answer of this replica, to whatever call. Comes before the event of the answer itself.
+  Effects onNotice(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
+
   /// Answer to a ProbeReplicaEffect.
   Effects onProbed(const ReplicaId& replica, ProbeOutcome outcome, TimePoint now);
 
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -68,6 +68,7 @@
     return finish(now);
   }
   Call& state = (*call)->second;
+  const ReplicaId replica_id = state.attempt->replica;
   Replica* replica = release(state);
   if (replica != nullptr) {
     dispatch_wanted_ = ReplicaTable::onProgress(*replica, now) || dispatch_wanted_;
@@ -78,9 +79,10 @@
     } else if (replica != nullptr) {
       replica->refused_until = now + kRefusalPause;
     }
-    log_.write(
-        LogLevel::Info, "call.refused_by_replica",
-        {{"request", view(state.request.id.value)}, {"status", static_cast<std::int64_t>(answer.status)}});
+    log_.write(LogLevel::Info, "call.refused_by_replica",
+               {{"request", view(state.request.id.value)},
+                {"replica", view(replica_id.value)},
+                {"status", static_cast<std::int64_t>(answer.status)}});
     constexpr bool kCounts = true;
     retryUnrun(*call, ResultCode::ReplicaRefused, kCounts, now);
     return finish(now);
@@ -104,6 +106,15 @@
   return finish(now);
 }
 
+Effects CallRouter::onNotice(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now) {
+  log_.write(LogLevel::Info, "replica.notice",
+             {{"replica", view(replica.value)},
+              {"leaving", notice.leaving},
+              {"retry_after_ms", notice.retry_after ? toMilliseconds(*notice.retry_after) : -1},
+              {"unread", view(notice.unread_retry_after)}});
+  return finish(now);
+}
+
 Effects CallRouter::onStreamEvent(AttemptNumber attempt, std::optional<std::uint64_t> id, std::string bytes,
                                   TimePoint now) {
   const auto call = callOf(attempt);
--- a/src/service_process/call_dialect.h
+++ b/src/service_process/call_dialect.h
@@ -49,6 +49,8 @@
   /// True when the head is that of an answer to this very call by a replica.
   virtual bool answersCall(const RequestId& id, int status, const http::Headers& headers) const = 0;
   virtual calls::AnswerSummary summarize(int status, const http::Headers& headers) const = 0;
+  /// What the replica says of itself in the head of an answer; empty as a rule.
+  virtual calls::ReplicaNotice notice(int status, const http::Headers& headers) const = 0;
   /// A question that a living replica answers at once, whatever it runs.
   virtual http::ClientRequest probe(const calls::ProbeReplicaEffect& effect) const = 0;
   /// What an answer with this status to such a question says.
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -66,10 +66,14 @@
   connectControl();
   http_client_ = http::createClient(dispatcher_);
   client_ = std::make_unique<ReplicaClient>(dispatcher_, *http_client_, dialect, replicaCallbacks());
-  prober_ = std::make_unique<ReplicaProber>(dispatcher_, *http_client_, dialect,
-                                            [this](const ReplicaId& replica, calls::ProbeOutcome outcome) {
-                                              carryOut(router_.onProbed(replica, outcome, now()));
-                                            });
+  prober_ = std::make_unique<ReplicaProber>(
+      dispatcher_, *http_client_, dialect,
+      [this](const ReplicaId& replica, calls::ProbeOutcome outcome) {
+        carryOut(router_.onProbed(replica, outcome, now()));
+      },
+      [this](const ReplicaId& replica, const calls::ReplicaNotice& notice) {
+        carryOut(router_.onNotice(replica, notice, now()));
+      });
   server_ = std::make_unique<CallServer>(dispatcher_, serverSettings(settings_), dialect, callerCallbacks());
   carryOut(router_.tick(now()));
 }
@@ -83,6 +87,9 @@
 
 ReplicaCallbacks CallRouterShell::replicaCallbacks() {
   ReplicaCallbacks callbacks;
+  callbacks.on_notice = [this](const ReplicaId& replica, const calls::ReplicaNotice& notice) {
+    carryOut(router_.onNotice(replica, notice, now()));
+  };
   callbacks.on_answer = [this](calls::AttemptNumber attempt, const calls::AnswerSummary& answer) {
     carryOut(router_.onAnswer(attempt, answer, now()));
   };
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -36,6 +36,7 @@
   const AttemptNumber number = effect.attempt;
   auto attempt = std::make_shared<Attempt>();
   attempt->id = content.id;
+  attempt->replica = effect.replica;
   attempt->address = effect.address;
   attempts_[number] = attempt;
   http::ClientRequest request = dialect_.attempt(effect, content);
@@ -84,7 +85,12 @@
   if (found == attempts_.end()) {
     return;
   }
-  Attempt& attempt = *found->second;
+  const AttemptPtr kept = found->second;
+  Attempt& attempt = *kept;
+  const calls::ReplicaNotice notice = dialect_.notice(status, headers);
+  if (!notice.empty()) {
+    callbacks_.on_notice(attempt.replica, notice);
+  }
   if (!dialect_.answersCall(attempt.id, status, headers)) {
     fail(number, AttemptFailure::Foreign, "the answer isn't this call's");
     return;
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -14,6 +14,9 @@
 
 /// What happened to attempts. An attempt ends by on_answer, on_stream_end, on_failure or cancel().
 struct ReplicaCallbacks {
+  /// What the head of an answer says of the replica, before the attempt's other events; also of an answer to
+  /// another call on its connection. Not called for heads that say nothing.
+  std::function<void(const ReplicaId&, const calls::ReplicaNotice&)> on_notice;
   std::function<void(calls::AttemptNumber, const calls::AnswerSummary&)> on_answer;
   std::function<void(calls::AttemptNumber, StreamEvent)> on_stream_event;
   std::function<void(calls::AttemptNumber)> on_stream_end;
@@ -38,6 +41,7 @@
  private:
   struct Attempt {
     RequestId id;
+    ReplicaId replica;
     std::string address;
     HttpAnswer answer;
     bool streaming = false;
--- a/src/service_process/replica_prober.cc
+++ b/src/service_process/replica_prober.cc
@@ -14,8 +14,12 @@
 }  // namespace
 
 ReplicaProber::ReplicaProber(event::Dispatcher& dispatcher, http::Client& client, const CallDialect& dialect,
-                             Callback on_probed)
-    : dispatcher_(dispatcher), client_(client), dialect_(dialect), on_probed_(std::move(on_probed)) {}
+                             Callback on_probed, NoticeCallback on_notice)
+    : dispatcher_(dispatcher),
+      client_(client),
+      dialect_(dialect),
+      on_probed_(std::move(on_probed)),
+      on_notice_(std::move(on_notice)) {}
 
 void ReplicaProber::send(const calls::ProbeReplicaEffect& effect) {
   const auto [place, fresh] = probes_.try_emplace(effect.replica, std::make_shared<Probe>());
@@ -28,7 +32,13 @@
   request.total_timeout = kTimeLimit;
   request.fresh_connection = true;
   http::ClientCallbacks callbacks;
-  callbacks.on_headers = [probe](int status, const http::Headers&) { probe->status = status; };
+  callbacks.on_headers = [this, replica = effect.replica, probe](int status, const http::Headers& headers) {
+    probe->status = status;
+    const calls::ReplicaNotice notice = dialect_.notice(status, headers);
+    if (!notice.empty()) {
+      on_notice_(replica, notice);
+    }
+  };
   callbacks.on_complete = [this, replica = effect.replica, probe] {
     finish(replica, dialect_.probeOutcome(probe->status));
   };
--- a/src/service_process/replica_prober.h
+++ b/src/service_process/replica_prober.h
@@ -14,8 +14,10 @@
 class ReplicaProber {
  public:
   using Callback = std::function<void(const ReplicaId&, calls::ProbeOutcome)>;
+  using NoticeCallback = std::function<void(const ReplicaId&, const calls::ReplicaNotice&)>;
+  /// on_notice: what an answer's head says of the replica, before its outcome.
   ReplicaProber(event::Dispatcher& dispatcher, http::Client& client, const CallDialect& dialect,
-                Callback on_probed);
+                Callback on_probed, NoticeCallback on_notice);
 
   /// One at a time for a replica; a further one while one is under way does nothing.
   void send(const calls::ProbeReplicaEffect& effect);
@@ -33,6 +35,7 @@
   http::Client& client_;
   const CallDialect& dialect_;
   Callback on_probed_;
+  NoticeCallback on_notice_;
   std::map<ReplicaId, std::shared_ptr<Probe>> probes_;
 };
 
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -170,6 +170,50 @@
   CHECK_FALSE(kDialect.summarize(500, {}).unrun);
 }
 
+TEST_CASE("What a replica says of itself is read from the head of any answer but a misdirected one's") {
+  for (const int status : {200, 404, 429, 500, 503}) {
+    INFO(status);
+    CHECK(kDialect.notice(status, {{"server-leaving", "1"}}).leaving);
+  }
+  CHECK_FALSE(kDialect.notice(421, {{"Server-Leaving", "1"}}).leaving);
+  CHECK_FALSE(kDialect.notice(200, {{"Server-Leaving", "0"}}).leaving);
+  CHECK(kDialect.notice(200, {{"X-Odd", "1"}}).empty());
+}
+
+/// What a replica wrote as the time that it wants no calls, and what is read.
+struct RetryAfterCase {
+  int status;
+  const char* text;
+  std::optional<Duration> read;
+};
+
+TEST_CASE(
+    "The time for which a replica wants no calls is read in seconds with fractions; all else is told "
+    "unread") {
+  using std::chrono::milliseconds;
+  const std::vector<RetryAfterCase> cases = {
+      {503, "3", milliseconds(3000)},
+      {503, "0.25", milliseconds(250)},
+      {429, "1.5", milliseconds(1500)},
+      {503, "86400", std::chrono::hours(24)},
+      {503, "1e300", std::chrono::seconds(100'000'000)},
+      {503, "0", std::nullopt},
+      {503, "-1", std::nullopt},
+      {503, "nan", std::nullopt},
+      {503, "3 s", std::nullopt},
+      {503, "", std::nullopt},
+      {503, "Thu, 03 Dec 2026 04:30:00 GMT", std::nullopt},
+  };
+  for (const RetryAfterCase& given : cases) {
+    INFO(given.status << " '" << given.text << "'");
+    const calls::ReplicaNotice notice = kDialect.notice(given.status, {{"Retry-After", given.text}});
+    CHECK(notice.retry_after == given.read);
+    CHECK(notice.unread_retry_after == (given.read ? "" : given.text));
+  }
+  CHECK(kDialect.notice(200, {{"Retry-After", "3"}}).empty());
+  CHECK(kDialect.notice(421, {{"Retry-After", "3"}}).empty());
+}
+
 TEST_CASE("A status that promises that a call wasn't run is told only when that is certain") {
   constexpr bool kNotRun = true;
   const RequestId id("9c41");
--- a/tests/service_process/replica_client_test.cc
+++ b/tests/service_process/replica_client_test.cc
@@ -39,6 +39,11 @@
   calls::AnswerSummary summarize(int status, const http::Headers& headers) const override {
     return {status, http::findHeader(headers, "Not-Run").has_value()};
   }
+  calls::ReplicaNotice notice(int, const http::Headers& headers) const override {
+    calls::ReplicaNotice notice;
+    notice.leaving = http::findHeader(headers, "Leaving").has_value();
+    return notice;
+  }
   http::ClientRequest probe(const calls::ProbeReplicaEffect& effect) const override {
     http::ClientRequest request;
     request.url = "http://" + effect.address + "/probe";
@@ -62,6 +67,10 @@
 struct Fixture {
   Fixture() : client(http::createClient(loop.dispatcher())) {
     ReplicaCallbacks callbacks;
+    callbacks.on_notice = [this](const ReplicaId& replica, const calls::ReplicaNotice& notice) {
+      leaving += notice.leaving ? replica.value + " " : "";
+      ended_before_notice = ended_before_notice || records[calls::AttemptNumber{next}].ended();
+    };
     callbacks.on_answer = [this](calls::AttemptNumber number, const calls::AnswerSummary& answer) {
       records[number].answer = answer;
       records[number].body = replicas->answerOf(number)->body;
@@ -78,6 +87,7 @@
     const calls::AttemptNumber number{++next};
     calls::SendAttemptEffect effect;
     effect.attempt = number;
+    effect.replica = ReplicaId("r" + std::to_string(next));
     effect.address = "127.0.0.1:" + std::to_string(port);
     replicas->send(effect, {RequestId("c1"), "POST", target, {{"Call-Id", "c1"}, {"Odd", "a  b"}}, "body"});
     REQUIRE(loop.runUntil([&] { return records[number].ended(); }));
@@ -89,12 +99,38 @@
   std::unique_ptr<ReplicaClient> replicas;
   std::map<calls::AttemptNumber, Record> records;
   std::uint64_t next = 0;
+  std::string leaving;  ///< replicas that said so
+  bool ended_before_notice = false;
 };
 
 std::string answerText(const std::string& headers, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nCall-Id: c1\r\n" + headers + "\r\n" + body;
 }
 
+TEST_CASE(
+    "What a head says of its replica is told before the answer, of streams and of foreign answers too") {
+  const std::vector<std::string> answers = {
+      answerText("Leaving: 1\r\nContent-Length: 2\r\n", "ok"),
+      "HTTP/1.1 503 Full\r\nCall-Id: c1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+      answerText("Leaving: 1\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n", "data: 1\n\n"),
+      "HTTP/1.1 200 OK\r\nCall-Id: c0\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+      answerText("Content-Length: 2\r\n", "ok"),
+  };
+  std::size_t next = 0;
+  ScriptedServer server([&](RawConnection& connection, int) {
+    while (next < answers.size() && !connection.readRequest().empty()) {
+      connection.write(answers[next++]);
+    }
+    connection.readRequest();
+  });
+  Fixture fixture;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    fixture.run(server.port());
+  }
+  CHECK(fixture.leaving == "r1 r2 r3 r4 ");
+  CHECK_FALSE(fixture.ended_before_notice);
+}
+
 TEST_CASE("A call goes out byte for byte") {
   std::string seen;
   ScriptedServer server([&seen](RawConnection& connection, int) {
