--- a/tests/calls/call_fixture.h
+++ b/tests/calls/call_fixture.h
@@ -85,6 +85,21 @@
   }
   AttemptNumber attempt() const { return last<SendAttemptEffect>()->attempt; }
   void answer(int status, bool unrun = false) { take(router_.onAnswer(attempt(), {status, unrun}, now)); }
+  /// The replica of the last sending says this of itself.
+  void notice(const ReplicaNotice& notice) {
+    take(router_.onNotice(last<SendAttemptEffect>()->replica, notice, now));
+  }
+  /// It refuses the call unrun and wants no further one for so long.
+  void refuseFor(Duration duration) {
+    notice({false, duration, ""});
+    answer(503, true);
+  }
+  std::size_t sentTo(const std::string& id) const {
+    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&id](const Effect& effect) {
+      const auto* sent = std::get_if<SendAttemptEffect>(&effect);
+      return sent != nullptr && sent->replica.value == id;
+    }));
+  }
   void fail(AttemptFailure failure) {
     take(router_.onFailure(attempt(), failure, "scripted", now));
     answerProbes();
--- a/tests/platform/whole_path_test.cc
+++ b/tests/platform/whole_path_test.cc
@@ -283,6 +283,41 @@
   CHECK(fleet.tryUntil([&] { return fleet.call("/a/x", "e2").status == 502; }));
 }
 
+TEST_CASE(
+    "A replica that asked for time, or said that it leaves, gets no further call over its connections") {
+  Fleet fleet;
+  REQUIRE(fleet.askControl("POST", "/v1/config/replace", Fleet::catalog(1)).status == 200);
+  ScriptedReplica& asking = fleet.addReplica("i-1");
+  ScriptedReplica& leaving = fleet.addReplica("i-2");
+  ScriptedReplica& staying = fleet.addReplica("i-3");
+  for (const ScriptedReplica* replica : {&asking, &leaving, &staying}) {
+    fleet.beat(*replica, 1, "ready");
+  }
+  asking.answer = [](const http::Request& request, const http::ResponseWriterPtr& response) {
+    response->respond(503,
+                      {{"X-Attempt-Id", *http::findHeader(request.headers, "X-Attempt-Id")},
+                       {"X-Not-Executed", "1"},
+                       {"Retry-After", "30"}},
+                      "");
+  };
+  leaving.answer = [](const http::Request& request, const http::ResponseWriterPtr& response) {
+    response->respond(200,
+                      {{"X-Attempt-Id", *http::findHeader(request.headers, "X-Attempt-Id")},
+                       {"X-Server-Seal", "i-2"},
+                       {"Server-Leaving", "1"}},
+                      "served, and leaving");
+  };
+  REQUIRE(fleet.tryUntil([&] {
+    fleet.call("/a/x", "c1");
+    return !asking.calls.empty() && !leaving.calls.empty() && !staying.calls.empty();
+  }));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(fleet.call("/a/x", "d" + std::to_string(i)).body == "answer of i-3");
+  }
+  CHECK(asking.calls.size() == 1);
+  CHECK(leaving.calls.size() == 1);
+}
+
 TEST_CASE(
     "A heartbeat of another writer is answered with what is wrong in it, and the replicas known before "
     "serve") {
