Send no calls to replicas that asked for time or said that they leave

Cause: what a replica says in an answer was heard by the attempt alone. A router left a replica that refused out for a fixed 100 ms, sent calls there again within the 3 s that it had asked for, and told callers to come back in 200 ms. Change: a module of its own keeps, by the replica's life, that it leaves and until when it wants no calls; the one place that chooses replicas asks it, so that every sending obeys. Calls that can still be in time wait for the end, others are refused at once with the time at which a replica opens, spread over a quarter more. After the end one call goes, then twice as many after each that is taken. A refusal with such a wish is no failure of health. Calls of a model whose copies are all closed count as waiting demand. Result code 2025. Ruled out: state in the table's entry, which a new leader's whole update erases; telling other routers.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -36,6 +36,33 @@
   return text;
 }
 
+/// What a call without a replica waits for, in a log line.
+std::string_view reasonToWait(ChoiceFailure failure) {
+  switch (failure) {
+    case ChoiceFailure::NotHeld:
+      return "model";
+    case ChoiceFailure::NoReplica:
+      return "replica";
+    case ChoiceFailure::Backoff:
+      return "backoff";
+    default:
+      return "place";
+  }
+}
+
+ResultCode refusalCode(ChoiceFailure failure) {
+  switch (failure) {
+    case ChoiceFailure::NotHeld:
+      return ResultCode::LoadCannotFinishInTime;
+    case ChoiceFailure::NoReplica:
+      return ResultCode::NoReplica;
+    case ChoiceFailure::Backoff:
+      return ResultCode::ReplicaBackoff;
+    default:
+      return ResultCode::ReplicaRefused;
+  }
+}
+
 tenancy::QuotaClientSettings quotaSettings(const CallRouterSettings& settings) {
   return {settings.feed.router, settings.feed.incarnation, settings.quota_tolerance, settings.seed};
 }
@@ -177,14 +204,22 @@
   Call& state = call->second;
   waiting_.erase(call->first);
   const AttemptNumber number{next_attempt_++};
-  state.attempt = Attempt{number, replica.routed.id, now, state.need.prompt_tokens, 0, {}};
+  Attempt attempt;
+  attempt.number = number;
+  attempt.replica = replica.routed.id;
+  attempt.sent = now;
+  attempt.unread_tokens = state.need.prompt_tokens;
   replica.unread_tokens += state.need.prompt_tokens;
   replica.sent_tokens += state.need.prompt_tokens;
   state.need.tried.insert(replica.routed.id);
   ++state.attempts;
   ++counts_.attempts;
   attempts_[number] = call->first;
-  replicas_.onSent(replica, now);
+  if (const auto reopening = replicas_.onSent(replica, now)) {
+    attempt.reopening = reopening->round;
+    noteReopening(replica.routed.id, *reopening);
+  }
+  state.attempt = attempt;
   SendAttemptEffect effect;
   effect.call = call->first;
   effect.attempt = number;
@@ -216,6 +251,15 @@
   setTimer(call);
 }
 
+void CallRouter::noteReopening(const ReplicaId& replica, const ReplicaNotices::Reopening& reopening) {
+  if (reopening.first) {
+    log_.write(LogLevel::Info, "replica.backoff_over",
+               {{"replica", view(replica.value)},
+                {"closed_for_ms", toMilliseconds(reopening.closed_for)},
+                {"waiting", static_cast<std::int64_t>(waiting_.size())}});
+  }
+}
+
 WaitingCall CallRouter::waitingCall(const Call& call) {
   WaitingCall waiting;
   waiting.arrived = call.arrived;
@@ -228,9 +272,11 @@
   return waiting;
 }
 
-bool CallRouter::sendAway(CallPointer call, TimePoint now) {
+bool CallRouter::sendAway(CallPointer call, const Choice& choice, TimePoint now) {
   const Call& state = call->second;
-  const auto ready = loads_.readyAt(state.need.service, state.need.model, now);
+  const auto loaded = loads_.readyAt(state.need.service, state.need.model, now);
+  const bool opens_first = choice.opens_at && (!loaded || *choice.opens_at <= *loaded);
+  const auto ready = opens_first ? choice.opens_at : loaded;
   if (!ready) {
     return false;
   }
@@ -241,35 +287,46 @@
   if (!absence) {
     return false;
   }
-  loads_.expectBack(state.need.service, state.need.model, now + *absence);
-  refuse(call, ResultCode::LoadCannotFinishInTime, "the model is being loaded", absence, now);
+  if (opens_first) {
+    absence = spreadAbsence(*absence, random_.unit());
+  }
+  if (!state.need.model.empty()) {
+    loads_.expectBack(state.need.service, state.need.model, now + *absence);
+  }
+  refuse(call, opens_first ? ResultCode::ReplicaBackoff : ResultCode::LoadCannotFinishInTime,
+         opens_first ? "until the first of them takes calls again" : "the model is being loaded", absence,
+         now);
   return true;
 }
 
+Duration CallRouter::comeBackAfterRefusals(const Call& call, TimePoint now) {
+  const auto opens = replicas_.opensAt(call.need, now);
+  return opens ? spreadAbsence(*opens - now, random_.unit()) : kComeBackSoon;
+}
+
 void CallRouter::waitForReplica(CallPointer call, const Choice& choice, TimePoint now) {
   Call& state = call->second;
   const ChoiceFailure failure = choice.failure;
-  if (failure == ChoiceFailure::NotHeld && sendAway(call, now)) {
+  const bool known_to_open = failure == ChoiceFailure::NotHeld || failure == ChoiceFailure::Backoff;
+  if (known_to_open && sendAway(call, choice, now)) {
     return;
   }
   const bool first = waiting_.insert(call->first).second;
-  if (first || failure == ChoiceFailure::NotHeld) {
+  if (first || known_to_open) {
     const TimePoint limit =
         std::min(waitLimit(waitingCall(state), failure, now), std::max(now, refuse_from_));
     state.waits_until = first ? limit : std::max(state.waits_until, limit);
   }
   if (first) {
+    counts_.backoff_waits += failure == ChoiceFailure::Backoff ? 1 : 0;
     log_.write(LogLevel::Info, "call.waits",
                {{"request", view(state.request.id.value)},
-                {"for", failure == ChoiceFailure::NotHeld     ? "model"
-                        : failure == ChoiceFailure::NoReplica ? "replica"
-                                                              : "place"},
+                {"for", reasonToWait(failure)},
                 {"until_ms", toMilliseconds(state.waits_until - now)},
+                {"opens_in_ms", choice.opens_at ? toMilliseconds(*choice.opens_at - now) : -1},
                 {"replicas", static_cast<std::int64_t>(replicas_.size())}});
   }
-  state.last_failure = failure == ChoiceFailure::NotHeld     ? ResultCode::LoadCannotFinishInTime
-                       : failure == ChoiceFailure::NoReplica ? ResultCode::NoReplica
-                                                             : ResultCode::ReplicaRefused;
+  state.last_failure = refusalCode(failure);
   if (failure == ChoiceFailure::NotHeld && !std::exchange(state.counted_missing, true)) {
     feed_.hurry();
   }
@@ -350,7 +407,9 @@
     refuse(call, state.last_failure, "no catalog is known and proved yet", kComeBackLater, now);
   } else if (now >= state.deadline || now >= state.waits_until) {
     refuse(call, state.last_failure, "no replica could take it in time",
-           state.last_failure == ResultCode::LoadCannotFinishInTime ? kComeBackLater : kComeBackSoon, now);
+           state.last_failure == ResultCode::LoadCannotFinishInTime ? kComeBackLater
+                                                                    : comeBackAfterRefusals(state, now),
+           now);
   } else {
     dispatch(call, now);
   }
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -43,13 +43,17 @@
   std::uint64_t retries = 0;
   std::uint64_t resumed = 0;
   std::uint64_t caller_gone = 0;
-  std::uint64_t unknown_keys = 0;   ///< calls without a key that a tenant holds
-  std::uint64_t unproved = 0;       ///< refused: the catalog isn't proved
-  std::uint64_t quota_spent = 0;    ///< refused: the tenant's quota is used up
-  std::uint64_t quota_asked = 0;    ///< credit was asked for before they ran
-  std::uint64_t quota_unknown = 0;  ///< refused: no leader decides on their credit
-  std::uint64_t replica_ends = 0;   ///< replicas found ended after they broke a call off
-  std::uint64_t quarantined = 0;    ///< refused: too many replicas ended under the call
+  std::uint64_t unknown_keys = 0;     ///< calls without a key that a tenant holds
+  std::uint64_t unproved = 0;         ///< refused: the catalog isn't proved
+  std::uint64_t quota_spent = 0;      ///< refused: the tenant's quota is used up
+  std::uint64_t quota_asked = 0;      ///< credit was asked for before they ran
+  std::uint64_t quota_unknown = 0;    ///< refused: no leader decides on their credit
+  std::uint64_t replica_ends = 0;     ///< replicas found ended after they broke a call off
+  std::uint64_t quarantined = 0;      ///< refused: too many replicas ended under the call
+  std::uint64_t backoffs = 0;         ///< replicas asked for a time without calls, or for a longer one
+  std::uint64_t leaving_told = 0;     ///< replicas said in an answer that they leave
+  std::uint64_t backoff_waits = 0;    ///< calls that waited for the end of a backoff
+  std::uint64_t backoff_refused = 0;  ///< refused: all replicas that could run them are in a backoff
 };
 
 /// One router of calls as logic without input or output. Every call gets exactly one final answer (an answer
@@ -95,6 +99,7 @@
   const CallRouterCounts& counts() const { return counts_; }
   std::size_t openCalls() const { return calls_.size(); }
   std::size_t knownReplicas() const { return replicas_.size(); }
+  const ReplicaNotices& replicaNotices() const { return replicas_.notices(); }
   /// When a leader last confirmed the catalog in force or sent a newer one; nullopt: never.
   std::optional<TimePoint> controlHeard() const { return feed_.leaderHeard(); }
   const std::set<NodeName>& controlMembers() const { return feed_.members(); }
@@ -107,6 +112,7 @@
     ReplicaId replica;
     TimePoint sent{};
     std::uint64_t unread_tokens = 0;  ///< counted at the replica until it shows a sign of life
+    std::uint64_t reopening = 0;      ///< round in which it reopens its replica; 0: none, or it was taken
     int paced_events = 0;             ///< since paced_since
     TimePoint paced_since{};
   };
@@ -167,14 +173,20 @@
   void routeWaiting(TimePoint now);
   void dispatch(CallPointer call, TimePoint now);
   void sendTo(CallPointer call, Replica& replica, const std::optional<balance::FleetUse>& use, TimePoint now);
+  void noteReopening(const ReplicaId& replica, const ReplicaNotices::Reopening& reopening);
   void waitForReplica(CallPointer call, const Choice& choice, TimePoint now);
   static WaitingCall waitingCall(const Call& call);
-  /// Sends the caller away until its model is loaded if that serves it better; true if the call has ended.
-  bool sendAway(CallPointer call, TimePoint now);
+  /// Sends the caller away until its model is loaded, or until a replica takes calls again, if that serves it
+  /// better; true if the call has ended.
+  bool sendAway(CallPointer call, const Choice& choice, TimePoint now);
+  /// After which time a caller may come back who is refused since replicas took the call nowhere.
+  Duration comeBackAfterRefusals(const Call& call, TimePoint now);
   void dispatchWaiting(TimePoint now);
   /// Ends the attempt's books; nullopt: it isn't known any more.
   std::optional<CallPointer> callOf(AttemptNumber attempt);
   Replica* release(Call& call);
+  /// The replica runs the attempt.
+  void noteTaken(Attempt& attempt);
   // call_router_crashes.cc
   /// Has the replica that broke the call off probed.
   void probe(Call& call, const ReplicaId& replica, const std::string& address);
@@ -237,6 +249,7 @@
   CallRouterCounts counts_;
   std::uint64_t table_changes_ = 0;  ///< entries of the replica table changed since the last line of it
   TimePoint next_table_note_{};
+  TimePoint next_unread_note_{};
   std::uint64_t next_attempt_ = 1;
   std::map<RouteName, Duration> stream_times_;  ///< that streams of a route took, as a moving mean
   quarantine::CrashLedger crashes_;
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -16,9 +16,11 @@
 constexpr Duration kRefusalPause = 100ms;
 /// Time that a call needs on a replica at least; with less left it isn't sent.
 constexpr Duration kLeastTimeLeft = 5ms;
-constexpr Duration kComeBackSoon = 200ms;
 constexpr int kFirstErrorStatus = 500;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+/// Between two log lines of a notice that can't be read.
+constexpr Duration kUnreadNoteInterval = 1s;
 /// Over which pauses of a stream are averaged: a router with a tenth of a core reads two or three events at
 /// once.
 constexpr int kPacedEvents = 8;
@@ -47,10 +49,20 @@
   attempt.unread_tokens = 0;
 }
 
+void CallRouter::noteTaken(Attempt& attempt) {
+  if (const std::uint64_t round = std::exchange(attempt.reopening, 0)) {
+    replicas_.notices().onTaken(attempt.replica, round);
+    dispatch_wanted_ = dispatch_wanted_ || !waiting_.empty();
+  }
+}
+
 /// The replica may be forgotten by this if the leader has stopped listing it; then nullptr.
 Replica* CallRouter::release(Call& call) {
   notePromptRead(*call.attempt);
   const Attempt attempt = *call.attempt;
+  if (attempt.reopening != 0) {
+    replicas_.notices().onNotTaken(attempt.replica, attempt.reopening);
+  }
   call.attempt.reset();
   attempts_.erase(attempt.number);
   Replica* replica = replicas_.find(attempt.replica);
@@ -69,6 +81,9 @@
   }
   Call& state = (*call)->second;
   const ReplicaId replica_id = state.attempt->replica;
+  if (!answer.unrun) {
+    noteTaken(*state.attempt);
+  }
   Replica* replica = release(state);
   if (replica != nullptr) {
     dispatch_wanted_ = ReplicaTable::onProgress(*replica, now) || dispatch_wanted_;
@@ -76,7 +91,7 @@
   if (answer.unrun) {
     if (replica != nullptr && answer.status == kMisdirected && !state.need.model.empty()) {
       replica->noteMissing(state.need.model, state.need.adapter, now);
-    } else if (replica != nullptr) {
+    } else if (replica != nullptr && !replicas_.notices().closedUntil(replica_id, now)) {
       replica->refused_until = now + kRefusalPause;
     }
     log_.write(LogLevel::Info, "call.refused_by_replica",
@@ -89,9 +104,11 @@
   }
   noteRun(state, now);
   const bool failed = answer.status >= kFirstErrorStatus;
-  if (replica != nullptr && failed) {
+  const bool asked_for_time =
+      answer.status == kUnavailable && replicas_.notices().closedUntil(replica_id, now).has_value();
+  if (replica != nullptr && failed && !asked_for_time) {
     replica->health.onFailure(router::HealthFailure::Failed, now, random_);
-  } else if (replica != nullptr) {
+  } else if (replica != nullptr && !failed) {
     replica->health.onSuccess(now);
   }
   const bool again = failed && mayRunAgain(state) && state.deadline - now > kLeastTimeLeft &&
@@ -107,11 +124,25 @@
 }
 
 Effects CallRouter::onNotice(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now) {
-  log_.write(LogLevel::Info, "replica.notice",
-             {{"replica", view(replica.value)},
-              {"leaving", notice.leaving},
-              {"retry_after_ms", notice.retry_after ? toMilliseconds(*notice.retry_after) : -1},
-              {"unread", view(notice.unread_retry_after)}});
+  const ReplicaNotices::Change change = replicas_.notices().accept(replica, notice, now);
+  if (change == ReplicaNotices::Change::Leaving) {
+    ++counts_.leaving_told;
+    log_.write(LogLevel::Info, "replica.leaving_told", {{"replica", view(replica.value)}});
+  }
+  const auto closed_until = replicas_.notices().closedUntil(replica, now);
+  if (notice.retry_after && closed_until) {
+    ++counts_.backoffs;
+    log_.write(LogLevel::Info, "replica.backoff",
+               {{"replica", view(replica.value)},
+                {"asked_ms", toMilliseconds(*notice.retry_after)},
+                {"closed_for_ms", toMilliseconds(*closed_until - now)},
+                {"waiting", static_cast<std::int64_t>(waiting_.size())}});
+  }
+  if (!notice.unread_retry_after.empty() && now >= next_unread_note_) {
+    next_unread_note_ = now + kUnreadNoteInterval;
+    log_.write(LogLevel::Warning, "replica.notice_unread",
+               {{"replica", view(replica.value)}, {"retry_after", view(notice.unread_retry_after)}});
+  }
   return finish(now);
 }
 
@@ -126,6 +157,7 @@
     dispatch_wanted_ = ReplicaTable::onProgress(*replica, now) || dispatch_wanted_;
   }
   notePromptRead(*state.attempt);
+  noteTaken(*state.attempt);
   const bool known = id && state.last_event && *id <= *state.last_event;
   if (!known) {
     state.last_event = id ? id : state.last_event;
@@ -176,6 +208,7 @@
   }
   Call& state = (*call)->second;
   startStream(*call, attempt, now);
+  noteTaken(*state.attempt);
   if (Replica* replica = release(state)) {
     replica->health.onSuccess(now);
   }
@@ -262,7 +295,7 @@
     breakStream(call, "no replica took the rest of the stream", now);
   } else {
     refuse(call, tries_left ? ResultCode::RetryBudgetSpent : reason, "replicas refused it unrun",
-           kComeBackSoon, now);
+           comeBackAfterRefusals(state, now), now);
   }
 }
 
@@ -312,6 +345,7 @@
     return;
   }
   ++counts_.refused;
+  counts_.backoff_refused += code == ResultCode::ReplicaBackoff ? 1 : 0;
   log_.write(LogLevel::Warning, "call.refused",
              {{"request", view(state.request.id.value)},
               {"code", static_cast<std::int64_t>(code)},
@@ -319,6 +353,7 @@
               {"tenant", state.tenant ? view(state.tenant->value) : std::string_view()},
               {"not_run", !state.may_have_run},
               {"detail", view(detail)},
+              {"retry_after_ms", retry_after ? toMilliseconds(*retry_after) : -1},
               {"took_ms", toMilliseconds(now - state.arrived)},
               {"attempts", static_cast<std::int64_t>(state.attempts)}});
   giveBack(state, now);
--- /dev/null
+++ b/src/calls/replica_notices.cc
@@ -0,0 +1,125 @@
+#include "calls/replica_notices.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryrock::calls {
+namespace {
+
+/// A longer backoff is taken as this long: one bad line may not shut a replica for good. Replicas ask for
+/// seconds; what asks for hours is out of service, and is asked again by one call an hour.
+constexpr Duration kLongestBackoff = std::chrono::hours(1);
+/// Calls under way at once with which a replica counts as open again.
+constexpr std::uint32_t kOpenCalls = 8;
+/// A refusal comes within a round trip, 3 to 8 ms. A replica that has refused nothing for this long since its
+/// first call is open, also when it takes long to answer.
+constexpr Duration kOpeningLimit = std::chrono::seconds(1);
+/// Replicas that leave are remembered, the latest of them: as many as a fleet of the planned size replaces in
+/// several days, at about 100 bytes each.
+constexpr std::size_t kRememberedLeaving = 4'000;
+/// Backoffs that are over are dropped when there are more entries than this.
+constexpr std::size_t kRememberedBackoffs = 4'000;
+
+}  // namespace
+
+bool ReplicaNotices::Backoff::opening(TimePoint now) const {
+  return now >= until && (!reopened || now - *reopened < kOpeningLimit);
+}
+
+ReplicaNotices::Change ReplicaNotices::accept(const ReplicaId& replica, const ReplicaNotice& notice,
+                                              TimePoint now) {
+  Change change = Change::None;
+  if (notice.retry_after) {
+    Backoff& backoff = backoffs_.try_emplace(replica, Backoff{}).first->second;
+    const TimePoint until = now + std::min(*notice.retry_after, kLongestBackoff);
+    change = until > backoff.until ? Change::Backoff : Change::None;
+    const TimePoint began = now < backoff.until ? backoff.began : now;
+    backoff = {began, std::max(backoff.until, until), next_round_++, 1, 0, std::nullopt};
+  }
+  if (notice.leaving && leaving_.try_emplace(replica, next_entry_).second) {
+    by_age_.emplace_back(next_entry_++, replica);
+    change = Change::Leaving;
+  }
+  keepBounded(now);
+  return change;
+}
+
+void ReplicaNotices::keepBounded(TimePoint now) {
+  while (by_age_.size() > kRememberedLeaving) {
+    const auto& [entry, replica] = by_age_.front();
+    const auto found = leaving_.find(replica);
+    if (found != leaving_.end() && found->second == entry) {
+      leaving_.erase(found);
+    }
+    by_age_.pop_front();
+  }
+  if (backoffs_.size() > kRememberedBackoffs) {
+    std::erase_if(backoffs_, [now](const auto& entry) { return now >= entry.second.until; });
+  }
+}
+
+void ReplicaNotices::forget(const ReplicaId& replica) {
+  backoffs_.erase(replica);
+  leaving_.erase(replica);
+}
+
+std::optional<TimePoint> ReplicaNotices::closedUntil(const ReplicaId& replica, TimePoint now) const {
+  const auto found = backoffs_.find(replica);
+  return found == backoffs_.end() || now >= found->second.until ? std::nullopt
+                                                                : std::optional(found->second.until);
+}
+
+bool ReplicaNotices::admits(const ReplicaId& replica, TimePoint now) const {
+  const auto found = backoffs_.find(replica);
+  if (found == backoffs_.end()) {
+    return true;
+  }
+  const Backoff& backoff = found->second;
+  return now >= backoff.until && (!backoff.opening(now) || backoff.undecided < backoff.allowed);
+}
+
+std::size_t ReplicaNotices::inBackoff(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      backoffs_.begin(), backoffs_.end(), [now](const auto& entry) { return now < entry.second.until; }));
+}
+
+std::optional<ReplicaNotices::Reopening> ReplicaNotices::onSent(const ReplicaId& replica, TimePoint now) {
+  const auto found = backoffs_.find(replica);
+  if (found == backoffs_.end()) {
+    return std::nullopt;
+  }
+  Backoff& backoff = found->second;
+  if (!backoff.opening(now)) {
+    backoffs_.erase(found);
+    return std::nullopt;
+  }
+  const bool first = !backoff.reopened;
+  backoff.reopened = backoff.reopened.value_or(now);
+  ++backoff.undecided;
+  return Reopening{backoff.round, now - backoff.began, first};
+}
+
+ReplicaNotices::Backoff* ReplicaNotices::backoffOf(const ReplicaId& replica, std::uint64_t round) {
+  const auto found = backoffs_.find(replica);
+  return found == backoffs_.end() || found->second.round != round ? nullptr : &found->second;
+}
+
+void ReplicaNotices::onTaken(const ReplicaId& replica, std::uint64_t round) {
+  Backoff* backoff = backoffOf(replica, round);
+  if (backoff == nullptr) {
+    return;
+  }
+  --backoff->undecided;
+  backoff->allowed *= 2;
+  if (backoff->allowed > kOpenCalls) {
+    backoffs_.erase(replica);
+  }
+}
+
+void ReplicaNotices::onNotTaken(const ReplicaId& replica, std::uint64_t round) {
+  if (Backoff* backoff = backoffOf(replica, round)) {
+    --backoff->undecided;
+  }
+}
+
+}  // namespace ferryrock::calls
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -34,6 +34,9 @@
 /// Costs within this share of each other are taken as equal: loads are some hundred ms old, and all routers
 /// would send to one and the same replica meanwhile.
 constexpr double kCostSpread = 0.25;
+/// While a replica is opened again after a backoff, calls look again this often, besides whenever it takes
+/// one.
+constexpr Duration kOpeningPause = std::chrono::milliseconds(50);
 /// Between two probes of a replica to which no connection comes up.
 constexpr Duration kProbePause = std::chrono::milliseconds(500);
 
@@ -122,7 +125,9 @@
     return false;
   }
   if (known != lives_.end() && known->second != id) {
-    unlist(ReplicaId(known->second));
+    const ReplicaId former = known->second;
+    unlist(former);
+    notices_.forget(former);
   }
   lives_[name] = id;
   return true;
@@ -161,14 +166,16 @@
 
 Choice ReplicaTable::choose(const ReplicaNeed& need, TimePoint now) {
   Options options;
-  Choice none{nullptr, ChoiceFailure::NoReplica, std::nullopt, std::nullopt};
+  Choice none;
+  none.failure = ChoiceFailure::NoReplica;
   const auto leaveOut = [&none](ChoiceFailure failure, TimePoint until) {
     none.failure = std::max(none.failure, failure);
     none.look_again = std::min(none.look_again.value_or(until), until);
   };
   for (const ReplicaId& id : by_service_[need.service]) {
     Replica& replica = replicas_.at(id);
-    if (!replica.listed || !replica.routed.accepting) {
+    // What a replica said to this router goes before what a leader lists, which may be older.
+    if (!replica.listed || !replica.routed.accepting || notices_.isLeaving(id)) {
       continue;
     }
     const TimePoint missing_until = replica.missingUntil(need.model, need.adapter);
@@ -178,8 +185,13 @@
       leaveOut(need.model.empty() ? ChoiceFailure::NoReplica : ChoiceFailure::NotHeld, *replica.probe_at);
     } else if (now < missing_until) {
       leaveOut(ChoiceFailure::NotHeld, missing_until);
+    } else if (const auto closed_until = notices_.closedUntil(id, now)) {
+      leaveOut(ChoiceFailure::Backoff, *closed_until);
+      none.opens_at = std::min(none.opens_at.value_or(*closed_until), *closed_until);
     } else if (now < replica.refused_until) {
       leaveOut(ChoiceFailure::Refusing, replica.refused_until);
+    } else if (!notices_.admits(id, now)) {
+      leaveOut(ChoiceFailure::Refusing, now + kOpeningPause);
     } else {
       options.push_back(&replica);
     }
@@ -195,20 +207,42 @@
   ++turn_;
   if (!need.model.empty() && board_.isFresh(now) && isUneven(options)) {
     Replica* replica = cheapest(options, need);
-    return {replica, ChoiceFailure::None, fleetUse(*replica), std::nullopt};
+    return {replica, ChoiceFailure::None, fleetUse(*replica), std::nullopt, std::nullopt};
   }
-  return {leastLoaded(options, need), ChoiceFailure::None, std::nullopt, std::nullopt};
+  return {leastLoaded(options, need), ChoiceFailure::None, std::nullopt, std::nullopt, std::nullopt};
+}
+
+bool ReplicaTable::serves(const Replica& replica, const ReplicaNeed& need, TimePoint now) const {
+  return replica.listed && replica.routed.accepting && !notices_.isLeaving(replica.routed.id) &&
+         !replica.unreachable(now) && replica.holds(need.model, need.adapter);
 }
 
 bool ReplicaTable::anyHolds(const ReplicaNeed& need, TimePoint now) const {
   const auto ids = by_service_.find(need.service);
   return ids != by_service_.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](const auto& id) {
-           const Replica& replica = replicas_.at(id);
-           return replica.listed && replica.routed.accepting && !replica.unreachable(now) &&
-                  replica.holds(need.model, need.adapter);
+           return serves(replicas_.at(id), need, now) && !notices_.closedUntil(id, now);
          });
 }
 
+std::optional<TimePoint> ReplicaTable::opensAt(const ReplicaNeed& need, TimePoint now) const {
+  std::optional<TimePoint> opens;
+  const auto ids = by_service_.find(need.service);
+  if (ids == by_service_.end()) {
+    return opens;
+  }
+  for (const ReplicaId& id : ids->second) {
+    if (!serves(replicas_.at(id), need, now)) {
+      continue;
+    }
+    const auto closed_until = notices_.closedUntil(id, now);
+    if (!closed_until) {
+      return std::nullopt;
+    }
+    opens = std::min(opens.value_or(*closed_until), *closed_until);
+  }
+  return opens;
+}
+
 std::vector<ReplicaId> ReplicaTable::unreachable(TimePoint now) const {
   std::vector<ReplicaId> ids;
   for (const auto& [id, replica] : replicas_) {
@@ -332,12 +366,13 @@
   return paces;
 }
 
-void ReplicaTable::onSent(Replica& replica, TimePoint now) {
+std::optional<ReplicaNotices::Reopening> ReplicaTable::onSent(Replica& replica, TimePoint now) {
   ++replica.outstanding;
   if (replica.probe_at) {
     replica.probe_at = now + kProbePause;
   }
   replica.health.onDispatched(now);
+  return notices_.onSent(replica.routed.id, now);
 }
 
 void ReplicaTable::onUnreachable(Replica& replica, TimePoint now) {
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "balance/call_cost.h"
+#include "calls/replica_notices.h"
 #include "common/random.h"
 #include "quarantine/trial.h"
 #include "router/replica_health.h"
@@ -75,6 +76,7 @@
   None,
   NoReplica,  ///< the service has none that takes new calls and can be reached
   NotHeld,    ///< none of those holds the model or the adapter
+  Backoff,    ///< those that could have asked for a time without calls
   Refusing,   ///< those that could have refused just now
 };
 
@@ -83,6 +85,7 @@
   ChoiceFailure failure = ChoiceFailure::None;
   std::optional<balance::FleetUse> use;  ///< of the replica, where that decided
   std::optional<TimePoint> look_again;   ///< earliest instant at which one that was left out may be asked
+  std::optional<TimePoint> opens_at;     ///< where they are in a backoff: the first end of one
 };
 
 /// The replicas that the leader lists, and those with attempts still under way. Used by one thread.
@@ -97,8 +100,15 @@
   /// The replica for a call: one that is sound, untried and least loaded; calls of one affinity key share a
   /// home while it isn't much busier than others. An ejected replica is taken only if there is no other.
   Choice choose(const ReplicaNeed& need, TimePoint now);
-  /// True when a replica that takes new calls and can be reached holds what the call needs.
+  /// True when a replica that takes new calls, from this router too, and can be reached holds what the call
+  /// needs.
   bool anyHolds(const ReplicaNeed& need, TimePoint now) const;
+  /// When the first of those that hold what the call needs takes calls again; nullopt: one does now, or none
+  /// holds it.
+  std::optional<TimePoint> opensAt(const ReplicaNeed& need, TimePoint now) const;
+  /// What replicas said of themselves to this router.
+  ReplicaNotices& notices() { return notices_; }
+  const ReplicaNotices& notices() const { return notices_; }
   /// Those to which no connection comes up just now.
   std::vector<ReplicaId> unreachable(TimePoint now) const;
 
@@ -113,7 +123,8 @@
   std::vector<wire::ReplicaUse> takeUses();
   std::vector<wire::ObservedPace> takePaces();
 
-  void onSent(Replica& replica, TimePoint now);
+  /// As ReplicaNotices::onSent().
+  std::optional<ReplicaNotices::Reopening> onSent(Replica& replica, TimePoint now);
   static void onUnreachable(Replica& replica, TimePoint now);
   /// A sign of life. True if no connection had come up before.
   static bool onProgress(Replica& replica, TimePoint now);
@@ -125,6 +136,8 @@
 
   static void keepIf(Options& options, const std::function<bool(const Replica&)>& wanted);
   static void keepFast(Options& options, const ModelName& model);
+  /// It takes calls of this need, but for a backoff.
+  bool serves(const Replica& replica, const ReplicaNeed& need, TimePoint now) const;
   std::uint32_t homeSurplus(const Replica& replica) const;
   Replica* leastLoaded(Options options, const ReplicaNeed& need) const;
   /// True if some of these are known to be so much slower than others that calls had better be told apart.
@@ -143,6 +156,7 @@
   std::uint64_t own_homes_;  ///< changes the homes of affinity keys where routers don't share them
   std::uint32_t routers_ = 1;
   balance::LoadBoard board_;
+  ReplicaNotices notices_;
   std::uint64_t turn_;
 };
 
--- a/src/calls/wait_policy.cc
+++ b/src/calls/wait_policy.cc
@@ -25,6 +25,9 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * share));
 }
 
+/// Of an absence, over which the returns of callers are spread.
+constexpr double kReturnSpreadShare = 0.25;
+
 Duration absenceUntil(TimePoint ready, TimePoint now) {
   return (ready - now) + scaled(ready - now, kLateLoadShare) + kLateLoad;
 }
@@ -32,7 +35,8 @@
 }  // namespace
 
 TimePoint waitLimit(const WaitingCall& call, ChoiceFailure failure, TimePoint now) {
-  if (failure != ChoiceFailure::NotHeld) {
+  const bool known_to_open = failure == ChoiceFailure::NotHeld || failure == ChoiceFailure::Backoff;
+  if (!known_to_open) {
     return std::min(call.deadline, now + scaled(call.target, kPlaceWaitShare));
   }
   TimePoint limit = call.arrived + scaled(call.deadline - call.arrived, kLoadWaitShare);
@@ -42,6 +46,10 @@
   return std::max(now, limit);
 }
 
+Duration spreadAbsence(Duration absence, double drawn) {
+  return absence + scaled(absence, drawn * kReturnSpreadShare);
+}
+
 std::optional<Duration> refusedUntil(const WaitingCall& call, TimePoint ready, TimePoint now) {
   const bool can_wait = ready <= waitLimit(call, ChoiceFailure::NotHeld, now);
   return can_wait || !call.untouched ? std::nullopt : std::optional(absenceUntil(ready, now));
--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -81,6 +81,9 @@
      "run.",
      "Don't send the same call again before Retry-After; change it, or give its fingerprint to the "
      "operator."},
+    {ReplicaBackoff, "ReplicaBackoff", 503,
+     "The replicas that could run the call have asked for a time without calls.",
+     "Come back after Retry-After, when the first of them takes calls again."},
     {VersionConflict, "VersionConflict", 409, "Another change was accepted for the same base version.",
      "Get the current version, look at the difference and apply again."},
     {InvalidTree, "InvalidTree", 422, "The settings tree isn't valid.", "Correct the listed places."},
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -48,6 +48,7 @@
   CatalogUnproved = 2022,
   QuotaSpent = 2023,
   CallQuarantined = 2024,
+  ReplicaBackoff = 2025,
 
   // 3xxx: operators' changes and reads.
   VersionConflict = 3001,
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -234,6 +234,16 @@
       static_cast<double>(counts.quarantined));
   set("ferryrock_calls_quarantined", "Calls kept away from replicas, since several ended under them",
       static_cast<double>(router_.crashLedger().quarantined().size()));
+  set("ferryrock_replica_backoffs", "Times that a replica asked for a time without calls",
+      static_cast<double>(counts.backoffs));
+  set("ferryrock_replicas_leaving_told", "Replicas that said in an answer that they leave",
+      static_cast<double>(counts.leaving_told));
+  set("ferryrock_calls_waited_for_backoff", "Calls that waited for the end of a replica's backoff",
+      static_cast<double>(counts.backoff_waits));
+  set("ferryrock_calls_refused_backoff", "Calls refused since all replicas for them were in a backoff",
+      static_cast<double>(counts.backoff_refused));
+  set("ferryrock_replicas_in_backoff", "Replicas that want no calls from this router just now",
+      static_cast<double>(router_.replicaNotices().inBackoff(now())));
   const std::optional<TimePoint> proved = router_.catalogProof().provedAt();
   set("ferryrock_catalog_proved_seconds_ago", "Age of the proof that the catalog is the newest; -1: none",
       proved ? toSeconds(now() - *proved) : -1);
--- /dev/null
+++ b/tests/calls/replica_notices_test.cc
@@ -0,0 +1,165 @@
+#include "calls/replica_notices.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace ferryrock::calls {
+namespace {
+
+using namespace std::chrono_literals;
+
+const ReplicaId kReplica("e1");
+const TimePoint kStart{1000s};
+
+ReplicaNotice wanting(Duration duration) {
+  return {false, duration, ""};
+}
+
+/// Times asked for one after the other, and for how long the replica is closed then.
+struct BackoffCase {
+  std::vector<Duration> asked;
+  Duration closed;
+};
+
+TEST_CASE("The longest of the times that a replica asked for holds, an hour at most") {
+  const std::vector<BackoffCase> cases = {
+      {{3s}, 3s}, {{3s, 3s}, 3s}, {{3s, 1s}, 3s}, {{1s, 3s}, 3s}, {{1ms}, 1ms}, {{24h}, 1h}, {{24h, 48h}, 1h},
+  };
+  for (const BackoffCase& given : cases) {
+    ReplicaNotices notices;
+    for (const Duration asked : given.asked) {
+      notices.accept(kReplica, wanting(asked), kStart);
+    }
+    INFO(toMilliseconds(given.closed));
+    CHECK(notices.closedUntil(kReplica, kStart) == kStart + given.closed);
+    CHECK_FALSE(notices.admits(kReplica, kStart + given.closed - 1ms));
+    CHECK(notices.admits(kReplica, kStart + given.closed));
+  }
+}
+
+TEST_CASE("A notice tells what it changed") {
+  ReplicaNotices notices;
+  using Change = ReplicaNotices::Change;
+  CHECK(notices.accept(kReplica, wanting(3s), kStart) == Change::Backoff);
+  CHECK(notices.accept(kReplica, wanting(1s), kStart) == Change::None);
+  CHECK(notices.accept(kReplica, {true, std::nullopt, ""}, kStart) == Change::Leaving);
+  CHECK(notices.accept(kReplica, {true, std::nullopt, ""}, kStart) == Change::None);
+  CHECK(notices.accept(kReplica, {false, std::nullopt, "soon"}, kStart) == Change::None);
+  CHECK(notices.isLeaving(kReplica));
+  CHECK_FALSE(notices.isLeaving(ReplicaId("e2")));
+}
+
+TEST_CASE("With its life end a replica's wishes") {
+  ReplicaNotices notices;
+  notices.accept(kReplica, {true, 3s, ""}, kStart);
+  notices.forget(kReplica);
+  CHECK(notices.admits(kReplica, kStart));
+  CHECK_FALSE(notices.isLeaving(kReplica));
+}
+
+TEST_CASE("After a backoff one call goes, then twice as many after each that is taken") {
+  ReplicaNotices notices;
+  notices.accept(kReplica, wanting(3s), kStart);
+  const TimePoint open = kStart + 3s;
+  std::uint64_t round = 0;
+  const auto sendable = [&] {
+    int sent = 0;
+    while (sent < 100 && notices.admits(kReplica, open)) {
+      const auto reopening = notices.onSent(kReplica, open);
+      round = reopening ? reopening->round : round;
+      ++sent;
+    }
+    return sent;
+  };
+  CHECK(sendable() == 1);
+  notices.onTaken(kReplica, round);
+  CHECK(sendable() == 2);
+  notices.onNotTaken(kReplica, round);
+  CHECK(sendable() == 1);
+  notices.onTaken(kReplica, round);
+  CHECK(sendable() == 3);
+  notices.onTaken(kReplica, round);
+  notices.onTaken(kReplica, round);
+  CHECK(sendable() == 100);
+}
+
+TEST_CASE("The first sending after a backoff says how long the replica was closed") {
+  ReplicaNotices notices;
+  notices.accept(kReplica, wanting(2s), kStart);
+  notices.accept(kReplica, wanting(2s), kStart + 1s);
+  const auto first = notices.onSent(kReplica, kStart + 4s);
+  REQUIRE(first.has_value());
+  CHECK(first->first);
+  CHECK(first->closed_for == 4s);
+  CHECK_FALSE(notices.onSent(kReplica, kStart + 4s)->first);
+  CHECK_FALSE(notices.onSent(ReplicaId("e2"), kStart).has_value());
+}
+
+TEST_CASE("A replica that refuses nothing for a second after its first call is open, however long it takes") {
+  ReplicaNotices notices;
+  notices.accept(kReplica, wanting(3s), kStart);
+  notices.onSent(kReplica, kStart + 3s);
+  CHECK_FALSE(notices.admits(kReplica, kStart + 3900ms));
+  CHECK(notices.admits(kReplica, kStart + 4s));
+  CHECK_FALSE(notices.onSent(kReplica, kStart + 4s).has_value());
+}
+
+TEST_CASE("Asked for time while it is opened again, a replica is closed and opened anew") {
+  ReplicaNotices notices;
+  notices.accept(kReplica, wanting(1s), kStart);
+  const std::uint64_t round = notices.onSent(kReplica, kStart + 1s)->round;
+  notices.onTaken(kReplica, round);
+  notices.onSent(kReplica, kStart + 1s);
+  notices.accept(kReplica, wanting(1s), kStart + 1100ms);
+  notices.onTaken(kReplica, round);
+  CHECK_FALSE(notices.admits(kReplica, kStart + 2000ms));
+  CHECK(notices.admits(kReplica, kStart + 2100ms));
+  notices.onSent(kReplica, kStart + 2100ms);
+  CHECK_FALSE(notices.admits(kReplica, kStart + 2100ms));
+}
+
+TEST_CASE("What is remembered of replicas that leave is bounded, the latest are kept") {
+  ReplicaNotices notices;
+  for (int i = 0; i < 10'000; ++i) {
+    notices.accept(ReplicaId("e" + std::to_string(i)), {true, std::nullopt, ""}, kStart);
+  }
+  CHECK(notices.leaving() == 4'000);
+  CHECK(notices.isLeaving(ReplicaId("e9999")));
+}
+
+TEST_CASE("No sequence of wishes and calls lets a call go within a time that was asked for") {
+  CHECK(rc::check("closed while any wish holds", [] {
+    ReplicaNotices notices;
+    TimePoint now = kStart;
+    TimePoint closed_until = kStart;
+    std::vector<std::uint64_t> undecided;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 2'000)));
+    for (const auto& [action, milliseconds] : steps) {
+      const Duration duration = std::chrono::milliseconds(milliseconds);
+      if (action == 0) {
+        now += duration;
+      } else if (action == 1 && milliseconds > 0) {
+        notices.accept(kReplica, wanting(duration), now);
+        closed_until = std::max(closed_until, now + duration);
+      } else if (action == 2 && notices.admits(kReplica, now)) {
+        const auto reopening = notices.onSent(kReplica, now);
+        undecided.push_back(reopening ? reopening->round : 0);
+      } else if (action == 3 && !undecided.empty()) {
+        notices.onTaken(kReplica, undecided.back());
+        undecided.pop_back();
+      } else if (action == 4 && !undecided.empty()) {
+        notices.onNotTaken(kReplica, undecided.back());
+        undecided.pop_back();
+      }
+      RC_ASSERT(now >= closed_until || !notices.admits(kReplica, now));
+      RC_ASSERT(notices.closedUntil(kReplica, now).has_value() == (now < closed_until));
+    }
+    RC_ASSERT(notices.admits(kReplica, std::max(now, closed_until) + 1h));
+  }));
+}
+
+}  // namespace
+}  // namespace ferryrock::calls
