Teach the soak's replicas to ask for time and to say in answers that they leave, and judge who heeds it

Cause: no stand-in of the project refused with Retry-After or sent Server-Leaving, so that no soak could show the fault.

--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -53,6 +53,20 @@
   int count_ = 0;
 };
 
+/// "ADDRESS=FROM-TO", in seconds from `start`.
+void excuse(SoakNoticeOracle& notices, const std::string& entry, TimePoint start) {
+  const std::size_t equals = entry.find('=');
+  const std::size_t dash = entry.find('-', equals);
+  if (equals == std::string::npos || dash == std::string::npos) {
+    return;  // the default: none is excused
+  }
+  const auto seconds = [start](const std::string& text) {
+    return start + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::stod(text)));
+  };
+  notices.excuse(entry.substr(0, equals), seconds(entry.substr(equals + 1, dash - equals - 1)),
+                 seconds(entry.substr(dash + 1)));
+}
+
 int report(const SoakOracle& oracle, double served_per_second) {
   for (const std::string& line : oracle.broken()) {
     std::cout << "broken " << line << "\n";
@@ -74,19 +88,26 @@
   options.add_options()("seconds", "How long", cxxopts::value<int>()->default_value("60"));
   options.add_options()("quiet", "Seconds without faults at the end",
                         cxxopts::value<int>()->default_value("15"));
+  options.add_options()("excused", "ADDRESS=FROM-TO: a router and the seconds in which it may be down",
+                        cxxopts::value<std::vector<std::string>>()->default_value(""));
   options.add_options()("seed", "Of all that is drawn", cxxopts::value<std::uint64_t>()->default_value("1"));
   const auto given = options.parse(argc, argv);
 
   const auto dispatcher = event::createAceDispatcher();
   const auto client = http::createClient(*dispatcher);
   SoakOracle oracle;
+  SoakNoticeOracle notices(oracle);
   Random random(given["seed"].as<std::uint64_t>());
   SoakContext context{
       *dispatcher,
       *client,
       oracle,
+      notices,
       random,
       {given["control"].as<std::vector<std::string>>(), given["directory"].as<std::vector<std::string>>()}};
+  for (const std::string& entry : given["excused"].as<std::vector<std::string>>()) {
+    excuse(notices, entry, context.now());
+  }
   Replicas replicas(context);
   SoakOperator soak_operator(context);
   std::vector<std::unique_ptr<SoakClient>> clients;
--- a/tests/platform/soak/soak_world.cc
+++ b/tests/platform/soak/soak_world.cc
@@ -18,6 +18,11 @@
 constexpr Duration kControlTime = 1s;
 constexpr std::size_t kModelsHeld = 2;
 constexpr std::uint64_t kModels = 6;
+/// With each heartbeat a replica may begin to refuse all calls for up to this long.
+constexpr double kBeginsToShed = 0.06;
+constexpr Duration kLongestShed = 3500ms;
+/// Of the refusals, those that say in words for how long.
+constexpr double kSaysInWords = 0.05;
 constexpr double kFaulty = 0.01;  ///< of the calls, for each kind of fault
 
 std::string header(const http::Request& request, const char* name) {
@@ -39,6 +44,9 @@
   http::ClientCallbacks callbacks;
   callbacks.on_headers = [this](int status, const http::Headers& headers) {
     result_.status = status;
+    result_.leaving_replica = http::findHeader(headers, "Server-Leaving")
+                                  ? http::findHeader(headers, "X-Server-Seal").value_or("")
+                                  : "";
     location_ = http::findHeader(headers, "Location").value_or("");
   };
   callbacks.on_data = [this](std::string_view bytes) { result_.body.append(bytes); };
@@ -96,31 +104,67 @@
   const std::string model = header(request, "X-Model");
   const bool other = header(request, "X-Expect-Instance") != id_;
   const bool lacking = with_models_ && !models_.contains(model);
+  constexpr bool kSealed = true;
+  context_.notices.onArrived(id, id_, context_.now());
   if (other || lacking) {
-    response->respond(421, {{"X-Attempt-Id", id}}, "");
+    response->respond(421, headersFor(id, !kSealed), "");
+  } else if (shed(response, id)) {
+    return;
   } else if (context_.random.chance(kFaulty)) {
-    response->respond(503, {{"X-Attempt-Id", id}, {"X-Not-Executed", "1"}}, "");
+    http::Headers headers = headersFor(id, !kSealed);
+    headers.push_back({"X-Not-Executed", "1"});
+    response->respond(503, std::move(headers), "");
   } else {
     context_.oracle.onRun(id, id_, context_.now());
     run(request, response, id);
   }
 }
 
+bool SoakReplica::shed(const http::ResponseWriterPtr& response, const std::string& id) {
+  const TimePoint now = context_.now();
+  if (now >= sheds_until_) {
+    return false;
+  }
+  constexpr bool kSealed = true;
+  http::Headers headers = headersFor(id, !kSealed);
+  headers.push_back({"X-Not-Executed", "1"});
+  if (context_.random.chance(kSaysInWords)) {
+    headers.push_back({"Retry-After", "soon"});
+  } else {
+    headers.push_back({"Retry-After", std::to_string(toSeconds(sheds_until_ - now))});
+    context_.notices.onAsked(id, id_, sheds_until_ - now, now);
+  }
+  response->respond(503, std::move(headers), "");
+  return true;
+}
+
+http::Headers SoakReplica::headersFor(const std::string& id, bool sealed) const {
+  http::Headers headers = {{"X-Attempt-Id", id}};
+  if (sealed) {
+    headers.push_back({"X-Server-Seal", id_});
+  }
+  if (leaving_) {
+    headers.push_back({"Server-Leaving", "1"});
+  }
+  return headers;
+}
+
 void SoakReplica::run(const http::Request& request, const http::ResponseWriterPtr& response,
                       const std::string& id) {
+  constexpr bool kSealed = true;
   Random& random = context_.random;
   if (with_models_) {
     stream(request, response, id);
   } else if (random.chance(kFaulty)) {
-    response->respond(500, {{"X-Attempt-Id", id}, {"X-Server-Seal", id_}}, "failed");
+    response->respond(500, headersFor(id, kSealed), "failed");
   } else if (random.chance(kFaulty)) {
-    response->respond(200, {{"X-Attempt-Id", "another"}, {"X-Server-Seal", id_}}, "answer to another");
+    response->respond(200, headersFor("another", kSealed), "answer to another");
   } else if (random.chance(kFaulty)) {
-    response->start(200, {{"X-Attempt-Id", id}, {"X-Server-Seal", id_}});
+    response->start(200, headersFor(id, kSealed));
     response->write("answ");
     response->abort();
   } else {
-    response->respond(200, {{"X-Attempt-Id", id}, {"X-Server-Seal", id_}}, "answer to " + id);
+    response->respond(200, headersFor(id, kSealed), "answer to " + id);
   }
 }
 
@@ -129,7 +173,10 @@
   const std::string last = header(request, "Last-Event-Id");
   auto sent = std::make_shared<std::uint64_t>(last.empty() ? 0 : std::stoull(last));
   const bool breaks = context_.random.chance(kFaulty);
-  response->start(200, {{"Content-Type", "text/event-stream"}, {"X-Attempt-Id", id}, {"X-Server-Seal", id_}});
+  constexpr bool kSealed = true;
+  http::Headers headers = headersFor(id, kSealed);
+  headers.push_back({"Content-Type", "text/event-stream"});
+  response->start(200, std::move(headers));
   auto timer = std::make_shared<std::unique_ptr<event::Timer>>();
   auto gone = std::make_shared<bool>(false);
   response->onClosed([gone] { *gone = true; });
@@ -188,6 +235,9 @@
     return;
   }
   beat_timer_->enable(kBeatInterval);
+  if (context_.now() >= sheds_until_ && context_.random.chance(kBeginsToShed)) {
+    sheds_until_ = context_.now() + Duration(context_.random.below(kLongestShed.count()));
+  }
   const Json body = {{"service", with_models_ ? "llm" : "desk"},
                      {"address", "127.0.0.1:" + std::to_string(server_->port())},
                      {"zone", "z"},
@@ -250,7 +300,8 @@
                                                     : "/stream/x";
   http::ClientRequest request;
   request.method = "POST";
-  request.url = "http://" + addresses_[context_.random.below(addresses_.size())] + path;
+  const std::string router = addresses_[context_.random.below(addresses_.size())];
+  request.url = "http://" + router + path;
   request.headers = {{"Host", "shop.example"}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "2500"}};
   if (kind == SoakKind::Stream) {
     request.headers.push_back({"X-Model", "m" + std::to_string(context_.random.below(kModels))});
@@ -259,6 +310,7 @@
   request.total_timeout = kCallTime;
   request.fresh_connection = context_.random.chance(0.5);
   context_.oracle.onSent(id, kind);
+  context_.notices.onSent(id, router, context_.now());
   call_ = std::make_unique<SoakCall>(
       context_, request, [this, id, kind](const SoakCall::Result& result) { onAnswer(id, kind, result); });
 }
@@ -278,6 +330,9 @@
     place += expected.size();
     ++outcome.last_event;
   }
+  if (!result.leaving_replica.empty()) {
+    context_.notices.onLeavingHeard(id, result.leaving_replica, context_.now());
+  }
   context_.oracle.onOutcome(id, outcome, context_.now());
   timer_->enable(20ms + Duration(context_.random.below(80'000'000)));
 }
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -10,6 +10,7 @@
 
 #include "common/random.h"
 #include "http/http.h"
+#include "platform/soak/soak_notice_oracle.h"
 #include "platform/soak/soak_oracle.h"
 
 namespace ferryrock::platform {
@@ -24,6 +25,7 @@
   event::Dispatcher& dispatcher;
   http::Client& client;
   SoakOracle& oracle;
+  SoakNoticeOracle& notices;
   Random& random;
   SoakAddresses addresses;
 
@@ -39,6 +41,7 @@
     int status = 0;  ///< 0: none
     bool whole = false;
     std::string body;
+    std::string leaving_replica;  ///< that said in this answer that it leaves
   };
   using Callback = std::function<void(Result)>;
 
@@ -70,6 +73,10 @@
 
  private:
   void handle(const http::Request& request, const http::ResponseWriterPtr& response);
+  /// Refuses the call unrun while it has too much work; false: it has room.
+  bool shed(const http::ResponseWriterPtr& response, const std::string& id);
+  /// Headers of an answer, with what a leaving replica says in each.
+  http::Headers headersFor(const std::string& id, bool sealed) const;
   void run(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   void stream(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   int takeOrder(const std::string& body);
@@ -90,6 +97,7 @@
   std::uint64_t orders_ = 0;
   std::set<std::string> models_;
   std::optional<std::string> loading_;
+  TimePoint sheds_until_{};
   bool leaving_ = false;
   bool leave_acknowledged_ = false;
   bool ended_ = false;
