Bear the builds before: quota use in either layout, replicas by name for routers that know no lives

Cause: QuotaUse got two members in its middle, and ids of lives went to routers that send them on as the instance that they expect. Change: a type may list a former layout, told by its number of members when read and written if the value asks for it; a type may keep how many members its writer knew, by which the build of a peer shows without a message of its own. Routers write quota use for a leader of the build before in its layout; leaders tell routers that know no lives the names of replicas, and a name is gone only when no life of it is left. The present order of QuotaUse stays, since it has been in production. Ruled out: moving the two members to the end (the build with histories couldn't read that); a second kind of message (old members refuse its number).

--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -1,5 +1,9 @@
 #include "services/table_feed.h"
 
+#include <algorithm>
+
+#include "wire/replica_life.h"
+
 namespace ferryrock::services {
 namespace {
 
@@ -53,6 +57,23 @@
   return changesAt(status.revision) >= changesAt(revision);
 }
 
+/// A router that knows no lives sends the id on as the instance that it expects, and is turned away with any
+/// other id than the name. A name is gone only when no life of it is left.
+void TableFeed::nameReplicas(wire::ServiceUpdate& update) const {
+  for (wire::RoutedReplica& replica : update.replicas) {
+    replica.id = ReplicaId(wire::replicaName(replica.id));
+  }
+  const auto lives_on = [this](const ReplicaId& name) {
+    const auto& replicas = registry_.replicas();
+    return std::any_of(replicas.begin(), replicas.end(),
+                       [&name](const auto& entry) { return wire::replicaName(entry.first) == name.value; });
+  };
+  for (ReplicaId& id : update.removed) {
+    id = ReplicaId(wire::replicaName(id));
+  }
+  std::erase_if(update.removed, lives_on);
+}
+
 wire::ServiceUpdate TableFeed::updateFor(const wire::CallRouterStatus& status,
                                          const FeedContext& context) const {
   wire::ServiceUpdate update;
@@ -77,6 +98,9 @@
       update.replicas.push_back(routed(record));
     }
   }
+  if (!status.knowsLives()) {
+    nameReplicas(update);
+  }
   return update;
 }
 
--- a/src/services/table_feed.h
+++ b/src/services/table_feed.h
@@ -44,6 +44,8 @@
  private:
   /// Count of changes that a revision of this term stands for; 0 for one of another term.
   std::uint64_t changesAt(LogIndex revision) const;
+  /// Puts the names of replicas in place of the ids of their lives.
+  void nameReplicas(wire::ServiceUpdate& update) const;
 
   Term term_;
   const ReplicaRegistry& registry_;
--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -163,6 +163,7 @@
     ++account_;
   }
   leader_heard_ = now;
+  leader_reads_histories_ = update.readsQuotaHistories();
   own_parts_.clear();
   routers_ = std::max(1U, update.routers);
   limited_ = {update.limited_tenants.begin(), update.limited_tenants.end()};
@@ -215,6 +216,7 @@
     return std::nullopt;
   }
   wire::QuotaUse use;
+  use.former_layout = !leader_reads_histories_;
   use.router = settings_.router;
   use.incarnation = settings_.incarnation;
   use.sequence = ++sequence_;
--- a/src/tenancy/quota_client.h
+++ b/src/tenancy/quota_client.h
@@ -105,6 +105,7 @@
   Random random_;
   NodeName leader_;
   std::optional<TimePoint> leader_heard_;
+  bool leader_reads_histories_ = true;
   std::uint32_t routers_ = 1;
   std::optional<TimePoint> began_;
   std::set<TenantName> limited_;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -21,6 +21,9 @@
 /// Packs any type made of fields(), names, numbers, enumerations, arithmetic types, strings, vectors, maps,
 /// sets, optionals, pairs and variants as msgpack. A type with fields() is an array: a reader accepts a
 /// longer array (written by a newer process) and leaves members that a shorter one lacks at their defaults.
+/// Where an earlier build listed members in another order, formerFields() lists them as it did: that layout
+/// is told by its number of members when read, and written if the value asks for it (former_layout). A type
+/// with told_members keeps how many members its writer knew, by which the build of a peer shows.
 namespace ferryrock::wire {
 
 namespace codec_detail {
@@ -32,6 +35,17 @@
   value.fields();
 };
 
+template <class T>
+concept HasFormerFields = requires(T& value) {
+  value.formerFields();
+  value.former_layout;
+};
+
+template <class T>
+concept KeepsToldMembers = requires(T& value) {
+  value.told_members;
+};
+
 template <class T>
 struct IsVariant : std::false_type {};
 template <class... A>
@@ -102,6 +116,12 @@
     packer.pack_nil();
   }
 }
+template <class Members>
+void packMembers(Packer& packer, const Members& members) {
+  packer.pack_array(static_cast<std::uint32_t>(std::tuple_size_v<Members>));
+  std::apply([&packer](const auto&... member) { (packValue(packer, member), ...); }, members);
+}
+
 template <class T>
 void packValue(Packer& packer, const T& value) {
   if constexpr (IsVariant<T>::value) {
@@ -109,9 +129,13 @@
     packer.pack(static_cast<std::uint32_t>(value.index()));
     std::visit([&packer](const auto& alternative) { packValue(packer, alternative); }, value);
   } else if constexpr (HasFields<const T>) {
-    const auto members = value.fields();
-    packer.pack_array(static_cast<std::uint32_t>(std::tuple_size_v<std::remove_const_t<decltype(members)>>));
-    std::apply([&packer](const auto&... member) { (packValue(packer, member), ...); }, members);
+    if constexpr (HasFormerFields<const T>) {
+      if (value.former_layout) {
+        packMembers(packer, value.formerFields());
+        return;
+      }
+    }
+    packMembers(packer, value.fields());
   } else if constexpr (std::is_enum_v<T>) {
     packer.pack(static_cast<std::int64_t>(value));
   } else {
@@ -202,6 +226,18 @@
   }
 }
 
+template <class Members>
+void readMembers(const msgpack::object_array& array, Members members) {
+  std::uint32_t position = 0;
+  auto readNext = [&](auto& member) {
+    if (position < array.size) {
+      readValue(array.ptr[position], member);
+    }
+    ++position;
+  };
+  std::apply([&readNext](auto&... member) { (readNext(member), ...); }, members);
+}
+
 template <class T>
 void readValue(const msgpack::object& object, T& value) {
   if constexpr (IsVariant<T>::value) {
@@ -214,15 +250,17 @@
     if (object.type != msgpack::type::ARRAY) {
       malformed("a message was expected");
     }
-    std::uint32_t position = 0;
-    const std::uint32_t size = object.via.array.size;
-    auto readNext = [&](auto& member) {
-      if (position < size) {
-        readValue(object.via.array.ptr[position], member);
+    if constexpr (KeepsToldMembers<T>) {
+      value.told_members = object.via.array.size;
+    }
+    if constexpr (HasFormerFields<T>) {
+      value.former_layout = object.via.array.size == std::tuple_size_v<decltype(value.formerFields())>;
+      if (value.former_layout) {
+        readMembers(object.via.array, value.formerFields());
+        return;
       }
-      ++position;
-    };
-    std::apply([&readNext](auto&... member) { (readNext(member), ...); }, value.fields());
+    }
+    readMembers(object.via.array, value.fields());
   } else if constexpr (std::is_enum_v<T>) {
     value = static_cast<T>(object.as<std::int64_t>());
   } else {
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -115,6 +115,11 @@
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
                    revision, wants, directory, missed_update, unreachable, wants_proof, crash_digest, uses,
                    paces)
+
+  std::uint32_t told_members = 0;  ///< that the router's build knows; 0: not read from bytes
+  /// Routers of builds before `uses` and `paces` take the id of a replica for its name.
+  bool knowsLives() const { return told_members == 0 || told_members >= kMembersWithLoads; }
+  static constexpr std::uint32_t kMembersWithLoads = 16;
 };
 
 /// A replica as routers need it.
@@ -169,6 +174,11 @@
   std::optional<std::vector<ReplicaLoad>> loads;
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
                    members, directory, coming, confirm, proved, limited_tenants, loads)
+
+  std::uint32_t told_members = 0;  ///< that the leader's build knows; 0: not read from bytes
+  /// Leaders of builds before `loads` read QuotaUse in its former layout alone.
+  bool readsQuotaHistories() const { return told_members == 0 || told_members >= kMembersWithLoads; }
+  static constexpr std::uint32_t kMembersWithLoads = 16;
 };
 
 /// From a member that doesn't lead, or can't be sure that it does, to a router that holds an older version.
@@ -213,6 +223,10 @@
   std::vector<QuotaSpent> spent;
   std::vector<QuotaAsk> asks;
   FERRYROCK_FIELDS(QuotaUse, router, incarnation, sequence, whole, histories, history_ms, spent, asks)
+
+  bool former_layout = false;  ///< from, or for, a build that knows no histories
+  auto formerFields() { return std::tie(router, incarnation, sequence, whole, spent, asks); }
+  auto formerFields() const { return std::tie(router, incarnation, sequence, whole, spent, asks); }
 };
 
 /// The leader's decision on a QuotaAsk. What is granted is charged already.
