--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -50,7 +50,7 @@
   std::uint64_t quota_unknown = 0;    ///< refused: no leader decides on their credit
   std::uint64_t replica_ends = 0;     ///< replicas found ended after they broke a call off
   std::uint64_t quarantined = 0;      ///< refused: too many replicas ended under the call
-  std::uint64_t backoffs = 0;         ///< replicas asked for a time without calls, or for a longer one
+  std::uint64_t backoffs = 0;         ///< refusals with a time without calls
   std::uint64_t leaving_told = 0;     ///< replicas said in an answer that they leave
   std::uint64_t backoff_waits = 0;    ///< calls that waited for the end of a backoff
   std::uint64_t backoff_refused = 0;  ///< refused: all replicas that could run them are in a backoff
--- a/tests/calls/replica_notice_test.cc
+++ b/tests/calls/replica_notice_test.cc
@@ -15,8 +15,8 @@
 // that got the answer, as "refused", and by nothing that chooses replicas.
 //
 // Evidence: the router's log has the three sendings of one call 104 ms apart, which is the fixed pause plus
-// the way there and back; the three replicas that asked for time turned away all 82 calls that reached them
-// while it lasted.
+// the way there and back; three replicas, of which two are known to have asked for time, turned away all 88
+// calls that reached them while it lasted.
 namespace ferryrock::calls {
 namespace {
 
