Evacuate zones: an operator takes a zone's replicas out of use and gives them back

Change: a command of the replicated log (number 15, at the end), acknowledged like a catalog; every member's registry goes by it, and routers of either build get the zone's replicas as closed, as they get leaving ones. No orders go there; models that are called and have their last copies there are loaded elsewhere before calls wait. Given back, each router opens each replica step by step. A member of the build before can't read the command and stops at its entry: no zone should be evacuated while such members are in the cell (docs/design/evacuations.md).

Ruled out: zones told to routers by name (routers of the build before would send on); acknowledging only once it binds (a router that is cut off would hold it up).

--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -84,7 +84,7 @@
     return;
   }
   noteTable(update, now);
-  replicas_.apply(update);
+  replicas_.apply(update, now);
   dispatch_wanted_ = dispatch_wanted_ || !update.replicas.empty() || !update.removed.empty();
 }
 
--- a/src/calls/replica_notices.cc
+++ b/src/calls/replica_notices.cc
@@ -44,6 +44,13 @@
   return change;
 }
 
+void ReplicaNotices::reopen(const ReplicaId& replica, TimePoint now) {
+  Backoff& backoff = backoffs_.try_emplace(replica, Backoff{}).first->second;
+  const TimePoint until = std::max(backoff.until, now);
+  backoff = {now, until, next_round_++, 1, 0, std::nullopt};
+  keepBounded(now);
+}
+
 void ReplicaNotices::keepBounded(TimePoint now) {
   while (by_age_.size() > kRememberedLeaving) {
     const auto& [entry, replica] = by_age_.front();
--- a/src/calls/replica_notices.h
+++ b/src/calls/replica_notices.h
@@ -15,7 +15,8 @@
 /// was said to it alone. Used by one thread.
 ///
 /// After a backoff the replica gets one call, then twice as many after each that it takes, up to eight at
-/// once. The calls that waited would otherwise all meet there at one instant, and be refused again.
+/// once. The calls that waited would otherwise all meet there at one instant, and be refused again. A replica
+/// whose zone was evacuated is opened in the same way: it may have lost what it had in its caches.
 class ReplicaNotices {
  public:
   /// What a notice changed.
@@ -27,6 +28,8 @@
 
   /// The later end holds if a replica asks again: each answer binds on its own.
   Change accept(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
+  /// It may take calls again after others kept them from it: opened as after a backoff.
+  void reopen(const ReplicaId& replica, TimePoint now);
   /// The life is over.
   void forget(const ReplicaId& replica);
 
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -86,13 +86,17 @@
   lacked.until = now + lacked.pause;
 }
 
-void ReplicaTable::apply(const wire::ServiceUpdate& update) {
+void ReplicaTable::apply(const wire::ServiceUpdate& update, TimePoint now) {
   std::set<ReplicaId> named;
   for (const wire::RoutedReplica& routed : update.replicas) {
     if (!followLife(routed.id)) {
       continue;
     }
-    Replica& replica = replicas_[routed.id];
+    const auto [place, fresh] = replicas_.try_emplace(routed.id);
+    Replica& replica = place->second;
+    if (!fresh && !replica.routed.accepting && routed.accepting) {
+      notices_.reopen(routed.id, now);
+    }
     replica.routed = routed;
     replica.load_key = balance::loadKey(routed.id.value);
     replica.missing.clear();
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -94,8 +94,8 @@
   /// Equal replicas are taken in an order that differs between routers and from call to call.
   ReplicaTable(ZoneName zone, std::uint64_t seed) : zone_(std::move(zone)), own_homes_(seed), turn_(seed) {}
 
-  /// Takes an update's replicas.
-  void apply(const wire::ServiceUpdate& update);
+  /// Takes an update's replicas. One that was closed and takes calls again is opened step by step.
+  void apply(const wire::ServiceUpdate& update, TimePoint now);
   Replica* find(const ReplicaId& id);
   /// The replica for a call: one that is sound, untried and least loaded; calls of one affinity key share a
   /// home while it isn't much busier than others. An ejected replica is taken only if there is no other.
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -48,6 +48,7 @@
 std::span<const CommandDefinition> localCommands();
 std::span<const CommandDefinition> inspectCommands();
 std::span<const CommandDefinition> quarantineCommands();
+std::span<const CommandDefinition> evacuationCommands();
 
 /// Positional arguments in their order.
 std::vector<std::string> positionals(const CommandInput& input);
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -14,9 +14,9 @@
 
 constexpr std::size_t kSummaryColumn = 12;
 
-std::array<std::span<const CommandDefinition>, 7> commandGroups() {
-  return {changeCommands(), readCommands(),    cellCommands(),      memberCommands(),
-          localCommands(),  inspectCommands(), quarantineCommands()};
+std::array<std::span<const CommandDefinition>, 8> commandGroups() {
+  return {changeCommands(), readCommands(),    cellCommands(),       memberCommands(),
+          localCommands(),  inspectCommands(), quarantineCommands(), evacuationCommands()};
 }
 
 const CommandDefinition* findCommand(const std::string& name) {
--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -120,6 +120,8 @@
      "Not every router has confirmed in time that the replica gets no new calls.", "Send the notice again."},
     {InvalidReport, "InvalidReport", 400, "The replica's report can't be read or lacks a field.",
      "Send the report with all its fields."},
+    {UnknownZone, "UnknownZone", 404, "No zone of the system has this name.",
+     "Check the name against 'zones' in the settings of the control members."},
     {UnknownSetting, "UnknownSetting", 400, "The setting isn't known.", "Remove it or correct its spelling."},
     {WrongSettingType, "WrongSettingType", 400, "The setting has a value of the wrong type.",
      "Correct the value."},
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -70,6 +70,7 @@
   MalformedCatalog = 3017,
   NotBoundEverywhere = 3018,
   InvalidReport = 3019,
+  UnknownZone = 3020,
 
   // 4xxx: process settings and command line.
   UnknownSetting = 4001,
--- a/src/control/hosted_services.cc
+++ b/src/control/hosted_services.cc
@@ -13,7 +13,8 @@
   std::string source;
   std::vector<ReplicaId> leaving;
   std::vector<wire::CrashRecord> quarantined;  ///< oldest first
-  FERRYROCK_FIELDS(StoredHostedServices, catalog, source, leaving, quarantined)
+  std::vector<ZoneName> evacuated;
+  FERRYROCK_FIELDS(StoredHostedServices, catalog, source, leaving, quarantined, evacuated)
 };
 
 namespace {
@@ -85,8 +86,21 @@
   return {};
 }
 
+wire::CommandResult HostedServices::apply(const wire::EvacuateZoneCommand& command) {
+  if (command.evacuated) {
+    evacuated_.insert(command.zone);
+  } else {
+    evacuated_.erase(command.zone);
+  }
+  return {};
+}
+
 std::string HostedServices::serialize() const {
-  StoredHostedServices stored{catalog_, source_, {leaving_order_.begin(), leaving_order_.end()}, {}};
+  StoredHostedServices stored{catalog_,
+                              source_,
+                              {leaving_order_.begin(), leaving_order_.end()},
+                              {},
+                              {evacuated_.begin(), evacuated_.end()}};
   for (const wire::CallFingerprint& call : quarantine_order_) {
     stored.quarantined.push_back(quarantined_.at(call));
   }
@@ -109,6 +123,7 @@
     quarantined_.emplace(record.call, record);
   }
   ++quarantine_changes_;
+  evacuated_ = {stored.evacuated.begin(), stored.evacuated.end()};
 }
 
 }  // namespace ferryrock::control
--- a/src/control/hosted_services.h
+++ b/src/control/hosted_services.h
@@ -11,8 +11,8 @@
 
 namespace ferryrock::control {
 
-/// The service catalog in force, the replicas that leave and the calls kept away from replicas: a part of the
-/// replicated state. Deterministic.
+/// The service catalog in force, the replicas that leave, the calls kept away from replicas and the zones taken
+/// out of use: a part of the replicated state. Deterministic.
 class HostedServices {
  public:
   /// A version that isn't above the one held changes nothing and succeeds.
@@ -20,6 +20,7 @@
   wire::CommandResult apply(const wire::ReplicaLeavingCommand& command);
   wire::CommandResult apply(const wire::QuarantineCallCommand& command);
   wire::CommandResult apply(const wire::ReleaseCallCommand& command);
+  wire::CommandResult apply(const wire::EvacuateZoneCommand& command);
 
   /// Version 0 before the first catalog.
   const wire::ServiceCatalog& catalog() const { return catalog_; }
@@ -35,6 +36,9 @@
   /// Rises when quarantined() changes.
   std::uint64_t quarantineChanges() const { return quarantine_changes_; }
 
+  /// Zones whose replicas get no new calls and no models.
+  const std::set<ZoneName>& evacuated() const { return evacuated_; }
+
   std::string serialize() const;
   /// Throws Error MalformedMessage. Empty bytes are the empty state.
   void restore(std::string_view bytes);
@@ -52,6 +56,7 @@
   std::deque<wire::CallFingerprint> quarantine_order_;  ///< oldest first
   std::map<wire::CallFingerprint, wire::CrashRecord> quarantined_;
   std::uint64_t quarantine_changes_ = 0;
+  std::set<ZoneName> evacuated_;
 };
 
 }  // namespace ferryrock::control
--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -127,6 +127,10 @@
   change.result = hosted_.apply(command);
 }
 
+void ReplicatedState::applyTo(AppliedChange& change, const wire::EvacuateZoneCommand& command) {
+  change.result = hosted_.apply(command);
+}
+
 std::string ReplicatedState::serialize(bool with_change_outcomes) const {
   return wire::encode(StoredState{catalog_.serialize(with_change_outcomes), ledger_.serialize(),
                                   claims_.serialize(), hosted_.serialize()});
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -56,6 +56,7 @@
   void applyTo(AppliedChange& change, const wire::ReplicaLeavingCommand& command);
   void applyTo(AppliedChange& change, const wire::QuarantineCallCommand& command);
   void applyTo(AppliedChange& change, const wire::ReleaseCallCommand& command);
+  void applyTo(AppliedChange& change, const wire::EvacuateZoneCommand& command);
 
   void noteSlot(AppliedChange& change, SlotId slot) const;
   void noteSlotsOn(AppliedChange& change, const EngineName& engine) const;
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -46,6 +46,9 @@
   control.losses_borne = settings.losses_borne;
   control.replica_heartbeat = settings.replica_heartbeat;
   control.router_out_of_touch = settings.router_out_of_touch;
+  for (const std::string& zone : settings.zones) {
+    control.zones.emplace_back(zone);
+  }
   control.order_lease = settings.order_lease;
   control.placement = settings.placement;
   control.tells_loads = settings.tells_loads;
@@ -152,6 +155,14 @@
 
 void ServiceControlShell::report(const wire::ReplicaReport& report, AnswerCallback callback) {
   if (report.leaving) {
+void ServiceControlShell::evacuateZone(const ZoneName& zone, bool evacuated, AnswerCallback callback) {
+  constexpr std::size_t kShown = 64;
+  log_.write(LogLevel::Info, evacuated ? "zone.evacuate" : "zone.restore",
+             {{"zone", std::string_view(zone.value).substr(0, kShown)}, {"leads", noted_.leads}});
+  const services::QuestionNumber number = remember(std::move(callback));
+  carryOut(control_->evacuateZone(number, zone, evacuated, now()));
+}
+
     log_.write(LogLevel::Info, "replica.leaving",
                {{"replica", std::string_view(report.id.value)},
                 {"sequence", static_cast<std::int64_t>(report.sequence)},
@@ -286,6 +297,11 @@
   noteFleet();
 }
 
+  if (view.evacuated_zones != noted_.evacuated_zones) {
+    log_.write(LogLevel::Info, "zone.evacuated",
+               {{"zones", static_cast<std::int64_t>(view.evacuated_zones)},
+                {"before", static_cast<std::int64_t>(noted_.evacuated_zones)}});
+  }
 /// How many replicas and routers are known, where that has changed; they change often and one by one.
 void ServiceControlShell::noteFleet() {
   const TimePoint time = now();
@@ -403,6 +419,8 @@
   set("ferryrock_transport_dropped", "Messages dropped: their peer is unknown or its queue is full",
       static_cast<double>(transport_->counts().dropped));
   set("ferryrock_heap_bytes", "Bytes of the heap in use", static_cast<double>(mallinfo2().uordblks));
+  set("ferryrock_zones_evacuated", "Zones whose replicas get no new calls and no models",
+      static_cast<double>(view.evacuated_zones));
   return metrics_.serialize();
 }
 
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -35,6 +35,8 @@
   void replaceCatalog(wire::ServiceCatalog catalog, std::string source, AnswerCallback callback);
   void readCatalog(AnswerCallback callback);
   void report(const wire::ReplicaReport& report, AnswerCallback callback);
+  void evacuateZone(const ZoneName& zone, bool evacuated, AnswerCallback callback);
+  std::vector<ZoneName> evacuatedZones() const { return control_->evacuatedZones(); }
   /// A question or a report that can't be read; nothing of it was taken.
   void noteUnreadable(const std::string& path, const Error& fault);
   std::vector<std::string> routerAddresses(const ZoneName& zone, std::size_t limit);
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -85,6 +85,7 @@
   constexpr std::int64_t kMostLosses = 10;
   settings.losses_borne =
       static_cast<std::uint32_t>(reader.integer("losses_borne", 0, kMostLosses, settings.losses_borne));
+  settings.zones = reader.has("zones") ? reader.textList("zones") : std::vector<std::string>();
   settings.router_out_of_touch =
       reader.duration("router_out_of_touch", 100ms, 1h, settings.router_out_of_touch);
   settings.order_lease = reader.duration("order_lease", 0ms, 1h, settings.order_lease);
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -52,6 +52,7 @@
   std::string data_folder;
   bool bootstrap = false;  ///< the whole system starts for the first time
   std::uint32_t losses_borne = 1;
+  std::vector<std::string> zones;  ///< that operators may evacuate; empty: those of known replicas
   Duration router_out_of_touch = std::chrono::seconds(3);
   Duration order_lease = std::chrono::seconds(3);
   Duration replica_heartbeat = std::chrono::seconds(1);
--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -52,8 +52,14 @@
 ModelPlacer::Candidates ModelPlacer::candidatesOf(const wire::HostedService& service,
                                                   const std::set<ReplicaId>& unreachable, TimePoint now) {
   Candidates candidates;
+  evacuated_models_.clear();
   for (const auto& [id, record] : registry_.replicas()) {
-    if (record.report.service == service.name && !record.leaving && !unreachable.contains(id)) {
+    if (record.report.service == service.name && registry_.isEvacuated(record)) {
+      for (const wire::HeldModel& held : record.report.held) {
+        evacuated_models_.insert(held.model);
+      }
+    }
+    if (record.report.service == service.name && registry_.takesCalls(record) && !unreachable.contains(id)) {
       Engine& engine = engines_[id];
       candidates.push_back({&record, &engine, 0});
     }
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -219,6 +219,8 @@
   std::map<std::uint32_t, double> slowness_;
   Capacities lost_capacity_;  ///< what the copies lack that stand on slow replicas
   CopyCounts copies_;         ///< of the service that is planned, as the plan goes on
+  /// That replicas of evacuated zones hold, of the service that is planned.
+  std::set<ModelName> evacuated_models_;
   PlacerEffects effects_;
 };
 
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -184,7 +184,9 @@
       continue;
     }
     const std::size_t held = copies(key.model);
-    const bool missing = held == 0 && demand.waiting > 0;
+    // Calls for a model whose last copies stand in an evacuated zone had better not wait for it first.
+    const bool awaited = demand.waiting > 0 || evacuated_models_.contains(key.model);
+    const bool missing = held == 0 && awaited;
     const bool crowded = held > 0 && capacity(key.model) < wantedCapacity(service, key.model);
     if (missing || crowded) {
       wanted.push_back({urgency(service, key.model, demand), missing, model});
@@ -455,7 +457,7 @@
 Duration ModelPlacer::shortestLoad(const wire::HostedService& service, const wire::HostedModel& model) const {
   Duration shortest = std::chrono::milliseconds(model.store_load_ms);
   for (const auto& [id, record] : registry_.replicas()) {
-    if (record.report.service == service.name && !record.leaving) {
+    if (record.report.service == service.name && registry_.takesCalls(record)) {
       shortest = std::min(shortest, loadTime(record, model));
     }
   }
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -1,6 +1,7 @@
 #include "services/replica_registry.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "wire/replica_life.h"
 
@@ -190,6 +191,19 @@
   }
 }
 
+void ReplicaRegistry::setEvacuated(const std::set<ZoneName>& zones) {
+  if (zones == evacuated_) {
+    return;
+  }
+  const std::set<ZoneName> former = std::exchange(evacuated_, zones);
+  for (auto& [id, record] : replicas_) {
+    const ZoneName& zone = record.report.zone;
+    if (former.contains(zone) != evacuated_.contains(zone)) {
+      noteChange(record);
+    }
+  }
+}
+
 void ReplicaRegistry::assumeAdapter(const ReplicaId& id, const ModelName& model, const std::string& adapter,
                                     TimePoint now) {
   if (ReplicaRecord* record = findMutable(id)) {
--- a/src/services/replica_registry.h
+++ b/src/services/replica_registry.h
@@ -50,6 +50,11 @@
   void noteAlive(const wire::ReplicaAlive& alive, TimePoint now);
   /// Sticky for the replica's life; known replicas only.
   void markLeaving(const ReplicaId& id);
+  /// The zones whose replicas take no new calls, in place of those before.
+  void setEvacuated(const std::set<ZoneName>& zones);
+  bool isEvacuated(const ReplicaRecord& record) const { return evacuated_.contains(record.report.zone); }
+  /// False for a replica that leaves or whose zone is evacuated.
+  bool takesCalls(const ReplicaRecord& record) const { return !record.leaving && !isEvacuated(record); }
   /// Forgets replicas that have been silent since then, and assumptions that no report has confirmed.
   void expire(TimePoint now, Duration silence);
 
@@ -97,6 +102,7 @@
   std::map<std::string, Life> lives_;         ///< by the name that the replica gives itself
   std::deque<Removal> removals_;              ///< oldest first
   std::uint64_t removals_known_from_ = 0;     ///< every removal after this count is listed
+  std::set<ZoneName> evacuated_;
   std::uint64_t changes_ = 0;
 };
 
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -152,7 +152,9 @@
   const ProposalPurpose purpose = found->second;
   proposals_.erase(found);
   if (const auto* catalog = std::get_if<CatalogProposal>(&purpose)) {
-    onCatalogDone(catalog->question, effect.result, now);
+    onStateChanged(catalog->question, effect.result, now);
+  } else if (const auto* evacuation = std::get_if<EvacuationProposal>(&purpose)) {
+    onStateChanged(evacuation->question, effect.result, now);
   } else if (const auto* leaving = std::get_if<LeavingProposal>(&purpose)) {
     leaving_proposed_.erase(leaving->replica);
   } else if (const auto* quarantine = std::get_if<QuarantineProposal>(&purpose)) {
@@ -172,7 +174,7 @@
   reads_.erase(found);
   if (const auto* read = std::get_if<CatalogRead>(&purpose)) {
     onCatalogRead(read->question, effect.confirmed);
-  } else if (const auto* held = std::get_if<CatalogHeld>(&purpose)) {
+  } else if (const auto* held = std::get_if<StateHeld>(&purpose)) {
     if (effect.confirmed) {
       holdAcknowledgement(held->question, now);
     } else {
@@ -360,7 +362,7 @@
     answerNotice(notice, false);
   }
   for (const HeldAcknowledgement& held : std::exchange(held_acknowledgements_, {})) {
-    answer(held.question, ResultCode::NoQuorum, "leadership was lost before the catalog was safe");
+    answer(held.question, ResultCode::NoQuorum, "leadership was lost before the change was safe");
   }
   leaving_proposed_.clear();
   quarantines_proposed_.clear();
@@ -381,6 +383,7 @@
 }
 
 std::vector<std::string> ServiceControlImpl::routerAddresses(const ZoneName& zone, std::size_t limit,
+  followEvacuations();
                                                              TimePoint now) const {
   return directory_.addresses(zone, now, limit);
 }
@@ -404,6 +407,7 @@
 FleetView ServiceControlImpl::fleet(TimePoint now) const {
   return {registry_.replicas().size(), directory_.acceptingCount(now)};
 }
+  view.evacuated_zones = node_->hosted().evacuated().size();
 
 std::unique_ptr<ServiceControl> createServiceControl(const ServiceControlSettings& settings,
                                                      consensus::RecoveredState recovered, Random random,
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -22,6 +22,7 @@
   control::ControlSettings control;  ///< control.log.node is the member's internal address
   std::string http;                  ///< where operators and replicas reach this member, "host:port"
   std::vector<NodeName> seeds;       ///< members to ask first
+  std::vector<ZoneName> zones;       ///< that may be evacuated; empty: those of known replicas
   /// Members whose disks may be lost at once while nothing that was acknowledged is lost.
   std::uint32_t losses_borne = 1;
   Duration replica_heartbeat = std::chrono::milliseconds(1000);
@@ -64,6 +65,7 @@
   CatalogVersion catalog;
   tenancy::QuotaCounts quota;         ///< of this member's leadership
   std::size_t limited_tenants = 0;    ///< credit is asked for before their calls run
+  std::size_t evacuated_zones = 0;    ///< whose replicas get no new calls
   std::size_t quarantined_calls = 0;  ///< kept away from replicas, since several ended under them
   std::size_t suspected_calls = 0;    ///< replicas ended under them, too few for a quarantine
 };
@@ -98,6 +100,12 @@
                                  TimePoint now) = 0;
   /// Answered from a state that a quorum confirmed after the question; else NotLeader, NoQuorum or NoCatalog.
   virtual Effects readCatalog(QuestionNumber question, TimePoint now) = 0;
+  /// Takes the zone's replicas out of use, or gives them back. Answered as replaceCatalog(), and with
+  /// UnknownZone. Routers in touch send no new calls there soon after; calls under way go on.
+  virtual Effects evacuateZone(QuestionNumber question, const ZoneName& zone, bool evacuated,
+                               TimePoint now) = 0;
+  /// As far as this member knows.
+  virtual std::vector<ZoneName> evacuatedZones() const = 0;
   /// A heartbeat is answered at once. A notice of leaving is answered with Ok once it binds every router in
   /// touch, with NotBoundEverywhere if that takes too long.
   virtual Effects onReport(QuestionNumber question, const wire::ReplicaReport& report, TimePoint now) = 0;
--- a/src/services/service_control_catalog.cc
+++ b/src/services/service_control_catalog.cc
@@ -25,7 +25,7 @@
     return finish(now);
   }
   if (node_->leads() && catalog.version <= node_->hosted().catalog().version) {
-    confirmRead(CatalogHeld{question}, now);
+    confirmRead(StateHeld{question}, now);
   } else {
     propose(CatalogProposal{question}, wire::ReplaceCatalogCommand{std::move(catalog), std::move(source)},
             now);
@@ -33,7 +33,7 @@
   return finish(now);
 }
 
-void ServiceControlImpl::onCatalogDone(QuestionNumber question, const wire::CommandResult& result,
+void ServiceControlImpl::onStateChanged(QuestionNumber question, const wire::CommandResult& result,
                                        TimePoint now) {
   if (result.code == ResultCode::Ok) {
     holdAcknowledgement(question, now);
@@ -60,7 +60,7 @@
     if (enough) {
       answer(held.question, ResultCode::Ok);
     } else if (now >= held.deadline) {
-      answer(held.question, ResultCode::NoQuorum, "the cell has too few voters to keep the catalog safe");
+      answer(held.question, ResultCode::NoQuorum, "the cell has too few voters to keep the change safe");
     }
     return enough || now >= held.deadline;
   });
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -23,7 +23,8 @@
 namespace ferryrock::services {
 
 /// ServiceControl around one ControlNode. Its parts: service_control.cc (entry points, messages, timers),
-/// service_control_catalog.cc (replacing and reading the catalog), service_control_replicas.cc (reports and
+/// service_control_catalog.cc (replacing and reading the catalog), service_control_zones.cc (evacuations),
+/// service_control_replicas.cc (reports and
 /// notices), service_control_crashes.cc (calls that end replicas), service_control_leader.cc (routers'
 /// tables, orders, membership).
 class ServiceControlImpl : public ServiceControl {
@@ -41,6 +42,8 @@
   Effects onReport(QuestionNumber question, const wire::ReplicaReport& report, TimePoint now) override;
   Effects onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now) override;
   Effects onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now) override;
+  Effects evacuateZone(QuestionNumber question, const ZoneName& zone, bool evacuated, TimePoint now) override;
+  std::vector<ZoneName> evacuatedZones() const override;
   std::vector<SuspectedCall> suspectedCalls(TimePoint now) const override;
   Effects releaseCall(const wire::CallFingerprint& call, TimePoint now) override;
   void addSeeds(const std::vector<NodeName>& seeds) override;
@@ -63,19 +66,22 @@
   struct QuarantineProposal {
     wire::CallFingerprint call;
   };
-  using ProposalPurpose =
-      std::variant<CatalogProposal, LeavingProposal, MembershipProposal, QuarantineProposal>;
+  struct EvacuationProposal {
+    QuestionNumber question;
+  };
+  using ProposalPurpose = std::variant<CatalogProposal, LeavingProposal, MembershipProposal,
+                                       QuarantineProposal, EvacuationProposal>;
   struct CatalogRead {
     QuestionNumber question;
   };
-  /// The catalog held is at least as new as the one that was sent.
-  struct CatalogHeld {
+  /// What was asked for holds already: a catalog at least as new, or a zone's state.
+  struct StateHeld {
     QuestionNumber question;
   };
   struct NoticeRead {};
-  using ReadPurpose = std::variant<CatalogRead, CatalogHeld, NoticeRead>;
+  using ReadPurpose = std::variant<CatalogRead, StateHeld, NoticeRead>;
 
-  /// A catalog that is committed, but not yet on enough disks.
+  /// A catalog or an evacuation that is committed, but not yet on enough disks.
   struct HeldAcknowledgement {
     QuestionNumber question;
     TimePoint deadline{};
@@ -161,7 +167,7 @@
   void confirmRead(ReadPurpose purpose, TimePoint now);
 
   // service_control_catalog.cc
-  void onCatalogDone(QuestionNumber question, const wire::CommandResult& result, TimePoint now);
+  void onStateChanged(QuestionNumber question, const wire::CommandResult& result, TimePoint now);
   void onCatalogRead(QuestionNumber question, bool confirmed);
   void holdAcknowledgement(QuestionNumber question, TimePoint now);
   void settleAcknowledgements(TimePoint now);
@@ -175,6 +181,11 @@
   std::string nextReportAddress(const ReplicaId& replica, TimePoint now) const;
   void relay(const wire::ReplicaReport& report, bool changed, TimePoint now);
   void flushRelay();
+  // service_control_zones.cc
+  bool isKnownZone(const ZoneName& zone) const;
+  /// Every member keeps replicas of evacuated zones from routers and from the placer, should it lead.
+  void followEvacuations();
+
   void beginNotice(NoticeOrigin origin, const wire::ReplicaReport& report, TimePoint now);
   void answerNotice(const LeaveNotice& notice, bool bound, std::string detail = {});
   std::string whatUnbinds(const LeaveNotice& notice, TimePoint now) const;
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -10,14 +10,14 @@
 constexpr unsigned kTermShift = 40;
 constexpr std::uint64_t kChangeMask = (std::uint64_t{1} << kTermShift) - 1;
 
-wire::RoutedReplica routed(const ReplicaRecord& record) {
+wire::RoutedReplica routed(const ReplicaRecord& record, bool accepting) {
   wire::RoutedReplica replica;
   replica.id = record.report.id;
   replica.service = record.report.service;
   replica.address = record.report.address;
   replica.zone = record.report.zone;
   replica.slots = record.report.slots;
-  replica.accepting = !record.leaving;
+  replica.accepting = accepting;
   replica.slow_start_ms = record.report.slow_start_ms;
   replica.held = record.usable();
   return replica;
@@ -95,7 +95,7 @@
   update.complete = context.complete;
   for (const auto& [id, record] : registry_.replicas()) {
     if (known == 0 || record.changed > known - 1) {
-      update.replicas.push_back(routed(record));
+      update.replicas.push_back(routed(record, registry_.takesCalls(record)));
     }
   }
   if (!status.knowsLives()) {
--- a/src/wire/commands.h
+++ b/src/wire/commands.h
@@ -138,6 +138,14 @@
   FERRYROCK_FIELDS(ReleaseCallCommand, call)
 };
 
+/// An operator takes the replicas of a zone out of use, or gives them back. Members of builds that don't know
+/// this command stop at its entry, see docs/design/evacuations.md.
+struct EvacuateZoneCommand {
+  ZoneName zone;
+  bool evacuated = true;
+  FERRYROCK_FIELDS(EvacuateZoneCommand, zone, evacuated)
+};
+
 /// First entry of a term; commits what earlier terms left.
 struct NoOperationCommand {
   FERRYROCK_NO_FIELDS(NoOperationCommand)
@@ -148,7 +156,7 @@
     std::variant<NoOperationCommand, ChangeTreeCommand, RegisterEngineCommand, RemoveMachineCommand,
                  DecideSlotCommand, DecideAdapterCommand, SlotStateCommand, DrainEngineCommand, ClaimCommand,
                  RecordOutcomeCommand, ExpireClaimsCommand, ReplaceCatalogCommand, ReplicaLeavingCommand,
-                 QuarantineCallCommand, ReleaseCallCommand>;
+                 QuarantineCallCommand, ReleaseCallCommand, EvacuateZoneCommand>;
 
 /// One place of a refused ChangeTreeCommand and what is wrong there.
 struct ChangeFault {
--- a/tests/calls/parts_test.cc
+++ b/tests/calls/parts_test.cc
@@ -58,7 +58,7 @@
   ReplicaTable table(ZoneName(""), 3);
   wire::ServiceUpdate update;
   update.replicas = {CallFixture::replica("r1"), CallFixture::replica("r2"), CallFixture::replica("r3")};
-  table.apply(update);
+  table.apply(update, kStart);
   for (int i = 0; i < 9; ++i) {
     table.onSent(*table.choose(need("desk"), kStart).replica, kStart);
   }
@@ -85,7 +85,7 @@
       update.replicas.push_back(CallFixture::replica(id));
       update.replicas.back().slots = kSlots;
     }
-    table.apply(update);
+    table.apply(update, kStart);
     const Replica* home = table.choose(need("desk", 77), kStart).replica;
     CHECK(table.choose(need("desk", 77), kStart).replica == home);
     ++calls[home->routed.id];
@@ -99,7 +99,7 @@
   ReplicaTable table(ZoneName(""), 3);
   wire::ServiceUpdate update;
   update.replicas = {CallFixture::replica("r1"), CallFixture::replica("r2")};
-  table.apply(update);
+  table.apply(update, kStart);
   Random random(1);
   table.find(ReplicaId("r1"))->health.onFailure(router::HealthFailure::Unreachable, kStart, random);
   for (int i = 0; i < 5; ++i) {
@@ -109,17 +109,43 @@
   CHECK(table.choose(need("desk"), kStart).replica != nullptr);
 }
 
+TEST_CASE("A replica that may take calls again is opened step by step, and keeps those under way meanwhile") {
+  ReplicaTable table(ZoneName(""), 3);
+  wire::ServiceUpdate update;
+  update.replicas = {CallFixture::replica("r1")};
+  table.apply(update, kStart);
+  Replica& replica = *table.find(ReplicaId("r1"));
+  table.onSent(replica, kStart);
+  update.replicas.front().accepting = false;
+  table.apply(update, kStart);
+  CHECK(table.choose(need("desk"), kStart).replica == nullptr);
+  CHECK(replica.outstanding == 1);
+  update.replicas.front().accepting = true;
+  const TimePoint back = kStart + std::chrono::seconds(20);
+  table.apply(update, back);
+  REQUIRE(table.choose(need("desk"), back).replica == &replica);
+  const auto first = table.onSent(replica, back);
+  REQUIRE(first.has_value());
+  CHECK(table.choose(need("desk"), back).replica == nullptr);
+  table.notices().onTaken(ReplicaId("r1"), first->round);
+  CHECK(table.choose(need("desk"), back).replica == &replica);
+  table.onSent(replica, back);
+  CHECK(table.choose(need("desk"), back).replica == &replica);
+  table.onSent(replica, back);
+  CHECK(table.choose(need("desk"), back).replica == nullptr);
+}
+
 TEST_CASE("A replica that is no longer listed is forgotten once its last attempt has ended") {
   ReplicaTable table(ZoneName(""), 3);
   wire::ServiceUpdate update;
   update.replicas = {CallFixture::replica("r1")};
-  table.apply(update);
+  table.apply(update, kStart);
   Replica& replica = *table.find(ReplicaId("r1"));
   table.onSent(replica, kStart);
   wire::ServiceUpdate gone;
   gone.base = LogIndex{1};
   gone.removed = {ReplicaId("r1")};
-  table.apply(gone);
+  table.apply(gone, kStart);
   CHECK(table.choose(need("desk"), kStart).failure == ChoiceFailure::NoReplica);
   REQUIRE(table.find(ReplicaId("r1")) != nullptr);
   table.onReleased(replica);
@@ -134,7 +160,7 @@
     update.replicas = {CallFixture::replica("r1")};
     update.replicas[0].id = wire::replicaLife("r1", born);
     update.replicas[0].held = {{ModelName("m"), {}}};
-    table.apply(update);
+    table.apply(update, kStart);
     return table.find(update.replicas[0].id);
   };
   Replica* former = list(1000);
--- a/tests/calls/wait_policy_test.cc
+++ b/tests/calls/wait_policy_test.cc
@@ -141,7 +141,7 @@
     replica.held = {{ModelName("m1"), {}}};
     update.replicas.push_back(replica);
   }
-  table.apply(update);
+  table.apply(update, kArrived);
   Replica& fast = *table.find(ReplicaId("fast"));
   Replica& slow = *table.find(ReplicaId("slow"));
   for (int i = 0; i < 5; ++i) {
--- a/tests/platform/whole_path_test.cc
+++ b/tests/platform/whole_path_test.cc
@@ -185,6 +185,7 @@
     settings.listen_directory = "127.0.0.1:0";
     settings.data_folder = (folder_ / std::to_string(number)).string();
     settings.bootstrap = true;
+    settings.zones = {"z", "y"};
     ControlMember member;
     member.shell =
         std::make_unique<service_process::ServiceControlShell>(loop.dispatcher(), settings, orders_, log_);
@@ -339,6 +340,65 @@
   REQUIRE(fleet.tryUntil([&] { return fleet.call("/a/x", "c1").status == 200; }));
 }
 
+TEST_CASE("A zone that is evacuated gets no calls until it is given back") {
+  Fleet fleet;
+  ScriptedReplica& replica = fleet.addReplica("r1");
+  REQUIRE(fleet.tryUntil([&] { return fleet.beat(replica, 1, "ready").status == 200; }));
+  REQUIRE(fleet.askControl("POST", "/v1/config/replace", Fleet::catalog(1)).status == 200);
+  REQUIRE(fleet.tryUntil([&] { return fleet.call("/a/x", "c1").status == 200; }));
+  CHECK(fleet.askControl("POST", "/v1/evacuations/z/start", "").status == 200);
+  CHECK(fleet.askControl("POST", "/v1/evacuations/z/start", "").status == 200);
+  CHECK(fleet.askControl("GET", "/api/evacuations", "").body == R"({"zones":["z"]})");
+  REQUIRE(fleet.tryUntil([&] { return fleet.call("/a/x", "c2").status == 503; }));
+  const std::size_t served = replica.calls.size();
+  const http::CallRecord refused = fleet.call("/a/x", "c3");
+  CHECK(refused.status == 503);
+  CHECK(http::findHeader(refused.headers, "Retry-After").has_value());
+  CHECK(replica.calls.size() == served);
+  const http::CallRecord elsewhere =
+      fleet.askControl("POST", "/api/evacuations/stop", R"({"zone":"z"})");
+  if (elsewhere.status != 200) {
+    const std::string leader = nlohmann::json::parse(elsewhere.body).at("leader_url");
+    const auto request = http::makeRequest("POST", leader + "/api/evacuations/stop", R"({"zone":"z"})");
+    CHECK(fleet.ask(request).status == 200);
+  }
+  CHECK(fleet.askControl("GET", "/api/evacuations", "").body == R"({"zones":[]})");
+  REQUIRE(fleet.tryUntil([&] { return fleet.call("/a/x", "c4").status == 200; }));
+}
+
+TEST_CASE("An evacuation that isn't one is refused with its code, and changes nothing") {
+  struct Case {
+    const char* method;
+    std::string path;
+    std::string body;
+    int status;
+    const char* code;
+  };
+  const Case cases[] = {
+      {"POST", "/v1/evacuations/x/start", "", 404, "3020"},
+      {"POST", "/v1/evacuations/" + std::string(5000, 'z') + "/start", "", 404, "3020"},
+      {"POST", "/v1/evacuations/%7A%20/start", "", 404, "3020"},
+      {"POST", "/v1/evacuations/y%2Fz/stop", "", 404, "3020"},
+      {"POST", "/v1/evacuations/z%00/stop", "", 404, "1006"},
+      {"POST", "/v1/evacuations//start", "", 404, "1006"},
+      {"POST", "/v1/evacuations/z/pause", "", 404, "1006"},
+      {"GET", "/v1/evacuations/z/start", "", 405, "1007"},
+      {"POST", "/v1/evacuations/z/start", "{}", 400, "1001"},
+      {"POST", "/api/evacuations/start", "{}", 400, "1001"},
+      {"POST", "/api/evacuations/start", R"({"zone":7})", 400, "1001"},
+      {"POST", "/api/evacuations/start", R"({"zone":""})", 404, "3020"},
+  };
+  Fleet fleet;
+  REQUIRE(fleet.askControl("POST", "/v1/evacuations/y/stop", "").status == 200);
+  for (const Case& one : cases) {
+    INFO(one.method << " " << one.path.substr(0, 60) << " " << one.body);
+    const http::CallRecord answer = fleet.askControl(one.method, one.path, one.body);
+    CHECK(answer.status == one.status);
+    CHECK(answer.body.find(one.code) != std::string::npos);
+  }
+  CHECK(fleet.askControl("GET", "/api/evacuations", "").body == R"({"zones":[]})");
+}
+
 TEST_CASE("Operators see which calls are kept away from replicas; a release that can't be read says why") {
   Fleet fleet;
   CHECK(fleet.askControl("GET", "/api/quarantine", "").body == R"({"calls":[]})");
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -441,6 +441,23 @@
   while (time_ < end) {
     if (!runUntil([this] { return leader() != nullptr; }, end - time_)) {
       return false;
+  return askLeader([&](ServiceMember& member) { return replace(member, catalog); }, limit);
+}
+
+std::uint64_t ServiceCluster::evacuate(ServiceMember& member, const std::string& zone, bool evacuated) {
+  const QuestionNumber question{next_question_++};
+  act(member, [question, zone, evacuated](ServiceControl& control, TimePoint now) {
+    return control.evacuateZone(question, ZoneName(zone), evacuated, now);
+  });
+  return question.value;
+}
+
+bool ServiceCluster::evacuateAcknowledged(const std::string& zone, bool evacuated) {
+  return askLeader([&](ServiceMember& member) { return evacuate(member, zone, evacuated); }, 30s);
+}
+
+/// Asks whoever leads until the answer is Ok.
+bool ServiceCluster::askLeader(const std::function<std::uint64_t(ServiceMember&)>& ask, Duration limit) {
     }
     ServiceMember& member = *leader();
     const std::uint64_t question = replace(member, catalog);
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -122,12 +122,15 @@
   std::uint64_t replace(ServiceMember& member, std::uint64_t version);
   std::uint64_t replace(ServiceMember& member, const wire::ServiceCatalog& catalog);
   std::uint64_t read(ServiceMember& member);
+  std::uint64_t evacuate(ServiceMember& member, const std::string& zone, bool evacuated);
   std::uint64_t report(ServiceMember& member, const wire::ReplicaReport& report);
   /// nullopt: not answered yet.
   static std::optional<ResultCode> codeOf(const ServiceMember& member, std::uint64_t question);
   /// Replaces at whoever leads until it is acknowledged; false if it never was.
   bool replaceAcknowledged(std::uint64_t version, Duration limit = std::chrono::seconds(30));
   bool replaceAcknowledged(const wire::ServiceCatalog& catalog, Duration limit = std::chrono::seconds(30));
+  /// Evacuates a zone, or gives it back, at whoever leads until it is acknowledged; false if it never was.
+  bool evacuateAcknowledged(const std::string& zone, bool evacuated);
   /// Reads at whoever leads until it is answered.
   std::string readConfirmed();
 
@@ -151,6 +154,7 @@
 
   void after(Duration delay, std::function<void()> action);
   bool step(TimePoint limit);
+  bool askLeader(const std::function<std::uint64_t(ServiceMember&)>& ask, Duration limit);
   void sync(ServiceMember& member, std::uint64_t starts);
   void deliver(const NodeName& from, const NodeName& to, const wire::Message& message);
   void beatRouter(ScriptedRouter& router);
