Plan placement by counting over the replicas, and work out room for few of them

Cause: each plan worked out what every replica has room for (sets, and a search through all models for each that it holds), built a set of all ids, and for each adapter that calls wait for looked at the adapters of every replica: at 10,000 replicas over 100 ms a plan by reading, ten times a second and more. `perf` of a leader of the whole fleet with the tables mended showed the plan as the most of its time.

Change: copies are counted in one pass; room is worked out where it is asked for; a load from the store compares 256 replicas, others with the next load; adapters look at the holders of their model; weights that are near are looked up for wanted models alone; orders are found by their number. Fleets of up to 256 replicas compare all, as before.

Ruled out: an index of free room, kept up to date with each order (another copy of the ledger); a sample for copies (they must be exact).

The test of StoreLoads passes the kept replica as a predicate in place of a set; what it checks is the same.

--- a/src/services/model_placer.cc
+++ b/src/services/model_placer.cc
@@ -20,10 +20,13 @@
   if (now >= settings_.first_order) {
     followLives(now);
     expected_.clear();
+    compared_ = 0;
     for (const wire::HostedService& service : catalog.services) {
       if (service.engine) {
+        indexModels(*service.engine);
         Candidates candidates = candidatesOf(service, unreachable, now);
-        copies_ = countCopies(candidates, now);
+        countCopies(candidates, now);
+        noteExpected(service, candidates, now);
         lost_capacity_ = lostCapacities(candidates);
         placeAdapters(service, candidates, now);
         placeModels(catalog, service, candidates, now);
@@ -53,6 +56,7 @@
                                                   const std::set<ReplicaId>& unreachable, TimePoint now) {
   Candidates candidates;
   evacuated_models_.clear();
+  auto engine = engines_.begin();
   for (const auto& [id, record] : registry_.replicas()) {
     if (record.report.service == service.name && registry_.isEvacuated(record)) {
       for (const wire::HeldModel& held : record.report.held) {
@@ -60,33 +64,57 @@
       }
     }
     if (record.report.service == service.name && registry_.takesCalls(record) && !unreachable.contains(id)) {
-      Engine& engine = engines_[id];
-      candidates.push_back({&record, &engine, 0});
+      // Both are in the order of ids.
+      while (engine != engines_.end() && engine->first < id) {
+        ++engine;
+      }
+      if (engine == engines_.end() || engine->first != id) {
+        engine = engines_.emplace_hint(engine, id, Engine{});
+      }
+      candidates.push_back({&record, &engine->second, std::nullopt, {}});
     }
   }
-  std::set<ReplicaId> known;
-  for (const Candidate& candidate : candidates) {
-    known.insert(candidate.record->report.id);
-  }
-  storeOf(service.name).keepOnly(known, now);
+  const auto isCandidate = [&](const ReplicaId& id) {
+    const ReplicaRecord* record = registry_.find(id);
+    return record != nullptr && record->report.service == service.name && registry_.takesCalls(*record) &&
+           !unreachable.contains(id);
+  };
+  storeOf(service.name).keepIf(isCandidate, now);
   settleFinished(candidates, now);
   storeOf(service.name).observeOverdue(now);
-  for (Candidate& candidate : candidates) {
+  return candidates;
+}
+
+/// When models that no replica serves yet should serve, by the loads under way.
+void ModelPlacer::noteExpected(const wire::HostedService& service, const Candidates& candidates,
+                               TimePoint now) {
+  for (const Candidate& candidate : candidates) {
     const Engine& engine = *candidate.engine;
-    const bool missing = engine.loading && !heldBy(candidates, *engine.loading);
-    if (missing && !loadIsLate(engine, now)) {
+    if (engine.loading && !served_.contains(*engine.loading) && !loadIsLate(engine, now)) {
       expected_[{service.name, *engine.loading}] = engine.loading_since + engine.loading_time;
     }
-    candidate.used_mb = usedMegabytes(*candidate.record, *candidate.engine, *service.engine);
   }
-  return candidates;
 }
 
-/// True if one of them serves calls of the model.
-bool ModelPlacer::heldBy(const Candidates& candidates, const ModelName& model) {
-  return std::any_of(candidates.begin(), candidates.end(), [&model](const Candidate& candidate) {
-    return holds(*candidate.record, model) && candidate.engine->unloading != model;
-  });
+void ModelPlacer::indexModels(const wire::EngineTraits& traits) {
+  models_.clear();
+  for (const wire::HostedModel& model : traits.models) {
+    models_.emplace(model.name.value, &model);
+  }
+}
+
+const wire::HostedModel* ModelPlacer::modelNamed(const ModelName& name) const {
+  const auto found = models_.find(name.value);
+  return found == models_.end() ? nullptr : found->second;
+}
+
+/// Few of the replicas of a large service are looked at in a plan.
+double& ModelPlacer::usedOf(const wire::HostedService& service, Candidate& candidate) {
+  if (!candidate.used_mb) {
+    candidate.used_mb = usedMegabytes(*candidate.record, *candidate.engine, *service.engine);
+    ++compared_;
+  }
+  return *candidate.used_mb;
 }
 
 /// Takes from reports that a load or an unload has ended. A load that is late isn't given up while its
@@ -145,11 +173,11 @@
   const auto stray = strays_.find(wire::replicaName(record.report.id));
   used += stray == strays_.end() ? 0 : stray->second.megabytes;
   for (const ModelName& name : models) {
-    const wire::HostedModel* model = findModel(traits, name);
+    const wire::HostedModel* model = modelNamed(name);
     used += model != nullptr ? model->weight_mb : traits.weight_capacity_mb;
   }
   for (const auto& [name, adapter] : adaptersOf(record, engine)) {
-    const wire::HostedModel* model = findModel(traits, name);
+    const wire::HostedModel* model = modelNamed(name);
     used += model != nullptr ? model->adapter_mb : 0;
   }
   return used;
@@ -160,21 +188,57 @@
 }
 
 void ModelPlacer::placeAdapters(const wire::HostedService& service, Candidates& candidates, TimePoint now) {
+  std::vector<ModelKey> wanted;
   for (const auto& [key, demand] : demand_.keys()) {
     if (key.service == service.name && !key.adapter.empty() && demand.waiting > 0) {
-      loadAdapter(service, key, candidates, now);
+      wanted.push_back(key);
+    }
+  }
+  if (wanted.empty()) {
+    return;
+  }
+  const HoldersByModel holders = holdersOf(wanted, candidates);
+  for (const ModelKey& key : wanted) {
+    loadAdapter(service, key, holders.at(key.model), now);
+  }
+}
+
+/// The candidates that hold the models of these keys, or are being ordered something of them.
+ModelPlacer::HoldersByModel ModelPlacer::holdersOf(const std::vector<ModelKey>& keys,
+                                                   Candidates& candidates) const {
+  HoldersByModel holders;
+  for (const ModelKey& key : keys) {
+    holders[key.model];
+  }
+  const auto add = [&holders](const ModelName& model, Candidate& candidate) {
+    const auto found = holders.find(model);
+    if (found != holders.end() && (found->second.empty() || found->second.back() != &candidate)) {
+      found->second.push_back(&candidate);
+    }
+  };
+  for (Candidate& candidate : candidates) {
+    for (const wire::HeldModel& held : candidate.record->report.held) {
+      add(held.model, candidate);
+    }
+    for (const auto& [model, adapter] : candidate.engine->adapters) {
+      add(model, candidate);
+    }
+    if (candidate.engine->pending) {
+      add(candidate.engine->pending->order.model, candidate);
     }
   }
+  return holders;
 }
 
 /// On the replica that holds the model with the fewest adapters, one that can take the order now if there is
 /// any; the adapter least wanted gives way.
-void ModelPlacer::loadAdapter(const wire::HostedService& service, const ModelKey& key, Candidates& candidates,
-                              TimePoint now) {
-  const wire::HostedModel* model = findModel(*service.engine, key.model);
+void ModelPlacer::loadAdapter(const wire::HostedService& service, const ModelKey& key,
+                              const std::vector<Candidate*>& holders, TimePoint now) {
+  const wire::HostedModel* model = modelNamed(key.model);
   Candidate* best = nullptr;
   std::pair<bool, std::size_t> best_rank;
-  for (Candidate& candidate : candidates) {
+  for (Candidate* holder : holders) {
+    Candidate& candidate = *holder;
     const auto adapters = adaptersOf(*candidate.record, *candidate.engine);
     if (adapters.contains({key.model, key.adapter})) {
       return;
@@ -197,7 +261,7 @@
     return;
   }
   const bool slot_free = best_rank.second < service.engine->adapter_slots;
-  const bool fits = best->used_mb + model->adapter_mb <= service.engine->weight_capacity_mb;
+  const bool fits = usedOf(service, *best) + model->adapter_mb <= service.engine->weight_capacity_mb;
   if (slot_free && fits) {
     order(*best, OrderAction::Load, key.model, key.adapter, model->adapter_mb, now);
     return;
--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -49,6 +51,8 @@
                                       TimePoint now) const;
   /// Raised with each load of a model, and with each unload that makes room for one.
   std::uint64_t loadsBegun() const { return loads_begun_; }
+  /// Replicas whose room was worked out by the last plan.
+  std::size_t compared() const { return compared_; }
   void onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now);
   /// nullopt: the replica didn't answer.
   void onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now);
@@ -87,12 +91,13 @@
   struct Candidate {
     const ReplicaRecord* record = nullptr;
     Engine* engine = nullptr;
-    double used_mb = 0;
-    TimePoint claimed_until{};  ///< a model that is more urgent will use it until then
+    std::optional<double> used_mb;  ///< worked out where it is asked for, see usedOf()
+    TimePoint claimed_until{};      ///< a model that is more urgent will use it until then
   };
   using Candidates = std::vector<Candidate>;
   using CopyCounts = std::map<ModelName, std::size_t>;
   using Capacities = std::map<ModelName, double>;
+  using HoldersByModel = std::map<ModelName, std::vector<Candidate*>>;
   struct WantedModel {
     double urgency = 0;
     bool missing = false;  ///< no replica holds it
@@ -136,18 +141,24 @@
   void followLives(TimePoint now);
   void settleFinished(Candidates& candidates, TimePoint now);
   static void settleUnload(Candidate& candidate);
-  static bool heldBy(const Candidates& candidates, const ModelName& model);
+  void noteExpected(const wire::HostedService& service, const Candidates& candidates, TimePoint now);
   static bool loadIsLate(const Engine& engine, TimePoint now);
+  /// Ends the order or the inspection of this number; nullptr: it isn't known any more.
+  std::map<ReplicaId, Engine>::iterator takePending(OrderNumber number);
   Candidates candidatesOf(const wire::HostedService& service, const std::set<ReplicaId>& unreachable,
                           TimePoint now);
+  double& usedOf(const wire::HostedService& service, Candidate& candidate);
   double usedMegabytes(const ReplicaRecord& record, const Engine& engine,
                        const wire::EngineTraits& traits) const;
+  void indexModels(const wire::EngineTraits& traits);
+  const wire::HostedModel* modelNamed(const ModelName& name) const;
   /// Adapters on a replica or on their way, as far as they may be there.
   static std::set<AdapterKey> adaptersOf(const ReplicaRecord& record, const Engine& engine);
   bool ready(const Candidate& candidate, TimePoint now) const;
   void placeAdapters(const wire::HostedService& service, Candidates& candidates, TimePoint now);
-  void loadAdapter(const wire::HostedService& service, const ModelKey& key, Candidates& candidates,
-                   TimePoint now);
+  void loadAdapter(const wire::HostedService& service, const ModelKey& key,
+                   const std::vector<Candidate*>& holders, TimePoint now);
+  HoldersByModel holdersOf(const std::vector<ModelKey>& keys, Candidates& candidates) const;
 
   // model_placer_models.cc
   void placeModels(const wire::ServiceCatalog& catalog, const wire::HostedService& service,
@@ -163,7 +174,7 @@
   std::optional<Placement> comingRoom(const wire::HostedService& service, const wire::HostedModel& model,
                                       const Candidates& candidates, TimePoint now) const;
   std::optional<Option> optionOn(const wire::HostedService& service, const wire::HostedModel& model,
-                                 Candidate& candidate, TimePoint now) const;
+                                 Candidate& candidate, TimePoint now);
   TimePoint freeAt(const wire::HostedService& service, const Candidate& candidate, TimePoint now) const;
   std::optional<Victim> leastWorth(const wire::HostedService& service, const Candidate& candidate,
                                    TimePoint now) const;
@@ -176,7 +187,7 @@
                  TimePoint now);
   void forgetPromises(const wire::HostedService& service, const WantedModels& wanted);
   /// Copies that serve or are about to, by model.
-  static CopyCounts countCopies(const Candidates& candidates, TimePoint now);
+  void countCopies(const Candidates& candidates, TimePoint now);
   std::size_t copies(const ModelName& model) const;
   /// The copies of a model as so many on replicas of full speed.
   double capacity(const ModelName& model) const;
@@ -217,8 +228,13 @@
   std::uint64_t next_number_ = 1;
   std::uint64_t loads_begun_ = 0;
   std::map<std::uint32_t, double> slowness_;
-  Capacities lost_capacity_;  ///< what the copies lack that stand on slow replicas
-  CopyCounts copies_;         ///< of the service that is planned, as the plan goes on
+  Capacities lost_capacity_;    ///< what the copies lack that stand on slow replicas
+  CopyCounts copies_;           ///< of the service that is planned, as the plan goes on
+  std::set<ModelName> served_;  ///< models that some replica of the service serves
+  std::unordered_map<std::string_view, const wire::HostedModel*> models_;  ///< of the service that is planned
+  std::map<OrderNumber, ReplicaId> pending_orders_;
+  std::size_t first_compared_ = 0;  ///< where the next comparison of replicas begins
+  std::size_t compared_ = 0;
   /// That replicas of evacuated zones hold, of the service that is planned.
   std::set<ModelName> evacuated_models_;
   PlacerEffects effects_;
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -26,6 +26,8 @@
 constexpr Duration kRunsTime = std::chrono::seconds(3);
 /// A replica that has to be asked first or that just got an order answers within this time.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(50);
+/// Replicas that are compared for one load from the store.
+constexpr std::size_t kMostCompared = 256;
 /// Calls of so many seconds count for how urgent a load is; a call that a crowd makes late counts as a share
 /// of one that has to wait for its model.
 constexpr double kUrgencySeconds = 5.0;
@@ -57,17 +59,22 @@
 
 }  // namespace
 
-/// Which candidates have a model's weights in their memory or on their disk.
+/// Which candidates have the weights of wanted models in their memory or on their disk.
 class ModelPlacer::NearWeights {
  public:
-  explicit NearWeights(const Candidates& candidates) {
+  NearWeights(const Candidates& candidates, const WantedModels& wanted) {
+    for (const WantedModel& item : wanted) {
+      holders_.emplace(item.model->name.value, std::vector<std::size_t>());
+    }
     for (std::size_t i = 0; i < candidates.size(); ++i) {
       const wire::ReplicaReport& report = candidates[i].record->report;
       for (const auto* list : {&report.in_memory, &report.on_disk}) {
         for (const ModelName& model : *list) {
-          std::vector<std::size_t>& holders = holders_[model.value];
-          if (holders.empty() || holders.back() != i) {
-            holders.push_back(i);
+          const auto found = holders_.find(model.value);
+          const bool new_holder =
+              found != holders_.end() && (found->second.empty() || found->second.back() != i);
+          if (new_holder) {
+            found->second.push_back(i);
           }
         }
       }
@@ -87,24 +94,30 @@
   return stores_.try_emplace(service, settings_.switches.learned_store_width).first->second;
 }
 
-ModelPlacer::CopyCounts ModelPlacer::countCopies(const Candidates& candidates, TimePoint now) {
-  CopyCounts counts;
+void ModelPlacer::countCopies(const Candidates& candidates, TimePoint now) {
+  std::unordered_map<std::string_view, std::size_t> counts;
+  copies_.clear();
+  served_.clear();
   for (const Candidate& candidate : candidates) {
     const Engine& engine = *candidate.engine;
-    std::set<ModelName> serving;
     for (const wire::HeldModel& held : candidate.record->report.held) {
       if (engine.unloading != held.model) {
-        serving.insert(held.model);
+        ++counts[held.model.value];
       }
     }
-    if (engine.loading && !loadIsLate(engine, now)) {
-      serving.insert(*engine.loading);
-    }
-    for (const ModelName& model : serving) {
-      ++counts[model];
+  }
+  for (const auto& [name, count] : counts) {
+    const ModelName model{std::string(name)};
+    copies_[model] = count;
+    served_.insert(model);
+  }
+  for (const Candidate& candidate : candidates) {
+    const Engine& engine = *candidate.engine;
+    const bool counts_load = engine.loading && !loadIsLate(engine, now);
+    if (counts_load && !(holds(*candidate.record, *engine.loading) && engine.unloading != engine.loading)) {
+      ++copies_[*engine.loading];
     }
   }
-  return counts;
 }
 
 double ModelPlacer::slownessOf(const ReplicaId& replica) const {
@@ -114,6 +127,9 @@
 
 ModelPlacer::Capacities ModelPlacer::lostCapacities(const Candidates& candidates) const {
   Capacities lost;
+  if (slowness_.empty()) {
+    return lost;
+  }
   for (const Candidate& candidate : candidates) {
     const double part = 1 - 1 / slownessOf(candidate.record->report.id);
     for (const wire::HeldModel& held : candidate.record->report.held) {
@@ -166,10 +182,13 @@
 void ModelPlacer::dropReservations(Candidates& candidates, const WantedModels& wanted, TimePoint now) {
   for (Candidate& candidate : candidates) {
     Engine& engine = *candidate.engine;
+    if (!engine.room_for) {
+      continue;
+    }
     const bool still_wanted = std::any_of(wanted.begin(), wanted.end(), [&engine](const WantedModel& item) {
       return item.model->name == engine.room_for;
     });
-    if (engine.room_for && (!still_wanted || now - engine.room_since > kRoomLasts)) {
+    if (!still_wanted || now - engine.room_since > kRoomLasts) {
       engine.room_for.reset();
     }
   }
@@ -179,7 +198,7 @@
   WantedModels wanted;
   for (const auto& [key, demand] : demand_.keys()) {
     const bool whole_model = key.service == service.name && key.adapter.empty();
-    const wire::HostedModel* model = whole_model ? findModel(*service.engine, key.model) : nullptr;
+    const wire::HostedModel* model = whole_model ? modelNamed(key.model) : nullptr;
     if (model == nullptr) {
       continue;
     }
@@ -211,7 +230,7 @@
   for (const WantedModel& item : wanted) {
     store.expectLoad(std::chrono::milliseconds(item.model->store_load_ms));
   }
-  const NearWeights near(candidates);
+  const NearWeights near(candidates, wanted);
   const Duration longest_absence = longestAbsence(catalog, service.name);
   StoreLoads::Forecast forecast = store.forecast(now);
   // Loads of weights that are near are short: they go before long ones, which would take their replicas.
@@ -289,12 +308,17 @@
     return {forecast.add(store_load, now), UnplacedReason::StoreFull};
   }
   std::optional<Option> best;
-  for (Candidate& candidate : candidates) {
+  // Of many replicas some are compared, others with the next load: the best of so many is hardly worse than
+  // the best of all.
+  const std::size_t compared = std::min(candidates.size(), kMostCompared);
+  for (std::size_t i = 0; i < compared; ++i) {
+    Candidate& candidate = candidates[(first_compared_ + i) % candidates.size()];
     const auto option = optionOn(service, model, candidate, now);
     if (option && option->possible_now && (!best || option->cost < best->cost)) {
       best = option;
     }
   }
+  first_compared_ = compared < candidates.size() ? first_compared_ + compared : 0;
   if (!best) {
     return {std::nullopt, UnplacedReason::NoReplicaReady};
   }
@@ -321,7 +345,7 @@
 /// How the candidate could come to hold the model; nullopt: it can't.
 std::optional<ModelPlacer::Option> ModelPlacer::optionOn(const wire::HostedService& service,
                                                          const wire::HostedModel& model, Candidate& candidate,
-                                                         TimePoint now) const {
+                                                         TimePoint now) {
   const Engine& engine = *candidate.engine;
   const bool reserved = engine.room_for && engine.room_for != model.name;
   if (reserved || holds(*candidate.record, model.name) || engine.loading == model.name) {
@@ -334,9 +358,10 @@
   option.ready = free_at + loadTime(*candidate.record, model);
   const double capacity = service.engine->weight_capacity_mb;
   double displaced = 0;
-  if (candidate.used_mb + model.weight_mb > capacity) {
+  const double used_mb = usedOf(service, candidate);
+  if (used_mb + model.weight_mb > capacity) {
     const std::optional<Victim> victim = leastWorth(service, candidate, now);
-    if (!victim || candidate.used_mb - victim->evictable_mb + model.weight_mb > capacity) {
+    if (!victim || used_mb - victim->evictable_mb + model.weight_mb > capacity) {
       return std::nullopt;
     }
     option.victim = victim->model;
@@ -375,7 +400,7 @@
   double evictable_mb = 0;
   for (const wire::HeldModel& held : candidate.record->report.held) {
     const auto worth = keepWorth(service, held.model, now);
-    const wire::HostedModel* known = findModel(*service.engine, held.model);
+    const wire::HostedModel* known = modelNamed(held.model);
     if (!worth || known == nullptr || candidate.engine->unloading == held.model) {
       continue;
     }
@@ -435,7 +460,7 @@
   order(candidate, OrderAction::Load, model.name, {}, model.weight_mb, now);
   const bool ordered = engine.pending && !engine.pending->inspecting;
   engine.room_for.reset();
-  candidate.used_mb += model.weight_mb;
+  usedOf(service, candidate) += model.weight_mb;
   if (!ordered) {
     return;
   }
--- a/src/services/model_placer_orders.cc
+++ b/src/services/model_placer_orders.cc
@@ -48,6 +48,7 @@
   effect.holder = settings_.holder;
   effect.fence = settings_.fence;
   engine.pending = Pending{number, effect, false, now};
+  pending_orders_[number] = report.id;
   if (action == OrderAction::Unload && adapter.empty()) {
     registry_.withdrawModel(report.id, model, now);
     engine.unloading = model;
@@ -69,6 +70,7 @@
   const wire::ReplicaReport& report = candidate.record->report;
   const OrderNumber number{next_number_++};
   candidate.engine->pending = Pending{number, {}, true, now};
+  pending_orders_[number] = report.id;
   effects_.emplace_back(InspectReplicaEffect{number, report.id, report.address});
 }
 
@@ -80,10 +82,20 @@
   }
 }
 
+std::map<ReplicaId, ModelPlacer::Engine>::iterator ModelPlacer::takePending(OrderNumber number) {
+  const auto pending = pending_orders_.find(number);
+  if (pending == pending_orders_.end()) {
+    return engines_.end();
+  }
+  const auto engine = engines_.find(pending->second);
+  pending_orders_.erase(pending);
+  const bool current =
+      engine != engines_.end() && engine->second.pending && engine->second.pending->number == number;
+  return current ? engine : engines_.end();
+}
+
 void ModelPlacer::onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now) {
-  const auto found = std::find_if(engines_.begin(), engines_.end(), [number](const auto& item) {
-    return item.second.pending && item.second.pending->number == number;
-  });
+  const auto found = takePending(number);
   if (found == engines_.end()) {
     return;
   }
@@ -129,9 +141,7 @@
 }
 
 void ModelPlacer::onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now) {
-  const auto found = std::find_if(engines_.begin(), engines_.end(), [number](const auto& item) {
-    return item.second.pending && item.second.pending->number == number;
-  });
+  const auto found = takePending(number);
   if (found == engines_.end()) {
     return;
   }
--- a/src/services/store_loads.cc
+++ b/src/services/store_loads.cc
@@ -81,9 +81,9 @@
   }
 }
 
-void StoreLoads::keepOnly(const std::set<ReplicaId>& replicas, TimePoint now) {
+void StoreLoads::keepIf(const std::function<bool(const ReplicaId&)>& kept, TimePoint now) {
   advance(now);
-  std::erase_if(loads_, [&replicas](const auto& item) { return !replicas.contains(item.first); });
+  std::erase_if(loads_, [&kept](const auto& item) { return !kept(item.first); });
 }
 
 StoreLoads::Forecast StoreLoads::forecast(TimePoint now) const {
--- a/src/services/store_loads.h
+++ b/src/services/store_loads.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -30,8 +31,8 @@
   void onDropped(const ReplicaId& replica, TimePoint now);
   /// Learns from loads that should have ended. Call now and then.
   void observeOverdue(TimePoint now);
-  /// Drops loads of replicas that are not among these.
-  void keepOnly(const std::set<ReplicaId>& replicas, TimePoint now);
+  /// Drops loads of other replicas.
+  void keepIf(const std::function<bool(const ReplicaId&)>& kept, TimePoint now);
 
   std::uint32_t underWay() const { return static_cast<std::uint32_t>(loads_.size()); }
   double width() const { return estimator_.width(); }
--- a/tests/services/store_loads_test.cc
+++ b/tests/services/store_loads_test.cc
@@ -194,7 +194,7 @@
   StoreLoads loads;
   const std::size_t begun = beginAll(loads, 0, kStart);
   CHECK_FALSE(loads.mayBegin(0, kStart));
-  loads.keepOnly({replica(0)}, kStart + 1s);
+  loads.keepIf([](const ReplicaId& id) { return id == replica(0); }, kStart + 1s);
   CHECK(loads.underWay() == 1);
   CHECK(beginAll(loads, begun, kStart + 1s) == begun - 1);
 }
