--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -158,6 +158,7 @@
     state.need.affinity_key = route->affinity ? state.request.affinity_key : 0;
     if (!state.need.model.empty()) {
       ++arrivals_[{state.need.service, state.need.model, state.need.adapter}];
+      interests_.note(state.need.service, state.need.model, state.need.adapter, now);
     }
   }
   budget_.onCall(state.need.service, now);
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -12,6 +12,7 @@
 #include "calls/call.h"
 #include "calls/control_feed.h"
 #include "calls/expected_loads.h"
+#include "calls/model_interests.h"
 #include "calls/replica_table.h"
 #include "calls/retry_budget.h"
 #include "calls/route_table.h"
@@ -238,6 +239,7 @@
   ReplicaTable replicas_;
   TrafficSplit split_;
   ExpectedLoads loads_;
+  ModelInterests interests_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<CallNumber, Call> calls_;
   std::map<AttemptNumber, CallNumber> attempts_;
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -84,6 +84,7 @@
     return;
   }
   noteTable(update, now);
+  replicas_.listPart(feed_.holdsPart());
   replicas_.apply(update, now);
   dispatch_wanted_ = dispatch_wanted_ || !update.replicas.empty() || !update.removed.empty();
 }
@@ -168,9 +169,14 @@
     effects_.emplace_back(RenewConnectionEffect{std::move(member)});
   }
   const NodeName leader = feed_.leader();
-  RouterNews news{wants(now),           replicas_.unreachable(now), ready(),
-                  catalogVersion(),     crashes_.digest(),          replicas_.takeUses(),
-                  replicas_.takePaces()};
+  RouterNews news{wants(now),
+                  replicas_.unreachable(now),
+                  ready(),
+                  catalogVersion(),
+                  crashes_.digest(),
+                  replicas_.takeUses(),
+                  replicas_.takePaces(),
+                  interests_.list(now)};
   for (wire::SendEffect& send : feed_.statuses(std::move(news), now)) {
     effects_.emplace_back(std::move(send));
   }
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -11,6 +11,11 @@
 constexpr Duration kProofInHand = std::chrono::milliseconds(3000);
 constexpr unsigned kTermShift = 40;
 
+/// While no leader is known, members are asked this much more often than they want to hear.
+constexpr int kAskedAtOnce = 8;
+/// A leader that was silent for half as many of the intervals that it asked for is taken for lost.
+constexpr int kSilentIntervals = 5;
+
 bool sameTerm(LogIndex left, LogIndex right) {
   return left.value >> kTermShift == right.value >> kTermShift;
 }
@@ -23,27 +28,89 @@
     return false;  // of a leader that was replaced, or overtaken on its way
   }
   leader_ = from;
+  named_leader_ = from;
   leader_heard_ = now;
   answered_ = true;
-  members_.insert(update.members.begin(), update.members.end());
+  leader_asked_interval_ = std::chrono::milliseconds(update.status_interval_ms);
+  addMembers(update.members);
   directory_ = update.directory.value_or(directory_);
-  const bool whole = update.base == LogIndex{};
-  const bool follows = sameTerm(update.base, revision_) && update.base <= revision_;
-  if (!whole && !follows) {
-    missed_update_ = true;
-    hurried_ = true;
-    return false;
+  const bool taken = update.table == 0 ? acceptTable(update) : acceptPart(update);
+  missed_update_ = !taken;
+  hurried_ = hurried_ || !taken || update.confirm;
+  if (taken) {
+    revision_ = update.revision;
+    table_ = update.table;
   }
-  missed_update_ = false;
-  hurried_ = hurried_ || update.confirm;
-  revision_ = update.revision;
-  return true;
+  return taken;
+}
+
+/// Changes of the table of all replicas, or the whole of it.
+bool ControlFeed::acceptTable(const wire::ServiceUpdate& update) {
+  const bool whole = update.base == LogIndex{};
+  const bool follows = table_ == 0 && sameTerm(update.base, revision_) && update.base <= revision_;
+  return whole || follows;
+}
+
+/// Such a table is listed whole, or known by its content: also from a leader that didn't list it itself.
+bool ControlFeed::acceptPart(const wire::ServiceUpdate& update) {
+  const bool whole = update.base == LogIndex{};
+  return whole || update.table == table_;
 }
 
 void ControlFeed::accept(const NodeName& from, const wire::MemberList& list) {
   noteAnswer(from);
   answered_ = true;
-  members_.insert(list.nodes.begin(), list.nodes.end());
+  addMembers(list.nodes);
+  if (list.status_interval_ms > 0) {
+    asked_interval_[from] = std::chrono::milliseconds(list.status_interval_ms);
+  } else {
+    asked_interval_.erase(from);
+  }
+  if (leader_.empty() && !list.leader.empty() && list.leader != named_leader_) {
+    named_leader_ = list.leader;
+    hurried_ = true;
+  }
+}
+
+/// Where members want to hear seldom, the leader tells them what they need of routers.
+void ControlFeed::tellAll() {
+  tell_all_ = asked_interval_.empty();
+  hurried_ = true;
+}
+
+void ControlFeed::addMembers(const std::vector<NodeName>& members) {
+  members_.insert(members.begin(), members.end());
+}
+
+Duration ControlFeed::leaderInterval() const {
+  if (!answered_) {
+    return settings_.first_interval;
+  }
+  return std::max(settings_.leader_interval, leader_asked_interval_);
+}
+
+/// While no leader is known. Members that want to hear seldom have many routers that ask.
+Duration ControlFeed::askInterval() const {
+  Duration longest = Duration::zero();
+  for (const auto& [member, interval] : asked_interval_) {
+    longest = std::max(longest, interval);
+  }
+  return answered_ ? std::max(settings_.leader_interval, longest / kAskedAtOnce) : settings_.first_interval;
+}
+
+Duration ControlFeed::memberInterval(const NodeName& member) const {
+  const auto asked = asked_interval_.find(member);
+  return asked == asked_interval_.end() ? settings_.member_interval
+                                        : std::max(settings_.member_interval, asked->second);
+}
+
+Duration ControlFeed::answerLimit(const NodeName& member) const {
+  const bool leads = member == leader_;
+  return leads ? std::max(settings_.answer_limit, 2 * leader_asked_interval_) : settings_.answer_limit;
+}
+
+Duration ControlFeed::leaderSilence() const {
+  return std::max(settings_.leader_silence, kSilentIntervals * leader_asked_interval_ / 2);
 }
 
 void ControlFeed::confirm(const wire::ServiceUpdate& update, CatalogVersion held) {
@@ -53,21 +120,62 @@
 }
 
 bool ControlFeed::due(TimePoint now) const {
-  return tell_all_ || now >= next_member_status_ || now >= next_leader_status_ ||
-         (hurried_ && now >= last_status_ + kLeastDistance);
+  return tell_all_ || now >= nextDeadline();
 }
 
 TimePoint ControlFeed::nextDeadline() const {
-  const TimePoint regular = std::min(next_leader_status_, next_member_status_);
-  return hurried_ ? std::min(regular, last_status_ + kLeastDistance) : regular;
+  TimePoint next = hurried_ ? last_status_ + kLeastDistance : TimePoint::max();
+  next = std::min(next, next_leader_status_);
+  // Members that want to hear seldom are told with the leader: a step of its own for each would tell it too.
+  if (leader_.empty() || !asked_interval_.empty()) {
+    return next;
+  }
+  for (const NodeName& member : members_) {
+    const auto due = next_member_status_.find(member);
+    const bool is_leader = member == leader_;
+    next = is_leader ? next : std::min(next, due == next_member_status_.end() ? TimePoint{} : due->second);
+  }
+  return next;
+}
+
+/// Those whose turn it is; all while no leader is known, unless they asked to hear seldom: then a few.
+std::set<NodeName> ControlFeed::membersDue(TimePoint now) {
+  if (leader_.empty() && !tell_all_ && !asked_interval_.empty()) {
+    return membersToAsk();
+  }
+  std::set<NodeName> due;
+  for (const NodeName& member : members_) {
+    const auto next = next_member_status_.find(member);
+    const bool turn = next == next_member_status_.end() || now >= next->second;
+    if (member != leader_ && (tell_all_ || leader_.empty() || turn)) {
+      due.insert(member);
+    }
+  }
+  return due;
+}
+
+/// The member that others name as leader, and the next one of all.
+std::set<NodeName> ControlFeed::membersToAsk() {
+  std::set<NodeName> asked;
+  if (!named_leader_.empty()) {
+    asked.insert(named_leader_);
+  }
+  auto next = members_.upper_bound(last_asked_);
+  next = next == members_.end() ? members_.begin() : next;
+  if (next != members_.end()) {
+    last_asked_ = *next;
+    asked.insert(*next);
+  }
+  return asked;
 }
 
 std::vector<wire::SendEffect> ControlFeed::statuses(RouterNews news, TimePoint now) {
-  const bool leader_silent = !leader_heard_ || now - *leader_heard_ > settings_.leader_silence;
-  if (leader_silent) {
+  const bool leader_silent = !leader_heard_ || now - *leader_heard_ > leaderSilence();
+  if (leader_silent && !leader_.empty()) {
     leader_ = NodeName{};
+    named_leader_ = NodeName{};
   }
-  const bool all = tell_all_ || leader_.empty() || now >= next_member_status_;
+  const std::set<NodeName> due = membersDue(now);
   wire::CallRouterStatus status;
   status.router = settings_.router;
   status.zone = settings_.zone;
@@ -79,6 +187,8 @@
   status.crash_digest = news.crash_digest;
   status.revision = revision_;
   status.missed_update = missed_update_;
+  status.subscribes = true;
+  status.table = table_;
   status.directory = wire::directoryDigest(directory_);
   status.wants_proof = proof_.isNeeded() && !proof_.holds(now + kProofInHand);
   proof_.onStatusSent(sequence_, now);
@@ -87,11 +197,13 @@
   leaders.unreachable = std::move(news.unreachable);
   leaders.uses = std::move(news.uses);
   leaders.paces = std::move(news.paces);
+  if (holdsPart()) {
+    leaders.interests = std::move(news.interests);
+  }
   std::vector<wire::SendEffect> sends;
-  for (const NodeName& member : members_) {
-    if (member != leader_ && all) {
-      sends.push_back({member, leader_.empty() ? leaders : status});
-    }
+  for (const NodeName& member : due) {
+    sends.push_back({member, leader_.empty() ? leaders : status});
+    next_member_status_[member] = now + memberInterval(member);
   }
   if (!leader_.empty()) {
     sends.push_back({leader_, std::move(leaders)});
@@ -100,10 +212,7 @@
     unanswered_since_.try_emplace(send.to, now);
   }
   last_status_ = now;
-  next_leader_status_ = now + (answered_ ? settings_.leader_interval : settings_.first_interval);
-  if (all) {
-    next_member_status_ = now + settings_.member_interval;
-  }
+  next_leader_status_ = now + (leader_.empty() ? askInterval() : leaderInterval());
   hurried_ = false;
   tell_all_ = false;
   return sends;
@@ -112,7 +221,7 @@
 std::vector<NodeName> ControlFeed::unansweringMembers(TimePoint now) {
   std::vector<NodeName> members;
   for (auto& [member, since] : unanswered_since_) {
-    if (now - since >= settings_.answer_limit) {
+    if (now - since >= answerLimit(member)) {
       members.push_back(member);
       since = now;
     }
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -97,9 +97,12 @@
     if (!fresh && !replica.routed.accepting && routed.accepting) {
       notices_.reopen(routed.id, now);
     }
+    const bool same = !fresh && lists_part_ && replica.routed == routed;
     replica.routed = routed;
     replica.load_key = balance::loadKey(routed.id.value);
-    replica.missing.clear();
+    if (!same) {
+      replica.missing.clear();
+    }
     replica.listed = true;
     by_service_[routed.service].insert(routed.id);
     named.insert(routed.id);
@@ -171,7 +174,7 @@
 Choice ReplicaTable::choose(const ReplicaNeed& need, TimePoint now) {
   Options options;
   Choice none;
-  none.failure = ChoiceFailure::NoReplica;
+  none.failure = lists_part_ && !need.model.empty() ? ChoiceFailure::NotHeld : ChoiceFailure::NoReplica;
   const auto leaveOut = [&none](ChoiceFailure failure, TimePoint until) {
     none.failure = std::max(none.failure, failure);
     none.look_again = std::min(none.look_again.value_or(until), until);
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -96,6 +96,8 @@
 
   /// Takes an update's replicas. One that was closed and takes calls again is opened step by step.
   void apply(const wire::ServiceUpdate& update, TimePoint now);
+  /// part: only replicas are listed that calls asked for, so that others may hold a model that none does.
+  void listPart(bool part) { lists_part_ = part; }
   Replica* find(const ReplicaId& id);
   /// The replica for a call: one that is sound, untried and least loaded; calls of one affinity key share a
   /// home while it isn't much busier than others. An ejected replica is taken only if there is no other.
@@ -155,6 +157,7 @@
   std::map<std::string, ReplicaId> lives_;  ///< the latest, by the name that the replica gives itself
   std::uint64_t own_homes_;  ///< changes the homes of affinity keys where routers don't share them
   std::uint32_t routers_ = 1;
+  bool lists_part_ = false;
   balance::LoadBoard board_;
   ReplicaNotices notices_;
   std::uint64_t turn_;
--- a/src/control/hosted_services.h
+++ b/src/control/hosted_services.h
@@ -11,8 +11,8 @@
 
 namespace ferryrock::control {
 
-/// The service catalog in force, the replicas that leave, the calls kept away from replicas and the zones taken
-/// out of use: a part of the replicated state. Deterministic.
+/// The service catalog in force, the replicas that leave, the calls kept away from replicas and the zones
+/// taken out of use: a part of the replicated state. Deterministic.
 class HostedServices {
  public:
   /// A version that isn't above the one held changes nothing and succeeds.
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -23,6 +23,8 @@
 constexpr Duration kStopLimit = 3s;
 /// Between two accounts of memory and traffic in the log.
 constexpr Duration kLoadInterval = 5s;
+/// Between two looks at which members there are; messages come by the thousand a second.
+constexpr Duration kPeersInterval = 20ms;
 /// Between two looks at how many replicas and routers are known: each counts the routers.
 constexpr Duration kFleetInterval = 500ms;
 /// Catalogs are large and few: the log is replaced by a snapshot early.
@@ -44,11 +46,11 @@
   control.http = settings.listen_control;
   control.seeds = settings.seedNodes();
   control.losses_borne = settings.losses_borne;
-  control.replica_heartbeat = settings.replica_heartbeat;
-  control.router_out_of_touch = settings.router_out_of_touch;
   for (const std::string& zone : settings.zones) {
     control.zones.emplace_back(zone);
   }
+  control.replica_heartbeat = settings.replica_heartbeat;
+  control.router_out_of_touch = settings.router_out_of_touch;
   control.order_lease = settings.order_lease;
   control.placement = settings.placement;
   control.tells_loads = settings.tells_loads;
@@ -153,8 +155,6 @@
   carryOut(control_->readCatalog(number, now()));
 }
 
-void ServiceControlShell::report(const wire::ReplicaReport& report, AnswerCallback callback) {
-  if (report.leaving) {
 void ServiceControlShell::evacuateZone(const ZoneName& zone, bool evacuated, AnswerCallback callback) {
   constexpr std::size_t kShown = 64;
   log_.write(LogLevel::Info, evacuated ? "zone.evacuate" : "zone.restore",
@@ -163,6 +163,8 @@
   carryOut(control_->evacuateZone(number, zone, evacuated, now()));
 }
 
+void ServiceControlShell::report(const wire::ReplicaReport& report, AnswerCallback callback) {
+  if (report.leaving) {
     log_.write(LogLevel::Info, "replica.leaving",
                {{"replica", std::string_view(report.id.value)},
                 {"sequence", static_cast<std::int64_t>(report.sequence)},
@@ -259,9 +261,11 @@
 }
 
 void ServiceControlShell::followPeers() {
-  if (transport_ == nullptr) {
+  const TimePoint time = now();
+  if (transport_ == nullptr || time < next_peers_look_) {
     return;
   }
+  next_peers_look_ = time + kPeersInterval;
   std::vector<NodeName> nodes = control_->peers();
   if (nodes == followed_peers_) {
     return;
@@ -293,15 +297,15 @@
     log_.write(LogLevel::Info, "catalog.committed",
                {{"version", static_cast<std::int64_t>(view.catalog.value)}});
   }
-  noted_ = view;
-  noteFleet();
-}
-
   if (view.evacuated_zones != noted_.evacuated_zones) {
     log_.write(LogLevel::Info, "zone.evacuated",
                {{"zones", static_cast<std::int64_t>(view.evacuated_zones)},
                 {"before", static_cast<std::int64_t>(noted_.evacuated_zones)}});
   }
+  noted_ = view;
+  noteFleet();
+}
+
 /// How many replicas and routers are known, where that has changed; they change often and one by one.
 void ServiceControlShell::noteFleet() {
   const TimePoint time = now();
@@ -360,6 +364,7 @@
 
 void ServiceControlShell::replaceSeeds(const ServiceControlProcessSettings& fresh) {
   control_->addSeeds(fresh.seedNodes());
+  next_peers_look_ = {};
   followPeers();
   log_.write(LogLevel::Info, "process.reloaded", {{"seeds", static_cast<std::int64_t>(fresh.seeds.size())}});
 }
@@ -414,13 +419,13 @@
       static_cast<double>(view.suspected_calls));
   set("ferryrock_tenants_limited", "Tenants whose calls ask for credit before they run",
       static_cast<double>(view.limited_tenants));
+  set("ferryrock_zones_evacuated", "Zones whose replicas get no new calls and no models",
+      static_cast<double>(view.evacuated_zones));
   set("ferryrock_transport_sent_bytes", "Bytes sent to other processes of the system",
       static_cast<double>(transport_->counts().sent_bytes));
   set("ferryrock_transport_dropped", "Messages dropped: their peer is unknown or its queue is full",
       static_cast<double>(transport_->counts().dropped));
   set("ferryrock_heap_bytes", "Bytes of the heap in use", static_cast<double>(mallinfo2().uordblks));
-  set("ferryrock_zones_evacuated", "Zones whose replicas get no new calls and no models",
-      static_cast<double>(view.evacuated_zones));
   return metrics_.serialize();
 }
 
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -86,6 +86,7 @@
   services::ServiceControlView noted_;
   services::FleetView noted_fleet_;
   TimePoint next_fleet_note_{};
+  TimePoint next_peers_look_{};
   std::unique_ptr<event::Timer> load_timer_;
   transport::TransportCounts noted_counts_;
   TimePoint armed_until_ = TimePoint::max();
--- a/src/services/cell_keeper.cc
+++ b/src/services/cell_keeper.cc
@@ -20,6 +20,11 @@
   contacts_[hello.node] = {hello, now};
 }
 
+const wire::MemberHello* CellKeeper::helloOf(const NodeName& node) const {
+  const auto contact = contacts_.find(node);
+  return contact == contacts_.end() ? nullptr : &contact->second.hello;
+}
+
 std::vector<std::string> CellKeeper::servingMembers(const wire::Membership& membership, TimePoint now) const {
   std::vector<std::string> addresses;
   for (const auto& [node, contact] : contacts_) {
--- a/src/services/cell_keeper.h
+++ b/src/services/cell_keeper.h
@@ -32,6 +32,8 @@
   /// The change to make next; nullopt: none.
   std::optional<control::MembershipChange> nextChange(const wire::Membership& membership, MemberId self,
                                                       TimePoint now) const;
+  /// The member's latest hello; nullptr: none.
+  const wire::MemberHello* helloOf(const NodeName& node) const;
   /// HTTP addresses of the other members that said hello of late and hear a leader, in a stable order.
   std::vector<std::string> servingMembers(const wire::Membership& membership, TimePoint now) const;
 
--- a/src/services/leave_notices.h
+++ b/src/services/leave_notices.h
@@ -22,6 +22,7 @@
   ReplicaId replica;
   TimePoint deadline{};
   std::optional<LogIndex> revision;  ///< that routers must hold; set once the notice is committed
+  std::uint64_t closing = 0;         ///< RouterTables::closings() then
   bool confirming = false;           ///< a quorum is asked whether this member still leads
   std::uint64_t read = 0;
 };
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -68,7 +68,7 @@
   }
   const bool same = sameForRouters(record.report, report) && !newly_leaving;
   if (report.sequence > record.report.sequence) {
-    record.report = report;
+    setReport(record, report);
     record.heard = now;
   }
   if (same) {
@@ -91,7 +91,7 @@
   removeOthersAt(report.address, report.id, now);
   noteLife(report.id, now);
   ReplicaRecord& record = replicas_[report.id];
-  record.report = report;
+  setReport(record, report);
   record.heard = now;
   noteChange(record);
   if (report.leaving) {
@@ -147,18 +147,38 @@
 }
 
 bool ReplicaRegistry::addressIsInUse(const wire::ReplicaReport& report, TimePoint now) const {
-  return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& item) {
-    return item.second.report.address == report.address && now - item.second.heard <= kAlive;
-  });
+  const auto holders = by_address_.find(report.address);
+  return holders != by_address_.end() &&
+         std::any_of(holders->second.begin(), holders->second.end(),
+                     [&](const ReplicaId& id) { return now - replicas_.at(id).heard <= kAlive; });
 }
 
 void ReplicaRegistry::removeOthersAt(const std::string& address, const ReplicaId& id, TimePoint now) {
-  for (auto replica = replicas_.begin(); replica != replicas_.end();) {
-    const auto next = std::next(replica);
-    if (replica->second.report.address == address && replica->first != id) {
-      remove(replica, now);
+  const auto holders = by_address_.find(address);
+  if (holders == by_address_.end()) {
+    return;
+  }
+  for (const ReplicaId& other : std::set<ReplicaId>(holders->second)) {
+    if (other != id) {
+      remove(replicas_.find(other), now);
     }
-    replica = next;
+  }
+}
+
+void ReplicaRegistry::setReport(ReplicaRecord& record, const wire::ReplicaReport& report) {
+  leaveAddress(record);
+  record.report = report;
+  by_address_[report.address].insert(report.id);
+}
+
+void ReplicaRegistry::leaveAddress(const ReplicaRecord& record) {
+  const auto holders = by_address_.find(record.report.address);
+  if (holders == by_address_.end()) {
+    return;
+  }
+  holders->second.erase(record.report.id);
+  if (holders->second.empty()) {
+    by_address_.erase(holders);
   }
 }
 
@@ -171,6 +191,19 @@
   }
 }
 
+void ReplicaRegistry::setEvacuated(const std::set<ZoneName>& zones) {
+  if (zones == evacuated_) {
+    return;
+  }
+  const std::set<ZoneName> former = std::exchange(evacuated_, zones);
+  for (auto& [id, record] : replicas_) {
+    const ZoneName& zone = record.report.zone;
+    if (former.contains(zone) != evacuated_.contains(zone)) {
+      noteChange(record);
+    }
+  }
+}
+
 void ReplicaRegistry::expire(TimePoint now, Duration silence) {
   std::erase_if(forgotten_, [now](const auto& item) { return now - item.second > kForgottenKnown; });
   std::erase_if(lives_, [now](const auto& item) { return now - item.second.heard > kForgottenKnown; });
@@ -191,19 +224,6 @@
   }
 }
 
-void ReplicaRegistry::setEvacuated(const std::set<ZoneName>& zones) {
-  if (zones == evacuated_) {
-    return;
-  }
-  const std::set<ZoneName> former = std::exchange(evacuated_, zones);
-  for (auto& [id, record] : replicas_) {
-    const ZoneName& zone = record.report.zone;
-    if (former.contains(zone) != evacuated_.contains(zone)) {
-      noteChange(record);
-    }
-  }
-}
-
 void ReplicaRegistry::assumeAdapter(const ReplicaId& id, const ModelName& model, const std::string& adapter,
                                     TimePoint now) {
   if (ReplicaRecord* record = findMutable(id)) {
@@ -268,9 +288,16 @@
   return true;
 }
 
+void ReplicaRegistry::noteChange(ReplicaRecord& record) {
+  record.changed = ++changes_;
+  touched_.insert(record.report.id);
+}
+
 void ReplicaRegistry::remove(std::map<ReplicaId, ReplicaRecord>::iterator replica, TimePoint now) {
   forgotten_[replica->first] = now;
+  touched_.insert(replica->first);
   removals_.push_back({++changes_, replica->first});
+  leaveAddress(replica->second);
   replicas_.erase(replica);
   if (removals_.size() > kRememberedRemovals) {
     removals_known_from_ = removals_.front().change;
--- a/src/services/replica_registry.h
+++ b/src/services/replica_registry.h
@@ -70,6 +70,8 @@
   const ReplicaRecord* find(const ReplicaId& id) const;
   /// Raised whenever routers need to know something new.
   std::uint64_t changes() const { return changes_; }
+  /// Replicas that changed for routers, or were forgotten, since this was last asked.
+  std::set<ReplicaId> takeTouched() { return std::exchange(touched_, {}); }
   /// Replicas forgotten after that count of changes; false if that is too long ago to be known.
   bool removedSince(std::uint64_t change, std::vector<ReplicaId>& removed) const;
 
@@ -91,19 +93,23 @@
   /// which is alive.
   bool isReplaced(const wire::ReplicaReport& report, TimePoint now) const;
   bool addressIsInUse(const wire::ReplicaReport& report, TimePoint now) const;
+  void setReport(ReplicaRecord& record, const wire::ReplicaReport& report);
+  void leaveAddress(const ReplicaRecord& record);
   bool hasLaterLife(const ReplicaId& id) const;
   void noteLife(const ReplicaId& id, TimePoint now);
   void removeOthersAt(const std::string& address, const ReplicaId& id, TimePoint now);
   ReplicaRecord* findMutable(const ReplicaId& id);
-  void noteChange(ReplicaRecord& record) { record.changed = ++changes_; }
+  void noteChange(ReplicaRecord& record);
 
   std::map<ReplicaId, ReplicaRecord> replicas_;
+  std::map<std::string, std::set<ReplicaId>> by_address_;
+  std::set<ZoneName> evacuated_;
   std::map<ReplicaId, TimePoint> forgotten_;  ///< with the time; for a while
   std::map<std::string, Life> lives_;         ///< by the name that the replica gives itself
   std::deque<Removal> removals_;              ///< oldest first
   std::uint64_t removals_known_from_ = 0;     ///< every removal after this count is listed
-  std::set<ZoneName> evacuated_;
   std::uint64_t changes_ = 0;
+  std::set<ReplicaId> touched_;
 };
 
 }  // namespace ferryrock::services
--- a/src/services/router_directory.cc
+++ b/src/services/router_directory.cc
@@ -1,6 +1,7 @@
 #include "services/router_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ferryrock::services {
 namespace {
@@ -8,6 +9,8 @@
 constexpr Duration kForgottenAfter = std::chrono::seconds(10);
 /// Routers tell the leader what they can't reach more often than this.
 constexpr Duration kReachIsFresh = std::chrono::milliseconds(1000);
+/// Statuses that may be missed before a router is taken to be gone.
+constexpr int kMissedStatuses = 3;
 
 }  // namespace
 
@@ -23,11 +26,62 @@
 }
 
 void RouterDirectory::expire(TimePoint now) {
-  std::erase_if(routers_, [now](const auto& item) { return now - item.second.heard > kForgottenAfter; });
+  const Duration forgotten_after = longEnough(kForgottenAfter);
+  std::erase_if(routers_, [now, forgotten_after](const auto& item) {
+    return now - item.second.heard > forgotten_after;
+  });
 }
 
-bool RouterDirectory::offered(const RouterRecord& record, TimePoint now) {
-  return record.status.accepting && now - record.heard <= kOfferedFor;
+Duration RouterDirectory::longEnough(Duration least) const {
+  return std::max(least, kMissedStatuses * status_interval_);
+}
+
+bool RouterDirectory::offered(const RouterRecord& record, TimePoint now) const {
+  return record.status.accepting && now - record.heard <= longEnough(kOfferedFor);
+}
+
+std::vector<wire::RouterContact> RouterDirectory::contacts(TimePoint now) const {
+  std::vector<wire::RouterContact> contacts;
+  for (const auto& [name, record] : routers_) {
+    if (offered(record, now)) {
+      const wire::CallRouterStatus& status = record.status;
+      contacts.push_back({name, status.zone, status.address, status.incarnation, status.subscribes});
+    }
+  }
+  return contacts;
+}
+
+void RouterDirectory::takeContacts(const std::vector<wire::RouterContact>& contacts, TimePoint now) {
+  for (const NodeName& former : std::exchange(contacts_, {})) {
+    const auto record = routers_.find(former);
+    if (record != routers_.end()) {
+      record->second.status.accepting = false;
+    }
+  }
+  for (const wire::RouterContact& contact : contacts) {
+    RouterRecord& record = routers_[contact.router];
+    if (record.status.incarnation != contact.incarnation) {
+      record.status = {};
+      record.status.router = contact.router;
+      record.status.zone = contact.zone;
+      record.status.address = contact.address;
+      record.status.incarnation = contact.incarnation;
+      record.status.subscribes = contact.subscribes;
+    }
+    record.status.accepting = true;
+    record.heard = now;
+    contacts_.insert(contact.router);
+  }
+  contacts_digest_ = wire::contactsDigest(contacts);
+}
+
+void RouterDirectory::keepContacts(TimePoint now) {
+  for (const NodeName& contact : contacts_) {
+    const auto record = routers_.find(contact);
+    if (record != routers_.end()) {
+      record->second.heard = now;
+    }
+  }
 }
 
 std::vector<std::string> RouterDirectory::addresses(const ZoneName& zone, TimePoint now,
@@ -53,13 +107,13 @@
 
 std::size_t RouterDirectory::acceptingCount(TimePoint now) const {
   return static_cast<std::size_t>(std::count_if(
-      routers_.begin(), routers_.end(), [now](const auto& item) { return offered(item.second, now); }));
+      routers_.begin(), routers_.end(), [this, now](const auto& item) { return offered(item.second, now); }));
 }
 
 std::set<ReplicaId> RouterDirectory::unreachable(TimePoint now) const {
   std::set<ReplicaId> ids;
   for (const auto& [name, record] : routers_) {
-    if (now - record.heard <= kReachIsFresh) {
+    if (now - record.heard <= longEnough(kReachIsFresh)) {
       ids.insert(record.status.unreachable.begin(), record.status.unreachable.end());
     }
   }
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -55,6 +55,7 @@
     return;
   }
   keeper_.onHello(hello, now);
+  takeContacts(from, hello, now);
   known_nodes_.insert(hello.node);
   if (consensus::findMember(node_->log().membership(), hello.id) == nullptr) {
     send(from, wire::MemberList{memberNodes(), node_->log().leader()});
@@ -113,7 +114,7 @@
   if (leader_) {
     leader_->demand.accept(status.router, status.wants, now);
   }
-  send(from, wire::MemberList{memberNodes(), node_->log().leader()});
+  send(from, wire::MemberList{memberNodes(), node_->log().leader(), toMilliseconds(memberStatusInterval())});
   offerCatalog(status, now);
 }
 
@@ -209,7 +210,12 @@
   hello.address = self_.value;
   hello.http = settings_.http;
   hello.has_leader = hearsLeader();
+  std::vector<wire::RouterContact> contacts;
+  if (leader_ && memberStatusInterval() > Duration::zero()) {
+    contacts = directory_.contacts(now);
+  }
   for (const NodeName& node : peers()) {
+    sayContacts(hello, node, contacts);
     send(node, hello);
   }
 }
@@ -255,8 +261,8 @@
 
 Effects ServiceControlImpl::tick(TimePoint now) {
   take(node_->tick(now), now);
-  if (now >= relay_due_) {
-    flushRelay();
+  if (now >= relay_.due()) {
+    flushRelay(now);
   }
   if (now >= next_expiry_) {
     next_expiry_ = now + kExpiryInterval;
@@ -268,6 +274,7 @@
       leader_->demand.keepRouters(directory_.routers());
       leader_->loads.expire(now);
       leader_->updates.keepRouters(directory_.routers());
+      leader_->tables.keepRouters(directory_.routers());
       leader_->receipts.keepRouters(directory_.routers());
       leader_->quotas.keepRouters(directory_.routers());
       leader_->quotas.followRouters(directory_.routers(), now - began_ >= settings_.quota_tolerance.window);
@@ -282,7 +289,7 @@
 }
 
 TimePoint ServiceControlImpl::nextDeadline() const {
-  TimePoint deadline = std::min({node_->nextDeadline(), relay_due_, next_hello_, next_expiry_});
+  TimePoint deadline = std::min({node_->nextDeadline(), relay_.due(), next_hello_, next_expiry_});
   deadline = std::min(deadline, notices_.nextDeadline());
   for (const HeldAcknowledgement& held : held_acknowledgements_) {
     deadline = std::min(deadline, held.deadline);
@@ -292,6 +299,9 @@
   }
   if (leader_) {
     deadline = std::min(deadline, leader_->next_plan);
+    if (!notices_.all().empty()) {
+      deadline = std::min(deadline, leader_->next_settle);
+    }
     if (hasNews() || !leader_->unanswered.empty()) {
       deadline = std::min(deadline, leader_->next_push);
     }
@@ -351,7 +361,9 @@
     placer.switches = settings_.placement;
     // An earlier leader's lease may end that much after this one's election, see elect_at_start.
     placer.first_order = now + settings_.order_lease + settings_.control.log.election_timeout_min;
-    leader_.emplace(term, placer, registry_, settings_.quota_tolerance, settings_.router_out_of_touch, now);
+    leader_.emplace(term, placer, registry_, index_, settings_.quota_tolerance, settings_.router_out_of_touch,
+                    now);
+    leader_->push_to_all = isLargeFleet();  // routers hear at once who leads
     keeper_.onLeadership(now);
   }
 }
@@ -371,6 +383,9 @@
 Effects ServiceControlImpl::finish(TimePoint now) {
   followLeadership(now);
   followQuarantines(now);
+  followEvacuations();
+  followReplicas();
+  tellNewLeader(now);
   const CatalogVersion version = node_->hosted().catalog().version;
   if (version != held_version_) {
     held_version_ = version;
@@ -383,7 +398,6 @@
 }
 
 std::vector<std::string> ServiceControlImpl::routerAddresses(const ZoneName& zone, std::size_t limit,
-  followEvacuations();
                                                              TimePoint now) const {
   return directory_.addresses(zone, now, limit);
 }
@@ -395,6 +409,7 @@
   view.term = node_->log().term();
   view.voters = consensus::voterCount(node_->log().membership());
   view.catalog = node_->hosted().catalog().version;
+  view.evacuated_zones = node_->hosted().evacuated().size();
   view.quarantined_calls = crashes_.quarantined().size();
   view.suspected_calls = crashes_.size() - view.quarantined_calls;
   if (leader_) {
@@ -407,7 +422,6 @@
 FleetView ServiceControlImpl::fleet(TimePoint now) const {
   return {registry_.replicas().size(), directory_.acceptingCount(now)};
 }
-  view.evacuated_zones = node_->hosted().evacuated().size();
 
 std::unique_ptr<ServiceControl> createServiceControl(const ServiceControlSettings& settings,
                                                      consensus::RecoveredState recovered, Random random,
--- a/src/services/service_control_catalog.cc
+++ b/src/services/service_control_catalog.cc
@@ -34,7 +34,7 @@
 }
 
 void ServiceControlImpl::onStateChanged(QuestionNumber question, const wire::CommandResult& result,
-                                       TimePoint now) {
+                                        TimePoint now) {
   if (result.code == ResultCode::Ok) {
     holdAcknowledgement(question, now);
   } else {
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -15,6 +15,9 @@
 #include "services/leave_notices.h"
 #include "services/model_demand.h"
 #include "services/model_placer.h"
+#include "services/replica_index.h"
+#include "services/report_relay.h"
+#include "services/router_tables.h"
 #include "services/service_control.h"
 #include "services/status_receipts.h"
 #include "services/table_feed.h"
@@ -39,11 +42,11 @@
   Effects replaceCatalog(QuestionNumber question, wire::ServiceCatalog catalog, std::string source,
                          TimePoint now) override;
   Effects readCatalog(QuestionNumber question, TimePoint now) override;
+  Effects evacuateZone(QuestionNumber question, const ZoneName& zone, bool evacuated, TimePoint now) override;
+  std::vector<ZoneName> evacuatedZones() const override;
   Effects onReport(QuestionNumber question, const wire::ReplicaReport& report, TimePoint now) override;
   Effects onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now) override;
   Effects onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now) override;
-  Effects evacuateZone(QuestionNumber question, const ZoneName& zone, bool evacuated, TimePoint now) override;
-  std::vector<ZoneName> evacuatedZones() const override;
   std::vector<SuspectedCall> suspectedCalls(TimePoint now) const override;
   Effects releaseCall(const wire::CallFingerprint& call, TimePoint now) override;
   void addSeeds(const std::vector<NodeName>& seeds) override;
@@ -99,15 +102,19 @@
   /// One leader's term.
   struct LeaderState {
     LeaderState(Term own_term, const ModelPlacerSettings& placer_settings, ReplicaRegistry& registry,
-                const tenancy::QuotaTolerance& quota_tolerance, Duration router_out_of_touch, TimePoint now)
+                const ReplicaIndex& index, const tenancy::QuotaTolerance& quota_tolerance,
+                Duration router_out_of_touch, TimePoint now)
         : term(own_term),
           feed(own_term, registry),
+          tables(index),
           placer(placer_settings, registry, demand),
           spread(router_out_of_touch),
           quotas(quota_tolerance, now),
           since(now) {}
     Term term;
-    TableFeed feed;
+    TableFeed feed;                  ///< for routers that are told of all replicas
+    RouterTables tables;             ///< for those that subscribe
+    bool has_subscriptions = false;  ///< the fleet is too large to tell each router of all replicas
     ModelDemand demand;
     balance::LoadTally loads;
     ModelPlacer placer;
@@ -127,6 +134,7 @@
     TimePoint next_push{};
     bool push_to_all = false;       ///< what is new can't wait for the routers' next statuses
     std::set<NodeName> unanswered;  ///< routers of a large fleet whose last status asks for an update
+    TimePoint next_settle{};        ///< of notices
     TimePoint next_plan{};
     TimePoint planned{};
     bool membership_change_open = false;
@@ -174,24 +182,26 @@
   void offerCatalog(const wire::CallRouterStatus& status, TimePoint now);
   bool onEnoughDisks() const;
 
-  // service_control_replicas.cc
-  wire::ReplicaReport withCurrentLife(const wire::ReplicaReport& told) const;
-  bool isConfigured(const ServiceName& service) const;
-  ReportNews learn(const wire::ReplicaReport& report, TimePoint now);
-  std::string nextReportAddress(const ReplicaId& replica, TimePoint now) const;
-  void relay(const wire::ReplicaReport& report, bool changed, TimePoint now);
-  void flushRelay();
   // service_control_zones.cc
   bool isKnownZone(const ZoneName& zone) const;
   /// Every member keeps replicas of evacuated zones from routers and from the placer, should it lead.
   void followEvacuations();
 
+  // service_control_replicas.cc
+  wire::ReplicaReport withCurrentLife(const wire::ReplicaReport& told) const;
+  bool isConfigured(const ServiceName& service) const;
+  ReportNews learn(const wire::ReplicaReport& report, TimePoint now);
+  std::string nextReportAddress(const ReplicaId& replica, TimePoint now) const;
+  void flushRelay(TimePoint now);
+  void tellNewLeader(TimePoint now);
   void beginNotice(NoticeOrigin origin, const wire::ReplicaReport& report, TimePoint now);
   void answerNotice(const LeaveNotice& notice, bool bound, std::string detail = {});
   std::string whatUnbinds(const LeaveNotice& notice, TimePoint now) const;
   void settleNotices(TimePoint now);
+  void closeForNotice(LeaveNotice& notice);
   bool holdsOrOutOfTouch(const RouterRecord& record, LogIndex revision, TimePoint now) const;
-  bool routersHold(LogIndex revision, TimePoint now) const;
+  bool routersHold(const LeaveNotice& notice, TimePoint now) const;
+  bool isSubscriberInTouch(const NodeName& router, TimePoint now) const;
   void giveUpForwarded(TimePoint now);
 
   // service_control_crashes.cc
@@ -203,6 +213,23 @@
   /// Has the log follow the ledger: only what it holds outlives a loss of all members.
   void storeQuarantines(TimePoint now);
 
+  // service_control_subscriptions.cc
+  bool isLargeFleet() const;
+  bool hasManyReplicas() const;
+  /// How often routers are to tell their status to the leader, and to another member.
+  Duration leaderStatusInterval() const;
+  Duration memberStatusInterval() const;
+  /// A router that is silent for longer isn't sent anything.
+  Duration reachedFor() const;
+  bool subscribes(const wire::CallRouterStatus& status) const;
+  void beginSubscriptions();
+  void followReplicas();
+  bool needsPlan(const wire::CallRouterStatus& status) const;
+  std::set<NodeName> routersToTell(bool to_all, bool news);
+  void sayContacts(wire::MemberHello& hello, const NodeName& node,
+                   const std::vector<wire::RouterContact>& contacts) const;
+  void takeContacts(const NodeName& from, const wire::MemberHello& hello, TimePoint now);
+
   // service_control_leader.cc
   void leadOn(TimePoint now);
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
@@ -212,10 +239,10 @@
   std::optional<std::vector<wire::ReplicaLoad>> loadsFor(const NodeName& router, TimePoint now);
   void pushTables(TimePoint now);
   bool hasNews() const;
-  bool isLargeFleet() const;
   bool awaitsConfirmation(const wire::CallRouterStatus& status) const;
   std::vector<wire::ComingModel> comingFor(const wire::CallRouterStatus& status, TimePoint now) const;
   void hurryPlan(TimePoint now);
+  Duration leastPlanInterval() const;
   void planModels(TimePoint now);
   void mendMembership(TimePoint now);
   const FeedContext& feedContext(const ZoneName& zone, TimePoint now);
@@ -245,8 +272,10 @@
   std::uint64_t followed_quarantines_ = 0;  ///< HostedServices::quarantineChanges() that are in the ledger
   std::uint64_t stored_changes_ = 0;        ///< CrashLedger::changes() that were looked at
   std::set<wire::CallFingerprint> quarantines_proposed_;
-  wire::ReplicaReports relay_;
-  TimePoint relay_due_ = TimePoint::max();
+  ReplicaIndex index_;
+  ReportRelay relay_;
+  NodeName told_leader_;  ///< the replicas that report here
+  Term told_term_;
   TimePoint next_hello_;
   TimePoint next_expiry_;
   TimePoint began_;                    ///< of this process
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -9,6 +9,8 @@
 constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
 /// For calls that wait at a large fleet.
 constexpr Duration kHurriedPlanInterval = std::chrono::milliseconds(20);
+/// A plan passes over all replicas; so many of them are passed in a second at most.
+constexpr double kReplicasPlannedPerSecond = 100'000;
 constexpr Duration kMembershipPause = std::chrono::milliseconds(100);
 /// Of the directory that routers get.
 constexpr std::size_t kMostAddresses = 64;
@@ -23,16 +25,12 @@
 constexpr std::size_t kEntriesPerRound = 100'000;
 /// Pause after a round for each entry of it: 28 MB a second.
 constexpr Duration kPausePerEntry = std::chrono::nanoseconds(2500);
-/// Routers tell their status to the leader four times a second, to other members once; one that is silent for
-/// longer is cut off, frozen or gone. Updates for it would only wait in memory; its next status brings what
-/// it lacks.
-constexpr Duration kReachedFor = std::chrono::milliseconds(1500);
 /// Members and the directory, as updates tell them, are gathered anew after this time.
 constexpr Duration kContextLasts = std::chrono::milliseconds(50);
+/// For this long a new leader tells also routers that it knows from other members alone.
+constexpr Duration kAnnounced = std::chrono::milliseconds(1500);
 /// Less than the interval of the routers' regular statuses.
 constexpr Duration kSignOfLife = std::chrono::milliseconds(200);
-/// Up to so many routers are told of each change at once.
-constexpr std::size_t kSmallFleet = 16;
 /// Between two tellings of loads to a router, at least. Streams last about 2 s; what a router sends in
 /// between it knows itself.
 constexpr Duration kLoadsInterval = std::chrono::milliseconds(400);
@@ -45,6 +43,16 @@
 /// in place of 27%.
 constexpr Duration kLongestLoadsInterval = std::chrono::seconds(2);
 
+std::vector<ServiceName> plainServices(const wire::ServiceCatalog& catalog) {
+  std::vector<ServiceName> services;
+  for (const wire::HostedService& service : catalog.services) {
+    if (!service.engine) {
+      services.push_back(service.name);
+    }
+  }
+  return services;
+}
+
 bool waitsForModel(const wire::CallRouterStatus& status) {
   return std::any_of(status.wants.begin(), status.wants.end(),
                      [](const wire::ModelWant& want) { return want.waiting > 0; });
@@ -101,6 +109,7 @@
   const wire::ServiceCatalog& catalog = node_->hosted().catalog();
   if (catalog.version != leader_->quota_version) {
     leader_->quota_version = catalog.version;
+    leader_->tables.setPlainServices(plainServices(catalog));
     leader_->quotas.setCatalog(catalog, now);
   }
   if (leader_->quotas.refresh(now)) {
@@ -136,7 +145,12 @@
 
 void ServiceControlImpl::updateRouter(const wire::CallRouterStatus& status, TimePoint now) {
   leader_->demand.accept(status.router, status.wants, now);
-  if (waitsForModel(status)) {
+  if (subscribes(status)) {
+    leader_->tables.accept(status, now);
+  } else {
+    leader_->tables.forget(status.router);
+  }
+  if (needsPlan(status)) {
     hurryPlan(now);
   }
   if (status.wants_proof) {
@@ -156,18 +170,29 @@
 /// answer.
 bool ServiceControlImpl::owedUpdate(const wire::CallRouterStatus& status, TimePoint now) {
   const wire::CallRouterStatus expected = leader_->updates.expected(status, now);
-  const bool current = leader_->feed.holds(expected, leader_->feed.revision()) &&
-                       expected.catalog >= node_->hosted().catalog().version &&
+  const bool holds_table =
+      subscribes(status) ? !status.missed_update : leader_->feed.holds(expected, leader_->feed.revision());
+  const bool current = holds_table && expected.catalog >= node_->hosted().catalog().version &&
                        expected.directory == feedContext(status.zone, now).directory_digest &&
                        !waitsForModel(status);
-  return !current || now - leader_->updates.lastSent(status.router) >= kSignOfLife;
+  // A little less than routers' intervals, so that each regular status has its answer.
+  const Duration sign_of_life = std::max(kSignOfLife, leaderStatusInterval() * 4 / 5);
+  return !current || now - leader_->updates.lastSent(status.router) >= sign_of_life;
 }
 
 std::size_t ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, TimePoint now) {
   const FeedContext& context = feedContext(status.zone, now);
-  wire::ServiceUpdate update = leader_->feed.updateFor(leader_->updates.expected(status, now), context);
+  const wire::CallRouterStatus expected = leader_->updates.expected(status, now);
+  wire::ServiceUpdate update;
+  if (subscribes(status)) {
+    update = leader_->feed.withoutReplicas(expected, context);
+    leader_->tables.fill(update, status, now);
+  } else {
+    update = leader_->feed.updateFor(expected, context);
+    update.confirm = awaitsConfirmation(status);
+  }
+  update.status_interval_ms = toMilliseconds(leaderStatusInterval());
   update.coming = comingFor(status, now);
-  update.confirm = awaitsConfirmation(status);
   update.limited_tenants = leader_->quotas.limited();
   if (const auto followed = node_->log().followedAt(now)) {
     update.proved = leader_->receipts.provedBy(status.router, *followed);
@@ -219,14 +244,10 @@
   });
 }
 
-bool ServiceControlImpl::isLargeFleet() const {
-  return directory_.routers().size() > kSmallFleet;
-}
-
 bool ServiceControlImpl::hasNews() const {
   return leader_->push_to_all || registry_.changes() != leader_->pushed_changes ||
          node_->hosted().catalog().version != leader_->pushed_version ||
-         leader_->placer.loadsBegun() != leader_->pushed_loads;
+         leader_->placer.loadsBegun() != leader_->pushed_loads || leader_->tables.hasDue();
 }
 
 /// One round of updates. Routers of a small fleet are told of each change at once. Those of a large one are
@@ -249,21 +270,27 @@
   }
   const CatalogVersion version = node_->hosted().catalog().version;
   const bool to_all = !large || leader_->push_to_all || version != leader_->pushed_version;
+  if (leader_->placer.loadsBegun() != leader_->pushed_loads) {
+    leader_->tables.tellWaiting();
+  }
   leader_->push_to_all = false;
   leader_->pushed_changes = registry_.changes();
   leader_->pushed_loads = leader_->placer.loadsBegun();
   leader_->pushed_version = version;
-  const std::set<NodeName> unanswered = std::exchange(leader_->unanswered, {});
+  const std::set<NodeName> told = routersToTell(to_all, news);
   std::int64_t sent = 0;
   std::size_t entries = 0;
-  for (const auto& [router, record] : directory_.routers()) {
-    const bool reached = now - record.heard <= kReachedFor;
-    const bool told =
-        to_all ? reached : unanswered.contains(router) || (news && waitsForModel(record.status));
-    if (told && large && entries >= kEntriesPerRound) {
+  const bool announces = now - leader_->since < kAnnounced;
+  for (const NodeName& router : told) {
+    const auto record = directory_.routers().find(router);
+    const bool known = record != directory_.routers().end();
+    if (!known || (!announces && now - record->second.heard > reachedFor())) {
+      continue;
+    }
+    if (large && entries >= kEntriesPerRound) {
       leader_->unanswered.insert(router);
-    } else if (told) {
-      entries += sendUpdate(record.status, now);
+    } else {
+      entries += sendUpdate(record->second.status, now);
       ++sent;
     }
   }
@@ -271,9 +298,15 @@
   leader_->next_push = now + std::max<Duration>({kPushInterval, kPausePerUpdate * sent, for_entries});
 }
 
+Duration ServiceControlImpl::leastPlanInterval() const {
+  const double seconds = static_cast<double>(registry_.replicas().size()) / kReplicasPlannedPerSecond;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 /// Plans soon, but not for each of many calls that wait.
 void ServiceControlImpl::hurryPlan(TimePoint now) {
-  const TimePoint soon = !isLargeFleet() ? now : std::max(now, leader_->planned + kHurriedPlanInterval);
+  const Duration hurried = std::max(kHurriedPlanInterval, leastPlanInterval());
+  const TimePoint soon = !isLargeFleet() ? now : std::max(now, leader_->planned + hurried);
   leader_->next_plan = std::min(leader_->next_plan, soon);
 }
 
@@ -281,7 +314,7 @@
   if (now < leader_->next_plan || !node_->log().hasLease(now)) {
     return;
   }
-  leader_->next_plan = now + kPlanInterval;
+  leader_->next_plan = now + std::max(kPlanInterval, leastPlanInterval());
   leader_->planned = now;
   leader_->demand.fade(now);
   const std::set<ReplicaId> unreachable = directory_.unreachable(now);
--- a/src/services/service_control_replicas.cc
+++ b/src/services/service_control_replicas.cc
@@ -7,16 +7,13 @@
 namespace ferryrock::services {
 namespace {
 
-constexpr std::uint64_t kWholeReportEvery = 5;
-/// Replicas that report to the leader itself. A leader held 19 MB with 300, 67 MB with 1,000 and more than
-/// its 256 MB with 3,000 of them (`sweep` of okl-tbilisi-large, e11005a).
-constexpr std::size_t kReplicasAtLeader = 400;
-constexpr Duration kRelayDelay = std::chrono::milliseconds(100);
 /// A replica waits about a second for its answer; then it asks elsewhere.
 constexpr Duration kNoticeLimit = std::chrono::milliseconds(850);
 constexpr Duration kForwardLimit = std::chrono::milliseconds(900);
 /// A new leader has heard of every router in touch after this time.
 constexpr Duration kRoutersReport = std::chrono::milliseconds(1500);
+/// Between two looks at open notices of a large fleet.
+constexpr Duration kSettleInterval = std::chrono::milliseconds(10);
 
 }  // namespace
 
@@ -25,7 +22,10 @@
   const wire::ReplicaReport report = withCurrentLife(told);
   const ReportNews news = learn(report, now);
   if (news != ReportNews::Late) {
-    relay(report, news == ReportNews::Changed, now);
+    relay_.onReport(report, news == ReportNews::Changed, hasManyReplicas(), now);
+    if (now >= relay_.due()) {
+      flushRelay(now);
+    }
   }
   if (!hearsLeader()) {
     // Learned all the same: whoever leads next has the replica in its first tables.
@@ -47,17 +47,19 @@
 }
 
 /// The leader hears of a few replicas at first hand, which is soonest. Each costs it a connection and an
-/// answer in a heartbeat, so that many of them are shared among the members; the others tell it what they
+/// answer in a heartbeat, so that many of them are shared among the other members, which tell it what they
 /// hear in batches.
 std::string ServiceControlImpl::nextReportAddress(const ReplicaId& replica, TimePoint now) const {
-  if (registry_.replicas().size() <= kReplicasAtLeader) {
+  if (!hasManyReplicas()) {
     return leaderHttp();
   }
   if (!node_->leads()) {
     return settings_.http;
   }
   std::vector<std::string> members = keeper_.servingMembers(node_->log().membership(), now);
-  members.push_back(settings_.http);
+  if (members.empty()) {
+    members.push_back(settings_.http);
+  }
   return members[stableHash(replica.value) % members.size()];
 }
 
@@ -86,30 +88,38 @@
   return news;
 }
 
-/// What says nothing new is told in short, but now and then whole, for members that joined since.
-void ServiceControlImpl::relay(const wire::ReplicaReport& report, bool changed, TimePoint now) {
-  if (changed || report.sequence % kWholeReportEvery == 0) {
-    relay_.reports.push_back(report);
-  } else {
-    relay_.alive.push_back({report.id, report.sequence});
+void ServiceControlImpl::flushRelay(TimePoint now) {
+  const ReportRelay::Batches batches = relay_.take(now);
+  const auto tells = [](const wire::ReplicaReports& reports) {
+    return !reports.reports.empty() || !reports.alive.empty();
+  };
+  if (tells(batches.to_all)) {
+    for (const NodeName& node : memberNodes()) {
+      if (node != self_) {
+        send(node, batches.to_all);
+      }
+    }
   }
-  if (changed) {
-    flushRelay();
-  } else if (relay_due_ == TimePoint::max()) {
-    relay_due_ = now + kRelayDelay;
+  const NodeName& leader = node_->log().leader();
+  if (tells(batches.to_leader) && !leader.empty() && leader != self_) {
+    send(leader, batches.to_leader);
   }
 }
 
-void ServiceControlImpl::flushRelay() {
-  relay_due_ = TimePoint::max();
-  const wire::ReplicaReports reports = std::exchange(relay_, {});
-  if (reports.reports.empty() && reports.alive.empty()) {
+/// A leader of many replicas hears of their lives alone; the one before may have forgotten none of them.
+void ServiceControlImpl::tellNewLeader(TimePoint now) {
+  const NodeName& leader = node_->log().leader();
+  const Term term = node_->log().term();
+  if (leader.empty() || (leader == told_leader_ && term == told_term_)) {
     return;
   }
-  for (const NodeName& node : memberNodes()) {
-    if (node != self_) {
-      send(node, reports);
-    }
+  told_leader_ = leader;
+  told_term_ = term;
+  if (leader == self_ || !hasManyReplicas()) {
+    return;
+  }
+  for (wire::ReplicaReports& reports : relay_.whole(registry_, now)) {
+    send(leader, std::move(reports));
   }
 }
 
@@ -133,22 +143,23 @@
   }
 }
 
-/// A notice binds once it is committed, every router in touch holds a table that shows it, and a quorum has
-/// confirmed after that that this member leads.
+/// A notice binds once it is committed, every router in touch that may use the replica holds a table that
+/// shows it, and a quorum has confirmed after that that this member leads.
 void ServiceControlImpl::settleNotices(TimePoint now) {
+  if (notices_.all().empty() || (isLargeFleet() && now < leader_->next_settle)) {
+    return;
+  }
+  leader_->next_settle = now + kSettleInterval;
   std::uint64_t read = 0;
   for (LeaveNotice& notice : notices_.all()) {
     if (!node_->hosted().leaving(notice.replica)) {
       continue;
     }
     if (!notice.revision) {
-      registry_.markLeaving(notice.replica);
-      const ReplicaRecord* record = registry_.find(notice.replica);
-      notice.revision = record == nullptr ? leader_->feed.revision() : leader_->feed.revisionAt(record->left);
-      leader_->push_to_all = true;
+      closeForNotice(notice);
     }
     const bool known_routers = now - leader_->since >= kRoutersReport;
-    if (!notice.confirming && known_routers && routersHold(*notice.revision, now)) {
+    if (!notice.confirming && known_routers && routersHold(notice, now)) {
       read = read == 0 ? next_id_ : read;
       notice.confirming = true;
       notice.read = read;
@@ -163,6 +174,15 @@
   }
 }
 
+void ServiceControlImpl::closeForNotice(LeaveNotice& notice) {
+  registry_.markLeaving(notice.replica);
+  followReplicas();
+  const ReplicaRecord* record = registry_.find(notice.replica);
+  notice.revision = record == nullptr ? leader_->feed.revision() : leader_->feed.revisionAt(record->left);
+  notice.closing = leader_->tables.closings();
+  leader_->push_to_all = leader_->push_to_all || !leader_->has_subscriptions;
+}
+
 /// For whoever asks why a notice took so long.
 std::string ServiceControlImpl::whatUnbinds(const LeaveNotice& notice, TimePoint now) const {
   if (!notice.revision) {
@@ -171,7 +191,7 @@
   std::size_t behind = 0;
   std::string first;
   for (const auto& [name, record] : directory_.routers()) {
-    if (holdsOrOutOfTouch(record, *notice.revision, now)) {
+    if (subscribes(record.status) || holdsOrOutOfTouch(record, *notice.revision, now)) {
       continue;
     }
     if (++behind == 1) {
@@ -180,6 +200,12 @@
               std::to_string(toMilliseconds(now - record.heard)) + " ms ago";
     }
   }
+  const auto user = leader_->tables.firstUser(notice.replica, notice.closing, [&](const NodeName& router) {
+    return isSubscriberInTouch(router, now);
+  });
+  if (behind == 0 && user) {
+    return user->value + " may still use the replica";
+  }
   return behind == 0 ? "leadership wasn't confirmed yet" : std::to_string(behind) + " routers lag: " + first;
 }
 
@@ -189,9 +215,25 @@
   return now - record.heard > settings_.router_out_of_touch || leader_->feed.holds(record.status, revision);
 }
 
-bool ServiceControlImpl::routersHold(LogIndex revision, TimePoint now) const {
-  return std::all_of(directory_.routers().begin(), directory_.routers().end(),
-                     [&](const auto& item) { return holdsOrOutOfTouch(item.second, revision, now); });
+bool ServiceControlImpl::routersHold(const LeaveNotice& notice, TimePoint now) const {
+  const bool held_by_all =
+      std::all_of(directory_.routers().begin(), directory_.routers().end(), [&](const auto& item) {
+        return subscribes(item.second.status) || holdsOrOutOfTouch(item.second, *notice.revision, now);
+      });
+  return held_by_all &&
+         !leader_->tables.firstUser(notice.replica, notice.closing,
+                                    [&](const NodeName& router) { return isSubscriberInTouch(router, now); });
+}
+
+/// A new leader waits for a router that it hasn't heard itself yet as for one that has fallen silent just
+/// now.
+bool ServiceControlImpl::isSubscriberInTouch(const NodeName& router, TimePoint now) const {
+  const auto record = directory_.routers().find(router);
+  if (record == directory_.routers().end()) {
+    return false;
+  }
+  const TimePoint heard = std::max(record->second.heard, leader_->since);
+  return now - heard <= settings_.router_out_of_touch;
 }
 
 void ServiceControlImpl::giveUpForwarded(TimePoint now) {
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -10,7 +10,9 @@
 constexpr unsigned kTermShift = 40;
 constexpr std::uint64_t kChangeMask = (std::uint64_t{1} << kTermShift) - 1;
 
-wire::RoutedReplica routed(const ReplicaRecord& record, bool accepting) {
+}  // namespace
+
+wire::RoutedReplica replicaForRouters(const ReplicaRecord& record, bool accepting) {
   wire::RoutedReplica replica;
   replica.id = record.report.id;
   replica.service = record.report.service;
@@ -23,8 +25,6 @@
   return replica;
 }
 
-}  // namespace
-
 wire::ServiceCatalog catalogForRouters(const wire::ServiceCatalog& catalog) {
   wire::ServiceCatalog part;
   part.version = catalog.version;
@@ -74,8 +74,8 @@
   std::erase_if(update.removed, lives_on);
 }
 
-wire::ServiceUpdate TableFeed::updateFor(const wire::CallRouterStatus& status,
-                                         const FeedContext& context) const {
+wire::ServiceUpdate TableFeed::withoutReplicas(const wire::CallRouterStatus& status,
+                                               const FeedContext& context) const {
   wire::ServiceUpdate update;
   update.revision = revision();
   update.version = context.catalog.version;
@@ -87,15 +87,21 @@
   if (status.directory != context.directory_digest) {
     update.directory = context.directory;
   }
-  std::uint64_t known = changesAt(status.revision);
+  update.complete = context.complete;
+  return update;
+}
+
+wire::ServiceUpdate TableFeed::updateFor(const wire::CallRouterStatus& status,
+                                         const FeedContext& context) const {
+  wire::ServiceUpdate update = withoutReplicas(status, context);
+  std::uint64_t known = status.table == 0 ? changesAt(status.revision) : 0;
   if (known > 0 && !registry_.removedSince(known - 1, update.removed)) {
     known = 0;
   }
   update.base = known > 0 ? status.revision : LogIndex{};
-  update.complete = context.complete;
   for (const auto& [id, record] : registry_.replicas()) {
     if (known == 0 || record.changed > known - 1) {
-      update.replicas.push_back(routed(record, registry_.takesCalls(record)));
+      update.replicas.push_back(replicaForRouters(record, registry_.takesCalls(record)));
     }
   }
   if (!status.knowsLives()) {
--- a/src/services/table_feed.h
+++ b/src/services/table_feed.h
@@ -25,6 +25,8 @@
 /// The catalog without its models: they are most of its bytes and change seldom, while each of many routers
 /// gets each version.
 wire::ServiceCatalog catalogForRouters(const wire::ServiceCatalog& catalog);
+/// The replica as routers are told of it.
+wire::RoutedReplica replicaForRouters(const ReplicaRecord& record, bool accepting);
 
 /// One leader's updates to the routers: the catalog and the changes of the replica table since what each of
 /// them holds. Used by one thread.
@@ -36,6 +38,8 @@
   LogIndex revision() const { return revisionAt(registry_.changes()); }
   /// The registry's state after that count of changes.
   LogIndex revisionAt(std::uint64_t change) const;
+  /// An update that says nothing of replicas.
+  wire::ServiceUpdate withoutReplicas(const wire::CallRouterStatus& status, const FeedContext& context) const;
   /// What brings the router of this status up to date; nothing more than a sign of life if it is.
   wire::ServiceUpdate updateFor(const wire::CallRouterStatus& status, const FeedContext& context) const;
   /// True when the router holds the revision or a later one of this term.
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -56,4 +56,13 @@
   return digest;
 }
 
+std::uint64_t contactsDigest(const std::vector<RouterContact>& contacts) {
+  std::uint64_t digest = 0;
+  for (const RouterContact& contact : contacts) {
+    const std::uint64_t place = stableHash(contact.address + " " + contact.zone.value, contact.incarnation);
+    digest = stableHash(contact.router.value, digest + place);
+  }
+  return digest;
+}
+
 }  // namespace ferryrock::wire
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -10,6 +10,16 @@
 /// Messages between control members and the routers of calls, see docs/design/platform.md.
 namespace ferryrock::wire {
 
+/// Where callers may connect, as a leader tells the other members.
+struct RouterContact {
+  NodeName router;
+  ZoneName zone;
+  std::string address;
+  std::uint64_t incarnation = 0;
+  bool subscribes = false;  ///< as CallRouterStatus::subscribes
+  FERRYROCK_FIELDS(RouterContact, router, zone, address, incarnation, subscribes)
+};
+
 /// Sent regularly by each control process to those that it knows, member or not. A process that isn't a
 /// member asks in this way to become one.
 struct MemberHello {
@@ -18,14 +28,23 @@
   std::string address;  ///< the same, as transports take it
   std::string http;     ///< where operators and replicas reach it, "host:port"
   bool has_leader = false;
-  FERRYROCK_FIELDS(MemberHello, id, node, address, http, has_leader)
+  std::uint64_t contacts_digest = 0;  ///< of the routers that the leader told last, see contactsDigest()
+  /// From the leader of many routers, to a member that holds others.
+  std::optional<std::vector<RouterContact>> contacts;
+  FERRYROCK_FIELDS(MemberHello, id, node, address, http, has_leader, contacts_digest, contacts)
+
+  std::uint32_t told_members = 0;  ///< that the member's build knows; 0: not read from bytes
+  bool readsContacts() const { return told_members >= kMembersWithContacts; }
+  static constexpr std::uint32_t kMembersWithContacts = 7;
 };
 
 /// Answer to a hello of a process that isn't a member, and to a router's status: whom to ask.
 struct MemberList {
   std::vector<NodeName> nodes;
   NodeName leader;  ///< empty: unknown
-  FERRYROCK_FIELDS(MemberList, nodes, leader)
+  /// How often the member wants to hear of the router; 0: as often as by default.
+  std::int64_t status_interval_ms = 0;
+  FERRYROCK_FIELDS(MemberList, nodes, leader, status_interval_ms)
 };
 
 /// A report that says what the one before said.
@@ -67,6 +86,14 @@
   FERRYROCK_FIELDS(ModelWant, service, model, adapter, waiting, running, arrivals)
 };
 
+/// A model that a router's calls used of late, or an adapter of it.
+struct ModelInterest {
+  ServiceName service;
+  ModelName model;
+  std::string adapter;  ///< empty: the model alone
+  FERRYROCK_FIELDS(ModelInterest, service, model, adapter)
+};
+
 /// What a router has at one replica, for the sums of all routers.
 struct ReplicaUse {
   std::uint32_t replica = 0;        ///< balance::loadKey() of its id
@@ -105,16 +132,19 @@
   CatalogVersion catalog;  ///< in force
   LogIndex revision;       ///< of its replica table
   std::vector<ModelWant> wants;
-  std::uint64_t directory = 0;         ///< directoryDigest() of the directory that it holds
-  bool missed_update = false;          ///< an update came that builds on one that didn't
-  std::vector<ReplicaId> unreachable;  ///< replicas to which no connection comes up just now
-  bool wants_proof = false;            ///< it can't prove its catalog for long, see ServiceUpdate
-  std::uint64_t crash_digest = 0;      ///< of the crash records that it shares, see CrashRecords
-  std::vector<ReplicaUse> uses;        ///< for the leader; replicas with nothing on them aren't listed
-  std::vector<ObservedPace> paces;     ///< for the leader
+  std::uint64_t directory = 0;           ///< directoryDigest() of the directory that it holds
+  bool missed_update = false;            ///< an update came that builds on one that didn't
+  std::vector<ReplicaId> unreachable;    ///< replicas to which no connection comes up just now
+  bool wants_proof = false;              ///< it can't prove its catalog for long, see ServiceUpdate
+  std::uint64_t crash_digest = 0;        ///< of the crash records that it shares, see CrashRecords
+  std::vector<ReplicaUse> uses;          ///< for the leader; replicas with nothing on them aren't listed
+  std::vector<ObservedPace> paces;       ///< for the leader
+  bool subscribes = false;               ///< it takes tables that list only replicas that its calls may need
+  std::uint64_t table = 0;               ///< ServiceUpdate::table of the table that it holds
+  std::vector<ModelInterest> interests;  ///< for the leader
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
                    revision, wants, directory, missed_update, unreachable, wants_proof, crash_digest, uses,
-                   paces)
+                   paces, subscribes, table, interests)
 
   std::uint32_t told_members = 0;  ///< that the router's build knows; 0: not read from bytes
   /// Routers of builds before `uses` and `paces` take the id of a replica for its name.
@@ -172,8 +202,13 @@
   std::vector<TenantName> limited_tenants;  ///< credit is asked for before their calls run
   /// All replicas that serve something; told now and then.
   std::optional<std::vector<ReplicaLoad>> loads;
+  /// Not 0: the router's table lists only replicas that its calls may need, and this tells its content. It is
+  /// listed whole if base is 0; else the router is taken to hold it.
+  std::uint64_t table = 0;
+  std::int64_t status_interval_ms = 0;  ///< how often the leader wants to hear; 0: as often as by default
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
-                   members, directory, coming, confirm, proved, limited_tenants, loads)
+                   members, directory, coming, confirm, proved, limited_tenants, loads, table,
+                   status_interval_ms)
 
   std::uint32_t told_members = 0;  ///< that the leader's build knows; 0: not read from bytes
   /// Leaders of builds before `loads` read QuotaUse in its former layout alone.
@@ -254,5 +289,7 @@
 
 /// Hash of the addresses in their order; 0 for none.
 std::uint64_t directoryDigest(const std::vector<std::string>& addresses);
+/// Hash of the contacts in their order; 0 for none.
+std::uint64_t contactsDigest(const std::vector<RouterContact>& contacts);
 
 }  // namespace ferryrock::wire
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -139,6 +139,8 @@
   std::vector<std::pair<NodeName, TimePoint>> order_times;
   std::size_t loads_told = 0;          ///< updates that tell the load of replicas
   std::size_t catalogs_by_others = 0;  ///< sent by members that don't lead
+  std::size_t entries_sent = 0;        ///< replicas that updates list
+  std::size_t lives_told = 0;          ///< replicas that members tell each other as alive, or whole
   /// Replicas listed by the updates that left within one tick, at most.
   std::size_t most_entries_per_tick = 0;
 
@@ -152,9 +154,9 @@
     }
   };
 
+  bool askLeader(const std::function<std::uint64_t(ServiceMember&)>& ask, Duration limit);
   void after(Duration delay, std::function<void()> action);
   bool step(TimePoint limit);
-  bool askLeader(const std::function<std::uint64_t(ServiceMember&)>& ask, Duration limit);
   void sync(ServiceMember& member, std::uint64_t starts);
   void deliver(const NodeName& from, const NodeName& to, const wire::Message& message);
   void beatRouter(ScriptedRouter& router);
--- /dev/null
+++ b/tests/services/subscription_test.cc
@@ -0,0 +1,275 @@
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "services/service_cluster.h"
+
+/// What a cell sends to routers of a fleet too large to tell each of them every replica: counted at two
+/// sizes, so that what grows as routers x replicas shows.
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kModels = 40;
+constexpr std::size_t kPlainShare = 20;  ///< one replica in so many is of the plain service
+
+/// Replicas of models, with a few of a plain service among them, that report each second to the member that
+/// they are shared out to, and routers of the product.
+struct SubscribedFleet {
+  SubscribedFleet(std::size_t router_count, std::size_t replica_count, std::size_t members = 3)
+      : cluster(members, 1) {
+    cluster.on_router_effect = [this](RunningRouter& router, const calls::Effect& effect) {
+      if (const auto* sent = std::get_if<calls::SendAttemptEffect>(&effect)) {
+        ++sent_to[sent->replica];
+        last_sent = cluster.now();
+        cluster.schedule(1ms, [this, &router, attempt = sent->attempt] {
+          cluster.actRouter(router, [attempt](calls::CallRouter& logic, TimePoint now) {
+            return logic.onAnswer(attempt, {200, false}, now);
+          });
+        });
+      }
+    };
+    REQUIRE(cluster.runUntil([this] { return cluster.leader() != nullptr; }));
+    for (std::size_t i = 0; i < replica_count; ++i) {
+      cluster.schedule(1ms * (i % 1000), [this, i] { beat(i); });
+    }
+    for (std::size_t i = 0; i < router_count; ++i) {
+      routers.push_back(&cluster.addCallRouter("edge-" + std::to_string(i)));
+    }
+    REQUIRE(cluster.replaceAcknowledged(catalog()));
+    cluster.runFor(9s);
+  }
+  static wire::ServiceCatalog catalog() {
+    wire::ServiceCatalog catalog = makeCatalog(1);
+    auto& models = catalog.services[1].engine->models;
+    models.clear();
+    for (std::size_t i = 0; i < kModels; ++i) {
+      wire::HostedModel model;
+      model.name = modelAt(i);
+      model.weight_mb = 60;
+      models.push_back(model);
+    }
+    for (wire::CallRoute& route : catalog.routes) {
+      route.timeout_ms = 4000;
+    }
+    return catalog;
+  }
+  static ModelName modelAt(std::size_t number) { return ModelName("m" + std::to_string(number % kModels)); }
+  static std::string nameAt(std::size_t number) { return "r" + std::to_string(number); }
+  static bool isPlain(std::size_t number) { return number % kPlainShare == 0; }
+  wire::ReplicaReport reportOf(std::size_t number) {
+    wire::ReplicaReport report = makeReport(nameAt(number), isPlain(number) ? "desk" : "llm", ++sequence);
+    if (!isPlain(number)) {
+      report.held = {{modelAt(number), {}}};
+    }
+    report.leaving = leaving.contains(number);
+    return report;
+  }
+  void beat(std::size_t number) {
+    if (gone.contains(number)) {
+      return;
+    }
+    ServiceMember& member = cluster.member(number % 3);
+    if (member.control) {
+      cluster.report(member, reportOf(number));
+    }
+    cluster.schedule(1s, [this, number] { beat(number); });
+  }
+  /// A call for the model, or for the plain service, at the router.
+  void call(RunningRouter& router, const std::string& model) {
+    calls::CallRequest request;
+    request.number = calls::CallNumber{++router.calls};
+    request.id = RequestId("call-" + std::to_string(router.calls));
+    request.host = "example";
+    request.path = model.empty() ? "/desk/x" : "/llm/x";
+    request.model = ModelName(model);
+    cluster.actRouter(
+        router, [request](calls::CallRouter& logic, TimePoint now) { return logic.onCall(request, now); });
+  }
+  std::size_t refused() const {
+    std::size_t count = 0;
+    for (const RunningRouter* router : routers) {
+      count += router->logic->counts().refused;
+    }
+    return count;
+  }
+  ServiceCluster cluster;
+  std::vector<RunningRouter*> routers;
+  std::map<ReplicaId, std::size_t> sent_to;
+  TimePoint last_sent{};
+  std::set<std::size_t> leaving;
+  std::set<std::size_t> gone;
+  std::uint64_t sequence = 0;
+};
+
+TEST_CASE("What routers are told grows with the routers, not with routers x replicas") {
+  constexpr std::size_t kRouters = 24;
+  const auto entriesFor = [](std::size_t routers, std::size_t replicas) {
+    SubscribedFleet fleet(routers, replicas);
+    fleet.cluster.entries_sent = 0;
+    fleet.cluster.kill(*fleet.cluster.leader());  // the next leader owes all routers their tables
+    for (RunningRouter* router : fleet.routers) {
+      fleet.call(*router, "m1");
+    }
+    fleet.cluster.runFor(10s);
+    return fleet.cluster.entries_sent;
+  };
+  const std::size_t small = entriesFor(kRouters, 600);
+  const std::size_t more_replicas = entriesFor(kRouters, 1200);
+  const std::size_t more_routers = entriesFor(2 * kRouters, 1200);
+  INFO(small << " entries, " << more_replicas << " with twice the replicas, " << more_routers
+             << " with twice the routers as well");
+  CHECK(more_replicas <= small + small / 4);
+  CHECK(more_routers <= 2 * more_replicas + more_replicas / 4);
+  CHECK(small <= kRouters * 100);
+}
+
+TEST_CASE("A call for a model that its router doesn't know of is served within a round trip and a round") {
+  SubscribedFleet fleet(20, 600);
+  for (RunningRouter* router : fleet.routers) {
+    for (const char* model : {"m1", "m7", "m39"}) {
+      const TimePoint asked = fleet.cluster.now();
+      fleet.call(*router, model);
+      fleet.cluster.runFor(150ms);
+      CHECK(fleet.last_sent > asked);
+      CHECK(fleet.last_sent - asked <= 60ms);
+    }
+  }
+  CHECK(fleet.refused() == 0);
+}
+
+TEST_CASE("Calls of all routers use all replicas of a service without models") {
+  constexpr std::size_t kRouters = 40;
+  constexpr std::size_t kReplicas = 600;
+  constexpr std::size_t kCallsEach = 20;
+  constexpr std::size_t kPlain = kReplicas / kPlainShare;
+  SubscribedFleet fleet(kRouters, kReplicas);
+  for (std::size_t i = 0; i < kCallsEach; ++i) {
+    for (RunningRouter* router : fleet.routers) {
+      fleet.call(*router, "");
+    }
+    fleet.cluster.runFor(50ms);
+  }
+  std::size_t used = 0;
+  std::size_t busiest = 0;
+  for (std::size_t i = 0; i < kReplicas; i += kPlainShare) {
+    const std::size_t calls = fleet.sent_to[ReplicaId(SubscribedFleet::nameAt(i))];
+    used += calls > 0 ? 1 : 0;
+    busiest = std::max(busiest, calls);
+  }
+  CHECK(used == kPlain);
+  CHECK(busiest <= 3 * kRouters * kCallsEach / kPlain);
+}
+
+TEST_CASE("Notices of many replicas bind soon, and no router sends to a replica whose notice has bound") {
+  SubscribedFleet fleet(40, 800);
+  for (RunningRouter* router : fleet.routers) {
+    for (const char* model : {"m1", "m2", "m3"}) {
+      fleet.call(*router, model);
+    }
+  }
+  fleet.cluster.runFor(3s);
+  std::map<std::size_t, std::pair<ServiceMember*, std::uint64_t>> notices;
+  for (std::size_t i = 0; i < 800; i += 40) {
+    for (const std::size_t number : {i, i + 1}) {
+      fleet.leaving.insert(number);
+      ServiceMember& member = fleet.cluster.member(number % 3);
+      notices[number] = {&member, fleet.cluster.report(member, fleet.reportOf(number))};
+    }
+  }
+  fleet.cluster.runFor(900ms);
+  std::size_t bound = 0;
+  for (const auto& [number, notice] : notices) {
+    bound += ServiceCluster::codeOf(*notice.first, notice.second) == ResultCode::Ok ? 1 : 0;
+  }
+  CHECK(bound == notices.size());
+  fleet.sent_to.clear();
+  for (int i = 0; i < 20; ++i) {
+    for (RunningRouter* router : fleet.routers) {
+      for (const char* model : {"", "m1", "m2"}) {
+        fleet.call(*router, model);
+      }
+    }
+    fleet.cluster.runFor(50ms);
+  }
+  for (const auto& [number, notice] : notices) {
+    CHECK(fleet.sent_to[ReplicaId(SubscribedFleet::nameAt(number))] == 0);
+  }
+}
+
+TEST_CASE("A router that may use a leaving replica and is silent holds the notice up; others don't") {
+  SubscribedFleet fleet(20, 600);
+  RunningRouter& user = *fleet.routers.front();
+  fleet.call(user, "m1");
+  fleet.cluster.runFor(2s);
+  REQUIRE(fleet.sent_to.size() == 1);
+  const std::string used = fleet.sent_to.begin()->first.value;
+  const auto number = static_cast<std::size_t>(std::stoul(used.substr(1)));
+  fleet.cluster.isolate(user.node);
+  fleet.leaving.insert(number);
+  ServiceMember& leader = *fleet.cluster.leader();
+  const std::uint64_t held_up = fleet.cluster.report(leader, fleet.reportOf(number));
+  fleet.cluster.runFor(900ms);
+  CHECK(ServiceCluster::codeOf(leader, held_up) == ResultCode::NotBoundEverywhere);
+  // Of a router that is out of touch nothing is expected.
+  fleet.cluster.runFor(3s);
+  const std::uint64_t free = fleet.cluster.report(leader, fleet.reportOf(number));
+  fleet.cluster.runFor(900ms);
+  CHECK(ServiceCluster::codeOf(leader, free) == ResultCode::Ok);
+  fleet.cluster.heal();
+  fleet.cluster.runFor(2s);
+  fleet.sent_to.clear();
+  for (int i = 0; i < 20; ++i) {
+    fleet.call(user, "m1");
+    fleet.cluster.runFor(20ms);
+  }
+  CHECK(fleet.sent_to[ReplicaId(used)] == 0);
+}
+
+TEST_CASE("Calls go on through the loss of the leader, and the next one knows every replica") {
+  SubscribedFleet fleet(20, 600);
+  const auto callAll = [&fleet] {
+    for (RunningRouter* router : fleet.routers) {
+      fleet.call(*router, "");
+      fleet.call(*router, "m1");
+    }
+  };
+  callAll();
+  fleet.cluster.runFor(2s);
+  fleet.cluster.kill(*fleet.cluster.leader());
+  for (int i = 0; i < 60; ++i) {
+    callAll();
+    fleet.cluster.runFor(100ms);
+  }
+  CHECK(fleet.refused() == 0);
+  REQUIRE(fleet.cluster.leader() != nullptr);
+  fleet.cluster.runFor(8s);
+  for (RunningRouter* router : fleet.routers) {
+    fleet.call(*router, "m38");
+  }
+  fleet.cluster.runFor(500ms);
+  CHECK(fleet.refused() == 0);
+}
+
+TEST_CASE("Of a sign of life the leader hears, and other members of one in sixteen") {
+  constexpr std::size_t kReplicas = 600;
+  constexpr std::size_t kSeconds = 10;
+  const auto livesTold = [=](std::size_t members) {
+    SubscribedFleet fleet(4, kReplicas, members);
+    fleet.cluster.lives_told = 0;
+    fleet.cluster.runFor(1s * kSeconds);
+    return fleet.cluster.lives_told;
+  };
+  for (const std::size_t members : {3, 5, 9}) {
+    const std::size_t told = livesTold(members);
+    INFO(told << " of " << members << " members");
+    CHECK(told <= kReplicas * kSeconds + kReplicas * kSeconds * members / 16);
+  }
+}
+
+}  // namespace
+}  // namespace ferryrock::services
