Take the ports of whole-path tests from a range of their own

Cause: the fixture looked for a free port on 127.0.1.1 and bound it later, also on 127.0.0.1, out of the range from which the system gives ports to outgoing connections and to servers of the tests beside it; either may take it in between. Now each process has 16 ports of its own below that range, free on each address of the fleet when they are chosen. Ruled out: a fault of the product; the message names the address that the test chose.

--- a/tests/platform/whole_path_test.cc
+++ b/tests/platform/whole_path_test.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <functional>
@@ -16,13 +18,48 @@
 
 using namespace std::chrono_literals;
 
-/// A port that is free on the loopback addresses; internal ports are the same on all machines.
-std::uint16_t freePort(event::Dispatcher& dispatcher) {
-  http::ServerSettings settings;
-  settings.address = "127.0.1.1";
-  return http::createServer(dispatcher, settings, [](const http::Request&, const http::ResponseWriterPtr&) {})
-      ->port();
-}
+/// Ports for servers that name theirs before they start, on every loopback address of the fleet.
+///
+/// They lie below the range from which the system gives ports to outgoing connections and to servers that
+/// name none, and each process has its own: no port that was found free is taken by another before it is
+/// used.
+class PortRange {
+ public:
+  std::uint16_t next(event::Dispatcher& dispatcher) {
+    constexpr int kPortsPerProcess = 16;
+    while (used_ < kPortsPerProcess) {
+      const auto port = static_cast<std::uint16_t>(firstPort(kPortsPerProcess) + used_++);
+      if (isFree(dispatcher, port)) {
+        return port;
+      }
+    }
+    FAIL("no port of this process's range is free");
+    return 0;
+  }
+
+ private:
+  static int firstPort(int ports) {
+    constexpr int kFirst = 20'000;
+    constexpr int kEnd = 32'000;
+    return kFirst + getpid() % ((kEnd - kFirst) / ports) * ports;
+  }
+  static bool isFree(event::Dispatcher& dispatcher, std::uint16_t port) {
+    for (const char* address : {"127.0.0.1", "127.0.1.1", "127.0.1.2", "127.0.1.3"}) {
+      http::ServerSettings settings;
+      settings.address = address;
+      settings.port = port;
+      try {
+        http::createServer(dispatcher, settings, [](const http::Request&, const http::ResponseWriterPtr&) {});
+      } catch (const Error& fault) {
+        REQUIRE(fault.code() == ResultCode::AddressInUse);
+        return false;
+      }
+    }
+    return true;
+  }
+
+  int used_ = 0;
+};
 
 struct ControlMember {
   std::unique_ptr<service_process::ServiceControlShell> shell;
@@ -56,9 +93,9 @@
   Fleet()
       : folder_(std::filesystem::temp_directory_path() / ("ferryrock-path-" + std::to_string(systemSeed()))) {
     client_ = http::createClient(loop.dispatcher());
-    internal_port_ = freePort(loop.dispatcher());
+    internal_port_ = ports_.next(loop.dispatcher());
     for (int i = 0; i < 3; ++i) {
-      control_ports_.push_back(freePort(loop.dispatcher()));
+      control_ports_.push_back(ports_.next(loop.dispatcher()));
       seeds_.push_back(host(i) + ":" + std::to_string(control_ports_.back()));
     }
     for (int i = 0; i < 3; ++i) {
@@ -204,11 +241,12 @@
     settings.host = "127.0.0.1";
     settings.internal_port = internal_port_;
     settings.seeds = seeds_;
-    settings.listen_calls = "127.0.0.1:" + std::to_string(freePort(loop.dispatcher()));
+    settings.listen_calls = "127.0.0.1:" + std::to_string(ports_.next(loop.dispatcher()));
     router_ = std::make_unique<service_process::CallRouterShell>(loop.dispatcher(), settings, calls_, log_);
     status_ = http::createServer(loop.dispatcher(), {}, statusHandler(*router_));
   }
 
+  PortRange ports_;
   std::filesystem::path folder_;
   StorageWatch log_;
   PlatformCallDialect calls_;
