Tell when a model will serve by one pass over the replicas a second

Change: services/nearest_weights, one pass answers what is asked within a second; loadTime and the tier of weights stand there alone. Test: passes counted at two sizes of routers and replicas. It can't be compiled against the code before; there each question passed over all replicas.

--- a/src/services/model_placer.h
+++ b/src/services/model_placer.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "services/model_demand.h"
+#include "services/nearest_weights.h"
 #include "services/placement_switches.h"
 #include "services/replica_orders.h"
 #include "services/replica_registry.h"
@@ -37,7 +38,7 @@
 class ModelPlacer {
  public:
   ModelPlacer(const ModelPlacerSettings& settings, ReplicaRegistry& registry, ModelDemand& demand)
-      : settings_(settings), registry_(registry), demand_(demand) {}
+      : settings_(settings), registry_(registry), demand_(demand), nearest_weights_(registry) {}
 
   /// unreachable: replicas that routers can't connect to; what they hold serves nobody, and they get no
   /// orders.
@@ -48,11 +49,13 @@
   void takeSlowness(std::map<std::uint32_t, double> slowness) { slowness_ = std::move(slowness); }
   /// When a model that no replica holds should serve; nullopt: it isn't known, or a replica holds it.
   std::optional<TimePoint> expectedAt(const wire::HostedService& service, const ModelName& model,
-                                      TimePoint now) const;
+                                      TimePoint now);
   /// Raised with each load of a model, and with each unload that makes room for one.
   std::uint64_t loadsBegun() const { return loads_begun_; }
   /// Replicas whose room was worked out by the last plan.
   std::size_t compared() const { return compared_; }
+  /// Replicas that were looked at for expectedAt().
+  std::uint64_t replicasPassedForExpected() const { return nearest_weights_.replicasPassed(); }
   void onOrderDone(OrderNumber number, OrderOutcome outcome, TimePoint now);
   /// nullopt: the replica didn't answer.
   void onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now);
@@ -199,10 +202,7 @@
   static double callsInHandPerCopy(const wire::HostedService& service);
   /// Copies on replicas of full speed for which the demand is enough.
   double wantedCapacity(const wire::HostedService& service, const ModelName& model) const;
-  static Duration loadTime(const ReplicaRecord& record, const wire::HostedModel& model);
   bool waitsForRuns(const wire::HostedService& service, const Engine& engine) const;
-  /// The shortest on any replica of the service that may get orders.
-  Duration shortestLoad(const wire::HostedService& service, const wire::HostedModel& model) const;
 
   // model_placer_orders.cc
   /// Orders, or first inspects a replica whose count of orders isn't known.
@@ -218,6 +218,7 @@
   ModelPlacerSettings settings_;
   ReplicaRegistry& registry_;
   ModelDemand& demand_;
+  NearestWeights nearest_weights_;
   std::map<ReplicaId, Engine> engines_;
   std::map<std::string, StrayLoad> strays_;  ///< by the name that the replica gives itself
   std::map<ServiceName, StoreLoads> stores_;
--- a/src/services/model_placer_models.cc
+++ b/src/services/model_placer_models.cc
@@ -337,7 +337,8 @@
       continue;
     }
     const Duration room_time = waitsForRuns(service, engine) ? kRunsTime : kRoomTime;
-    return Placement{now + room_time + loadTime(*candidate.record, model), UnplacedReason::RoomComing};
+    return Placement{now + room_time + loadTime(model, tierOf(candidate.record->report, model.name)),
+                     UnplacedReason::RoomComing};
   }
   return std::nullopt;
 }
@@ -355,7 +356,7 @@
   option.candidate = &candidate;
   const TimePoint free_at = freeAt(service, candidate, now);
   option.possible_now = free_at <= now && ready(candidate, now);
-  option.ready = free_at + loadTime(*candidate.record, model);
+  option.ready = free_at + loadTime(model, tierOf(candidate.record->report, model.name));
   const double capacity = service.engine->weight_capacity_mb;
   double displaced = 0;
   const double used_mb = usedOf(service, candidate);
@@ -456,7 +457,7 @@
                             Candidate& candidate, TimePoint now) {
   Engine& engine = *candidate.engine;
   const wire::ReplicaReport& report = candidate.record->report;
-  const bool from_store = !contains(report.in_memory, model.name) && !contains(report.on_disk, model.name);
+  const bool from_store = tierOf(report, model.name) == WeightTier::Store;
   order(candidate, OrderAction::Load, model.name, {}, model.weight_mb, now);
   const bool ordered = engine.pending && !engine.pending->inspecting;
   engine.room_for.reset();
@@ -464,7 +465,7 @@
   if (!ordered) {
     return;
   }
-  engine.loading_time = loadTime(*candidate.record, model);
+  engine.loading_time = loadTime(model, tierOf(candidate.record->report, model.name));
   engine.doubted_from = now + kLateFactor * engine.loading_time + kLateSlack;
   if (from_store) {
     storeOf(service.name).onBegun(report.id, engine.loading_time, now);
@@ -472,36 +473,19 @@
   }
 }
 
-Duration ModelPlacer::loadTime(const ReplicaRecord& record, const wire::HostedModel& model) {
-  const std::int64_t load_ms = contains(record.report.in_memory, model.name) ? model.memory_load_ms
-                               : contains(record.report.on_disk, model.name) ? model.disk_load_ms
-                                                                             : model.store_load_ms;
-  return std::chrono::milliseconds(load_ms);
-}
-
-Duration ModelPlacer::shortestLoad(const wire::HostedService& service, const wire::HostedModel& model) const {
-  Duration shortest = std::chrono::milliseconds(model.store_load_ms);
-  for (const auto& [id, record] : registry_.replicas()) {
-    if (record.report.service == service.name && registry_.takesCalls(record)) {
-      shortest = std::min(shortest, loadTime(record, model));
-    }
-  }
-  return shortest;
-}
-
 /// An unload waits for the runs of its model, nobody knows how long.
 bool ModelPlacer::waitsForRuns(const wire::HostedService& service, const Engine& engine) const {
   return engine.unloading && demand_.find({service.name, *engine.unloading, {}}).running > 0;
 }
 
 std::optional<TimePoint> ModelPlacer::expectedAt(const wire::HostedService& service, const ModelName& name,
-                                                 TimePoint now) const {
+                                                 TimePoint now) {
   const wire::HostedModel* model = service.engine ? findModel(*service.engine, name) : nullptr;
   if (model == nullptr) {
     return std::nullopt;
   }
   if (now < settings_.first_order) {
-    return settings_.first_order + kRoomTime + shortestLoad(service, *model);
+    return settings_.first_order + kRoomTime + nearest_weights_.shortestLoad(service.name, *model, now);
   }
   const auto found = expected_.find({service.name, name});
   return found == expected_.end() || found->second <= now ? std::nullopt : std::optional(found->second);
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -240,7 +240,7 @@
   void pushTables(TimePoint now);
   bool hasNews() const;
   bool awaitsConfirmation(const wire::CallRouterStatus& status) const;
-  std::vector<wire::ComingModel> comingFor(const wire::CallRouterStatus& status, TimePoint now) const;
+  std::vector<wire::ComingModel> comingFor(const wire::CallRouterStatus& status, TimePoint now);
   void hurryPlan(TimePoint now);
   Duration leastPlanInterval() const;
   void planModels(TimePoint now);
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -218,7 +218,7 @@
 
 /// Of the models that the router's calls wait for, those that are being loaded.
 std::vector<wire::ComingModel> ServiceControlImpl::comingFor(const wire::CallRouterStatus& status,
-                                                             TimePoint now) const {
+                                                             TimePoint now) {
   std::vector<wire::ComingModel> coming;
   for (const wire::ModelWant& want : status.wants) {
     if (want.waiting == 0) {
