Split what routers are told out of the leader's part of ServiceControlImpl

service_control_updates.cc holds when a router is owed an update, what stands in it and the rounds in which those of a large fleet leave; service_control_leader.cc keeps orders, membership and proofs.

--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -27,9 +27,9 @@
 
 /// ServiceControl around one ControlNode. Its parts: service_control.cc (entry points, messages, timers),
 /// service_control_catalog.cc (replacing and reading the catalog), service_control_zones.cc (evacuations),
-/// service_control_replicas.cc (reports and
-/// notices), service_control_crashes.cc (calls that end replicas), service_control_leader.cc (routers'
-/// tables, orders, membership).
+/// service_control_replicas.cc (reports and notices), service_control_crashes.cc (calls that end replicas),
+/// service_control_subscriptions.cc (what keeps a large fleet's work bounded), service_control_updates.cc
+/// (what routers are told), service_control_leader.cc (orders, membership).
 class ServiceControlImpl : public ServiceControl {
  public:
   ServiceControlImpl(const ServiceControlSettings& settings, consensus::RecoveredState recovered,
@@ -230,23 +230,25 @@
                    const std::vector<wire::RouterContact>& contacts) const;
   void takeContacts(const NodeName& from, const wire::MemberHello& hello, TimePoint now);
 
-  // service_control_leader.cc
-  void leadOn(TimePoint now);
+  // service_control_updates.cc
   void updateRouter(const wire::CallRouterStatus& status, TimePoint now);
+  bool owedUpdate(const wire::CallRouterStatus& status, TimePoint now);
   /// Returns how many replicas it lists.
   std::size_t sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
   /// The loads of all replicas, if the router is due to be told them.
   std::optional<std::vector<wire::ReplicaLoad>> loadsFor(const NodeName& router, TimePoint now);
-  void pushTables(TimePoint now);
-  bool hasNews() const;
-  bool awaitsConfirmation(const wire::CallRouterStatus& status) const;
   std::vector<wire::ComingModel> comingFor(const wire::CallRouterStatus& status, TimePoint now);
+  bool awaitsConfirmation(const wire::CallRouterStatus& status) const;
+  bool hasNews() const;
+  void pushTables(TimePoint now);
+
+  // service_control_leader.cc
+  void leadOn(TimePoint now);
   void hurryPlan(TimePoint now);
   Duration leastPlanInterval() const;
   void planModels(TimePoint now);
   void mendMembership(TimePoint now);
   const FeedContext& feedContext(const ZoneName& zone, TimePoint now);
-  bool owedUpdate(const wire::CallRouterStatus& status, TimePoint now);
   std::vector<NodeName> memberNodes() const;
   void followSpread(TimePoint now);
   void proveCatalogs(TimePoint now);
--- /dev/null
+++ b/src/services/service_control_updates.cc
@@ -0,0 +1,197 @@
+#include <algorithm>
+#include <utility>
+
+#include "services/service_control_impl.h"
+
+/// The part of ServiceControlImpl by which a leader tells routers what they need: when each is owed an
+/// update, what stands in it, and in which rounds those of a large fleet leave.
+namespace ferryrock::services {
+namespace {
+
+/// Between two rounds of updates to a large fleet, at least.
+constexpr Duration kPushInterval = std::chrono::milliseconds(20);
+/// Pause after a round for each update of it: some 4,000 a second, so that a leader keeps more than half of
+/// its processor for other work.
+constexpr Duration kPausePerUpdate = std::chrono::microseconds(250);
+/// Entries of replica tables that one round sends to a large fleet, some 70 B each in a message. What a new
+/// leader owes all routers would else wait in its memory at once.
+constexpr std::size_t kEntriesPerRound = 100'000;
+/// Pause after a round for each entry of it: 28 MB a second.
+constexpr Duration kPausePerEntry = std::chrono::nanoseconds(2500);
+/// For this long a new leader tells also routers that it knows from other members alone.
+constexpr Duration kAnnounced = std::chrono::milliseconds(1500);
+/// Less than the interval of the routers' regular statuses.
+constexpr Duration kSignOfLife = std::chrono::milliseconds(200);
+/// Between two tellings of loads to a router, at least. Streams last about 2 s; what a router sends in
+/// between it knows itself.
+constexpr Duration kLoadsInterval = std::chrono::milliseconds(400);
+/// Of loads to all routers: 0.8% of what a leader's link of 1,000 Mbit/s carries, and a tenth of what calls
+/// of today's fleets send from zone to zone.
+constexpr double kLoadBytesPerSecond = 100'000;
+constexpr double kBytesPerLoad = 14;
+/// Fleets so large that a router would be told less often aren't told at all: older sums aren't gone by.
+constexpr Duration kLongestLoadsInterval = std::chrono::seconds(2);
+
+bool waitsForModel(const wire::CallRouterStatus& status) {
+  return std::any_of(status.wants.begin(), status.wants.end(),
+                     [](const wire::ModelWant& want) { return want.waiting > 0; });
+}
+
+}  // namespace
+
+void ServiceControlImpl::updateRouter(const wire::CallRouterStatus& status, TimePoint now) {
+  leader_->demand.accept(status.router, status.wants, now);
+  if (subscribes(status)) {
+    leader_->tables.accept(status, now);
+  } else {
+    leader_->tables.forget(status.router);
+  }
+  if (needsPlan(status)) {
+    hurryPlan(now);
+  }
+  if (status.wants_proof) {
+    leader_->proof_wanted.insert(status.router);
+  }
+  if (!owedUpdate(status, now)) {
+    return;
+  }
+  if (isLargeFleet()) {
+    leader_->unanswered.insert(status.router);
+  } else {
+    sendUpdate(status, now);
+  }
+}
+
+/// A router that holds everything gets no more than a regular sign of life: what it tells in between needs no
+/// answer.
+bool ServiceControlImpl::owedUpdate(const wire::CallRouterStatus& status, TimePoint now) {
+  const wire::CallRouterStatus expected = leader_->updates.expected(status, now);
+  const bool holds_table =
+      subscribes(status) ? !status.missed_update : leader_->feed.holds(expected, leader_->feed.revision());
+  const bool current = holds_table && expected.catalog >= node_->hosted().catalog().version &&
+                       expected.directory == feedContext(status.zone, now).directory_digest &&
+                       !waitsForModel(status);
+  // A little less than routers' intervals, so that each regular status has its answer.
+  const Duration sign_of_life = std::max(kSignOfLife, leaderStatusInterval() * 4 / 5);
+  return !current || now - leader_->updates.lastSent(status.router) >= sign_of_life;
+}
+
+std::size_t ServiceControlImpl::sendUpdate(const wire::CallRouterStatus& status, TimePoint now) {
+  const FeedContext& context = feedContext(status.zone, now);
+  const wire::CallRouterStatus expected = leader_->updates.expected(status, now);
+  wire::ServiceUpdate update;
+  if (subscribes(status)) {
+    update = leader_->feed.withoutReplicas(expected, context);
+    leader_->tables.fill(update, status, now);
+  } else {
+    update = leader_->feed.updateFor(expected, context);
+    update.confirm = awaitsConfirmation(status);
+  }
+  update.status_interval_ms = toMilliseconds(leaderStatusInterval());
+  update.coming = comingFor(status, now);
+  update.limited_tenants = leader_->quotas.limited();
+  if (const auto followed = node_->log().followedAt(now)) {
+    update.proved = leader_->receipts.provedBy(status.router, *followed);
+  }
+  update.loads = loadsFor(status.router, now);
+  leader_->updates.onSent(status.router, update, now);
+  const std::size_t entries = update.replicas.size();
+  send(status.router, std::move(update));
+  return entries;
+}
+
+std::optional<std::vector<wire::ReplicaLoad>> ServiceControlImpl::loadsFor(const NodeName& router,
+                                                                           TimePoint now) {
+  const Duration since = now - leader_->updates.loadsSent(router);
+  if (!settings_.tells_loads || since < kLoadsInterval) {
+    return std::nullopt;
+  }
+  std::vector<wire::ReplicaLoad> loads = leader_->loads.loads(now);
+  const auto entries = static_cast<double>(loads.size() * directory_.routers().size());
+  const auto paced = std::chrono::duration<double>(entries * kBytesPerLoad / kLoadBytesPerSecond);
+  const bool useful = paced <= kLongestLoadsInterval;
+  return !useful || since < paced ? std::nullopt : std::optional(std::move(loads));
+}
+
+/// Of the models that the router's calls wait for, those that are being loaded.
+std::vector<wire::ComingModel> ServiceControlImpl::comingFor(const wire::CallRouterStatus& status,
+                                                             TimePoint now) {
+  std::vector<wire::ComingModel> coming;
+  for (const wire::ModelWant& want : status.wants) {
+    if (want.waiting == 0) {
+      continue;
+    }
+    for (const wire::HostedService& service : node_->hosted().catalog().services) {
+      const auto ready =
+          service.name == want.service ? leader_->placer.expectedAt(service, want.model, now) : std::nullopt;
+      if (ready) {
+        coming.push_back({want.service, want.model, toMilliseconds(*ready - now)});
+      }
+    }
+  }
+  return coming;
+}
+
+/// True when a notice waits until this router tells that it holds a revision. A router that has told so isn't
+/// asked again: its answer to each update would be answered by the next one, without end.
+bool ServiceControlImpl::awaitsConfirmation(const wire::CallRouterStatus& status) const {
+  return std::any_of(notices_.all().begin(), notices_.all().end(), [&](const LeaveNotice& notice) {
+    return notice.revision && !leader_->feed.holds(status, *notice.revision);
+  });
+}
+
+bool ServiceControlImpl::hasNews() const {
+  return leader_->push_to_all || registry_.changes() != leader_->pushed_changes ||
+         node_->hosted().catalog().version != leader_->pushed_version ||
+         leader_->placer.loadsBegun() != leader_->pushed_loads || leader_->tables.hasDue();
+}
+
+/// One round of updates. Routers of a small fleet are told of each change at once. Those of a large one are
+/// told in rounds with pauses in proportion to the last round, so that the leader's work for updates stays
+/// bounded: all of them if the change can't wait, else those whose status asks for it and those whose calls
+/// wait for a model. The others, and what is lost on the way, follow with the next status; routers for which
+/// a round has no room left are told in the next one.
+void ServiceControlImpl::pushTables(TimePoint now) {
+  const bool news = hasNews();
+  if (!news && leader_->unanswered.empty()) {
+    return;
+  }
+  const bool large = isLargeFleet();
+  if (!node_->log().hasLease(now)) {
+    leader_->next_push = now + kPushInterval;
+    return;
+  }
+  if (large && now < leader_->next_push) {
+    return;
+  }
+  const CatalogVersion version = node_->hosted().catalog().version;
+  const bool to_all = !large || leader_->push_to_all || version != leader_->pushed_version;
+  if (leader_->placer.loadsBegun() != leader_->pushed_loads) {
+    leader_->tables.tellWaiting();
+  }
+  leader_->push_to_all = false;
+  leader_->pushed_changes = registry_.changes();
+  leader_->pushed_loads = leader_->placer.loadsBegun();
+  leader_->pushed_version = version;
+  const std::set<NodeName> told = routersToTell(to_all, news);
+  std::int64_t sent = 0;
+  std::size_t entries = 0;
+  const bool announces = now - leader_->since < kAnnounced;
+  for (const NodeName& router : told) {
+    const auto record = directory_.routers().find(router);
+    const bool known = record != directory_.routers().end();
+    if (!known || (!announces && now - record->second.heard > reachedFor())) {
+      continue;
+    }
+    if (large && entries >= kEntriesPerRound) {
+      leader_->unanswered.insert(router);
+    } else {
+      entries += sendUpdate(record->second.status, now);
+      ++sent;
+    }
+  }
+  const Duration for_entries = kPausePerEntry * static_cast<std::int64_t>(entries);
+  leader_->next_push = now + std::max<Duration>({kPushInterval, kPausePerUpdate * sent, for_entries});
+}
+
+}  // namespace ferryrock::services
