Count what ran under an earlier leader for its whole window

A router tells a new leader what ran by its own seconds; the first of them has only begun. The leader took the second before it as told a whole second ago, though it may have ended just now: what ran in it left the window up to a second too early, and a tenant could run that much again. Now each counts from the latest moment at which it may have ended, up to two seconds too long.

--- a/src/tenancy/quota_ledger.cc
+++ b/src/tenancy/quota_ledger.cc
@@ -88,15 +88,20 @@
   }
 }
 
-/// By seconds before now; the latest moment of each, so that it counts long enough.
+/// By the router's seconds, of which the first has begun and isn't over. What a second holds counts from its
+/// end on, so that it counts long enough; where the seconds begin isn't told, so that each may have ended up
+/// to a whole one later than its number says.
 void QuotaLedger::takeHistory(const wire::QuotaHistory& history, TimePoint now) {
   const auto account = accounts_.find(history.tenant);
-  TimePoint at = now;
+  if (account == accounts_.end()) {
+    return;
+  }
+  TimePoint latest = now + kHistorySlot;
   for (const std::int64_t amount : history.amounts) {
-    if (amount > 0 && account != accounts_.end()) {
-      account->second.bucket.addPast(static_cast<double>(amount), at, now);
+    if (amount > 0) {
+      account->second.bucket.addPast(static_cast<double>(amount), std::min(now, latest), now);
     }
-    at -= kHistorySlot;
+    latest -= kHistorySlot;
   }
 }
 
--- /dev/null
+++ b/tests/tenancy/quota_history_test.cc
@@ -0,0 +1,71 @@
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "tenancy/quota_client.h"
+#include "tenancy/quota_ledger.h"
+
+/// What routers tell a new leader of the window before it: nothing of it may count for less than a window.
+namespace ferryrock::tenancy {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{1000s};
+const TenantName kTenant("a");
+
+wire::ServiceCatalog catalogWithQuota(double per_second) {
+  wire::Tenant tenant;
+  tenant.name = kTenant;
+  tenant.quota = wire::TenantQuota{wire::QuotaUnit::Tokens, per_second, 0, 200};
+  wire::ServiceCatalog catalog;
+  catalog.has_tenants = true;
+  catalog.tenants = {tenant};
+  return catalog;
+}
+
+/// Whether the ledger grants a token, asked by another router.
+bool grants(QuotaLedger& ledger, std::uint64_t number, TimePoint at) {
+  wire::QuotaUse ask;
+  ask.router = NodeName("edge-2");
+  ask.incarnation = 8;
+  ask.sequence = number;
+  ask.whole = number == 1;
+  ask.asks = {{number, kTenant, 1}};
+  return ledger.accept(ask, at).decisions.at(0).granted;
+}
+
+TEST_CASE("What ran before a leader began counts until it has left the window, wherever a second began") {
+  constexpr double kPerSecond = 1000;
+  const auto used_at = GENERATE(0ms, 100ms, 500ms, 900ms, 999ms);
+  const auto told_after = GENERATE(20ms, 600ms, 1150ms, 3980ms);
+  const QuotaTolerance exact{8s, 0, 0};
+  QuotaClientSettings settings;
+  settings.router = NodeName("edge-1");
+  settings.incarnation = 7;
+  settings.tolerance = exact;
+  QuotaClient client(settings);
+  client.onUpdate(NodeName("control-1"), {}, kStart - 20s);
+  const TimePoint used = kStart + used_at;
+  client.onUpdate(NodeName("control-1"), {}, used);
+  const wire::ServiceCatalog catalog = catalogWithQuota(kPerSecond);
+  REQUIRE(client.request(1, catalog.tenants.front(), 8000, used).verdict == QuotaVerdict::Granted);
+
+  const TimePoint told = used + told_after;
+  QuotaLedger next(exact, told);
+  next.setCatalog(catalog, told);
+  const NodeName next_leader("control-2");
+  client.onUpdate(next_leader, {}, told);
+  next.accept(*client.message(next_leader, told), told);
+  constexpr bool kAllHeard = true;
+  next.followRouters(std::map<NodeName, int>{{NodeName("edge-1"), 0}}, kAllHeard);
+  std::uint64_t asked = 0;
+  INFO("used at " << used_at.count() << " ms, told " << told_after.count() << " ms later");
+  for (TimePoint at = told + 10ms; at < used + 8s; at += 70ms) {
+    REQUIRE_FALSE(grants(next, ++asked, at));
+  }
+  // A second is told whole and not where it began, and the leader keeps slots of a tenth.
+  CHECK(grants(next, ++asked, used + 8s + 2100ms));
+}
+
+}  // namespace
+}  // namespace ferryrock::tenancy
