Charge a call again when it is sent again after it may have run

The rule counts what replicas run, and a second sending was never charged. Now each sending after one that may have run is. Ruled out: calls that waited and ran in another window than the one that they were charged in (0 of 882). Considered and not built: asking the leader before a second sending; the caller waits and was granted its run. Test: sent again after a break, after an error, after a refusal that didn't run (400 charged before, 800 now, 400).

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -204,6 +204,7 @@
                         TimePoint now) {
   Call& state = call->second;
   waiting_.erase(call->first);
+  chargeAnotherRun(state, now);
   const AttemptNumber number{next_attempt_++};
   Attempt attempt;
   attempt.number = number;
@@ -354,7 +355,7 @@
 void CallRouter::abandon(CallPointer call, ResultCode code, const std::string& detail, TimePoint now) {
   Call& state = call->second;
   effects_.emplace_back(CancelAttemptEffect{state.attempt->number});
-  state.may_have_run = true;
+  noteMayHaveRun(state);
   release(state);
   refuse(call, code, detail, std::nullopt, now);
 }
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -130,6 +130,7 @@
     std::optional<TenantName> tenant;       ///< that holds the call's key
     std::int64_t charged = 0;               ///< to the tenant's quota
     std::uint64_t account = 0;              ///< that was charged, see tenancy::QuotaReply
+    bool charge_ran = false;                ///< a sending that the charge stands for may have run
     std::uint32_t priority = 0;             ///< 0 is the most urgent
     std::uint32_t attempts = 0;             ///< replicas that may have run it
     std::uint32_t unrun = 0;                ///< sendings that certainly didn't run
@@ -168,6 +169,10 @@
   bool charge(CallPointer call, const wire::Tenant& tenant, TimePoint now);
   void onQuotaReply(CallPointer call, const tenancy::QuotaReply& reply, TimePoint now);
   void resolveQuotas(const std::vector<tenancy::QuotaResolved>& resolved, TimePoint now);
+  /// The call may have run; another sending of it will be one more use of the tenant's quota.
+  static void noteMayHaveRun(Call& call);
+  /// A sending after one that may have run: what the replicas of the tenant run counts, not what was asked.
+  void chargeAnotherRun(Call& call, TimePoint now);
   /// A call that is certain not to run gives its credit back.
   void giveBack(Call& call, TimePoint now);
   void tellQuotaUse(TimePoint now);
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -115,7 +115,7 @@
                      budget_.spend(state.need.service, now);
   if (again) {
     ++counts_.retries;
-    state.may_have_run = true;
+    noteMayHaveRun(state);
     dispatch(*call, now);
   } else {
     deliver(*call, attempt, answer.status, now);
@@ -265,7 +265,7 @@
     constexpr bool kCounts = false;
     retryUnrun(*call, ResultCode::NoReplica, kCounts, now);
   } else {
-    state.may_have_run = true;
+    noteMayHaveRun(state);
     state.failure = reason;
     state.last_failure = ResultCode::ReplicaFailed;
     if (!address.empty()) {
--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -152,7 +152,7 @@
     const CallPointer call = calls_.find(number);
     if (call->second.attempt) {
       effects_.emplace_back(CancelAttemptEffect{call->second.attempt->number});
-      call->second.may_have_run = true;
+      noteMayHaveRun(call->second);
       release(call->second);
     }
     refuseQuarantined(call, now);
--- a/src/calls/call_router_tenants.cc
+++ b/src/calls/call_router_tenants.cc
@@ -124,6 +124,18 @@
   }
 }
 
+void CallRouter::noteMayHaveRun(Call& call) {
+  call.may_have_run = true;
+  call.charge_ran = true;
+}
+
+/// It isn't asked for: the call was granted its run, and its caller waits.
+void CallRouter::chargeAnotherRun(Call& call, TimePoint now) {
+  if (call.charged > 0 && std::exchange(call.charge_ran, false)) {
+    quota_.chargeAgain(*call.tenant, call.charged, now);
+  }
+}
+
 void CallRouter::giveBack(Call& call, TimePoint now) {
   const std::int64_t charged = std::exchange(call.charged, 0);
   if (charged == 0 || call.may_have_run || call.attempt || call.started) {
--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -113,6 +113,14 @@
   return amounts;
 }
 
+void QuotaClient::chargeAgain(const TenantName& tenant, std::int64_t cost, TimePoint now) {
+  spend(tenant, cost, now);
+  const auto own_part = own_parts_.find(tenant);
+  if (own_part != own_parts_.end()) {
+    own_part->second.level -= static_cast<double>(cost);
+  }
+}
+
 void QuotaClient::giveBack(const TenantName& tenant, std::int64_t cost, std::uint64_t account,
                            TimePoint now) {
   if (account == account_) {
--- a/src/tenancy/quota_client.h
+++ b/src/tenancy/quota_client.h
@@ -54,6 +54,9 @@
 
   /// number: the call's, never used again. The tenant has a quota.
   QuotaReply request(std::uint64_t number, const wire::Tenant& tenant, std::int64_t cost, TimePoint now);
+  /// A call that was granted its credit is run once more. What this router may grant without a leader shrinks
+  /// by it.
+  void chargeAgain(const TenantName& tenant, std::int64_t cost, TimePoint now);
   /// A call that was granted its credit has certainly not run and won't. If another account is open by now,
   /// nothing is given back: that account never charged the call.
   void giveBack(const TenantName& tenant, std::int64_t cost, std::uint64_t account, TimePoint now);
--- a/tests/calls/tenant_test.cc
+++ b/tests/calls/tenant_test.cc
@@ -259,5 +259,40 @@
   }
 }
 
+/// What replicas run counts against the quota, so that a call which a replica broke off and another runs
+/// again counts twice.
+TEST_CASE("A call that is sent again is charged again if it may have run before, and only then") {
+  TenantFixture fixture;
+  fixture.begin();
+  fixture.keyed(kSecret, "/safe/x");
+  REQUIRE(fixture.count<SendAttemptEffect>() == 1);
+  SECTION("it may have run") {
+    const ReplicaId first = fixture.last<SendAttemptEffect>()->replica;
+    fixture.take(
+        fixture.keyedRouter().onFailure(fixture.attempt(), AttemptFailure::Unproved, "reset", fixture.now));
+    fixture.take(fixture.keyedRouter().onProbed(first, ProbeOutcome::Lives, fixture.now));
+    fixture.passTime(60ms);
+    REQUIRE(fixture.count<SendAttemptEffect>() == 2);
+    CHECK(fixture.told()->spent[0].total == 800);
+    fixture.take(fixture.keyedRouter().onAnswer(fixture.attempt(), {503, true}, fixture.now));
+    fixture.passTime(60ms);
+    // The second sending didn't run, so that the third is the one that was charged.
+    CHECK(fixture.count<SendAttemptEffect>() == 3);
+    CHECK(fixture.told()->spent[0].total == 800);
+  }
+  SECTION("it ran, and failed") {
+    fixture.take(fixture.keyedRouter().onAnswer(fixture.attempt(), {500, false}, fixture.now));
+    fixture.passTime(60ms);
+    REQUIRE(fixture.count<SendAttemptEffect>() == 2);
+    CHECK(fixture.told()->spent[0].total == 800);
+  }
+  SECTION("it didn't run") {
+    fixture.take(fixture.keyedRouter().onAnswer(fixture.attempt(), {503, true}, fixture.now));
+    fixture.passTime(60ms);
+    REQUIRE(fixture.count<SendAttemptEffect>() == 2);
+    CHECK(fixture.told()->spent[0].total == 400);
+  }
+}
+
 }  // namespace
 }  // namespace ferryrock::calls
