--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -361,7 +361,7 @@
   if (addressee != routers_.end() && std::holds_alternative<wire::ServiceUpdate>(message)) {
     ++addressee->second->sent_updates;
   }
-  countEntries(message);
+  countEntries(to, message);
   catalogs_by_others += std::holds_alternative<wire::CatalogUpdate>(message) ? 1 : 0;
   after(kMessageDelay, [this, from, to, bytes] {
     const std::pair<NodeName, NodeName> link = std::minmax(from, to);
@@ -395,7 +395,7 @@
   carryOut(router, router.logic->receive(envelope, time_));
 }
 
-void ServiceCluster::countEntries(const wire::Message& message) {
+void ServiceCluster::countEntries(const NodeName& to, const wire::Message& message) {
   if (const auto* reports = std::get_if<wire::ReplicaReports>(&message)) {
     lives_told += reports->reports.size() + reports->alive.size();
   }
@@ -404,6 +404,8 @@
       entries_since_ = time_;
       entries_per_tick_ = 0;
     }
+    ++updates_to[to];
+    catalogs_sent += update->catalog ? 1 : 0;
     loads_told += update->loads ? 1 : 0;
     entries_sent += update->replicas.size();
     entries_per_tick_ += update->replicas.size();
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -140,7 +140,9 @@
   std::size_t loads_told = 0;          ///< updates that tell the load of replicas
   std::size_t catalogs_by_others = 0;  ///< sent by members that don't lead
   std::size_t entries_sent = 0;        ///< replicas that updates list
-  std::size_t lives_told = 0;          ///< replicas that members tell each other as alive, or whole
+  std::size_t catalogs_sent = 0;       ///< updates that bring a catalog
+  std::map<NodeName, std::size_t> updates_to;
+  std::size_t lives_told = 0;  ///< replicas that members tell each other as alive, or whole
   /// Updates that a member sent in answer to one event, at most.
   std::size_t most_updates_per_event = 0;
   /// Replicas listed by the updates that left within one tick, at most.
@@ -165,7 +167,7 @@
   void takeUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update);
   void tickRouter(RunningRouter& router);
   void receive(RunningRouter& router, const wire::Envelope& envelope);
-  void countEntries(const wire::Message& message);
+  void countEntries(const NodeName& to, const wire::Message& message);
   void carryOut(RunningRouter& router, const calls::Effects& effects);
 
   Random random_;
