Look for catalogs that can be proved at the oldest requests alone

After each message a new leader looked at every router that wanted a proof, two lookups by name each: with m routers that ask within a heartbeat m x m looks, half a million at a thousand. Now requests are kept in the order in which they came (services/proof_requests) and those that can be answered leave with the rounds of updates. Test: requests looked at for 100 and 200 routers: at most 3 and 6 hundred.

--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -15,6 +15,7 @@
 #include "services/leave_notices.h"
 #include "services/model_demand.h"
 #include "services/model_placer.h"
+#include "services/proof_requests.h"
 #include "services/replica_index.h"
 #include "services/report_relay.h"
 #include "services/router_tables.h"
@@ -122,7 +123,7 @@
     UpdateLedger updates;
     CatalogSpread spread;
     StatusReceipts receipts;
-    std::set<NodeName> proof_wanted;  ///< routers that can't prove their catalog for long
+    ProofRequests proof_requests;
     tenancy::QuotaLedger quotas;
     CatalogVersion quota_version;              ///< whose limits hold
     std::map<ZoneName, FeedContext> contexts;  ///< by the zone of the routers that are told
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -38,8 +38,8 @@
   settleNotices(now);
   followQuotas(now);
   planModels(now);
-  pushTables(now);
   proveCatalogs(now);
+  pushTables(now);
   mendMembership(now);
   settleAcknowledgements(now);
   followSpread(now);
@@ -55,22 +55,16 @@
 
 /// Routers whose proof is missing or about to end don't wait for their next regular update.
 void ServiceControlImpl::proveCatalogs(TimePoint now) {
-  const auto followed = leader_->proof_wanted.empty() ? std::nullopt : node_->log().followedAt(now);
-  if (!followed || !node_->log().hasLease(now)) {
+  if (leader_->proof_requests.empty() || !node_->log().hasLease(now)) {
     return;
   }
-  std::erase_if(leader_->proof_wanted, [&](const NodeName& router) {
-    const auto record = directory_.routers().find(router);
-    if (record == directory_.routers().end()) {
-      return true;
-    }
-    const wire::ProvedStatus proved = leader_->receipts.provedBy(router, *followed);
-    const bool provable = proved.incarnation == record->second.status.incarnation;
-    if (provable) {
-      sendUpdate(record->second.status, now);
-    }
-    return provable;
-  });
+  const auto followed = node_->log().followedAt(now);
+  if (!followed) {
+    return;
+  }
+  for (const NodeName& router : leader_->proof_requests.takeAnswerable(*followed)) {
+    leader_->awaited.add(router);
+  }
 }
 
 /// A tenant that is limited, or isn't any more, can't wait for the routers' next statuses.
--- a/src/services/service_control_updates.cc
+++ b/src/services/service_control_updates.cc
@@ -53,7 +53,7 @@
     hurryPlan(now);
   }
   if (status.wants_proof) {
-    leader_->proof_wanted.insert(status.router);
+    leader_->proof_requests.add(status.router, status.incarnation, now);
   }
   if (!owedUpdate(status, now)) {
     return;
--- /dev/null
+++ b/tests/services/proof_requests_test.cc
@@ -0,0 +1,53 @@
+#include "services/proof_requests.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{1000s};
+
+TEST_CASE("A request is answered once a majority has followed after it came") {
+  ProofRequests requests;
+  requests.add(NodeName("a"), 1, kStart);
+  requests.add(NodeName("b"), 1, kStart + 5ms);
+  CHECK(requests.takeAnswerable(kStart - 1ms).empty());
+  CHECK(requests.takeAnswerable(kStart + 4ms) == std::vector{NodeName("a")});
+  CHECK(requests.takeAnswerable(kStart + 5ms) == std::vector{NodeName("b")});
+  CHECK(requests.empty());
+}
+
+TEST_CASE("A router that asks again keeps its place, and one that started again takes a new one") {
+  ProofRequests requests;
+  requests.add(NodeName("a"), 1, kStart);
+  requests.add(NodeName("a"), 1, kStart + 50ms);
+  CHECK(requests.takeAnswerable(kStart + 1ms) == std::vector{NodeName("a")});
+  requests.add(NodeName("b"), 1, kStart + 60ms);
+  requests.add(NodeName("b"), 2, kStart + 70ms);
+  CHECK(requests.takeAnswerable(kStart + 65ms).empty());
+  CHECK(requests.takeAnswerable(kStart + 70ms) == std::vector{NodeName("b")});
+  CHECK(requests.empty());
+}
+
+/// Requests looked at when each router asks within a heartbeat and the leader looks after each message.
+std::uint64_t examinedFor(std::size_t routers) {
+  ProofRequests requests;
+  for (std::size_t i = 0; i < routers; ++i) {
+    requests.add(NodeName("edge-" + std::to_string(i)), 1, kStart + 10us * i);
+    REQUIRE(requests.takeAnswerable(kStart - 1ms).empty());
+  }
+  REQUIRE(requests.takeAnswerable(kStart + 1s).size() == routers);
+  return requests.examined();
+}
+
+TEST_CASE("Looking for requests that can be answered grows with the requests, not with their square") {
+  const std::uint64_t small = examinedFor(100);
+  CHECK(small <= 3 * 100);
+  CHECK(examinedFor(200) <= 2 * small);
+}
+
+}  // namespace
+}  // namespace ferryrock::services
