--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -66,9 +66,11 @@
     : dispatcher_(dispatcher),
       settings_(std::move(settings)),
       log_(log),
+      steps_(dispatcher.timeSource(), log),
       self_(settings_.host + ":" + std::to_string(settings_.internal_port)) {
   timer_ = dispatcher_.createTimer([this] {
     armed_until_ = TimePoint::max();
+    const StepWatch::Step step(steps_, "timer");
     carryOut(control_->tick(now()));
   });
   stop_timer_ = dispatcher_.createTimer([this] { continueStop(); });
@@ -94,9 +96,11 @@
   transport.listen_address = self_.value;
   transport.high_water_mark = kQueuedMessages;
   transport.receive_high_water_mark = kUnreceivedMessages;
-  transport_ = transport::createZeroMqTransport(
-      dispatcher_, transport,
-      [this](const wire::Envelope& envelope) { carryOut(control_->receive(envelope, now())); });
+  transport_ =
+      transport::createZeroMqTransport(dispatcher_, transport, [this](const wire::Envelope& envelope) {
+        const StepWatch::Step step(steps_, wire::messageKindName(envelope.message.index()));
+        carryOut(control_->receive(envelope, now()));
+      });
   followPeers();
   carryOut(control_->tick(now()));
 }
@@ -123,7 +127,10 @@
                                             Random(systemSeed()), dispatcher_.timeSource());
   writer_ = std::make_unique<control_process::StorageWriter>(
       dispatcher_, std::move(storage),
-      [this](std::uint64_t sequence) { carryOut(control_->onPersisted(sequence, now())); },
+      [this](std::uint64_t sequence) {
+        const StepWatch::Step step(steps_, "write");
+        carryOut(control_->onPersisted(sequence, now()));
+      },
       [this](const std::string& reason) {
         storage_blocked_ = true;
         log_.write(LogLevel::Error, "storage.blocked", {{"reason", std::string_view(reason)}});
@@ -147,6 +154,7 @@
              {{"version", static_cast<std::int64_t>(catalog.version.value)},
               {"held", static_cast<std::int64_t>(noted_.catalog.value)}});
   const services::QuestionNumber number = remember(std::move(callback));
+  const StepWatch::Step step(steps_, "catalog");
   carryOut(control_->replaceCatalog(number, std::move(catalog), std::move(source), now()));
 }
 
@@ -171,6 +179,7 @@
                 {"ends_in_ms", report.ends_in_ms.value_or(-1)}});
   }
   const services::QuestionNumber number = remember(std::move(callback));
+  const StepWatch::Step step(steps_, "report");
   carryOut(control_->onReport(number, report, now()));
 }
 
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -14,6 +14,7 @@
 #include "event/dispatcher.h"
 #include "service_process/order_client.h"
 #include "service_process/service_settings.h"
+#include "service_process/step_watch.h"
 #include "services/service_control.h"
 #include "transport/transport.h"
 
@@ -71,6 +72,7 @@
   event::Dispatcher& dispatcher_;
   ServiceControlProcessSettings settings_;
   EventLog& log_;
+  StepWatch steps_;
   NodeName self_;
   MetricsRegistry metrics_;
   std::unique_ptr<services::ServiceControl> control_;
