--- /dev/null
+++ b/tests/tenancy/quota_world.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "tenancy/quota_bucket.h"
+#include "tenancy/quota_client.h"
+#include "tenancy/quota_ledger.h"
+
+/// Quotas under load: many routers and a leader that may be lost, under a clock of the test's own.
+namespace ferryrock::tenancy {
+
+inline constexpr TimePoint kStart{std::chrono::seconds(1000)};
+inline const QuotaTolerance kTolerance{std::chrono::seconds(8), 0.1, 11'000};
+
+inline wire::Tenant limitedTenant(double per_second, double burst) {
+  wire::Tenant tenant;
+  tenant.name = TenantName("a");
+  tenant.quota = wire::TenantQuota{wire::QuotaUnit::Tokens, per_second, burst, 200};
+  return tenant;
+}
+
+inline wire::ServiceCatalog catalogOf(const wire::Tenant& tenant) {
+  wire::ServiceCatalog catalog;
+  catalog.has_tenants = true;
+  catalog.tenants = {tenant};
+  return catalog;
+}
+
+struct Charge {
+  TimePoint at{};
+  double amount = 0;
+};
+
+inline double inWindow(const std::vector<Charge>& charges, TimePoint begin, Duration window) {
+  double sum = 0;
+  for (const Charge& charge : charges) {
+    sum += charge.at >= begin && charge.at <= begin + window ? charge.amount : 0;
+  }
+  return sum;
+}
+
+/// From a leader's finding to its word at every router: a round of updates to 300 of them, and the way.
+inline constexpr Duration kWordToAll = std::chrono::milliseconds(80);
+
+/// Routers and a leader that exchange what they have to say, under a clock of the test's own.
+class QuotaWorld {
+ public:
+  QuotaWorld(std::size_t routers, const wire::Tenant& tenant, const QuotaTolerance& tolerance,
+             std::uint64_t seed)
+      : tenant_(tenant),
+        tolerance_(tolerance),
+        random_(seed),
+        exact_({tenant.quota->per_second, tenant.quota->burst}, tenant.quota->burst, kStart) {
+    for (std::size_t i = 0; i < routers; ++i) {
+      QuotaClientSettings settings;
+      settings.router = NodeName("edge-" + std::to_string(i));
+      settings.incarnation = i + 1;
+      settings.tolerance = tolerance;
+      settings.seed = seed + i;
+      clients_.emplace_back(settings);
+    }
+    elect();
+    ledger_->setCatalog(wire::ServiceCatalog{}, now_);
+    ledger_->setCatalog(catalogOf(tenant_), now_);
+  }
+
+  void elect() {
+    leader_ = NodeName("control-" + std::to_string(++leaders_));
+    ledger_.emplace(tolerance_, now_);
+    ledger_->setCatalog(catalogOf(tenant_), now_);
+  }
+  void loseLeader() { ledger_.reset(); }
+
+  /// Calls of `cost` at random routers at the rate, for the time.
+  void run(Duration time, double calls_per_second, std::int64_t cost) {
+    const TimePoint end = now_ + time;
+    TimePoint next_update = now_;
+    while (now_ < end) {
+      now_ += std::chrono::milliseconds(5);
+      if (ledger_ && ledger_->refresh(now_)) {
+        next_update = std::min(next_update, now_ + kWordToAll);
+      }
+      if (now_ >= next_update) {
+        next_update = now_ + std::chrono::milliseconds(200);
+        tellRouters();
+      }
+      if (random_.chance(calls_per_second * 0.005)) {
+        call(cost);
+      }
+      exchange();
+    }
+  }
+
+  TimePoint now() const { return now_; }
+  double most(Duration window) const {
+    double most = 0;
+    for (const Charge& charge : ran) {
+      most = std::max(most, inWindow(ran, charge.at, window));
+    }
+    return most;
+  }
+  std::vector<Charge> ran;
+  std::map<QuotaVerdict, std::size_t> verdicts;
+  /// Calls that one bucket of the quota itself would have let run, while less than it would have granted was.
+  std::size_t refused_within = 0;
+
+ private:
+  void tellRouters() {
+    if (!ledger_) {
+      return;
+    }
+    wire::ServiceUpdate update;
+    update.routers = static_cast<std::uint32_t>(clients_.size());
+    update.limited_tenants = ledger_->limited();
+    for (QuotaClient& client : clients_) {
+      client.onUpdate(leader_, update, now_);
+    }
+  }
+  void call(std::int64_t cost) {
+    QuotaClient& client = clients_[random_.below(clients_.size())];
+    costs_[++calls_] = cost;
+    const bool within = exact_.grant(static_cast<double>(cost), now_);
+    exact_granted_ += within ? static_cast<double>(cost) : 0;
+    within_[calls_] = within;
+    const QuotaReply reply = client.request(calls_, tenant_, cost, now_);
+    settle(calls_, reply);
+  }
+  void settle(std::uint64_t number, const QuotaReply& reply) {
+    ++verdicts[reply.verdict];
+    const bool refused = reply.verdict == QuotaVerdict::Spent || reply.verdict == QuotaVerdict::Unavailable;
+    refused_within += refused && within_[number] && granted_ < exact_granted_ ? 1 : 0;
+    if (reply.verdict == QuotaVerdict::Granted) {
+      ran.push_back({now_, static_cast<double>(costs_[number])});
+      granted_ += static_cast<double>(costs_[number]);
+    }
+  }
+  void exchange() {
+    for (QuotaClient& client : clients_) {
+      for (const QuotaResolved& one : client.tick(now_)) {
+        settle(one.number, one.reply);
+      }
+      const auto use = client.message(leader_, now_);
+      if (!use || !ledger_) {
+        continue;
+      }
+      for (const QuotaResolved& one : client.accept(ledger_->accept(*use, now_), now_)) {
+        settle(one.number, one.reply);
+      }
+    }
+  }
+
+  wire::Tenant tenant_;
+  QuotaTolerance tolerance_;
+  Random random_;
+  TimePoint now_ = kStart;
+  NodeName leader_;
+  int leaders_ = 0;
+  std::optional<QuotaLedger> ledger_;
+  std::vector<QuotaClient> clients_;
+  std::uint64_t calls_ = 0;
+  std::map<std::uint64_t, std::int64_t> costs_;
+  std::map<std::uint64_t, bool> within_;
+  QuotaBucket exact_;
+  double exact_granted_ = 0;
+  double granted_ = 0;
+};
+
+/// What the quota's tolerance allows in a window.
+inline double allowed(const wire::Tenant& tenant, const QuotaTolerance& tolerance) {
+  return tenant.quota->per_second * toSeconds(tolerance.window) + tenant.quota->burst +
+         allowedBeyond(tolerance, *tenant.quota);
+}
+
+}  // namespace ferryrock::tenancy
