Send calls to replicas in their slow start only where no others can take them

A replica that has just started has no calls, so that each router by itself prefers it, and all of them together send it more than it bears; the users' bound is some 16 a second there. coldRemainingMs was read and handed to routers, and no decision used it; members didn't tell when it began or ended. Now its begin and its end are changes that routers are told, routers count it down, and such a replica is the last choice. Without others it is used as before: their sum isn't bounded then (docs/design/evacuations.md).

--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -98,6 +98,9 @@
       notices_.reopen(routed.id, now);
     }
     const bool same = !fresh && lists_part_ && replica.routed == routed;
+    if (fresh || replica.routed.slow_start_ms != routed.slow_start_ms) {
+      replica.slow_until = now + std::chrono::milliseconds(routed.slow_start_ms);
+    }
     replica.routed = routed;
     replica.load_key = balance::loadKey(routed.id.value);
     if (!same) {
@@ -207,6 +210,8 @@
     return none;
   }
   keepIf(options, [now](const Replica& replica) { return replica.health.admits(now); });
+  // All routers together would send a replica that has just started, and has no calls, more than it bears.
+  keepIf(options, [now](const Replica& replica) { return now >= replica.slow_until; });
   if (need.trial) {
     keepIf(options, [&need](const Replica& replica) { return need.trial->owns(replica.routed.id); });
   }
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -43,6 +43,8 @@
   /// No connection came up; until then it gets nothing, then one call probes it.
   std::optional<TimePoint> probe_at;
   bool listed = true;  ///< the leader still lists it
+  /// From its start on it is slow, and may end under calls that it bears later.
+  TimePoint slow_until{};
 
   bool unreachable(TimePoint now) const { return probe_at && now < *probe_at; }
   bool holds(const ModelName& model, const std::string& adapter) const;
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -16,10 +16,13 @@
 /// How long a report may be on its way behind a cut and still be known as late.
 constexpr Duration kForgottenKnown = std::chrono::minutes(5);
 
-/// True when routers see no difference.
+/// True when routers see no difference. How long a replica is still slow from its start they count
+/// themselves.
 bool sameForRouters(const wire::ReplicaReport& left, const wire::ReplicaReport& right) {
-  return left.service == right.service && left.address == right.address && left.slots == right.slots &&
-         left.held == right.held && left.zone == right.zone && left.leaving == right.leaving;
+  const bool same_start = (left.slow_start_ms > 0) == (right.slow_start_ms > 0);
+  return same_start && left.service == right.service && left.address == right.address &&
+         left.slots == right.slots && left.held == right.held && left.zone == right.zone &&
+         left.leaving == right.leaving;
 }
 
 bool lists(const wire::ReplicaReport& report, const ModelName& model, const std::string& adapter) {
