--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -173,7 +173,6 @@
   leader_heard_ = now;
   leader_reads_histories_ = update.readsQuotaHistories();
   own_parts_.clear();
-  routers_ = std::max(1U, update.routers);
   limited_ = {update.limited_tenants.begin(), update.limited_tenants.end()};
 }
 
--- a/src/tenancy/quota_client.h
+++ b/src/tenancy/quota_client.h
@@ -109,7 +109,6 @@
   NodeName leader_;
   std::optional<TimePoint> leader_heard_;
   bool leader_reads_histories_ = true;
-  std::uint32_t routers_ = 1;
   std::optional<TimePoint> began_;
   std::set<TenantName> limited_;
   std::map<TenantName, Spent> spent_;
