Read the limits that replicas name, and headers of theirs that nobody knows

What couldn't be told apart: whether a router reads a replica's limit and keeps it for itself, or doesn't read it. No log line or metric told of headers that the routers don't know.

Now the head of each answer is told to the router's logic with the attempt that it answers: `replica.limit` and `replica.limit_ended` have the replica and the value, `replica.notice_unread` what can't be read, or isn't known, of headers by which replicas speak of themselves; counted in metrics. No decision uses a limit yet. An answer ends a limit only if its call left after the limit was last named, since answers cross.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -48,11 +48,20 @@
 /// What a replica says of itself in the head of any answer. It holds for the replica's life, whatever becomes
 /// of the call that was answered.
 struct ReplicaNotice {
-  bool leaving = false;                 ///< it takes no new calls
-  std::optional<Duration> retry_after;  ///< it wants no call from this router for so long; above zero
-  std::string unread_retry_after;       ///< what it wrote instead, where that is no time
-
-  bool empty() const { return !leaving && !retry_after && unread_retry_after.empty(); }
+  bool leaving = false;                      ///< it takes no new calls
+  std::optional<Duration> retry_after;       ///< it wants no call from this router for so long; above zero
+  std::string unread_retry_after;            ///< what it wrote instead, where that is no time
+  std::optional<double> calls_per_second{};  ///< that it takes from all routers together; 0 or above
+  bool names_no_limit = false;               ///< it ran the call, and names no such limit any more
+  std::string unread_limit{};                ///< what it wrote instead of one, where that is no number
+  std::string unknown_header{};  ///< the first of the headers by which replicas speak of themselves that no
+                                 ///< decision knows
+
+  /// Nothing but, possibly, that no limit is named.
+  bool empty() const {
+    return !leaving && !retry_after && unread_retry_after.empty() && !calls_per_second &&
+           unread_limit.empty() && unknown_header.empty();
+  }
 };
 
 /// How an attempt failed without an answer that can be passed on.
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -55,6 +55,8 @@
   std::uint64_t leaving_told = 0;     ///< replicas said in an answer that they leave
   std::uint64_t backoff_waits = 0;    ///< calls that waited for the end of a backoff
   std::uint64_t backoff_refused = 0;  ///< refused: all replicas that could run them are in a backoff
+  std::uint64_t limits_named = 0;     ///< times that a replica's limit began or changed
+  std::uint64_t unknown_notices = 0;  ///< answers with a header of the replicas' own that isn't known
 };
 
 /// One router of calls as logic without input or output. Every call gets exactly one final answer (an answer
@@ -73,7 +75,9 @@
   Effects onStreamEnd(AttemptNumber attempt, TimePoint now);
   Effects onFailure(AttemptNumber attempt, AttemptFailure failure, const std::string& reason, TimePoint now);
 
-  /// The head of an answer of this replica, to whatever call. Comes before the event of the answer itself.
+  /// The head of the attempt's answer. Comes before the attempt's other events.
+  Effects onHead(AttemptNumber attempt, const ReplicaNotice& notice, TimePoint now);
+  /// The head of another answer of this replica.
   Effects onNotice(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
 
   /// Answer to a ProbeReplicaEffect.
@@ -101,6 +105,7 @@
   std::size_t openCalls() const { return calls_.size(); }
   std::size_t knownReplicas() const { return replicas_.size(); }
   const ReplicaNotices& replicaNotices() const { return replicas_.notices(); }
+  const ReplicaLimits& replicaLimits() const { return replicas_.limits(); }
   /// When a leader last confirmed the catalog in force or sent a newer one; nullopt: never.
   std::optional<TimePoint> controlHeard() const { return feed_.leaderHeard(); }
   const std::set<NodeName>& controlMembers() const { return feed_.members(); }
@@ -207,6 +212,13 @@
   void enforceQuarantine(const wire::CallFingerprint& fingerprint, TimePoint now);
   void refuseQuarantined(CallPointer call, TimePoint now);
   void tellMembers(const std::vector<wire::CrashRecord>& records);
+  /// sent: when the answered call left; nullopt: not known.
+  void takeNotice(const ReplicaId& replica, const ReplicaNotice& notice, std::optional<TimePoint> sent,
+                  TimePoint now);
+  void takeLimit(const ReplicaId& replica, const ReplicaNotice& notice, std::optional<TimePoint> sent,
+                 TimePoint now);
+  /// What can't be read of a notice, or isn't known.
+  void noteUnread(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
   void notePause(Call& call, TimePoint now);
   /// The attempt's prompt has been read.
   void notePromptRead(Attempt& attempt);
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -123,7 +123,25 @@
   return finish(now);
 }
 
+Effects CallRouter::onHead(AttemptNumber attempt, const ReplicaNotice& notice, TimePoint now) {
+  const auto call = callOf(attempt);
+  if (!call) {
+    return finish(now);
+  }
+  const Attempt& answered = *(*call)->second.attempt;
+  if (!notice.empty() || replicas_.limits().isLimited(answered.replica)) {
+    takeNotice(answered.replica, notice, answered.sent, now);
+  }
+  return finish(now);
+}
+
 Effects CallRouter::onNotice(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now) {
+  takeNotice(replica, notice, std::nullopt, now);
+  return finish(now);
+}
+
+void CallRouter::takeNotice(const ReplicaId& replica, const ReplicaNotice& notice,
+                            std::optional<TimePoint> sent, TimePoint now) {
   const ReplicaNotices::Change change = replicas_.notices().accept(replica, notice, now);
   if (change == ReplicaNotices::Change::Leaving) {
     ++counts_.leaving_told;
@@ -138,12 +156,43 @@
                 {"closed_for_ms", toMilliseconds(*closed_until - now)},
                 {"waiting", static_cast<std::int64_t>(waiting_.size())}});
   }
-  if (!notice.unread_retry_after.empty() && now >= next_unread_note_) {
-    next_unread_note_ = now + kUnreadNoteInterval;
-    log_.write(LogLevel::Warning, "replica.notice_unread",
-               {{"replica", view(replica.value)}, {"retry_after", view(notice.unread_retry_after)}});
+  takeLimit(replica, notice, sent, now);
+  noteUnread(replica, notice, now);
+}
+
+void CallRouter::takeLimit(const ReplicaId& replica, const ReplicaNotice& notice,
+                           std::optional<TimePoint> sent, TimePoint now) {
+  ReplicaLimits& limits = replicas_.limits();
+  ReplicaLimits::Change change = ReplicaLimits::Change::None;
+  if (notice.calls_per_second) {
+    change = limits.name(replica, *notice.calls_per_second, sent, now);
+  } else if (notice.names_no_limit && sent) {
+    change = limits.end(replica, *sent);
+  }
+  if (change == ReplicaLimits::Change::Ended) {
+    log_.write(LogLevel::Info, "replica.limit_ended", {{"replica", view(replica.value)}});
+  } else if (change != ReplicaLimits::Change::None) {
+    ++counts_.limits_named;
+    log_.write(LogLevel::Info, "replica.limit",
+               {{"replica", view(replica.value)},
+                {"calls_per_second", *limits.limitOf(replica)},
+                {"first", change == ReplicaLimits::Change::Named}});
   }
-  return finish(now);
+}
+
+void CallRouter::noteUnread(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now) {
+  counts_.unknown_notices += notice.unknown_header.empty() ? 0 : 1;
+  const bool unread =
+      !notice.unread_retry_after.empty() || !notice.unread_limit.empty() || !notice.unknown_header.empty();
+  if (!unread || now < next_unread_note_) {
+    return;
+  }
+  next_unread_note_ = now + kUnreadNoteInterval;
+  log_.write(LogLevel::Warning, "replica.notice_unread",
+             {{"replica", view(replica.value)},
+              {"retry_after", view(notice.unread_retry_after)},
+              {"limit", view(notice.unread_limit)},
+              {"unknown_header", view(notice.unknown_header)}});
 }
 
 Effects CallRouter::onStreamEvent(AttemptNumber attempt, std::optional<std::uint64_t> id, std::string bytes,
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -138,6 +138,7 @@
     const ReplicaId former = known->second;
     unlist(former);
     notices_.forget(former);
+    limits_.forget(former);
   }
   lives_[name] = id;
   return true;
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "balance/call_cost.h"
+#include "calls/replica_limits.h"
 #include "calls/replica_notices.h"
 #include "common/random.h"
 #include "quarantine/trial.h"
@@ -113,6 +114,9 @@
   /// What replicas said of themselves to this router.
   ReplicaNotices& notices() { return notices_; }
   const ReplicaNotices& notices() const { return notices_; }
+  /// What they take from all routers together.
+  ReplicaLimits& limits() { return limits_; }
+  const ReplicaLimits& limits() const { return limits_; }
   /// Those to which no connection comes up just now.
   std::vector<ReplicaId> unreachable(TimePoint now) const;
 
@@ -162,6 +166,7 @@
   bool lists_part_ = false;
   balance::LoadBoard board_;
   ReplicaNotices notices_;
+  ReplicaLimits limits_;
   std::uint64_t turn_;
 };
 
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -87,6 +87,9 @@
 
 ReplicaCallbacks CallRouterShell::replicaCallbacks() {
   ReplicaCallbacks callbacks;
+  callbacks.on_head = [this](calls::AttemptNumber attempt, const calls::ReplicaNotice& notice) {
+    carryOut(router_.onHead(attempt, notice, now()));
+  };
   callbacks.on_notice = [this](const ReplicaId& replica, const calls::ReplicaNotice& notice) {
     carryOut(router_.onNotice(replica, notice, now()));
   };
@@ -244,6 +247,12 @@
       static_cast<double>(counts.backoff_refused));
   set("ferryrock_replicas_in_backoff", "Replicas that want no calls from this router just now",
       static_cast<double>(router_.replicaNotices().inBackoff(now())));
+  set("ferryrock_replica_limits_named", "Times that a replica's limit for all routers began or changed",
+      static_cast<double>(counts.limits_named));
+  set("ferryrock_replicas_limited", "Replicas that have a limit for all routers, as far as this one knows",
+      static_cast<double>(router_.replicaLimits().size()));
+  set("ferryrock_replica_notices_unknown", "Answers with a header of the replicas' own that isn't known",
+      static_cast<double>(counts.unknown_notices));
   const std::optional<TimePoint> proved = router_.catalogProof().provedAt();
   set("ferryrock_catalog_proved_seconds_ago", "Age of the proof that the catalog is the newest; -1: none",
       proved ? toSeconds(now() - *proved) : -1);
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -88,13 +88,14 @@
   const AttemptPtr kept = found->second;
   Attempt& attempt = *kept;
   const calls::ReplicaNotice notice = dialect_.notice(status, headers);
-  if (!notice.empty()) {
-    callbacks_.on_notice(attempt.replica, notice);
-  }
   if (!dialect_.answersCall(attempt.id, status, headers)) {
+    if (!notice.empty()) {
+      callbacks_.on_notice(attempt.replica, notice);
+    }
     fail(number, AttemptFailure::Foreign, "the answer isn't this call's");
     return;
   }
+  callbacks_.on_head(number, notice);
   noteKeepAlive(attempt.address, headers);
   attempt.answer.status = status;
   attempt.answer.headers = headers;
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -14,8 +14,10 @@
 
 /// What happened to attempts. An attempt ends by on_answer, on_stream_end, on_failure or cancel().
 struct ReplicaCallbacks {
-  /// What the head of an answer says of the replica, before the attempt's other events; also of an answer to
-  /// another call on its connection. Not called for heads that say nothing.
+  /// What the head of an answer says of the replica, before the attempt's other events.
+  std::function<void(calls::AttemptNumber, const calls::ReplicaNotice&)> on_head;
+  /// What the head of an answer to another call on its connection says of the replica. Not called for heads
+  /// that say nothing.
   std::function<void(const ReplicaId&, const calls::ReplicaNotice&)> on_notice;
   std::function<void(calls::AttemptNumber, const calls::AnswerSummary&)> on_answer;
   std::function<void(calls::AttemptNumber, StreamEvent)> on_stream_event;
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -214,6 +214,55 @@
   CHECK(kDialect.notice(421, {{"Retry-After", "3"}}).empty());
 }
 
+/// What a replica wrote as the calls a second that it takes, and what is read.
+struct LimitCase {
+  const char* text;
+  std::optional<double> read;
+};
+
+TEST_CASE(
+    "The calls a second that a replica takes are read as a decimal number from 0; all else is told unread") {
+  const std::vector<LimitCase> cases = {
+      {"1.2", 1.2},
+      {"0", 0.0},
+      {"0.05", 0.05},
+      {"7", 7.0},
+      {"1e300", 1e6},
+      {"-1", std::nullopt},
+      {"nan", std::nullopt},
+      {"inf", std::nullopt},
+      {"1.2/s", std::nullopt},
+      {"few", std::nullopt},
+      {"1 2", std::nullopt},
+      {"+3", std::nullopt},
+  };
+  for (const LimitCase& given : cases) {
+    for (const int status : {200, 404, 429, 500, 503}) {
+      INFO(status << " '" << given.text << "'");
+      const calls::ReplicaNotice notice = kDialect.notice(status, {{"server-limit", given.text}});
+      CHECK(notice.calls_per_second == given.read);
+      CHECK(notice.unread_limit == (given.read ? "" : given.text));
+      CHECK_FALSE(notice.names_no_limit);
+    }
+  }
+  CHECK(kDialect.notice(200, {{"Server-Limit", ""}}).unread_limit == "(empty)");
+  CHECK(kDialect.notice(200, {{"Server-Limit", "4"}, {"Server-Limit", "2"}}).calls_per_second == 2);
+  CHECK(kDialect.notice(421, {{"Server-Limit", "4"}}).empty());
+}
+
+TEST_CASE("Only an answer of a call that ran says by its silence that a replica has no limit") {
+  CHECK(kDialect.notice(200, {}).names_no_limit);
+  for (const int status : {404, 421, 429, 500, 503}) {
+    CHECK_FALSE(kDialect.notice(status, {}).names_no_limit);
+  }
+}
+
+TEST_CASE("A header of the replicas' own that isn't known is told") {
+  CHECK(kDialect.notice(200, {{"X-Odd", "1"}, {"Server-Mood", "low"}}).unknown_header == "Server-Mood");
+  CHECK(kDialect.notice(200, {{"Server", "x"}, {"Server-Limit", "1"}, {"Server-Leaving", "1"}})
+            .unknown_header.empty());
+}
+
 TEST_CASE("A status that promises that a call wasn't run is told only when that is certain") {
   constexpr bool kNotRun = true;
   const RequestId id("9c41");
