--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -45,6 +45,8 @@
       return "replica";
     case ChoiceFailure::Backoff:
       return "backoff";
+    case ChoiceFailure::Limited:
+      return "limit";
     default:
       return "place";
   }
@@ -58,6 +60,8 @@
       return ResultCode::NoReplica;
     case ChoiceFailure::Backoff:
       return ResultCode::ReplicaBackoff;
+    case ChoiceFailure::Limited:
+      return ResultCode::ReplicaLimited;
     default:
       return ResultCode::ReplicaRefused;
   }
@@ -76,7 +80,8 @@
       feed_(settings.feed),
       budget_(settings.retries),
       quota_(quotaSettings(settings)),
-      replicas_(settings.feed.zone, settings.seed),
+      replicas_(settings.feed.zone, settings.seed,
+                {settings.feed.router, settings.feed.incarnation, settings.seed}),
       crashes_(settings.quarantine) {
   static_cast<void>(now);
 }
@@ -192,10 +197,15 @@
   if (waitForTrial(call, now)) {
     return;
   }
+  useCredit(state, now);
   const Choice choice = replicas_.choose(state.need, now);
   if (choice.replica == nullptr) {
+    seekCredit(call, choice, now);
     waitForReplica(call, choice, now);
   } else {
+    for (const ReplicaId& limited : choice.limited) {
+      replicas_.limits().askSpare(limited, now);
+    }
     sendTo(call, *choice.replica, choice.use, now);
   }
 }
@@ -217,6 +227,7 @@
   ++state.attempts;
   ++counts_.attempts;
   attempts_[number] = call->first;
+  spendCredit(state, attempt, now);
   if (const auto reopening = replicas_.onSent(replica, now)) {
     attempt.reopening = reopening->round;
     noteReopening(replica.routed.id, *reopening);
@@ -276,9 +287,15 @@
 
 bool CallRouter::sendAway(CallPointer call, const Choice& choice, TimePoint now) {
   const Call& state = call->second;
+  if (state.credit.ask || state.credit.granted) {
+    return false;
+  }
   const auto loaded = loads_.readyAt(state.need.service, state.need.model, now);
-  const bool opens_first = choice.opens_at && (!loaded || *choice.opens_at <= *loaded);
-  const auto ready = opens_first ? choice.opens_at : loaded;
+  const std::optional<TimePoint>& room = state.credit.opens_at;
+  const bool limited = room && (!choice.opens_at || *room <= *choice.opens_at);
+  const std::optional<TimePoint>& opens_at = limited ? room : choice.opens_at;
+  const bool opens_first = opens_at && (!loaded || *opens_at <= *loaded);
+  const auto ready = opens_first ? opens_at : loaded;
   if (!ready) {
     return false;
   }
@@ -295,21 +312,29 @@
   if (!state.need.model.empty()) {
     loads_.expectBack(state.need.service, state.need.model, now + *absence);
   }
-  refuse(call, opens_first ? ResultCode::ReplicaBackoff : ResultCode::LoadCannotFinishInTime,
-         opens_first ? "until the first of them takes calls again" : "the model is being loaded", absence,
-         now);
+  if (opens_first && limited) {
+    refuse(call, ResultCode::ReplicaLimited, "until the first of them has room", absence, now);
+  } else if (opens_first) {
+    refuse(call, ResultCode::ReplicaBackoff, "until the first of them takes calls again", absence, now);
+  } else {
+    refuse(call, ResultCode::LoadCannotFinishInTime, "the model is being loaded", absence, now);
+  }
   return true;
 }
 
 Duration CallRouter::comeBackAfterRefusals(const Call& call, TimePoint now) {
-  const auto opens = replicas_.opensAt(call.need, now);
-  return opens ? spreadAbsence(*opens - now, random_.unit()) : kComeBackSoon;
+  const auto opens = call.credit.opens_at ? call.credit.opens_at : replicas_.opensAt(call.need, now);
+  if (opens) {
+    return spreadAbsence(std::max<Duration>(*opens - now, kComeBackAtOnce), random_.unit());
+  }
+  return call.last_failure == ResultCode::ReplicaLimited ? kComeBackLater : kComeBackSoon;
 }
 
 void CallRouter::waitForReplica(CallPointer call, const Choice& choice, TimePoint now) {
   Call& state = call->second;
   const ChoiceFailure failure = choice.failure;
-  const bool known_to_open = failure == ChoiceFailure::NotHeld || failure == ChoiceFailure::Backoff;
+  const bool known_to_open = failure == ChoiceFailure::NotHeld || failure == ChoiceFailure::Backoff ||
+                             failure == ChoiceFailure::Limited;
   if (known_to_open && sendAway(call, choice, now)) {
     return;
   }
@@ -321,6 +346,7 @@
   }
   if (first) {
     counts_.backoff_waits += failure == ChoiceFailure::Backoff ? 1 : 0;
+    counts_.limit_waits += failure == ChoiceFailure::Limited ? 1 : 0;
     log_.write(LogLevel::Info, "call.waits",
                {{"request", view(state.request.id.value)},
                 {"for", reasonToWait(failure)},
@@ -335,6 +361,9 @@
   if (choice.look_again) {
     state.retry = std::max(*choice.look_again, now + kLookAgain);
   }
+  if (state.credit.granted) {
+    state.retry = std::min(state.retry.value_or(TimePoint::max()), state.credit.granted->from);
+  }
   setTimer(call);
 }
 
@@ -364,6 +393,7 @@
   if (call->second.attempt) {
     release(call->second);
   }
+  dropCredit(call->second);
   timers_.erase({call->second.timer, call->first});
   waiting_.erase(call->first);
   unrouted_.erase(call->first);
@@ -419,6 +449,7 @@
 
 Effects CallRouter::tick(TimePoint now) {
   resolveQuotas(quota_.tick(now), now);
+  resolveCredits(replicas_.limits().tick(now), now);
   if (now >= next_crash_expiry_) {
     next_crash_expiry_ = now + kCrashExpiryInterval;
     crashes_.expire(now);
@@ -435,7 +466,8 @@
 }
 
 TimePoint CallRouter::nextDeadline() const {
-  const TimePoint status = std::min(feed_.nextDeadline(), quota_.nextDeadline());
+  const TimePoint status =
+      std::min({feed_.nextDeadline(), quota_.nextDeadline(), replicas_.limits().nextDeadline()});
   return timers_.empty() ? status : std::min(status, timers_.begin()->first);
 }
 
@@ -470,6 +502,7 @@
   }
   sendStatuses(now);
   tellQuotaUse(now);
+  tellLimits(now);
   return std::exchange(effects_, {});
 }
 
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -56,6 +56,8 @@
   std::uint64_t backoff_waits = 0;    ///< calls that waited for the end of a backoff
   std::uint64_t backoff_refused = 0;  ///< refused: all replicas that could run them are in a backoff
   std::uint64_t limits_named = 0;     ///< times that a replica's limit began or changed
+  std::uint64_t limit_waits = 0;      ///< calls that waited for credit under a replica's limit
+  std::uint64_t limit_refused = 0;    ///< refused: no replica that could run them has room under its limit
   std::uint64_t unknown_notices = 0;  ///< answers with a header of the replicas' own that isn't known
 };
 
@@ -118,10 +120,24 @@
     ReplicaId replica;
     TimePoint sent{};
     std::uint64_t unread_tokens = 0;  ///< counted at the replica until it shows a sign of life
+    bool with_credit = false;         ///< of the leader, under its replica's limit
     std::uint64_t reopening = 0;      ///< round in which it reopens its replica; 0: none, or it was taken
     int paced_events = 0;             ///< since paced_since
     TimePoint paced_since{};
   };
+  /// A credit under the limit of a replica.
+  struct LimitCredit {
+    ReplicaId replica;
+    TimePoint from{};
+  };
+  /// A call's search for one.
+  struct CreditSearch {
+    std::optional<std::uint64_t> ask;    ///< under way
+    ReplicaId asked;                     ///< for this replica
+    std::optional<LimitCredit> granted;  ///< not used yet
+    std::set<ReplicaId> refused;         ///< they have none in time,
+    std::optional<TimePoint> opens_at;   ///< and the first of them has one then
+  };
   struct Call {
     CallRequest request;
     std::shared_ptr<const RouteTable> routes;  ///< keeps the route alive
@@ -132,6 +148,7 @@
     TimePoint waits_until{};         ///< for a replica
     std::optional<TimePoint> retry;  ///< when to look for a replica again
     std::optional<Attempt> attempt;
+    CreditSearch credit;                    ///< under the limits of replicas
     std::optional<TenantName> tenant;       ///< that holds the call's key
     std::int64_t charged = 0;               ///< to the tenant's quota
     std::uint64_t account = 0;              ///< that was charged, see tenancy::QuotaReply
@@ -198,6 +215,18 @@
   Replica* release(Call& call);
   /// The replica runs the attempt.
   void noteTaken(Attempt& attempt);
+  // call_router_limits.cc
+  /// Lets the call use its credit if it has one by now; one that has lapsed is dropped.
+  void useCredit(Call& call, TimePoint now);
+  /// Asks for credit under the limit of a replica that hasn't refused it yet.
+  void seekCredit(CallPointer call, const Choice& choice, TimePoint now);
+  /// The call is sent: with its credit, or with what this router may send without one.
+  void spendCredit(Call& call, Attempt& attempt, TimePoint now);
+  /// The call needs none any more. What it was granted and didn't use is given back.
+  void dropCredit(Call& call);
+  void resolveCredits(const std::vector<LimitResolved>& resolved, TimePoint now);
+  void resolveCredit(CallPointer call, const LimitResolved& resolved, TimePoint now);
+  void tellLimits(TimePoint now);
   // call_router_crashes.cc
   /// Has the replica that broke the call off probed.
   void probe(Call& call, const ReplicaId& replica, const std::string& address);
@@ -262,8 +291,9 @@
   std::map<AttemptNumber, CallNumber> attempts_;
   std::set<std::pair<TimePoint, CallNumber>> timers_;
   std::set<CallNumber> waiting_;
-  std::set<CallNumber> unrouted_;         ///< wait for the first catalog, or its first proof
-  std::set<CallNumber> awaiting_credit_;  ///< of their tenants
+  std::set<CallNumber> unrouted_;                   ///< wait for the first catalog, or its first proof
+  std::set<CallNumber> awaiting_credit_;            ///< of their tenants
+  std::map<std::uint64_t, CallNumber> limit_asks_;  ///< under way
   std::map<std::tuple<ServiceName, ModelName, std::string>, std::uint32_t> arrivals_;  ///< since last told
   CallRouterCounts counts_;
   std::uint64_t table_changes_ = 0;  ///< entries of the replica table changed since the last line of it
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -298,6 +298,9 @@
               {"proved_unrun", failure == AttemptFailure::NotSent},
               {"reason", view(reason)},
               {"after_ms", toMilliseconds(now - state.attempt->sent)}});
+  if (failure == AttemptFailure::NotSent && state.attempt->with_credit) {
+    replicas_.limits().giveBack(state.attempt->replica);
+  }
   const ReplicaId replica_id = state.attempt->replica;
   const Replica* failed = replicas_.find(replica_id);
   const std::string address = failed == nullptr ? std::string() : failed->routed.address;
@@ -395,6 +398,7 @@
   }
   ++counts_.refused;
   counts_.backoff_refused += code == ResultCode::ReplicaBackoff ? 1 : 0;
+  counts_.limit_refused += code == ResultCode::ReplicaLimited ? 1 : 0;
   log_.write(LogLevel::Warning, "call.refused",
              {{"request", view(state.request.id.value)},
               {"code", static_cast<std::int64_t>(code)},
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -31,6 +31,9 @@
   } else if (const auto* answer = std::get_if<wire::QuotaAnswer>(&envelope.message)) {
     feed_.noteAnswer(envelope.from);
     resolveQuotas(quota_.accept(*answer, now), now);
+  } else if (const auto* reply = std::get_if<wire::LimitReply>(&envelope.message)) {
+    feed_.noteAnswer(envelope.from);
+    resolveCredits(replicas_.limits().accept(*reply, now), now);
   } else if (const auto* records = std::get_if<wire::CrashRecords>(&envelope.message)) {
     feed_.noteAnswer(envelope.from);
     takeCrashRecords(envelope.from, *records, now);
@@ -63,6 +66,7 @@
                 {"revision", static_cast<std::int64_t>(update.revision.value)}});
   }
   quota_.onUpdate(from, update, now);
+  replicas_.limits().onLeader(update.grants_limits, update.routers, now);
   if (update.catalog) {
     takeCatalog(from, *update.catalog, heard, now);
   }
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -37,6 +37,8 @@
 /// While a replica is opened again after a backoff, calls look again this often, besides whenever it takes
 /// one.
 constexpr Duration kOpeningPause = std::chrono::milliseconds(50);
+/// Without a leader that grants credit, calls look again this often for room under a replica's limit.
+constexpr Duration kLimitedPause = std::chrono::milliseconds(100);
 /// Between two probes of a replica to which no connection comes up.
 constexpr Duration kProbePause = std::chrono::milliseconds(500);
 
@@ -101,12 +103,18 @@
     if (fresh || replica.routed.slow_start_ms != routed.slow_start_ms) {
       replica.slow_until = now + std::chrono::milliseconds(routed.slow_start_ms);
     }
+    if (routed.limit_ended && !replica.routed.limit_ended) {
+      limits_.onToldEnd(routed.id);
+    }
     replica.routed = routed;
     replica.load_key = balance::loadKey(routed.id.value);
     if (!same) {
       replica.missing.clear();
     }
     replica.listed = true;
+    if (routed.calls_per_second) {
+      limits_.onTold(routed.id, *routed.calls_per_second, now);
+    }
     by_service_[routed.service].insert(routed.id);
     named.insert(routed.id);
   }
@@ -203,6 +211,9 @@
       leaveOut(ChoiceFailure::Refusing, replica.refused_until);
     } else if (!notices_.admits(id, now)) {
       leaveOut(ChoiceFailure::Refusing, now + kOpeningPause);
+    } else if (need.credit != id && !limits_.admits(id, now)) {
+      leaveOut(ChoiceFailure::Limited, now + kLimitedPause);
+      none.limited.push_back(id);
     } else {
       options.push_back(&replica);
     }
@@ -213,6 +224,8 @@
   keepIf(options, [now](const Replica& replica) { return replica.health.admits(now); });
   // All routers together would send a replica that has just started, and has no calls, more than it bears.
   keepIf(options, [now](const Replica& replica) { return now >= replica.slow_until; });
+  // Credits for any call are few, and lapse if the next one doesn't use them.
+  keepIf(options, [&](const Replica& replica) { return limits_.hasSpareCredit(replica.routed.id, now); });
   if (need.trial) {
     keepIf(options, [&need](const Replica& replica) { return need.trial->owns(replica.routed.id); });
   }
@@ -220,9 +233,9 @@
   ++turn_;
   if (!need.model.empty() && board_.isFresh(now) && isUneven(options)) {
     Replica* replica = cheapest(options, need);
-    return {replica, ChoiceFailure::None, fleetUse(*replica), std::nullopt, std::nullopt};
+    return {replica, ChoiceFailure::None, fleetUse(*replica), {}, {}, std::move(none.limited)};
   }
-  return {leastLoaded(options, need), ChoiceFailure::None, std::nullopt, std::nullopt, std::nullopt};
+  return {leastLoaded(options, need), ChoiceFailure::None, {}, {}, {}, std::move(none.limited)};
 }
 
 bool ReplicaTable::serves(const Replica& replica, const ReplicaNeed& need, TimePoint now) const {
@@ -233,7 +246,8 @@
 bool ReplicaTable::anyHolds(const ReplicaNeed& need, TimePoint now) const {
   const auto ids = by_service_.find(need.service);
   return ids != by_service_.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](const auto& id) {
-           return serves(replicas_.at(id), need, now) && !notices_.closedUntil(id, now);
+           return serves(replicas_.at(id), need, now) && !notices_.closedUntil(id, now) &&
+                  !limits_.isLimited(id);
          });
 }
 
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -70,6 +70,8 @@
   std::uint64_t shared_tokens = 0;  ///< of the prompt, in parts that other calls share
   Duration stream_time{};           ///< that streams of the call's route take; zero: not known
   std::set<ReplicaId> tried;        ///< taken again only when nothing else is left
+  /// A replica with a limit that the call has a credit for, which may be used now.
+  std::optional<ReplicaId> credit;
   /// Of a call that one more end of a replica quarantines; replicas that it doesn't own are taken only when
   /// nothing else is left.
   std::optional<quarantine::Trial> trial;
@@ -80,6 +82,7 @@
   NoReplica,  ///< the service has none that takes new calls and can be reached
   NotHeld,    ///< none of those holds the model or the adapter
   Backoff,    ///< those that could have asked for a time without calls
+  Limited,    ///< those that could have a limit for all routers, and the call has no credit for one
   Refusing,   ///< those that could have refused just now
 };
 
@@ -89,13 +92,15 @@
   std::optional<balance::FleetUse> use;  ///< of the replica, where that decided
   std::optional<TimePoint> look_again;   ///< earliest instant at which one that was left out may be asked
   std::optional<TimePoint> opens_at;     ///< where they are in a backoff: the first end of one
+  std::vector<ReplicaId> limited;        ///< left out for want of a credit alone
 };
 
 /// The replicas that the leader lists, and those with attempts still under way. Used by one thread.
 class ReplicaTable {
  public:
   /// Equal replicas are taken in an order that differs between routers and from call to call.
-  ReplicaTable(ZoneName zone, std::uint64_t seed) : zone_(std::move(zone)), own_homes_(seed), turn_(seed) {}
+  ReplicaTable(ZoneName zone, std::uint64_t seed, const ReplicaLimitsSettings& limits = {})
+      : zone_(std::move(zone)), own_homes_(seed), limits_(limits), turn_(seed) {}
 
   /// Takes an update's replicas. One that was closed and takes calls again is opened step by step.
   void apply(const wire::ServiceUpdate& update, TimePoint now);
--- a/src/calls/wait_policy.cc
+++ b/src/calls/wait_policy.cc
@@ -35,7 +35,8 @@
 }  // namespace
 
 TimePoint waitLimit(const WaitingCall& call, ChoiceFailure failure, TimePoint now) {
-  const bool known_to_open = failure == ChoiceFailure::NotHeld || failure == ChoiceFailure::Backoff;
+  const bool known_to_open = failure == ChoiceFailure::NotHeld || failure == ChoiceFailure::Backoff ||
+                             failure == ChoiceFailure::Limited;
   if (!known_to_open) {
     return std::min(call.deadline, now + scaled(call.target, kPlaceWaitShare));
   }
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -49,6 +49,7 @@
   QuotaSpent = 2023,
   CallQuarantined = 2024,
   ReplicaBackoff = 2025,
+  ReplicaLimited = 2026,
 
   // 3xxx: operators' changes and reads.
   VersionConflict = 3001,
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -251,6 +251,20 @@
       static_cast<double>(counts.limits_named));
   set("ferryrock_replicas_limited", "Replicas that have a limit for all routers, as far as this one knows",
       static_cast<double>(router_.replicaLimits().size()));
+  const calls::ReplicaLimitCounts& limits = router_.replicaLimits().counts();
+  set("ferryrock_limit_asked", "Credits asked for under replicas' limits", static_cast<double>(limits.asked));
+  set("ferryrock_limit_granted", "Of those, granted", static_cast<double>(limits.granted));
+  set("ferryrock_limit_refused", "Of those, refused: no room in time", static_cast<double>(limits.refused));
+  set("ferryrock_limit_unanswered", "Of those, not answered by a leader in time",
+      static_cast<double>(limits.unanswered));
+  set("ferryrock_limit_returned", "Credits that weren't used", static_cast<double>(limits.returned));
+  set("ferryrock_limit_sent", "Sendings to replicas with a limit", static_cast<double>(limits.sent));
+  set("ferryrock_limit_sent_alone", "Of those, without a leader, by this router's own part",
+      static_cast<double>(limits.alone));
+  set("ferryrock_calls_waited_for_limit", "Calls that waited for credit under a replica's limit",
+      static_cast<double>(counts.limit_waits));
+  set("ferryrock_calls_refused_limit", "Calls refused since no replica for them had room under its limit",
+      static_cast<double>(counts.limit_refused));
   set("ferryrock_replica_notices_unknown", "Answers with a header of the replicas' own that isn't known",
       static_cast<double>(counts.unknown_notices));
   const std::optional<TimePoint> proved = router_.catalogProof().provedAt();
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -428,6 +428,16 @@
       static_cast<double>(view.suspected_calls));
   set("ferryrock_tenants_limited", "Tenants whose calls ask for credit before they run",
       static_cast<double>(view.limited_tenants));
+  set("ferryrock_replicas_limited", "Replicas that take so many calls a second from all routers together",
+      static_cast<double>(view.limited_replicas));
+  set("ferryrock_limit_granted", "Calls granted under replicas' limits, since this member leads",
+      static_cast<double>(view.limits.granted));
+  set("ferryrock_limit_reserved", "Of those, calls granted for a later time",
+      static_cast<double>(view.limits.reserved));
+  set("ferryrock_limit_refused", "Calls for which a replica has no room under its limit in time",
+      static_cast<double>(view.limits.refused));
+  set("ferryrock_limit_returned", "Granted calls that weren't sent",
+      static_cast<double>(view.limits.returned));
   set("ferryrock_zones_evacuated", "Zones whose replicas get no new calls and no models",
       static_cast<double>(view.evacuated_zones));
   set("ferryrock_transport_sent_bytes", "Bytes sent to other processes of the system",
--- /dev/null
+++ b/src/services/limit_ledger.cc
@@ -0,0 +1,198 @@
+#include "services/limit_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Credit that an account saves up, in calls, and as a time at its rate: calls that come at once at several
+/// routers needn't come at the pace of the limit.
+constexpr double kLeastBurst = 1;
+constexpr double kBurstSeconds = 0.25;
+/// No credit is promised for later than this.
+constexpr Duration kLongestPromise = 5s;
+/// Routers are told another value if it differs by this factor, and not more often; the exact one is needed
+/// here alone.
+constexpr double kToldFactor = 1.25;
+constexpr Duration kToldInterval = 1s;
+/// An ended limit is remembered for routers that heard it named before.
+constexpr Duration kEndRemembered = 60s;
+constexpr std::size_t kMostAccounts = 10'000;
+constexpr std::size_t kMostRequesters = 10'000;
+
+bool differs(double told, double per_second) {
+  return per_second > told * kToldFactor || per_second * kToldFactor < told;
+}
+
+Duration secondsToDuration(double seconds) {
+  return std::chrono::ceil<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+wire::LimitReply LimitLedger::accept(const wire::LimitRequest& request, TimePoint now) {
+  wire::LimitReply reply;
+  reply.incarnation = request.incarnation;
+  if (!isNew(request)) {
+    return reply;
+  }
+  for (const wire::HeardLimit& heard : request.heard) {
+    const TimePoint at = now - std::chrono::milliseconds(std::max<std::int64_t>(0, heard.age_ms));
+    if (heard.calls_per_second) {
+      name(heard.replica, *heard.calls_per_second, at, now);
+    } else {
+      end(heard.replica, at);
+    }
+  }
+  for (const ReplicaId& replica : request.returned) {
+    giveBack(replica, now);
+  }
+  for (const wire::LimitAsk& ask : request.asks) {
+    name(ask.replica, ask.calls_per_second,
+         now - std::chrono::milliseconds(std::max<std::int64_t>(0, ask.age_ms)), now);
+    reply.decisions.push_back(decide(ask, now));
+  }
+  return reply;
+}
+
+/// A message that comes twice would charge and return twice.
+bool LimitLedger::isNew(const wire::LimitRequest& request) {
+  if (requesters_.size() >= kMostRequesters && !requesters_.contains(request.router)) {
+    requesters_.clear();
+  }
+  Requester& known = requesters_[request.router];
+  if (known.incarnation == request.incarnation && request.sequence <= known.sequence) {
+    return false;
+  }
+  known = {request.incarnation, request.sequence};
+  return true;
+}
+
+void LimitLedger::name(const ReplicaId& replica, double per_second, TimePoint at, TimePoint now) {
+  if (!std::isfinite(per_second) || per_second < 0) {
+    return;
+  }
+  const auto [place, fresh] = accounts_.try_emplace(replica);
+  Account& account = place->second;
+  if (!fresh && account.ended && *account.ended >= at) {
+    return;
+  }
+  if (fresh || account.ended) {
+    account.ended.reset();
+    account.per_second = per_second;
+    account.credit = 0;
+    account.credited = now;
+    account.named = at;
+  } else if (at > account.named) {
+    refill(account, now);
+    account.per_second = per_second;
+    account.named = at;
+  }
+  const bool changed = account.told && differs(*account.told, account.per_second);
+  if (!account.told || (changed && now - account.told_at >= kToldInterval)) {
+    account.told = account.per_second;
+    account.told_at = now;
+    changed_.push_back(replica);
+  }
+  keepBounded();
+}
+
+/// The call whose answer names no limit left after the limit was last named, so the answer is the later word.
+void LimitLedger::end(const ReplicaId& replica, TimePoint sent) {
+  const auto account = accounts_.find(replica);
+  if (account == accounts_.end() || account->second.ended || sent <= account->second.named) {
+    return;
+  }
+  account->second.ended = sent;
+  account->second.told.reset();
+  changed_.push_back(replica);
+}
+
+void LimitLedger::giveBack(const ReplicaId& replica, TimePoint now) {
+  const auto account = accounts_.find(replica);
+  if (account != accounts_.end() && !account->second.ended) {
+    refill(account->second, now);
+    account->second.credit += 1;
+    ++counts_.returned;
+  }
+}
+
+double LimitLedger::rateOf(const Account& account) {
+  return std::max(wire::kLeastLimitRate, account.per_second);
+}
+
+void LimitLedger::refill(Account& account, TimePoint now) {
+  const double rate = rateOf(account);
+  const double most = std::max(kLeastBurst, kBurstSeconds * rate);
+  account.credit = std::min(most, account.credit + rate * toSeconds(now - account.credited));
+  account.credited = now;
+}
+
+/// Credit is granted in the order in which it is asked for, also for a later time that the call can wait for.
+/// Callers that are refused are told one moment after the other, at the pace at which credit comes.
+wire::LimitDecision LimitLedger::decide(const wire::LimitAsk& ask, TimePoint now) {
+  wire::LimitDecision decision;
+  decision.number = ask.number;
+  const auto found = accounts_.find(ask.replica);
+  if (found == accounts_.end() || found->second.ended) {
+    decision.granted = true;
+    decision.unlimited = true;
+    return decision;
+  }
+  Account& account = found->second;
+  refill(account, now);
+  const Duration wait = secondsToDuration(std::max(0.0, (1 - account.credit) / rateOf(account)));
+  const Duration longest = std::clamp<Duration>(std::chrono::milliseconds(ask.wait_ms), 0ms, kLongestPromise);
+  decision.calls_per_second = account.per_second;
+  decision.granted = wait <= longest;
+  if (decision.granted) {
+    account.credit -= 1;
+    ++counts_.granted;
+    counts_.reserved += wait > Duration::zero() ? 1 : 0;
+    decision.wait_ms = toMilliseconds(std::chrono::ceil<std::chrono::milliseconds>(wait));
+    return decision;
+  }
+  ++counts_.refused;
+  const TimePoint told = std::max(now + wait, account.promised);
+  account.promised = told + secondsToDuration(1 / rateOf(account));
+  account.promised = std::min(account.promised, now + wait + kLongestPromise);
+  decision.wait_ms = toMilliseconds(std::chrono::ceil<std::chrono::milliseconds>(told - now));
+  return decision;
+}
+
+std::vector<std::pair<ReplicaId, std::optional<double>>> LimitLedger::takeChanges() {
+  std::vector<std::pair<ReplicaId, std::optional<double>>> changes;
+  for (const ReplicaId& replica : std::exchange(changed_, {})) {
+    const auto account = accounts_.find(replica);
+    changes.emplace_back(replica, account == accounts_.end() ? std::nullopt : account->second.told);
+  }
+  return changes;
+}
+
+void LimitLedger::expire(TimePoint now) {
+  std::erase_if(accounts_, [now](const auto& item) {
+    return item.second.ended && now - *item.second.ended > kEndRemembered;
+  });
+}
+
+std::size_t LimitLedger::limited() const {
+  return static_cast<std::size_t>(
+      std::count_if(accounts_.begin(), accounts_.end(), [](const auto& item) { return !item.second.ended; }));
+}
+
+/// The one that was named the longest ago goes.
+void LimitLedger::keepBounded() {
+  if (accounts_.size() <= kMostAccounts) {
+    return;
+  }
+  const auto oldest = std::min_element(
+      accounts_.begin(), accounts_.end(),
+      [](const auto& left, const auto& right) { return left.second.named < right.second.named; });
+  changed_.push_back(oldest->first);
+  accounts_.erase(oldest);
+}
+
+}  // namespace ferryrock::services
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -194,6 +194,25 @@
   }
 }
 
+void ReplicaRegistry::setLimit(const ReplicaId& id, std::optional<double> calls_per_second) {
+  ReplicaRecord* record = findMutable(id);
+  if (record != nullptr && record->calls_per_second != calls_per_second) {
+    record->calls_per_second = calls_per_second;
+    record->limit_ended = !calls_per_second;
+    noteChange(*record);
+  }
+}
+
+void ReplicaRegistry::clearLimits() {
+  for (auto& [id, record] : replicas_) {
+    if (record.calls_per_second || record.limit_ended) {
+      record.calls_per_second.reset();
+      record.limit_ended = false;
+      noteChange(record);
+    }
+  }
+}
+
 void ReplicaRegistry::setEvacuated(const std::set<ZoneName>& zones) {
   if (zones == evacuated_) {
     return;
--- a/src/services/replica_registry.h
+++ b/src/services/replica_registry.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,6 +23,8 @@
   std::uint64_t changed = 0;  ///< the registry's count when routers last got something new about it
   /// Adapters whose load was taken by the replica, by (model, adapter), until they show in a report.
   std::map<std::pair<ModelName, std::string>, TimePoint> assumed_adapters;
+  std::optional<double> calls_per_second;  ///< that it takes from all routers together; nullopt: no limit
+  bool limit_ended = false;                ///< it had one
   /// Models whose unload was ordered; routers don't see them any more.
   std::map<ModelName, TimePoint> withdrawn_models;
 
@@ -50,6 +53,10 @@
   void noteAlive(const wire::ReplicaAlive& alive, TimePoint now);
   /// Sticky for the replica's life; known replicas only.
   void markLeaving(const ReplicaId& id);
+  /// Known replicas only; nullopt: it has ended.
+  void setLimit(const ReplicaId& id, std::optional<double> calls_per_second);
+  /// What an earlier leader's routers heard isn't known to be so any more.
+  void clearLimits();
   /// The zones whose replicas take no new calls, in place of those before.
   void setEvacuated(const std::set<ZoneName>& zones);
   bool isEvacuated(const ReplicaRecord& record) const { return evacuated_.contains(record.report.zone); }
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -130,6 +130,20 @@
   }
 }
 
+/// Without a lease another member may lead already and account for the same limits.
+void ServiceControlImpl::onMessage(const NodeName& from, const wire::LimitRequest& request, TimePoint now) {
+  if (request.router != from || !leader_ || !node_->log().hasLease(now)) {
+    return;
+  }
+  wire::LimitReply reply = leader_->limits.accept(request, now);
+  for (const auto& [replica, calls_per_second] : leader_->limits.takeChanges()) {
+    registry_.setLimit(replica, calls_per_second);
+  }
+  if (!reply.decisions.empty()) {
+    send(from, std::move(reply));
+  }
+}
+
 void ServiceControlImpl::take(control::Effects effects, TimePoint now) {
   for (control::Effect& effect : effects) {
     std::visit([this, now](auto& typed) { takeOne(typed, now); }, effect);
@@ -273,6 +287,7 @@
     if (leader_) {
       leader_->demand.keepRouters(directory_.routers());
       leader_->loads.expire(now);
+      leader_->limits.expire(now);
       leader_->updates.keepRouters(directory_.routers());
       leader_->tables.keepRouters(directory_.routers());
       leader_->receipts.keepRouters(directory_.routers());
@@ -363,6 +378,7 @@
     placer.first_order = now + settings_.order_lease + settings_.control.log.election_timeout_min;
     leader_.emplace(term, placer, registry_, index_, settings_.quota_tolerance, settings_.router_out_of_touch,
                     now);
+    registry_.clearLimits();
     leader_->push_to_all = isLargeFleet();  // routers hear at once who leads
     keeper_.onLeadership(now);
   }
@@ -415,6 +431,8 @@
   if (leader_) {
     view.quota = leader_->quotas.counts();
     view.limited_tenants = leader_->quotas.limited().size();
+    view.limits = leader_->limits.counts();
+    view.limited_replicas = leader_->limits.limited();
   }
   return view;
 }
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -9,6 +9,7 @@
 
 #include "control/control_node.h"
 #include "services/catalog_spread.h"
+#include "services/limit_ledger.h"
 #include "services/placement_switches.h"
 #include "services/replica_orders.h"
 #include "services/replica_registry.h"
@@ -65,6 +66,8 @@
   CatalogVersion catalog;
   tenancy::QuotaCounts quota;         ///< of this member's leadership
   std::size_t limited_tenants = 0;    ///< credit is asked for before their calls run
+  LimitCounts limits;                 ///< of this member's leadership
+  std::size_t limited_replicas = 0;   ///< that take so many calls a second from all routers together
   std::size_t evacuated_zones = 0;    ///< whose replicas get no new calls
   std::size_t quarantined_calls = 0;  ///< kept away from replicas, since several ended under them
   std::size_t suspected_calls = 0;    ///< replicas ended under them, too few for a quarantine
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -13,6 +13,7 @@
 #include "quarantine/crash_ledger.h"
 #include "services/cell_keeper.h"
 #include "services/leave_notices.h"
+#include "services/limit_ledger.h"
 #include "services/model_demand.h"
 #include "services/model_placer.h"
 #include "services/proof_requests.h"
@@ -125,6 +126,7 @@
     StatusReceipts receipts;
     ProofRequests proof_requests;
     tenancy::QuotaLedger quotas;
+    LimitLedger limits;
     CatalogVersion quota_version;              ///< whose limits hold
     std::map<ZoneName, FeedContext> contexts;  ///< by the zone of the routers that are told
     TimePoint contexts_taken{};
@@ -153,6 +155,7 @@
   void onMessage(const NodeName& from, const wire::CallRouterStatus& status, TimePoint now);
   void onMessage(const NodeName& from, const wire::QuotaUse& use, TimePoint now);
   void onMessage(const NodeName& from, const wire::CrashRecords& records, TimePoint now);
+  void onMessage(const NodeName& from, const wire::LimitRequest& request, TimePoint now);
   template <class OtherMessage>
   void onMessage(const NodeName& from, const OtherMessage& message, TimePoint now) {
     take(node_->receive({from, message}, now), now);
--- a/src/services/service_control_updates.cc
+++ b/src/services/service_control_updates.cc
@@ -93,6 +93,7 @@
   update.status_interval_ms = toMilliseconds(leaderStatusInterval());
   update.coming = comingFor(status, now);
   update.limited_tenants = leader_->quotas.limited();
+  update.grants_limits = true;
   if (const auto followed = node_->log().followedAt(now)) {
     update.proved = leader_->receipts.provedBy(status.router, *followed);
   }
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -22,6 +22,8 @@
   replica.accepting = accepting;
   replica.slow_start_ms = record.report.slow_start_ms;
   replica.held = record.usable();
+  replica.calls_per_second = record.calls_per_second;
+  replica.limit_ended = record.limit_ended;
   return replica;
 }
 
--- a/src/wire/message_kind.cc
+++ b/src/wire/message_kind.cc
@@ -10,7 +10,7 @@
       "snapshot_response", "timeout_now",     "router_status",      "demand_report",   "router_commands",
       "table_update",      "command_replies", "member_hello",       "member_list",     "replica_reports",
       "leave_request",     "leave_reply",     "call_router_status", "service_update",  "catalog_update",
-      "quota_use",         "quota_answer",    "crash_records"};
+      "quota_use",         "quota_answer",    "crash_records",      "limit_request",   "limit_reply"};
   return index < kNames.size() ? kNames[index] : "unknown";
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -206,7 +206,7 @@
     std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotResponse,
                  TimeoutNow, RouterStatus, DemandReport, RouterCommands, TableUpdate, CommandReplies,
                  MemberHello, MemberList, ReplicaReports, LeaveRequest, LeaveReply, CallRouterStatus,
-                 ServiceUpdate, CatalogUpdate, QuotaUse, QuotaAnswer, CrashRecords>;
+                 ServiceUpdate, CatalogUpdate, QuotaUse, QuotaAnswer, CrashRecords, LimitRequest, LimitReply>;
 
 /// A message with its sender.
 struct Envelope {
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -162,7 +162,12 @@
   bool accepting = true;  ///< false: it leaves and gets no new calls
   std::int64_t slow_start_ms = 0;
   std::vector<HeldModel> held;
-  FERRYROCK_FIELDS(RoutedReplica, id, service, address, zone, slots, accepting, slow_start_ms, held)
+  /// That it takes from all routers together, as one of them heard; credit is asked for before a call is sent
+  /// there. nullopt: no limit is known.
+  std::optional<double> calls_per_second;
+  bool limit_ended = false;  ///< this leader knew of a limit, and it has ended
+  FERRYROCK_FIELDS(RoutedReplica, id, service, address, zone, slots, accepting, slow_start_ms, held,
+                   calls_per_second, limit_ended)
 };
 
 /// A model that is being loaded, or soon will be.
@@ -206,9 +211,10 @@
   /// listed whole if base is 0; else the router is taken to hold it.
   std::uint64_t table = 0;
   std::int64_t status_interval_ms = 0;  ///< how often the leader wants to hear; 0: as often as by default
+  bool grants_limits = false;           ///< the leader's build answers a LimitRequest
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
                    members, directory, coming, confirm, proved, limited_tenants, loads, table,
-                   status_interval_ms)
+                   status_interval_ms, grants_limits)
 
   std::uint32_t told_members = 0;  ///< that the leader's build knows; 0: not read from bytes
   /// Leaders of builds before `loads` read QuotaUse in its former layout alone.
@@ -278,6 +284,57 @@
   FERRYROCK_FIELDS(QuotaAnswer, incarnation, decisions)
 };
 
+/// Calls a second that a replica gets which takes fewer, or none: without any call nobody would hear that it
+/// takes more again.
+inline constexpr double kLeastLimitRate = 0.1;
+
+/// What a replica said, in an answer to a router, of the calls a second that it takes from all routers
+/// together.
+struct HeardLimit {
+  ReplicaId replica;
+  std::optional<double> calls_per_second;  ///< nullopt: it named no limit
+  /// Since the answer came; where it named none, since the answered call left.
+  std::int64_t age_ms = 0;
+  FERRYROCK_FIELDS(HeardLimit, replica, calls_per_second, age_ms)
+};
+
+/// A call waits for credit under a replica's limit, or any call may use it (a wait of 0).
+struct LimitAsk {
+  std::uint64_t number = 0;  ///< the router's
+  ReplicaId replica;
+  std::int64_t wait_ms = 0;     ///< that the call can wait
+  double calls_per_second = 0;  ///< as the router knows the limit, and
+  std::int64_t age_ms = 0;      ///< since it heard of it last
+  FERRYROCK_FIELDS(LimitAsk, number, replica, wait_ms, calls_per_second, age_ms)
+};
+
+/// From a router to a leader whose updates say that it grants limits.
+struct LimitRequest {
+  NodeName router;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  std::vector<HeardLimit> heard;
+  std::vector<LimitAsk> asks;
+  std::vector<ReplicaId> returned;  ///< one for each granted call that certainly wasn't sent
+  FERRYROCK_FIELDS(LimitRequest, router, incarnation, sequence, heard, asks, returned)
+};
+
+/// The leader's decision on a LimitAsk.
+struct LimitDecision {
+  std::uint64_t number = 0;
+  bool granted = false;
+  bool unlimited = false;       ///< the replica has no limit any more
+  std::int64_t wait_ms = 0;     ///< until the credit may be used; if refused, until there may be one
+  double calls_per_second = 0;  ///< the limit as the leader knows it
+  FERRYROCK_FIELDS(LimitDecision, number, granted, unlimited, wait_ms, calls_per_second)
+};
+
+struct LimitReply {
+  std::uint64_t incarnation = 0;  ///< of the router that asked
+  std::vector<LimitDecision> decisions;
+  FERRYROCK_FIELDS(LimitReply, incarnation, decisions)
+};
+
 /// From a router to all members, as soon as it learns of an end or of an answer that refutes some; and
 /// between a router and a member whose digests differ. From the leader to all routers, as soon as a second
 /// replica has ended under a call.
--- a/tests/calls/replica_limits_test.cc
+++ b/tests/calls/replica_limits_test.cc
@@ -1,6 +1,9 @@
 #include "calls/replica_limits.h"
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace ferryrock::calls {
 namespace {
@@ -12,7 +15,7 @@
 const ReplicaId kReplica("r1");
 
 TEST_CASE("A limit holds until a call that left after it was named is answered without one") {
-  ReplicaLimits limits;
+  ReplicaLimits limits({NodeName("edge-1"), 7, 3});
   CHECK(limits.name(kReplica, 1.2, kNow - 1s, kNow) == Change::Named);
   CHECK(limits.end(kReplica, kNow - 10ms) == Change::None);
   CHECK(limits.isLimited(kReplica));
@@ -22,7 +25,7 @@
 }
 
 TEST_CASE("Of two limits whose order isn't known the lower holds, else the later") {
-  ReplicaLimits limits;
+  ReplicaLimits limits({NodeName("edge-1"), 7, 3});
   limits.name(kReplica, 2, kNow - 1s, kNow);
   CHECK(limits.name(kReplica, 5, kNow - 1s, kNow + 1ms) == Change::None);
   CHECK(limits.limitOf(kReplica) == 2.0);
@@ -33,13 +36,13 @@
 }
 
 TEST_CASE("A limit of 0 is one") {
-  ReplicaLimits limits;
+  ReplicaLimits limits({NodeName("edge-1"), 7, 3});
   CHECK(limits.name(kReplica, 0, std::nullopt, kNow) == Change::Named);
   CHECK(limits.limitOf(kReplica) == 0.0);
 }
 
 TEST_CASE("Remembered limits are bounded, and the latest stay") {
-  ReplicaLimits limits;
+  ReplicaLimits limits({NodeName("edge-1"), 7, 3});
   constexpr int kNamed = 5000;
   for (int i = 0; i < kNamed; ++i) {
     limits.name(ReplicaId("r" + std::to_string(i)), 1, std::nullopt, kNow + i * 1ms);
@@ -48,5 +51,110 @@
   CHECK(limits.isLimited(ReplicaId("r" + std::to_string(kNamed - 1))));
 }
 
+/// A router's part under limits, with a scripted leader.
+struct LimitsFixture {
+  LimitsFixture() : limits({NodeName("edge-1"), 7, 3}) { limits.onLeader(true, 9, now); }
+  wire::LimitDecision decision(std::uint64_t number, bool granted, std::int64_t wait_ms,
+                               bool unlimited = false) {
+    return {number, granted, unlimited, wait_ms, 1.0};
+  }
+  ReplicaLimits limits;
+  TimePoint now = kNow;
+};
+
+TEST_CASE("A call for a replica with a limit needs a credit, and the leader is asked for it at once") {
+  LimitsFixture fixture;
+  CHECK(fixture.limits.admits(kReplica, fixture.now));
+  fixture.limits.name(kReplica, 1, std::nullopt, fixture.now);
+  CHECK_FALSE(fixture.limits.admits(kReplica, fixture.now));
+  const auto ask = fixture.limits.ask(kReplica, 300ms, fixture.now);
+  REQUIRE(ask);
+  const auto request = fixture.limits.message(fixture.now);
+  REQUIRE(request);
+  REQUIRE(request->asks.size() == 1);
+  CHECK(request->asks.front().wait_ms == 300);
+  CHECK(request->heard == std::vector<wire::HeardLimit>{{kReplica, 1.0, 0}});
+  CHECK_FALSE(fixture.limits.message(fixture.now));
+  const auto resolved = fixture.limits.accept({7, {fixture.decision(*ask, true, 200)}}, fixture.now);
+  REQUIRE(resolved.size() == 1);
+  CHECK(resolved.front().verdict == LimitResolved::Verdict::Granted);
+  CHECK(resolved.front().at == fixture.now + 200ms);
+  CHECK(fixture.limits.accept({7, {fixture.decision(*ask, true, 0)}}, fixture.now).empty());
+}
+
+TEST_CASE("A credit that comes for a call that has ended is given back, another incarnation's isn't taken") {
+  LimitsFixture fixture;
+  fixture.limits.name(kReplica, 1, std::nullopt, fixture.now);
+  const auto ask = fixture.limits.ask(kReplica, 0s, fixture.now);
+  fixture.limits.message(fixture.now);
+  fixture.limits.abandon(*ask);
+  CHECK(fixture.limits.accept({8, {fixture.decision(*ask, true, 0)}}, fixture.now).empty());
+  CHECK_FALSE(fixture.limits.message(fixture.now));
+  fixture.limits.accept({7, {fixture.decision(*ask, true, 0)}}, fixture.now);
+  CHECK(fixture.limits.message(fixture.now)->returned == std::vector<ReplicaId>{kReplica});
+}
+
+TEST_CASE("An ask that no leader answers ends within a quarter of a second") {
+  LimitsFixture fixture;
+  fixture.limits.name(kReplica, 1, std::nullopt, fixture.now);
+  const auto ask = fixture.limits.ask(kReplica, 1s, fixture.now);
+  fixture.limits.message(fixture.now);
+  CHECK(fixture.limits.nextDeadline() == fixture.now + 250ms);
+  CHECK(fixture.limits.tick(fixture.now + 249ms).empty());
+  const auto resolved = fixture.limits.tick(fixture.now + 250ms);
+  REQUIRE(resolved.size() == 1);
+  CHECK(resolved.front().ask == *ask);
+  CHECK(resolved.front().verdict == LimitResolved::Verdict::Unanswered);
+}
+
+TEST_CASE("A leader that knows of no limit any more ends it, unless it was heard named since the ask") {
+  LimitsFixture fixture;
+  fixture.limits.name(kReplica, 1, std::nullopt, fixture.now);
+  const auto first = fixture.limits.ask(kReplica, 0s, fixture.now);
+  fixture.limits.name(kReplica, 1, std::nullopt, fixture.now + 1ms);
+  fixture.limits.accept({7, {fixture.decision(*first, true, 0, true)}}, fixture.now + 5ms);
+  CHECK(fixture.limits.isLimited(kReplica));
+  const auto second = fixture.limits.ask(kReplica, 0s, fixture.now + 6ms);
+  fixture.limits.accept({7, {fixture.decision(*second, true, 0, true)}}, fixture.now + 9ms);
+  CHECK_FALSE(fixture.limits.isLimited(kReplica));
+}
+
+TEST_CASE("A leader of a build that grants no limits is sent nothing of them") {
+  LimitsFixture fixture;
+  fixture.limits.onLeader(false, 9, fixture.now);
+  fixture.limits.name(kReplica, 1, std::nullopt, fixture.now);
+  CHECK_FALSE(fixture.limits.ask(kReplica, 1s, fixture.now));
+  fixture.limits.askSpare(kReplica, fixture.now + 60s);
+  CHECK_FALSE(fixture.limits.message(fixture.now));
+}
+
+/// All routers of a fleet with calls for one replica all the time, and no leader from the beginning.
+TEST_CASE("Without a leader all routers together send no more than half of the limit, and no burst") {
+  const auto routers = GENERATE(9, 88, 985);
+  const double per_second = GENERATE(0.5, 1.2, 10.0, 100.0);
+  const bool grants = GENERATE(true, false);
+  INFO(routers << " routers, " << per_second << " a second");
+  std::vector<ReplicaLimits> fleet;
+  for (int i = 0; i < routers; ++i) {
+    fleet.emplace_back(ReplicaLimitsSettings{NodeName("edge"), 1, static_cast<std::uint64_t>(i + 1)});
+    fleet.back().onLeader(grants, static_cast<std::uint32_t>(routers), kNow);
+    fleet.back().name(kReplica, per_second, std::nullopt, kNow);
+  }
+  constexpr Duration kTime = 8s;
+  std::map<std::int64_t, int> sent;  // by second
+  for (Duration passed = 10ms; passed < kTime; passed += 10ms) {
+    for (ReplicaLimits& limits : fleet) {
+      if (limits.admits(kReplica, kNow + passed)) {
+        limits.onSent(kReplica, kNow + passed);
+        ++sent[passed / 1s];
+      }
+    }
+  }
+  for (std::int64_t second = 0; second < 4; ++second) {
+    const int window = sent[second] + sent[second + 1] + sent[second + 2] + sent[second + 3];
+    CHECK(window <= 1.5 * 4 * per_second + 5);
+  }
+}
+
 }  // namespace
 }  // namespace ferryrock::calls
--- /dev/null
+++ b/tests/services/limit_ledger_test.cc
@@ -0,0 +1,145 @@
+#include "services/limit_ledger.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace ferryrock::services {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kNow{1000s};
+const ReplicaId kReplica("r1");
+
+/// One router's messages to a ledger.
+struct LedgerFixture {
+  wire::LimitReply tell(std::optional<double> per_second, Duration age, TimePoint now) {
+    wire::LimitRequest request = next();
+    request.heard = {{kReplica, per_second, toMilliseconds(age)}};
+    return ledger.accept(request, now);
+  }
+  wire::LimitDecision ask(Duration wait, TimePoint now, double per_second = 1, Duration age = 1s) {
+    wire::LimitRequest request = next();
+    request.asks = {{request.sequence, kReplica, toMilliseconds(wait), per_second, toMilliseconds(age)}};
+    return ledger.accept(request, now).decisions.at(0);
+  }
+  wire::LimitRequest next() {
+    wire::LimitRequest request;
+    request.router = NodeName("edge-1");
+    request.incarnation = 1;
+    request.sequence = ++sequence;
+    return request;
+  }
+  std::uint64_t sequence = 0;
+  LimitLedger ledger;
+};
+
+TEST_CASE("What is granted in any 4 s is what the limit allows, and a small burst") {
+  const double per_second = GENERATE(0.0, 0.3, 1.0, 1.2, 7.5, 40.0);
+  INFO(per_second);
+  LedgerFixture fixture;
+  fixture.tell(per_second, 0s, kNow);
+  std::vector<TimePoint> granted;
+  for (Duration passed{}; passed < 20s; passed += 5ms) {
+    const TimePoint now = kNow + passed;
+    const wire::LimitDecision decision =
+        fixture.ask(toMilliseconds(passed) % 500 == 0 ? 2s : 0s, now, per_second, passed);
+    if (decision.granted) {
+      granted.push_back(now + std::chrono::milliseconds(decision.wait_ms));
+    }
+  }
+  std::sort(granted.begin(), granted.end());
+  for (const TimePoint first : granted) {
+    const auto in_window = std::count_if(granted.begin(), granted.end(),
+                                         [first](TimePoint at) { return at >= first && at < first + 4s; });
+    CHECK(in_window <= std::max(0.1, per_second) * 4.25 + 1);
+  }
+  CHECK(static_cast<double>(granted.size()) >= per_second * 20 * 0.95 - 2);
+}
+
+TEST_CASE("A refused call hears when there is room, and others hear later times") {
+  LedgerFixture fixture;
+  fixture.tell(1, 0s, kNow);
+  const wire::LimitDecision first = fixture.ask(0s, kNow + 10ms);
+  const wire::LimitDecision second = fixture.ask(0s, kNow + 10ms);
+  CHECK_FALSE(first.granted);
+  CHECK(first.wait_ms == 990);
+  CHECK(second.wait_ms == 1990);
+  CHECK(fixture.ask(0s, kNow + 1s).granted);
+}
+
+TEST_CASE("A call that can wait is granted the next credit, and none is granted twice") {
+  LedgerFixture fixture;
+  fixture.tell(1, 0s, kNow);
+  CHECK(fixture.ask(1500ms, kNow).wait_ms == 1000);
+  const wire::LimitDecision second = fixture.ask(1500ms, kNow);
+  CHECK_FALSE(second.granted);
+  CHECK_FALSE(fixture.ask(0s, kNow + 1s).granted);
+  CHECK(fixture.ask(0s, kNow + 2s).granted);
+}
+
+TEST_CASE("A credit that is given back is granted again, and a message that comes twice gives it back once") {
+  LedgerFixture fixture;
+  fixture.tell(1, 0s, kNow);
+  REQUIRE(fixture.ask(0s, kNow + 1s).granted);
+  wire::LimitRequest back = fixture.next();
+  back.returned = {kReplica};
+  fixture.ledger.accept(back, kNow + 1s);
+  fixture.ledger.accept(back, kNow + 1s);
+  CHECK(fixture.ask(0s, kNow + 1s).granted);
+  CHECK_FALSE(fixture.ask(0s, kNow + 1s).granted);
+}
+
+TEST_CASE("The later word of a limit holds, in whatever order routers tell them") {
+  LedgerFixture fixture;
+  fixture.tell(4, 0s, kNow);
+  fixture.tell(9, 3s, kNow);
+  CHECK(fixture.ask(0s, kNow, 4, 0s).calls_per_second == 4);
+  fixture.tell(std::nullopt, 1s, kNow);
+  CHECK_FALSE(fixture.ask(0s, kNow, 4, 0s).unlimited);
+  fixture.tell(std::nullopt, 0s, kNow + 1s);
+  CHECK(fixture.ask(0s, kNow + 2s, 4, 2s).unlimited);
+  CHECK_FALSE(fixture.ask(0s, kNow + 2s, 3, 500ms).unlimited);
+}
+
+TEST_CASE("A leader that knows of no limit learns it from the router that asks, and begins without credit") {
+  LedgerFixture fixture;
+  CHECK_FALSE(fixture.ask(0s, kNow, 2, 5s).granted);
+  CHECK(fixture.ledger.limited() == 1);
+  CHECK(fixture.ask(0s, kNow + 500ms, 2, 5s).granted);
+}
+
+TEST_CASE("Routers are told that a limit began, ended or became quite another, and of nothing between") {
+  LedgerFixture fixture;
+  fixture.tell(4, 0s, kNow);
+  CHECK(fixture.ledger.takeChanges() ==
+        std::vector<std::pair<ReplicaId, std::optional<double>>>{{kReplica, 4.0}});
+  fixture.tell(4.5, 0s, kNow + 1s);
+  CHECK(fixture.ledger.takeChanges().empty());
+  fixture.tell(8, 0s, kNow + 2s);
+  CHECK(fixture.ledger.takeChanges().size() == 1);
+  fixture.tell(std::nullopt, 0s, kNow + 3s);
+  CHECK(fixture.ledger.takeChanges() ==
+        std::vector<std::pair<ReplicaId, std::optional<double>>>{{kReplica, std::nullopt}});
+}
+
+TEST_CASE("Limits that are no numbers, ages below 0 and any number of replicas harm nothing") {
+  LedgerFixture fixture;
+  fixture.tell(std::numeric_limits<double>::quiet_NaN(), 0s, kNow);
+  fixture.tell(-1, 0s, kNow);
+  fixture.tell(std::numeric_limits<double>::infinity(), 0s, kNow);
+  CHECK(fixture.ledger.limited() == 0);
+  fixture.tell(2, -5s, kNow);
+  CHECK(fixture.ledger.limited() == 1);
+  constexpr int kReplicas = 12'000;
+  for (int i = 0; i < kReplicas; ++i) {
+    wire::LimitRequest request = fixture.next();
+    request.heard = {{ReplicaId("x" + std::to_string(i)), 1.0, 0}};
+    fixture.ledger.accept(request, kNow + std::chrono::milliseconds(i));
+  }
+  CHECK(fixture.ledger.limited() <= 10'000);
+}
+
+}  // namespace
+}  // namespace ferryrock::services
--- a/tests/services/limited_fleet.cc
+++ b/tests/services/limited_fleet.cc
@@ -70,9 +70,7 @@
 
 void LimitedFleet::setLimit(std::size_t replica, std::optional<double> per_second) {
   limits_[replicaName(replica)] = per_second;
-  if (per_second) {
-    oracle(replica).named(*per_second, cluster.now());
-  }
+  oracle(replica).named(per_second, cluster.now());
 }
 
 void LimitedFleet::callFor(Duration time, double calls_per_second) {
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -389,6 +389,8 @@
 }
 
 void ServiceCluster::countEntries(const NodeName& to, const wire::Message& message) {
+  limit_messages += std::holds_alternative<wire::LimitRequest>(message) ? 1 : 0;
+  limit_messages += std::holds_alternative<wire::LimitReply>(message) ? 1 : 0;
   if (const auto* reports = std::get_if<wire::ReplicaReports>(&message)) {
     lives_told += reports->reports.size() + reports->alive.size();
   }
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -142,7 +142,8 @@
   std::size_t entries_sent = 0;        ///< replicas that updates list
   std::size_t catalogs_sent = 0;       ///< updates that bring a catalog
   std::map<NodeName, std::size_t> updates_to;
-  std::size_t lives_told = 0;  ///< replicas that members tell each other as alive, or whole
+  std::size_t limit_messages = 0;  ///< of routers and leaders, about limits of replicas
+  std::size_t lives_told = 0;      ///< replicas that members tell each other as alive, or whole
   /// Updates that a member sent in answer to one event, at most.
   std::size_t most_updates_per_event = 0;
   /// Replicas listed by the updates that left within one tick, at most.
