Give a credit back whose replica takes no calls when it may be used

Cause: a call that holds a credit looks for its replica again when the credit may be used. If that replica takes no calls by then, for another reason (it leaves, is in a backoff, can't be reached), the call kept the credit, and its next look lay in the past: the router's tick found it due again without end. Now the credit goes back to the leader and the call looks on as others do. Nothing is told to an empty leader's name either.

--- a/src/calls/call_router_limits.cc
+++ b/src/calls/call_router_limits.cc
@@ -34,6 +34,12 @@
 /// Of several replicas the one with the highest limit is asked for first.
 void CallRouter::seekCredit(CallPointer call, const Choice& choice, TimePoint now) {
   Call& state = call->second;
+  // Its replica takes no calls any more, or not just now, for another reason.
+  if (state.need.credit) {
+    replicas_.limits().giveBack(*state.need.credit);
+    state.credit.granted.reset();
+    state.need.credit.reset();
+  }
   if (state.credit.ask || state.credit.granted || state.credit.refused.size() >= kMostAsked) {
     return;
   }
@@ -113,8 +119,12 @@
 }
 
 void CallRouter::tellLimits(TimePoint now) {
+  const NodeName& leader = feed_.leader();
+  if (leader.empty()) {
+    return;
+  }
   if (auto request = replicas_.limits().message(now)) {
-    effects_.emplace_back(wire::SendEffect{feed_.leader(), std::move(*request)});
+    effects_.emplace_back(wire::SendEffect{leader, std::move(*request)});
   }
 }
 
--- /dev/null
+++ b/tests/calls/replica_credit_test.cc
@@ -0,0 +1,139 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "calls/call_fixture.h"
+
+/// Calls that need a credit under a replica's limit, at one router with a scripted leader.
+namespace ferryrock::calls {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct LimitedCopy : CallFixture {
+  LimitedCopy() {
+    begin();
+    addReplicas({holder("e1")});
+    hearLeader();
+    call("/model/x", "m1");
+    ReplicaNotice limited;
+    limited.calls_per_second = 1;
+    take(router().onHead(attempt(), limited, now));
+    answer(200);
+  }
+  static wire::RoutedReplica holder(const std::string& id) {
+    wire::RoutedReplica replica = CallFixture::replica(id, "llm");
+    replica.held = {{ModelName("m1"), {}}};
+    return replica;
+  }
+  void hearLeader() {
+    wire::ServiceUpdate update;
+    update.base = LogIndex{(std::uint64_t{1} << 40) | 1};
+    update.grants_limits = true;
+    send(update);
+  }
+  /// The leader answers the last ask.
+  void decide(bool granted, std::int64_t wait_ms) {
+    const wire::LimitRequest* request = lastRequest();
+    REQUIRE(request != nullptr);
+    REQUIRE(request->asks.size() == 1);
+    const wire::LimitReply reply{0, {{request->asks.front().number, granted, false, wait_ms, 1.0}}};
+    take(router().receive({NodeName("control-1"), reply}, now));
+  }
+  const wire::LimitRequest* lastRequest() const {
+    const wire::LimitRequest* last = nullptr;
+    for (const Effect& effect : all) {
+      const auto* sent = std::get_if<wire::SendEffect>(&effect);
+      const auto* request = sent == nullptr ? nullptr : std::get_if<wire::LimitRequest>(&sent->message);
+      last = request == nullptr ? last : request;
+    }
+    return last;
+  }
+};
+
+TEST_CASE("A call with a credit for a replica that leaves before it may be used ends in time") {
+  LimitedCopy fixture;
+  fixture.call("/model/x", "m1");
+  fixture.decide(true, 200);
+  ReplicaNotice leaving;
+  leaving.leaving = true;
+  fixture.notice(leaving);
+  fixture.pass(500ms);
+  CHECK(fixture.lastRequest()->returned == std::vector<ReplicaId>{ReplicaId("e1")});
+  fixture.pass(2s);
+  CHECK(fixture.router().openCalls() == 0);
+  CHECK(fixture.sentTo("e1") == 1);
+}
+
+TEST_CASE("A call waits for its credit and is sent when that may be used") {
+  LimitedCopy fixture;
+  fixture.call("/model/x", "m1");
+  fixture.decide(true, 200);
+  fixture.pass(190ms);
+  CHECK(fixture.sentTo("e1") == 1);
+  fixture.pass(20ms);
+  CHECK(fixture.sentTo("e1") == 2);
+}
+
+TEST_CASE("A call without room is refused at once with a time at which there is some") {
+  LimitedCopy fixture;
+  fixture.call("/model/x", "m1");
+  fixture.decide(false, 1500);
+  const auto* refusal = fixture.last<RefuseCallEffect>();
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->code == ResultCode::ReplicaLimited);
+  CHECK(refusal->not_run);
+  REQUIRE(refusal->retry_after.has_value());
+  CHECK(*refusal->retry_after >= 1500ms);
+}
+
+TEST_CASE("A call that leaves before it uses its credit gives it back, also when its sending wasn't made") {
+  LimitedCopy fixture;
+  const CallNumber gone = fixture.call("/model/x", "m1");
+  fixture.decide(true, 200);
+  fixture.take(fixture.router().onCallerGone(gone, fixture.now));
+  CHECK(fixture.lastRequest()->returned.size() == 1);
+
+  fixture.call("/model/x", "m1");
+  fixture.decide(true, 0);
+  CHECK(fixture.sentTo("e1") == 2);
+  fixture.fail(AttemptFailure::NotSent);
+  CHECK(fixture.lastRequest()->returned.size() == 1);
+}
+
+TEST_CASE("Without a leader calls that need a credit wait for one no longer than for a replica") {
+  LimitedCopy fixture;
+  fixture.pass(3s);
+  fixture.call("/model/x", "m1");
+  fixture.pass(2s);
+  CHECK(fixture.router().openCalls() == 0);
+}
+
+TEST_CASE("A limit that the leader tells of is kept until it tells of the end, by whichever leader") {
+  LimitedCopy fixture;
+  wire::RoutedReplica told = LimitedCopy::holder("e2");
+  told.calls_per_second = 2;
+  fixture.addReplicas({told});
+  CHECK(fixture.router().replicaLimits().limitOf(ReplicaId("e2")) == 2.0);
+  told.calls_per_second.reset();
+  fixture.addReplicas({told});
+  CHECK(fixture.router().replicaLimits().isLimited(ReplicaId("e2")));
+  told.limit_ended = true;
+  fixture.addReplicas({told});
+  CHECK_FALSE(fixture.router().replicaLimits().isLimited(ReplicaId("e2")));
+}
+
+TEST_CASE("A new life of a replica is bound by no limit of the former one") {
+  CallFixture fixture;
+  fixture.begin();
+  fixture.addReplicas({LimitedCopy::holder("e1@1000")});
+  fixture.call("/model/x", "m1");
+  ReplicaNotice limited;
+  limited.calls_per_second = 0;
+  fixture.notice(limited);
+  CHECK(fixture.router().replicaLimits().isLimited(ReplicaId("e1@1000")));
+  fixture.addReplicas({LimitedCopy::holder("e1@2000")});
+  CHECK(fixture.router().replicaLimits().size() == 0);
+}
+
+}  // namespace
+}  // namespace ferryrock::calls
