Have the soak's and the whole path's replicas name limits, and judge them

No stand-in over sockets named a limit, so that nothing showed whether routers keep them. The soak's replicas now name limits from 0 to 12 a second, change and end them; its judge counts arrivals over all routers, by the same oracle as the tests under a virtual clock. The whole path has a replica that takes a call in two seconds.

--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -54,7 +54,7 @@
 };
 
 /// "ADDRESS=FROM-TO", in seconds from `start`.
-void excuse(SoakNoticeOracle& notices, const std::string& entry, TimePoint start) {
+void excuse(SoakContext& context, const std::string& entry, TimePoint start) {
   const std::size_t equals = entry.find('=');
   const std::size_t dash = entry.find('-', equals);
   if (equals == std::string::npos || dash == std::string::npos) {
@@ -63,8 +63,11 @@
   const auto seconds = [start](const std::string& text) {
     return start + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::stod(text)));
   };
-  notices.excuse(entry.substr(0, equals), seconds(entry.substr(equals + 1, dash - equals - 1)),
-                 seconds(entry.substr(dash + 1)));
+  const std::string router = entry.substr(0, equals);
+  const TimePoint from = seconds(entry.substr(equals + 1, dash - equals - 1));
+  const TimePoint to = seconds(entry.substr(dash + 1));
+  context.notices.excuse(router, from, to);
+  context.limits.excuse(router, from, to);
 }
 
 int report(const SoakOracle& oracle, double served_per_second) {
@@ -97,16 +100,18 @@
   const auto client = http::createClient(*dispatcher);
   SoakOracle oracle;
   SoakNoticeOracle notices(oracle);
+  SoakLimitJudge limits(oracle);
   Random random(given["seed"].as<std::uint64_t>());
   SoakContext context{
       *dispatcher,
       *client,
       oracle,
       notices,
+      limits,
       random,
       {given["control"].as<std::vector<std::string>>(), given["directory"].as<std::vector<std::string>>()}};
   for (const std::string& entry : given["excused"].as<std::vector<std::string>>()) {
-    excuse(notices, entry, context.now());
+    excuse(context, entry, context.now());
   }
   Replicas replicas(context);
   SoakOperator soak_operator(context);
@@ -129,5 +134,7 @@
   if (served_per_second < kLeastServedPerSecond) {
     oracle.breakRule("RECOVER", "service did not come back after the last fault");
   }
+  limits.judge();
+  std::cout << "limits named " << limits.named() << "\n";
   return report(oracle, served_per_second);
 }
--- a/tests/platform/soak/soak_notice_oracle.cc
+++ b/tests/platform/soak/soak_notice_oracle.cc
@@ -8,6 +8,11 @@
   sent_[id] = {router, now};
 }
 
+std::string SoakNoticeOracle::routerOf(const std::string& id) const {
+  const auto sent = sent_.find(id);
+  return sent == sent_.end() ? std::string() : sent->second.router;
+}
+
 void SoakNoticeOracle::onArrived(const std::string& id, const std::string& replica, TimePoint now) {
   const auto sent = sent_.find(id);
   if (sent == sent_.end()) {
--- a/tests/platform/soak/soak_notice_oracle.h
+++ b/tests/platform/soak/soak_notice_oracle.h
@@ -17,6 +17,8 @@
 
   /// A client sends the call to the router.
   void onSent(const std::string& id, const std::string& router, TimePoint now);
+  /// Empty: not known.
+  std::string routerOf(const std::string& id) const;
   /// A sending of the call reaches the replica, whatever becomes of it.
   void onArrived(const std::string& id, const std::string& replica, TimePoint now);
   /// The replica refuses the call, and wants nothing from its router for so long.
--- a/tests/platform/soak/soak_world.cc
+++ b/tests/platform/soak/soak_world.cc
@@ -1,5 +1,6 @@
 #include "platform/soak/soak_world.h"
 
+#include <array>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -26,6 +27,12 @@
 constexpr Duration kLongestShed = 3500ms;
 /// Of the refusals, those that say in words for how long.
 constexpr double kSaysInWords = 0.05;
+/// With each heartbeat a replica may begin to name a limit, change it or end it.
+constexpr double kBeginsLimit = 0.1;
+constexpr double kChangesLimit = 0.1;
+constexpr double kEndsLimit = 0.06;
+/// Limits that are named, in calls a second.
+constexpr std::array kLimits = {0.0, 0.4, 1.0, 1.2, 3.0, 12.0};
 constexpr double kFaulty = 0.01;  ///< of the calls, for each kind of fault
 
 std::int64_t unixMilliseconds() {
@@ -52,6 +59,10 @@
   http::ClientCallbacks callbacks;
   callbacks.on_headers = [this](int status, const http::Headers& headers) {
     result_.status = status;
+    result_.head_at = context_.now();
+    result_.limited_replica = http::findHeader(headers, "Server-Limit")
+                                  ? http::findHeader(headers, "X-Server-Seal").value_or("")
+                                  : "";
     result_.leaving_replica = http::findHeader(headers, "Server-Leaving")
                                   ? http::findHeader(headers, "X-Server-Seal").value_or("")
                                   : "";
@@ -117,6 +128,7 @@
   const bool lacking = with_models_ && !models_.contains(model);
   constexpr bool kSealed = true;
   context_.notices.onArrived(id, id_, context_.now());
+  context_.limits.onArrived(id_, context_.notices.routerOf(id), context_.now());
   if (other || lacking) {
     response->respond(421, headersFor(id, !kSealed), "");
   } else if (shed(response, id)) {
@@ -157,6 +169,9 @@
   if (leaving_) {
     headers.push_back({"Server-Leaving", "1"});
   }
+  if (limit_) {
+    headers.push_back({"Server-Limit", std::to_string(*limit_)});
+  }
   return headers;
 }
 
@@ -250,14 +265,11 @@
   if (context_.now() >= sheds_until_ && context_.random.chance(kBeginsToShed)) {
     sheds_until_ = context_.now() + Duration(context_.random.below(kLongestShed.count()));
   }
-  Json body = {{"service", with_models_ ? "llm" : "desk"},
-               {"address", "127.0.0.1:" + std::to_string(server_->port())},
-               {"zone", "z"},
-               {"generation", "v1"},
-               {"slots", 8},
-               {"state", leaving_ ? "draining" : "ready"},
-               {"coldRemainingMs", 0},
-               {"models", Json::parse(modelsJson())},
+  drawLimit();
+  Json body = {{"service", service()}, {"address", "127.0.0.1:" + std::to_string(server_->port())},
+               {"zone", "z"},          {"generation", "v1"},
+               {"slots", 8},           {"state", leaving_ ? "draining" : "ready"},
+               {"coldRemainingMs", 0}, {"models", Json::parse(modelsJson())},
                {"seqNo", ++beats_}};
   if (born_ > 0) {
     body["born"] = born_;
@@ -271,6 +283,20 @@
       context_, request, [this, told = leaving_](const SoakCall::Result& result) { onBeat(result, told); });
 }
 
+void SoakReplica::drawLimit() {
+  Random& random = context_.random;
+  const bool begins =
+      !limit_ && !leaving_ && context_.limits.mayBegin(service()) && random.chance(kBeginsLimit);
+  const bool changes = limit_ && random.chance(kChangesLimit);
+  if (limit_ && (leaving_ || random.chance(kEndsLimit))) {
+    limit_.reset();
+    context_.limits.onNamed(service(), id_, limit_, context_.now());
+  } else if (begins || changes) {
+    limit_ = kLimits.at(random.below(kLimits.size()));
+    context_.limits.onNamed(service(), id_, limit_, context_.now());
+  }
+}
+
 void SoakReplica::onBeat(const SoakCall::Result& result, bool told_leaving) {
   const bool acknowledged = result.whole && result.status / 100 == 2;
   if (told_leaving && acknowledged && !std::exchange(leave_acknowledged_, true)) {
@@ -348,6 +374,9 @@
   if (!result.leaving_replica.empty()) {
     context_.notices.onLeavingHeard(id, result.leaving_replica, context_.now());
   }
+  if (!result.limited_replica.empty()) {
+    context_.limits.onTold(result.limited_replica, context_.notices.routerOf(id), result.head_at);
+  }
   context_.oracle.onOutcome(id, outcome, context_.now());
   timer_->enable(20ms + Duration(context_.random.below(80'000'000)));
 }
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -10,6 +10,7 @@
 
 #include "common/random.h"
 #include "http/http.h"
+#include "platform/soak/soak_limit_judge.h"
 #include "platform/soak/soak_notice_oracle.h"
 #include "platform/soak/soak_oracle.h"
 
@@ -26,6 +27,7 @@
   http::Client& client;
   SoakOracle& oracle;
   SoakNoticeOracle& notices;
+  SoakLimitJudge& limits;
   Random& random;
   SoakAddresses addresses;
 
@@ -42,6 +44,8 @@
     bool whole = false;
     std::string body;
     std::string leaving_replica;  ///< that said in this answer that it leaves
+    std::string limited_replica;  ///< that named a limit in this answer
+    TimePoint head_at{};
   };
   using Callback = std::function<void(Result)>;
 
@@ -80,6 +84,9 @@
   void run(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   void stream(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   int takeOrder(const std::string& body);
+  /// Begins, changes or ends its limit now and then.
+  void drawLimit();
+  std::string service() const { return with_models_ ? "llm" : "desk"; }
   std::string reportBody() const;
   std::string modelsJson() const;
   void beat();
@@ -99,6 +106,7 @@
   std::set<std::string> models_;
   std::optional<std::string> loading_;
   TimePoint sheds_until_{};
+  std::optional<double> limit_;
   bool leaving_ = false;
   bool leave_acknowledged_ = false;
   bool ended_ = false;
--- a/tests/platform/whole_path_test.cc
+++ b/tests/platform/whole_path_test.cc
@@ -357,6 +357,47 @@
   CHECK(leaving.calls.size() == 1);
 }
 
+/// The replica names a limit in each of its answers.
+void nameLimit(ScriptedReplica& replica, const std::string& limit) {
+  replica.answer = [id = replica.id, limit](const http::Request& request,
+                                            const http::ResponseWriterPtr& response) {
+    response->respond(200,
+                      {{"X-Attempt-Id", *http::findHeader(request.headers, "X-Attempt-Id")},
+                       {"X-Server-Seal", id},
+                       {"Server-Limit", limit}},
+                      "answer of " + id);
+  };
+}
+
+TEST_CASE("A replica that takes few calls a second gets few, and callers hear when there is room") {
+  Fleet fleet;
+  REQUIRE(fleet.askControl("POST", "/v1/config/replace", Fleet::catalog(1)).status == 200);
+  ScriptedReplica& limited = fleet.addReplica("i-1");
+  nameLimit(limited, "0.5");
+  fleet.beat(limited, 1, "ready");
+  REQUIRE(fleet.tryUntil([&] { return fleet.call("/a/x", "c1").status == 200; }));
+  const std::size_t before = limited.calls.size();
+  for (int i = 0; i < 20; ++i) {
+    const http::CallRecord record = fleet.call("/a/x", "d" + std::to_string(i));
+    CHECK((record.status == 200 || record.status == 503));
+    if (record.status == 503) {
+      CHECK(record.body.find("2026") != std::string::npos);
+      CHECK(http::findHeader(record.headers, "Retry-After").has_value());
+    }
+  }
+  CHECK(limited.calls.size() - before <= 3);
+
+  ScriptedReplica& other = fleet.addReplica("i-2");
+  fleet.beat(other, 1, "ready");
+  REQUIRE(fleet.tryUntil([&] {
+    fleet.call("/a/x", "e");
+    return !other.calls.empty();
+  }));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(fleet.call("/a/x", "f" + std::to_string(i)).status == 200);
+  }
+}
+
 TEST_CASE(
     "A heartbeat of another writer is answered with what is wrong in it, and the replicas known before "
     "serve") {
