Take a replica's higher limit while answers to earlier calls come all the time

What callers would see: a replica that recovers and names a limit of 5 in place of 1, under steady calls, was sent 1 a second for as long as calls overlapped. Cause: each answer that named the new value counted as the last naming, so that every call whose answer came next had left before it, and of two values whose order isn't known the lower holds. Now a higher value is the later word if its call left after the held value was last named.

--- a/src/calls/replica_limits.cc
+++ b/src/calls/replica_limits.cc
@@ -34,6 +34,7 @@
   Limit limit;
   limit.per_second = per_second;
   limit.named = now;
+  limit.heard = now;
   limit.own_part_at = now;
   limit.next_spare_ask = now + Duration(static_cast<Duration::rep>(
                                    random_.unit() * static_cast<double>(spareInterval(limit).count())));
@@ -50,20 +51,25 @@
     return Change::Named;
   }
   Limit& limit = known->second;
+  limit.heard = now;
+  const bool same = per_second == limit.per_second;
+  // A higher limit is the later word only if its call left after the lower one was last named.
   const bool later = sent && *sent > limit.named;
-  const double former = limit.per_second;
-  limit.per_second = later ? per_second : std::min(per_second, former);
+  if (!same && !later && per_second > limit.per_second) {
+    return Change::None;
+  }
+  limit.per_second = per_second;
   limit.named = now;
-  if (limit.per_second == former) {
+  if (same) {
     return Change::None;
   }
-  tell(replica, limit.per_second, now);
+  tell(replica, per_second, now);
   return Change::Changed;
 }
 
 ReplicaLimits::Change ReplicaLimits::end(const ReplicaId& replica, TimePoint sent) {
   const auto limit = limits_.find(replica);
-  if (limit == limits_.end() || sent <= limit->second.named) {
+  if (limit == limits_.end() || sent <= limit->second.heard) {
     return Change::None;
   }
   limits_.erase(limit);
@@ -229,7 +235,7 @@
                                                     const wire::LimitDecision& decision, TimePoint now) {
   const TimePoint at = now + std::chrono::milliseconds(std::max<std::int64_t>(0, decision.wait_ms));
   const auto limit = limits_.find(ask.replica);
-  const bool heard_since = limit != limits_.end() && limit->second.named > ask.since;
+  const bool heard_since = limit != limits_.end() && limit->second.heard > ask.since;
   if (decision.unlimited && limit != limits_.end() && !heard_since) {
     limits_.erase(limit);
   }
--- a/src/calls/replica_limits.h
+++ b/src/calls/replica_limits.h
@@ -108,7 +108,8 @@
  private:
   struct Limit {
     double per_second = 0;
-    TimePoint named{};                    ///< last
+    TimePoint named{};                    ///< this value, last
+    TimePoint heard{};                    ///< any value, last
     std::optional<TimePoint> spare_from;  ///< a credit that any call may use
     TimePoint next_spare_ask{};
     double own_part = 0;  ///< calls that may be sent without a leader
--- a/tests/calls/replica_limits_test.cc
+++ b/tests/calls/replica_limits_test.cc
@@ -35,6 +35,15 @@
   CHECK(limits.limitOf(kReplica) == 5.0);
 }
 
+TEST_CASE("A limit that rises is taken while answers to earlier calls come all the time") {
+  ReplicaLimits limits({NodeName("edge-1"), 7, 3});
+  limits.name(kReplica, 1, kNow - 100ms, kNow);
+  for (Duration passed = 10ms; passed <= 300ms; passed += 10ms) {
+    limits.name(kReplica, 5, kNow + passed - 100ms, kNow + passed);
+  }
+  CHECK(limits.limitOf(kReplica) == 5.0);
+}
+
 TEST_CASE("A limit of 0 is one") {
   ReplicaLimits limits({NodeName("edge-1"), 7, 3});
   CHECK(limits.name(kReplica, 0, std::nullopt, kNow) == Change::Named);
