Don't wake a router at once for charges that it can't send

Callers saw: slower answers while there was no leader. A router's event loop spun from the first charge until a leader was there.

Cause: QuotaClient::nextDeadline() named the time of the charges, which had passed, though message() sends nothing without a leader, and the router's timer is set to zero for a deadline in the past.

Change: charges that can't be sent are due again after the interval of charges.

What the spinning cost on a deployment wasn't measured.

--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -223,7 +223,11 @@
 
 std::optional<wire::QuotaUse> QuotaClient::message(const NodeName& leader, TimePoint now) {
   const bool due = full_report_due_ || requests_due_ || now >= charges_due_;
-  if (!due || leader.empty() || leader != leader_) {
+  if (!due) {
+    return std::nullopt;
+  }
+  if (leader.empty() || leader != leader_) {
+    charges_due_ = charges_due_ == TimePoint::max() ? charges_due_ : now + kChargeInterval;
     return std::nullopt;
   }
   wire::QuotaUse use;
