Hold the usage of routers that are out of contact

Cause: a router out of contact grants again what leaves the window of its own usage; the leader that stays sees the same usage leave and grants it to the others. The leader forgot such a router after 10 s and took its next total as a baseline, so that what it ran while cut off was never charged. Totals that changed more than a second before the return weren't listed at all.

Change: the leader keeps the usage of each router in the window, and holds it from the last contact until the router reports again, or restarts, for a minute at most. After that minute a router without a leader grants nothing. A router that hears its leader again after the timeout reports in full. Metrics tell what is held, and for how many routers.

--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -428,6 +428,10 @@
       view.quota.granted);
   set("ferryrock_quota_refused", "Calls that asked and were refused, since this member leads",
       static_cast<double>(view.quota.refused));
+  set("ferryrock_quota_held", "Quota kept for routers out of contact, which may use it again",
+      view.quota.held);
+  set("ferryrock_quota_routers_out_of_contact", "Routers out of contact whose use of quotas is kept",
+      static_cast<double>(view.quota.routers_out_of_contact));
   set("ferryrock_calls_quarantined", "Calls kept away from replicas, since several ended under them",
       static_cast<double>(view.quarantined_calls));
   set("ferryrock_calls_suspected", "Calls under which replicas ended, too few for a quarantine",
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -130,6 +130,7 @@
     StatusReceipts receipts;
     ProofRequests proof_requests;
     tenancy::QuotaLedger quotas;
+    TimePoint next_quota_contacts{};  ///< next update of `quotas` with the routers out of contact
     LimitLedger limits;
     CatalogVersion quota_version;              ///< version of the catalog whose limits `quotas` applies
     std::map<ZoneName, FeedContext> contexts;  ///< cached, by the zone of the routers
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -13,6 +13,8 @@
 /// second.
 constexpr double kReplicasPlannedPerSecond = 100'000;
 constexpr Duration kMembershipChangeInterval = std::chrono::milliseconds(100);
+/// Interval at which quotas are updated with the routers that are out of contact.
+constexpr Duration kQuotaContactInterval = std::chrono::milliseconds(100);
 /// Maximum number of addresses in the directory that routers receive.
 constexpr std::size_t kMaxDirectoryAddresses = 64;
 /// Time to live of the cached FeedContext with the members and the directory.
@@ -78,6 +80,10 @@
     leader_->tables.setPlainServices(plainServices(catalog));
     leader_->quotas.setCatalog(catalog, now);
   }
+  if (now >= leader_->next_quota_contacts) {
+    leader_->next_quota_contacts = now + kQuotaContactInterval;
+    leader_->quotas.updateContacts(directory_.routers(), tenancy::kLeaderTimeout, now);
+  }
   if (leader_->quotas.refresh(now)) {
     leader_->push_to_all = true;
   }
--- a/src/tenancy/quota_bucket.h
+++ b/src/tenancy/quota_bucket.h
@@ -50,12 +50,14 @@
   /// Adds usage from before this bucket started, under an earlier leader, as reported by the router that ran
   /// it.
   void addPriorUsage(double amount, TimePoint at, TimePoint now) { reported_.add(amount, at, now); }
+  /// Sets usage that left the window and is assumed to have been used again by routers out of contact.
+  void setHeld(double amount) { held_ = amount; }
   /// Sets the share, initially 1, of the usage before the bucket's start that no router has reported. That
   /// share is assumed to have been used.
   void setUnreportedShare(double share) { unreported_share_ = share; }
-  double level(TimePoint now) { return capacity() - priorUsage(now) - used_.sum(now); }
+  double level(TimePoint now) { return capacity() - priorUsage(now) - held_ - used_.sum(now); }
   /// Credit according to the routers' reports alone, without what is assumed for a new leader.
-  double reportedLevel(TimePoint now) { return capacity() - reported_.sum(now) - used_.sum(now); }
+  double reportedLevel(TimePoint now) { return capacity() - reported_.sum(now) - held_ - used_.sum(now); }
   /// Time until there is credit again if nothing is used in the meantime.
   Duration timeUntilCredit(TimePoint now) {
     const double missing = -level(now);
@@ -92,6 +94,7 @@
   UsageWindow reported_;  ///< reported usage from before the bucket's start
   double assumed_ = 0;    ///< usage assumed in the window before the bucket's start
   double unreported_share_ = 1;
+  double held_ = 0;
   TimePoint started_at_;
 };
 
--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -148,6 +148,9 @@
 /// tolerance allows.
 QuotaReply QuotaClient::decideLocally(const TenantName& tenant, const wire::TenantQuota& quota,
                                       std::int64_t cost, TimePoint now) {
+  if (last_leader_contact_ && isSilentFor(kMaxLeaderlessTime, now)) {
+    return {QuotaVerdict::Unavailable, kLeaderlessRetryAfter};
+  }
   // The slot that was leaving the window at the last contact has been granted again by the leader in part.
   const TimePoint start = last_leader_contact_.value_or(now) + UsageWindow::kSlot;
   LocalShare& share = local_shares_.try_emplace(tenant, LocalShare{0, start}).first->second;
@@ -169,9 +172,12 @@
 
 void QuotaClient::onUpdate(const NodeName& leader, const wire::ServiceUpdate& update, TimePoint now) {
   first_update_at_ = first_update_at_.value_or(now);
+  // A leader that was out of contact may have forgotten this router, and lacks what ran in the meantime.
+  if (leader != leader_ || isSilentFor(kLeaderTimeout, now)) {
+    full_report_due_ = true;
+  }
   if (leader != leader_) {
     leader_ = leader;
-    full_report_due_ = true;
     ++account_;
   }
   last_leader_contact_ = now;
--- a/src/tenancy/quota_client.h
+++ b/src/tenancy/quota_client.h
@@ -44,7 +44,8 @@
 };
 
 /// Router side of the tenants' quotas; the leader's side is QuotaLedger. Without contact to a leader, the
-/// router grants its local share of the rate by itself. Not thread-safe.
+/// router grants its local share of the rate by itself for kMaxLeaderlessTime. The usage of its calls is
+/// reported in full to each new leader, and to a leader that was out of contact. Not thread-safe.
 class QuotaClient {
  public:
   explicit QuotaClient(const QuotaClientSettings& settings) : settings_(settings), random_(settings.seed) {}
@@ -118,7 +119,7 @@
   std::map<TenantName, LocalShare> local_shares_;
   std::uint64_t sequence_ = 0;
   std::uint64_t account_ = 0;     ///< see QuotaReply::account
-  bool full_report_due_ = false;  ///< the leader is new and has no totals of this router
+  bool full_report_due_ = false;  ///< the leader may lack totals of this router
   bool requests_due_ = false;
   TimePoint charges_due_ = TimePoint::max();
 };
--- a/src/tenancy/quota_ledger.cc
+++ b/src/tenancy/quota_ledger.cc
@@ -19,6 +19,10 @@
 constexpr double kMaxUnaskedSeconds = 0.5;
 /// Factor between the credit below which a tenant is limited and that from which it no longer is.
 constexpr double kUnlimitFactor = 1.25;
+/// Slots in which the usage of each router is kept.
+constexpr Duration kRouterUsageSlot = 1s;
+/// Longest time from a router's last contact until its usage is held.
+constexpr Duration kMaxHoldDelay = 5s;
 /// Minimum time for which a tenant stays limited, since each change is sent to every router.
 constexpr Duration kMinLimitedTime = 10s;
 /// Longest retry time for refused callers, however many of them wait.
@@ -53,44 +57,67 @@
 }
 
 wire::QuotaAnswer QuotaLedger::accept(const wire::QuotaUse& use, TimePoint now) {
-  RouterTotals& known = routers_[use.router];
-  const bool same_incarnation = known.incarnation == use.incarnation;
+  RouterRecord& record = routers_[use.router];
+  const bool same_incarnation = record.incarnation == use.incarnation;
   wire::QuotaAnswer answer;
   answer.incarnation = use.incarnation;
-  if (same_incarnation && use.sequence <= known.sequence) {
+  if (same_incarnation && use.sequence <= record.sequence) {
     return answer;
   }
-  const bool baseline = use.whole || !same_incarnation;
   if (!same_incarnation) {
-    known.totals.clear();
+    record.tenants.clear();
+    record.has_report = false;
   }
-  known.incarnation = use.incarnation;
-  known.sequence = use.sequence;
-  const bool had_history = std::exchange(known.has_history, known.has_history || use.whole);
+  record.incarnation = use.incarnation;
+  record.sequence = use.sequence;
+  record.last_contact = now;
+  record.out_of_contact = false;
+  const bool first_report = use.whole && !record.has_report;
   for (const wire::QuotaUsageTotal& spent : use.spent) {
-    charge(known, spent, baseline, now);
+    charge(record, spent, first_report || !same_incarnation, now);
   }
-  if (!had_history || !same_incarnation) {
+  if (first_report) {
     for (const wire::QuotaHistory& history : use.histories) {
-      applyHistory(history, now);
+      applyHistory(record, history, now);
     }
+    record.history =
+        std::max(record.history, std::chrono::milliseconds(use.history_ms) + (started_at_ - now));
   }
-  known.history = std::max(known.history, std::chrono::milliseconds(use.history_ms) + (started_at_ - now));
+  record.has_report = record.has_report || use.whole;
   for (const wire::QuotaCreditRequest& ask : use.asks) {
-    answer.decisions.push_back(decide(ask, now));
+    answer.decisions.push_back(decide(record, ask, now));
   }
   return answer;
 }
 
-void QuotaLedger::charge(RouterTotals& known, const wire::QuotaUsageTotal& spent, bool baseline,
+QuotaLedger::RouterUsage& QuotaLedger::usageOf(RouterRecord& record, const TenantName& tenant) const {
+  const auto known = record.tenants.find(tenant);
+  if (known != record.tenants.end()) {
+    return known->second;
+  }
+  UsageWindow recent(tolerance_.window + kMaxHoldDelay, kRouterUsageSlot);
+  return record.tenants.emplace(tenant, RouterUsage{std::nullopt, std::move(recent), 0}).first->second;
+}
+
+void QuotaLedger::recordUsage(RouterUsage& usage, double amount, TimePoint at, TimePoint now) {
+  if (amount >= 0) {
+    usage.recent.add(amount, at, now);
+  } else {
+    usage.recent.refund(-amount, now);
+  }
+}
+
+void QuotaLedger::charge(RouterRecord& record, const wire::QuotaUsageTotal& spent, bool baseline,
                          TimePoint now) {
-  const auto [total, first] = known.totals.try_emplace(spent.tenant, baseline ? spent.total : 0);
-  const std::int64_t used = spent.total - total->second;
-  total->second = spent.total;
+  RouterUsage& usage = usageOf(record, spent.tenant);
+  const std::int64_t previous = usage.total.value_or(baseline ? spent.total : 0);
+  const auto used = static_cast<double>(spent.total - previous);
+  usage.total = spent.total;
+  recordUsage(usage, used, now, now);
   const auto account = accounts_.find(spent.tenant);
   if (used != 0 && account != accounts_.end()) {
-    account->second.bucket.charge(static_cast<double>(used), now);
-    counts_.charged += static_cast<double>(used);
+    account->second.bucket.charge(used, now);
+    counts_.charged += used;
   }
 }
 
@@ -98,14 +125,15 @@
 /// progress. The usage of a second counts from the end of that second, so that it counts for a whole window.
 /// The history doesn't contain where the seconds begin, so that each may have ended up to one second later
 /// than its position implies.
-void QuotaLedger::applyHistory(const wire::QuotaHistory& history, TimePoint now) {
+void QuotaLedger::applyHistory(RouterRecord& record, const wire::QuotaHistory& history, TimePoint now) {
   const auto account = accounts_.find(history.tenant);
-  if (account == accounts_.end()) {
-    return;
-  }
+  RouterUsage& usage = usageOf(record, history.tenant);
   TimePoint latest = now + kHistorySlot;
   for (const std::int64_t amount : history.amounts) {
     if (amount > 0) {
+      recordUsage(usage, static_cast<double>(amount), std::min(now, latest), now);
+    }
+    if (amount > 0 && account != accounts_.end()) {
       account->second.bucket.addPriorUsage(static_cast<double>(amount), std::min(now, latest), now);
     }
     latest -= kHistorySlot;
@@ -121,7 +149,54 @@
   }
 }
 
-wire::QuotaDecision QuotaLedger::decide(const wire::QuotaCreditRequest& ask, TimePoint now) {
+void QuotaLedger::recordContact(const NodeName& router, TimePoint last_contact) {
+  const auto known = routers_.find(router);
+  if (known != routers_.end() && !known->second.out_of_contact) {
+    known->second.last_contact = std::max(known->second.last_contact, last_contact);
+  }
+}
+
+/// A router out of contact grants again what leaves the window of its own usage, so that its usage in any
+/// window stays at what it was at the last contact.
+void QuotaLedger::holdUsageOf(RouterRecord& record, Duration timeout, TimePoint now) {
+  const Duration silence = now - record.last_contact;
+  if (silence > kMaxLeaderlessTime + timeout) {
+    record.out_of_contact = false;
+    record.tenants.clear();
+    record.has_report = false;
+    record.incarnation = 0;
+  } else if (silence > timeout && !record.out_of_contact) {
+    record.out_of_contact = true;
+    for (auto& [tenant, usage] : record.tenants) {
+      usage.held = usage.recent.sumSince(record.last_contact - tolerance_.window, now);
+    }
+  }
+}
+
+void QuotaLedger::holdUsage(Duration timeout, TimePoint now) {
+  std::map<TenantName, double> held;
+  counts_.held = 0;
+  counts_.routers_out_of_contact = 0;
+  for (auto& [router, record] : routers_) {
+    holdUsageOf(record, timeout, now);
+    if (!record.out_of_contact) {
+      continue;
+    }
+    ++counts_.routers_out_of_contact;
+    for (auto& [tenant, usage] : record.tenants) {
+      held[tenant] += std::max(0.0, usage.held - usage.recent.sumSince(now - tolerance_.window, now));
+    }
+  }
+  for (auto& [tenant, account] : accounts_) {
+    const auto found = held.find(tenant);
+    const double amount = found == held.end() ? 0 : found->second;
+    account.bucket.setHeld(amount);
+    counts_.held += amount;
+  }
+}
+
+wire::QuotaDecision QuotaLedger::decide(RouterRecord& record, const wire::QuotaCreditRequest& ask,
+                                        TimePoint now) {
   wire::QuotaDecision decision;
   decision.number = ask.number;
   const auto account = accounts_.find(ask.tenant);
@@ -129,6 +204,7 @@
   if (account == accounts_.end() || account->second.bucket.grant(amount, now)) {
     decision.granted = true;
     counts_.granted += amount;
+    usageOf(record, ask.tenant).recent.add(amount, now, now);
     return decision;
   }
   ++counts_.refused;
--- a/src/tenancy/quota_ledger.h
+++ b/src/tenancy/quota_ledger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,12 +19,15 @@
   double charged = 0;  ///< usage reported by routers, less refunds
   double granted = 0;  ///< credit granted to calls that requested it
   std::uint64_t refused = 0;
+  double held = 0;                         ///< usage that routers out of contact are assumed to repeat
+  std::size_t routers_out_of_contact = 0;  ///< routers whose usage is held
 };
 
 /// Leader side of the tenants' quotas: usage over all routers. Calls of a tenant with much credit run at once
 /// and are charged through the totals that routers report every kChargeInterval. Once a tenant's credit is
 /// below half of its burst, the tenant is limited: routers request credit before each call, so that nothing
-/// is granted beyond the credit. Not thread-safe.
+/// is granted beyond the credit. A router out of contact may grant again what leaves the window of its own
+/// usage; the ledger holds that usage until the router reports again. Not thread-safe.
 class QuotaLedger {
  public:
   QuotaLedger(const QuotaTolerance& tolerance, TimePoint now) : tolerance_(tolerance), started_at_(now) {}
@@ -36,10 +40,21 @@
   /// Updates the list of limited tenants; returns true if it has changed.
   bool refresh(TimePoint now);
   const std::vector<TenantName>& limited() const { return limited_; }
-  /// Removes the totals of routers that are gone.
+  /// Removes the totals of routers that are gone, unless their usage is still held.
   template <class Routers>
   void keepRouters(const Routers& routers) {
-    std::erase_if(routers_, [&routers](const auto& item) { return !routers.contains(item.first); });
+    std::erase_if(routers_, [&routers](const auto& item) {
+      return !routers.contains(item.first) && !item.second.out_of_contact;
+    });
+  }
+  /// Updates which routers are out of contact. routers: by name, with `last_contact`. timeout: time without
+  /// contact after which a router may grant credit without this leader.
+  template <class Routers>
+  void updateContacts(const Routers& routers, Duration timeout, TimePoint now) {
+    for (const auto& [router, record] : routers) {
+      recordContact(router, record.last_contact);
+    }
+    holdUsage(timeout, now);
   }
   /// Updates the share of routers whose history is missing. routers: those from which a message was received
   /// within the last window; is_complete: that list is complete. The history of a router that is gone, or has
@@ -65,18 +80,31 @@
     TimePoint limited_since{};
     TimePoint reserved_until{};  ///< retry times up to this one have been given to refused callers
   };
-  struct RouterTotals {
+  /// Usage of one tenant at one router.
+  struct RouterUsage {
+    std::optional<std::int64_t> total;  ///< nullopt: not reported so far
+    UsageWindow recent;
+    double held = 0;  ///< usage in the window at the last contact, if the router is out of contact
+  };
+  struct RouterRecord {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
-    std::map<TenantName, std::int64_t> totals;
-    bool has_history = false;
-    Duration history{};  ///< time before this leader's start that the history covers
+    std::map<TenantName, RouterUsage> tenants;
+    bool has_report = false;  ///< a full report of this incarnation has been applied
+    Duration history{};       ///< time before this leader's start that the history covers
+    TimePoint last_contact{};
+    bool out_of_contact = false;
   };
 
-  void charge(RouterTotals& known, const wire::QuotaUsageTotal& spent, bool baseline, TimePoint now);
-  void applyHistory(const wire::QuotaHistory& history, TimePoint now);
+  void recordContact(const NodeName& router, TimePoint last_contact);
+  void holdUsage(Duration timeout, TimePoint now);
+  void holdUsageOf(RouterRecord& record, Duration timeout, TimePoint now);
+  RouterUsage& usageOf(RouterRecord& record, const TenantName& tenant) const;
+  static void recordUsage(RouterUsage& usage, double amount, TimePoint at, TimePoint now);
+  void charge(RouterRecord& record, const wire::QuotaUsageTotal& spent, bool baseline, TimePoint now);
+  void applyHistory(RouterRecord& record, const wire::QuotaHistory& history, TimePoint now);
   void setUnreportedShare(double share);
-  wire::QuotaDecision decide(const wire::QuotaCreditRequest& ask, TimePoint now);
+  wire::QuotaDecision decide(RouterRecord& record, const wire::QuotaCreditRequest& ask, TimePoint now);
   static double limitThreshold(const QuotaLimit& limit);
   /// True if the tenant's calls have to request credit.
   static bool shouldLimit(Account& account, TimePoint now);
@@ -88,7 +116,7 @@
   bool first_catalog_ = true;
   std::map<TenantName, Account> accounts_;
   std::vector<TenantName> limited_;
-  std::map<NodeName, RouterTotals> routers_;
+  std::map<NodeName, RouterRecord> routers_;
   QuotaCounts counts_;
 };
 
--- a/src/tenancy/quota_tolerance.h
+++ b/src/tenancy/quota_tolerance.h
@@ -27,6 +27,9 @@
 constexpr Duration kMaxUnaskedSilence = std::chrono::milliseconds(400);
 /// A router without an update of the leader for longer than this grants credit by itself.
 constexpr Duration kLeaderTimeout = std::chrono::milliseconds(700);
+/// A router without an update of the leader for longer than this grants nothing. The leader assumes for as
+/// long that a router which it can't reach uses its part of each quota again.
+constexpr Duration kMaxLeaderlessTime = std::chrono::seconds(60);
 /// Multiple of its rate at which a tenant may send calls while no leader counts its usage over all routers.
 constexpr double kPeakRateMultiple = 4;
 
--- a/src/tenancy/usage_window.cc
+++ b/src/tenancy/usage_window.cc
@@ -3,15 +3,12 @@
 #include <algorithm>
 
 namespace ferryrock::tenancy {
-namespace {
 
-TimePoint slotEnd(TimePoint at) {
-  const auto slots = at.time_since_epoch() / UsageWindow::kSlot;
-  return TimePoint((slots + 1) * UsageWindow::kSlot);
+TimePoint UsageWindow::slotEnd(TimePoint at) const {
+  const auto slots = at.time_since_epoch() / slot_;
+  return TimePoint((slots + 1) * slot_);
 }
 
-}  // namespace
-
 void UsageWindow::add(double amount, TimePoint at, TimePoint now) {
   expire(now);
   const TimePoint end = slotEnd(at);
@@ -37,7 +34,7 @@
     slots_.front().amount -= taken;
     left -= taken;
     if (slots_.front().amount <= 0) {
-      slots_.pop_front();
+      slots_.erase(slots_.begin());
     }
   }
 }
@@ -47,6 +44,15 @@
   return sum_;
 }
 
+double UsageWindow::sumSince(TimePoint begin, TimePoint now) {
+  expire(now);
+  double sum = 0;
+  for (const Slot& slot : slots_) {
+    sum += slot.end > begin ? slot.amount : 0;
+  }
+  return sum;
+}
+
 TimePoint UsageWindow::timeOfDecrease(double amount, TimePoint now) {
   expire(now);
   double decrease = 0;
@@ -62,10 +68,12 @@
 }
 
 void UsageWindow::expire(TimePoint now) {
-  while (!slots_.empty() && slots_.front().end + window_ <= now) {
-    sum_ -= slots_.front().amount;
-    slots_.pop_front();
+  auto kept = slots_.begin();
+  while (kept != slots_.end() && kept->end + window_ <= now) {
+    sum_ -= kept->amount;
+    ++kept;
   }
+  slots_.erase(slots_.begin(), kept);
   if (slots_.empty()) {
     sum_ = 0;
   }
--- a/src/tenancy/usage_window.h
+++ b/src/tenancy/usage_window.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <deque>
+#include <vector>
 
 #include "common/time.h"
 
@@ -10,18 +10,20 @@
 /// left the window. Not thread-safe.
 class UsageWindow {
  public:
-  explicit UsageWindow(Duration window) : window_(window) {}
+  /// slot: length of a slot, by which usage may count longer than the window.
+  explicit UsageWindow(Duration window, Duration slot = kSlot) : window_(window), slot_(slot) {}
 
   /// Usage may be added in any order of time; usage that has already left the window is dropped.
   void add(double amount, TimePoint at, TimePoint now);
   /// Refunds unused amounts, from the oldest slots first, so that the sum never falls below the actual usage.
   void refund(double amount, TimePoint now);
   double sum(TimePoint now);
+  /// Usage since `begin`, which must not be before the window's start.
+  double sumSince(TimePoint begin, TimePoint now);
   /// Time at which the sum has fallen by the amount if nothing is added; the end of the window at the latest.
   TimePoint timeOfDecrease(double amount, TimePoint now);
 
-  /// Length of a slot, by which usage may count longer than the window; 80 slots per tenant for a window of 8
-  /// s.
+  /// Default length of a slot; 80 slots per tenant for a window of 8 s.
   static constexpr Duration kSlot = std::chrono::milliseconds(100);
 
  private:
@@ -30,10 +32,12 @@
     double amount = 0;
   };
 
+  TimePoint slotEnd(TimePoint at) const;
   void expire(TimePoint now);
 
   Duration window_;
-  std::deque<Slot> slots_;  ///< oldest first
+  Duration slot_;
+  std::vector<Slot> slots_;  ///< oldest first
   double sum_ = 0;
 };
 
--- a/tests/tenancy/quota_load_test.cc
+++ b/tests/tenancy/quota_load_test.cc
@@ -84,6 +84,23 @@
   return limitedTenant(116'000, 116'000);
 }
 
+/// Guards against a cut-off router and the leader both granting what leaves the router's window.
+TEST_CASE("A quota holds while routers are cut off from a leader that stays, however long") {
+  const auto routers = GENERATE(9, 19, 30);
+  const Duration cut = GENERATE(3s, 6s, 9s, 14s, 40s);
+  const auto seed = GENERATE(range(1, 4));
+  const wire::Tenant tenant = overloadedTenant();
+  QuotaSimulation simulation(kRouters, tenant, kTolerance, static_cast<std::uint64_t>(seed));
+  simulation.run(4s, kOverload / 6, kCost);
+  simulation.run(8s, kOverload, kCost);
+  simulation.cutOff(static_cast<std::size_t>(routers));
+  simulation.run(cut, kOverload, kCost);
+  simulation.cutOff(0);
+  simulation.run(10s, kOverload, kCost);
+  INFO(routers << " routers for " << toMilliseconds(cut) << " ms, seed " << seed);
+  CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
+}
+
 /// Guards against usage that both the leader and, after its loss, the routers grant again as it leaves the
 /// window.
 TEST_CASE("A quota holds if the leader is lost while a tenant's rise leaves the window") {
--- a/tests/tenancy/quota_world.h
+++ b/tests/tenancy/quota_world.h
@@ -50,7 +50,16 @@
 /// network delay.
 inline constexpr Duration kUpdatePropagation = std::chrono::milliseconds(80);
 
-/// Routers and a leader that exchange messages on a simulated clock.
+/// Interval of the statuses by which members know the routers.
+inline constexpr Duration kStatusPeriod = std::chrono::milliseconds(250);
+
+/// Contact of a router, as members know it from its statuses.
+struct RouterContact {
+  TimePoint last_contact{};
+};
+
+/// Routers and a leader that exchange messages on a simulated clock. Every member knows the routers'
+/// contacts.
 class QuotaSimulation {
  public:
   QuotaSimulation(std::size_t routers, const wire::Tenant& tenant, const QuotaTolerance& tolerance,
@@ -66,7 +75,9 @@
       settings.tolerance = tolerance;
       settings.seed = seed + i;
       clients_.emplace_back(settings);
+      settings_.push_back(settings);
     }
+    cut_off_.resize(routers);
     elect();
     ledger_->setCatalog(wire::ServiceCatalog{}, now_);
     ledger_->setCatalog(catalogOf(tenant_), now_);
@@ -82,6 +93,12 @@
     ledger_->setCatalog(catalogOf(tenant_), now_);
   }
   void loseLeader() { ledger_.reset(); }
+  /// Cuts the first `count` routers off from the leader, in both directions; 0: none.
+  void cutOff(std::size_t count) {
+    for (std::size_t i = 0; i < cut_off_.size(); ++i) {
+      cut_off_[i] = i < count;
+    }
+  }
   void setUpdateDelay(Duration delay) { update_delay_ = delay; }
 
   /// Sends calls of `cost` to random routers at the rate, for the time.
@@ -90,6 +107,7 @@
     TimePoint next_update = now_;
     while (now_ < end) {
       now_ += std::chrono::milliseconds(5);
+      updateContacts();
       if (ledger_ && ledger_->refresh(now_)) {
         sendUpdate();
       }
@@ -128,6 +146,26 @@
     wire::ServiceUpdate update;
   };
 
+  /// Delivers the routers' statuses, and lets the leader apply the contacts that it knows.
+  void updateContacts() {
+    if (now_ < next_status_) {
+      return;
+    }
+    next_status_ = now_ + kStatusPeriod;
+    for (std::size_t i = 0; i < clients_.size(); ++i) {
+      if (!cut_off_[i]) {
+        contacts_[settings_[i].router].last_contact = now_;
+      }
+    }
+    std::erase_if(contacts_, [this](const auto& item) {
+      return now_ - item.second.last_contact > std::chrono::seconds(10);
+    });
+    if (ledger_) {
+      ledger_->keepRouters(contacts_);
+      ledger_->updateRouterHistory(contacts_, true);
+      ledger_->updateContacts(contacts_, kLeaderTimeout, now_);
+    }
+  }
   void sendUpdate() {
     if (!ledger_) {
       return;
@@ -139,8 +177,10 @@
   }
   void deliverUpdates() {
     while (!updates_.empty() && updates_.front().at <= now_) {
-      for (QuotaClient& client : clients_) {
-        client.onUpdate(updates_.front().leader, updates_.front().update, now_);
+      for (std::size_t i = 0; i < clients_.size(); ++i) {
+        if (!cut_off_[i]) {
+          clients_[i].onUpdate(updates_.front().leader, updates_.front().update, now_);
+        }
       }
       updates_.pop_front();
     }
@@ -165,12 +205,13 @@
     }
   }
   void exchange() {
-    for (QuotaClient& client : clients_) {
+    for (std::size_t i = 0; i < clients_.size(); ++i) {
+      QuotaClient& client = clients_[i];
       for (const QuotaRequestOutcome& one : client.tick(now_)) {
         settle(one.number, one.reply);
       }
       const auto use = client.message(leader_, now_);
-      if (!use || !ledger_) {
+      if (!use || !ledger_ || cut_off_[i]) {
         continue;
       }
       for (const QuotaRequestOutcome& one : client.accept(ledger_->accept(*use, now_), now_)) {
@@ -187,6 +228,10 @@
   int leaders_ = 0;
   std::optional<QuotaLedger> ledger_;
   std::vector<QuotaClient> clients_;
+  std::vector<QuotaClientSettings> settings_;
+  std::vector<bool> cut_off_;
+  std::map<NodeName, RouterContact> contacts_;
+  TimePoint next_status_{};
   Duration update_delay_ = kUpdatePropagation;
   std::deque<UpdateInTransit> updates_;
   std::uint64_t calls_ = 0;
