Count the usage of routers whose history is lost

Callers saw: a tenant ran up to 1.08 times what its quota and tolerance allow when routers restarted while there was no leader, and 1.16 times when routers were cut off and the leader was lost as well.

Cause: a new leader capped the reported usage plus the assumed share of the other routers at the larger of the two. With most reports in and a full window, that added nothing for the others; what it did assume decreased evenly, while a recent rise stays in the window for all of it.

Change: the reported usage is scaled to all routers that were there before the leader: what the others ran is taken to be like what was reported. The part of routers that are out of contact doesn't decrease, since they grant again what leaves their window. With fewer than half of the histories the former assumption holds alone.

--- a/src/tenancy/quota_bucket.h
+++ b/src/tenancy/quota_bucket.h
@@ -50,6 +50,13 @@
   /// Adds usage from before this bucket started, under an earlier leader, as reported by the router that ran
   /// it.
   void addPriorUsage(double amount, TimePoint at, TimePoint now) { reported_.add(amount, at, now); }
+  /// Sets the share of the routers whose usage from before the bucket's start is lost, and the part of it
+  /// that may still be running and use its share again. Their usage is assumed to be like that of the routers
+  /// that reported theirs.
+  void setMissingShares(double lost, double out_of_contact) {
+    lost_share_ = lost;
+    out_of_contact_share_ = out_of_contact;
+  }
   /// Sets usage that left the window and is assumed to have been used again by routers out of contact.
   void setHeld(double amount) { held_ = amount; }
   /// Sets the share, initially 1, of the usage before the bucket's start that no router has reported. That
@@ -57,7 +64,7 @@
   void setUnreportedShare(double share) { unreported_share_ = share; }
   double level(TimePoint now) { return capacity() - priorUsage(now) - held_ - used_.sum(now); }
   /// Credit according to the routers' reports alone, without what is assumed for a new leader.
-  double reportedLevel(TimePoint now) { return capacity() - reported_.sum(now) - held_ - used_.sum(now); }
+  double reportedLevel(TimePoint now) { return capacity() - extrapolatedUsage(now) - held_ - used_.sum(now); }
   /// Time until there is credit again if nothing is used in the meantime.
   Duration timeUntilCredit(TimePoint now) {
     const double missing = -level(now);
@@ -78,22 +85,44 @@
   double capacity() const { return limit_.per_second * toSeconds(limit_.window) + limit_.burst; }
   /// Usage from before the bucket's start that still counts: the reported usage plus the unreported share of
   /// the assumed usage. It is capped at the larger of the two, so that a leader with reports from few routers
-  /// doesn't count the usage of these twice.
+  /// doesn't count the usage of these twice. It is at least what the reports imply for all routers.
   double priorUsage(TimePoint now) {
     const double reported = reported_.sum(now);
     const double all = assumed(now);
-    return std::min(reported + unreported_share_ * all, std::max(reported, all));
+    const double estimate = std::min(reported + unreported_share_ * all, std::max(reported, all));
+    return std::max(estimate, extrapolatedUsage(now));
+  }
+  /// The reported usage, scaled to all routers. What routers out of contact used doesn't decrease: they grant
+  /// again what leaves the window.
+  double extrapolatedUsage(TimePoint now) {
+    const double reported = reported_.sum(now);
+    max_reported_ = std::max(max_reported_, reported);
+    if (lost_share_ > kMaxExtrapolatedShare) {
+      return reported;
+    }
+    const double repeated = out_of_contact_share_ * (kOutOfContactFactor * max_reported_ - reported);
+    const double scaled = (reported + repeated) / (1 - lost_share_);
+    return std::max(reported, std::min(scaled, capacity()));
   }
   double assumed(TimePoint now) const {
     const double passed = toSeconds(now - started_at_) / toSeconds(limit_.window);
     return assumed_ * std::clamp(1 - passed, 0.0, 1.0);
   }
 
+  /// Factor by which routers out of contact may use more than their share, since they also grant a part of
+  /// the tolerance.
+  static constexpr double kOutOfContactFactor = 1.25;
+  /// Reports of fewer routers say too little about the others.
+  static constexpr double kMaxExtrapolatedShare = 0.5;
+
   QuotaLimit limit_;
   UsageWindow used_;
   UsageWindow reported_;  ///< reported usage from before the bucket's start
   double assumed_ = 0;    ///< usage assumed in the window before the bucket's start
   double unreported_share_ = 1;
+  double max_reported_ = 0;  ///< largest value of `reported_` so far
+  double lost_share_ = 0;
+  double out_of_contact_share_ = 0;
   double held_ = 0;
   TimePoint started_at_;
 };
--- a/src/tenancy/quota_ledger.cc
+++ b/src/tenancy/quota_ledger.cc
@@ -149,11 +149,17 @@
   }
 }
 
-void QuotaLedger::recordContact(const NodeName& router, TimePoint last_contact) {
+void QuotaLedger::recordContact(const NodeName& router, TimePoint last_contact, TimePoint now) {
   const auto known = routers_.find(router);
   if (known != routers_.end() && !known->second.out_of_contact) {
     known->second.last_contact = std::max(known->second.last_contact, last_contact);
   }
+  const auto earlier = earlier_routers_.find(router);
+  if (earlier != earlier_routers_.end()) {
+    earlier->second = std::max(earlier->second, last_contact);
+  } else if (now - started_at_ < tolerance_.window) {
+    earlier_routers_.emplace(router, last_contact);
+  }
 }
 
 /// A router out of contact grants again what leaves the window of its own usage, so that its usage in any
@@ -195,6 +201,27 @@
   }
 }
 
+/// Counts the routers that ran calls before this leader's start and haven't reported them: those that have
+/// restarted since, and those out of contact.
+void QuotaLedger::updateMissingShares(Duration timeout, TimePoint now) {
+  std::erase_if(earlier_routers_, [now](const auto& item) { return now - item.second > kMaxLeaderlessTime; });
+  std::size_t lost = 0;
+  std::size_t out_of_contact = 0;
+  for (const auto& [router, last_contact] : earlier_routers_) {
+    const auto known = routers_.find(router);
+    const bool reported = known != routers_.end() && known->second.has_report;
+    lost += reported && known->second.history >= tolerance_.window ? 0 : 1;
+    out_of_contact += !reported && now - last_contact > timeout ? 1 : 0;
+  }
+  const auto all = static_cast<double>(std::max<std::size_t>(1, earlier_routers_.size()));
+  for (auto& [tenant, account] : accounts_) {
+    if (account.from_first_catalog) {
+      account.bucket.setMissingShares(static_cast<double>(lost) / all,
+                                      static_cast<double>(out_of_contact) / all);
+    }
+  }
+}
+
 wire::QuotaDecision QuotaLedger::decide(RouterRecord& record, const wire::QuotaCreditRequest& ask,
                                         TimePoint now) {
   wire::QuotaDecision decision;
--- a/src/tenancy/quota_ledger.h
+++ b/src/tenancy/quota_ledger.h
@@ -52,9 +52,10 @@
   template <class Routers>
   void updateContacts(const Routers& routers, Duration timeout, TimePoint now) {
     for (const auto& [router, record] : routers) {
-      recordContact(router, record.last_contact);
+      recordContact(router, record.last_contact, now);
     }
     holdUsage(timeout, now);
+    updateMissingShares(timeout, now);
   }
   /// Updates the share of routers whose history is missing. routers: those from which a message was received
   /// within the last window; is_complete: that list is complete. The history of a router that is gone, or has
@@ -96,9 +97,10 @@
     bool out_of_contact = false;
   };
 
-  void recordContact(const NodeName& router, TimePoint last_contact);
+  void recordContact(const NodeName& router, TimePoint last_contact, TimePoint now);
   void holdUsage(Duration timeout, TimePoint now);
   void holdUsageOf(RouterRecord& record, Duration timeout, TimePoint now);
+  void updateMissingShares(Duration timeout, TimePoint now);
   RouterUsage& usageOf(RouterRecord& record, const TenantName& tenant) const;
   static void recordUsage(RouterUsage& usage, double amount, TimePoint at, TimePoint now);
   void charge(RouterRecord& record, const wire::QuotaUsageTotal& spent, bool baseline, TimePoint now);
@@ -117,6 +119,9 @@
   std::map<TenantName, Account> accounts_;
   std::vector<TenantName> limited_;
   std::map<NodeName, RouterRecord> routers_;
+  /// Routers that may have run calls before this leader's start, with the time of their last contact to any
+  /// member.
+  std::map<NodeName, TimePoint> earlier_routers_;
   QuotaCounts counts_;
 };
 
--- a/tests/tenancy/quota_load_test.cc
+++ b/tests/tenancy/quota_load_test.cc
@@ -101,6 +101,44 @@
   CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
 }
 
+/// Guards against a new leader that forgets what routers used which it has never reached.
+TEST_CASE("A quota holds if the leader is lost while routers are cut off and stay so") {
+  const auto seed = GENERATE(range(1, 7));
+  const wire::Tenant tenant = overloadedTenant();
+  QuotaSimulation simulation(kRouters, tenant, kTolerance, static_cast<std::uint64_t>(seed));
+  simulation.run(4s, kOverload / 6, kCost);
+  simulation.run(6s, kOverload, kCost);
+  simulation.cutOff(19);
+  simulation.run(2s, kOverload, kCost);
+  simulation.loseLeader();
+  simulation.run(3s, kOverload, kCost);
+  simulation.elect();
+  simulation.run(14s, kOverload, kCost);
+  simulation.cutOff(0);
+  simulation.run(10s, kOverload, kCost);
+  INFO("seed " << seed);
+  CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
+}
+
+/// Guards against a new leader that counts nothing for routers which have restarted since they ran calls.
+TEST_CASE("A quota holds if routers restart while there is no leader") {
+  const auto routers = GENERATE(std::size_t{5}, std::size_t{10}, std::size_t{20}, std::size_t{45});
+  const Duration rise = GENERATE(2000ms, 2600ms, 4000ms);
+  const auto seed = GENERATE(range(1, 7));
+  const wire::Tenant tenant = overloadedTenant();
+  QuotaSimulation simulation(kRouters, tenant, kTolerance, static_cast<std::uint64_t>(seed));
+  simulation.run(6s, kOverload / 6, kCost);
+  simulation.run(rise, kOverload, kCost);
+  simulation.loseLeader();
+  simulation.run(1s, kOverload, kCost);
+  simulation.restart(routers);
+  simulation.run(2s, kOverload, kCost);
+  simulation.elect();
+  simulation.run(8s, kOverload, kCost);
+  INFO(routers << " routers, " << toMilliseconds(rise) << " ms after the rise, seed " << seed);
+  CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
+}
+
 /// Guards against usage that both the leader and, after its loss, the routers grant again as it leaves the
 /// window.
 TEST_CASE("A quota holds if the leader is lost while a tenant's rise leaves the window") {
--- a/tests/tenancy/quota_world.h
+++ b/tests/tenancy/quota_world.h
@@ -99,6 +99,13 @@
       cut_off_[i] = i < count;
     }
   }
+  /// Restarts the first `count` routers: their usage so far is known to nobody but the leader.
+  void restart(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      settings_[i].incarnation += clients_.size();
+      clients_[i] = QuotaClient(settings_[i]);
+    }
+  }
   void setUpdateDelay(Duration delay) { update_delay_ = delay; }
 
   /// Sends calls of `cost` to random routers at the rate, for the time.
