Send a router's quota report again until the leader confirms it

Cause: a router noted its full report as sent when the message was built. If it was lost, its histories never came again. Each later message carries history_ms, so that the leader counted the router as one whose history it knew.

Change: the leader answers with the sequence of the last full report that it has applied (QuotaAnswer::report_sequence, a new last field), and tells in its updates that it does (confirms_quota_reports, likewise). Routers send the report again after 300 ms without a confirmation, and to a leader that says it has none. A history counts only once it is there. Routers log each confirmed report with the calls that ran unasked, without a leader, and again, and have metrics for them.

--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -105,6 +105,7 @@
   CatalogVersion catalogVersion() const { return routes_ ? routes_->version() : CatalogVersion{}; }
   const wire::CallLimits* limits() const { return routes_ ? &routes_->catalog().limits : nullptr; }
   const CallRouterCounts& counts() const { return counts_; }
+  const tenancy::QuotaClientCounts& quotaCounts() const { return quota_.counts(); }
   std::size_t openCalls() const { return calls_.size(); }
   std::size_t knownReplicas() const { return replicas_.size(); }
   const ReplicaNotices& replicaNotices() const { return replicas_.notices(); }
@@ -193,6 +194,7 @@
   /// Charges the tenant's quota. Returns false if the call was refused or waits for credit.
   bool charge(CallPointer call, const wire::Tenant& tenant, TimePoint now);
   void onQuotaReply(CallPointer call, const tenancy::QuotaReply& reply, TimePoint now);
+  void acceptQuotaAnswer(const NodeName& from, const wire::QuotaAnswer& answer, TimePoint now);
   void resolveQuotas(const std::vector<tenancy::QuotaRequestOutcome>& resolved, TimePoint now);
   /// Records that the last attempt may have run. A further attempt is charged to the tenant's quota again.
   static void recordPossibleRun(Call& call);
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -30,7 +30,7 @@
     applyCatalog(envelope.from, late->catalog, feed_.lastLeaderContact(), now);
   } else if (const auto* answer = std::get_if<wire::QuotaAnswer>(&envelope.message)) {
     feed_.recordAnswer(envelope.from);
-    resolveQuotas(quota_.accept(*answer, now), now);
+    acceptQuotaAnswer(envelope.from, *answer, now);
   } else if (const auto* reply = std::get_if<wire::LimitReply>(&envelope.message)) {
     feed_.recordAnswer(envelope.from);
     resolveCredits(replicas_.limits().accept(*reply, now), now);
--- a/src/calls/call_router_tenants.cc
+++ b/src/calls/call_router_tenants.cc
@@ -117,6 +117,21 @@
   }
 }
 
+/// Logs each confirmed report with the router's counts, which tell what ran since the report before.
+void CallRouter::acceptQuotaAnswer(const NodeName& from, const wire::QuotaAnswer& answer, TimePoint now) {
+  const std::uint64_t confirmed = quota_.counts().confirmed_reports;
+  resolveQuotas(quota_.accept(answer, now), now);
+  const tenancy::QuotaClientCounts& counts = quota_.counts();
+  if (counts.confirmed_reports != confirmed) {
+    log_.write(LogLevel::Info, "quota.reported",
+               {{"leader", std::string_view(from.value)},
+                {"reports", static_cast<std::int64_t>(counts.reports)},
+                {"unasked", static_cast<std::int64_t>(counts.unasked)},
+                {"local", static_cast<std::int64_t>(counts.local)},
+                {"reruns", static_cast<std::int64_t>(counts.reruns)}});
+  }
+}
+
 void CallRouter::resolveQuotas(const std::vector<tenancy::QuotaRequestOutcome>& resolved, TimePoint now) {
   for (const tenancy::QuotaRequestOutcome& one : resolved) {
     const CallPointer call = calls_.find(CallNumber{one.number});
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -233,6 +233,17 @@
       static_cast<double>(counts.quota_waits));
   set("ferryrock_calls_quota_unknown", "Calls refused since no leader decides on their tenant's quota",
       static_cast<double>(counts.quota_undecided));
+  const tenancy::QuotaClientCounts& quota = router_.quotaCounts();
+  set("ferryrock_calls_quota_unasked", "Calls with a quota that ran without asking the leader",
+      static_cast<double>(quota.unasked));
+  set("ferryrock_calls_quota_local", "Calls with a quota that ran without a leader",
+      static_cast<double>(quota.local));
+  set("ferryrock_calls_quota_reruns", "Further runs of calls with a quota",
+      static_cast<double>(quota.reruns));
+  set("ferryrock_quota_reports", "Full reports of quota usage to leaders",
+      static_cast<double>(quota.reports));
+  set("ferryrock_quota_reports_confirmed", "Full reports of quota usage that leaders confirmed",
+      static_cast<double>(quota.confirmed_reports));
   set("ferryrock_replica_ends_seen", "Replicas found ended after they broke a call off",
       static_cast<double>(counts.replica_crashes));
   set("ferryrock_calls_refused_quarantined", "Calls refused since several replicas ended under them",
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -128,7 +128,8 @@
   }
   refreshQuotas(now);
   wire::QuotaAnswer answered = leader_->quotas.accept(use, now);
-  if (!answered.decisions.empty()) {
+  const bool lacks_report = answered.report_sequence == 0;
+  if (!answered.decisions.empty() || use.whole || lacks_report) {
     send(from, std::move(answered));
   }
 }
--- a/src/services/service_control_updates.cc
+++ b/src/services/service_control_updates.cc
@@ -95,6 +95,7 @@
   update.coming = expectedLoadsFor(status, now);
   update.limited_tenants = leader_->quotas.limited();
   update.grants_limit_credit = true;
+  update.confirms_quota_reports = true;
   if (const auto followed = node_->log().leadershipConfirmedAt(now)) {
     update.proved = leader_->receipts.provedBy(status.router, *followed);
   }
--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -11,6 +11,8 @@
 constexpr Duration kChargeInterval = 50ms;
 /// Totals are reported again for this long after their last change, in case a message is lost.
 constexpr Duration kTotalsResendPeriod = 1s;
+/// A full report that the leader hasn't confirmed within this time is sent again.
+constexpr Duration kReportTimeout = 300ms;
 /// A response takes about 5 ms. After this timeout the router no longer waits for a leader that is overloaded
 /// or gone.
 constexpr Duration kResponseTimeout = 250ms;
@@ -56,6 +58,7 @@
     requests_due_ = true;
     return {QuotaVerdict::Pending, std::nullopt};
   }
+  ++counts_.unasked;
   recordCharge(tenant.name, cost, now);
   return granted(account_);
 }
@@ -116,6 +119,7 @@
 }
 
 void QuotaClient::chargeRerun(const TenantName& tenant, std::int64_t cost, TimePoint now) {
+  ++counts_.reruns;
   recordCharge(tenant, cost, now);
   const auto local_share = local_shares_.find(tenant);
   if (local_share != local_shares_.end()) {
@@ -159,11 +163,13 @@
   const auto amount = static_cast<double>(cost);
   if (share.level > 0 && random_.chance(std::min(1.0, share.level / amount))) {
     share.level -= amount;
+    ++counts_.local;
     recordCharge(tenant, cost, now);
     return granted(account_);
   }
   const double overrun = kLeaderlessShare * allowedOverrun(settings_.tolerance, quota);
   if (random_.chance(std::min(1.0, overrun / (kPeakRateMultiple * quota.per_second * kFailoverSeconds)))) {
+    ++counts_.local;
     recordCharge(tenant, cost, now);
     return granted(account_);
   }
@@ -175,6 +181,8 @@
   // A leader that was out of contact may have forgotten this router, and lacks what ran in the meantime.
   if (leader != leader_ || isSilentFor(kLeaderTimeout, now)) {
     full_report_due_ = true;
+    awaits_confirmation_ = false;
+    first_report_ = sequence_ + 1;
   }
   if (leader != leader_) {
     leader_ = leader;
@@ -182,6 +190,7 @@
   }
   last_leader_contact_ = now;
   leader_reads_histories_ = update.supportsQuotaHistories();
+  leader_confirms_reports_ = update.confirms_quota_reports;
   local_shares_.clear();
   limited_ = {update.limited_tenants.begin(), update.limited_tenants.end()};
 }
@@ -191,6 +200,7 @@
   if (answer.incarnation != settings_.incarnation) {
     return resolved;
   }
+  confirmReport(answer.report_sequence, now);
   for (const wire::QuotaDecision& decision : answer.decisions) {
     const auto pending = pending_requests_.find(decision.number);
     if (pending == pending_requests_.end()) {
@@ -211,8 +221,22 @@
   return resolved;
 }
 
+/// Sequences are never reused, so that an answer of an earlier leader confirms nothing.
+void QuotaClient::confirmReport(std::uint64_t report_sequence, TimePoint now) {
+  if (awaits_confirmation_ && report_sequence >= first_report_) {
+    awaits_confirmation_ = false;
+    ++counts_.confirmed_reports;
+  } else if (leader_confirms_reports_ && report_sequence == 0 && now - report_sent_at_ >= kReportTimeout) {
+    full_report_due_ = true;
+  }
+}
+
 std::vector<QuotaRequestOutcome> QuotaClient::tick(TimePoint now) {
   std::vector<QuotaRequestOutcome> resolved;
+  if (awaits_confirmation_ && now - report_sent_at_ >= kReportTimeout) {
+    full_report_due_ = true;
+    awaits_confirmation_ = false;
+  }
   for (auto& [number, pending] : pending_requests_) {
     if (!pending.abandoned && now - pending.since >= kResponseTimeout) {
       resolved.push_back({number, decideLocally(pending.tenant, pending.quota, pending.cost, now)});
@@ -260,7 +284,12 @@
       pending.account = account_;
     }
   }
-  full_report_due_ = false;
+  if (full_report_due_) {
+    full_report_due_ = false;
+    ++counts_.reports;
+    report_sent_at_ = now;
+    awaits_confirmation_ = leader_confirms_reports_;
+  }
   requests_due_ = false;
   charges_due_ = TimePoint::max();
   return use;
@@ -268,6 +297,9 @@
 
 TimePoint QuotaClient::nextDeadline() const {
   TimePoint deadline = leader_.empty() ? TimePoint::max() : charges_due_;
+  if (awaits_confirmation_) {
+    deadline = std::min(deadline, report_sent_at_ + kReportTimeout);
+  }
   for (const auto& [number, pending] : pending_requests_) {
     deadline =
         std::min(deadline, pending.since + (pending.abandoned ? kTotalsResendPeriod : kResponseTimeout));
--- a/src/tenancy/quota_client.h
+++ b/src/tenancy/quota_client.h
@@ -43,9 +43,19 @@
   QuotaReply reply;
 };
 
+/// Counters for metrics and logs, since the router's start.
+struct QuotaClientCounts {
+  std::uint64_t unasked = 0;            ///< calls granted under a leader without asking it
+  std::uint64_t local = 0;              ///< calls granted without contact to a leader
+  std::uint64_t reruns = 0;             ///< further runs charged to calls that were granted before
+  std::uint64_t reports = 0;            ///< full reports sent to leaders
+  std::uint64_t confirmed_reports = 0;  ///< full reports that a leader has confirmed
+};
+
 /// Router side of the tenants' quotas; the leader's side is QuotaLedger. Without contact to a leader, the
 /// router grants its local share of the rate by itself for kMaxLeaderlessTime. The usage of its calls is
-/// reported in full to each new leader, and to a leader that was out of contact. Not thread-safe.
+/// reported in full to each new leader until that leader confirms the report, and to a leader that was out of
+/// contact. Not thread-safe.
 class QuotaClient {
  public:
   explicit QuotaClient(const QuotaClientSettings& settings) : settings_(settings), random_(settings.seed) {}
@@ -72,6 +82,7 @@
   /// The message that is due to the leader, if any.
   std::optional<wire::QuotaUse> message(const NodeName& leader, TimePoint now);
   TimePoint nextDeadline() const;
+  const QuotaClientCounts& counts() const { return counts_; }
 
  private:
   struct TenantUsage {
@@ -98,6 +109,7 @@
   /// True if the leader's last update is older than the timeout.
   bool isSilentFor(Duration timeout, TimePoint now) const;
   bool mustRequestCredit(const TenantName& tenant, TimePoint now) const;
+  void confirmReport(std::uint64_t report_sequence, TimePoint now);
   /// Records usage by slots, for the next leader and for the time without one.
   void recordUsage(const TenantName& tenant, std::int64_t amount, TimePoint now);
   /// Usage of the tenant at this router that left the window between the two times.
@@ -108,18 +120,23 @@
                            TimePoint now);
 
   QuotaClientSettings settings_;
+  QuotaClientCounts counts_;
   Random random_;
   NodeName leader_;
   std::optional<TimePoint> last_leader_contact_;
   bool leader_reads_histories_ = true;
+  bool leader_confirms_reports_ = false;
   std::optional<TimePoint> first_update_at_;
   std::set<TenantName> limited_;
   std::map<TenantName, TenantUsage> usage_;
   std::map<std::uint64_t, PendingRequest> pending_requests_;
   std::map<TenantName, LocalShare> local_shares_;
   std::uint64_t sequence_ = 0;
-  std::uint64_t account_ = 0;     ///< see QuotaReply::account
-  bool full_report_due_ = false;  ///< the leader may lack totals of this router
+  std::uint64_t account_ = 0;       ///< see QuotaReply::account
+  bool full_report_due_ = false;    ///< the leader may lack totals of this router
+  std::uint64_t first_report_ = 0;  ///< lowest sequence of a full report that the leader may confirm
+  bool awaits_confirmation_ = false;
+  TimePoint report_sent_at_{};
   bool requests_due_ = false;
   TimePoint charges_due_ = TimePoint::max();
 };
--- a/src/tenancy/quota_ledger.cc
+++ b/src/tenancy/quota_ledger.cc
@@ -61,18 +61,19 @@
   const bool same_incarnation = record.incarnation == use.incarnation;
   wire::QuotaAnswer answer;
   answer.incarnation = use.incarnation;
+  answer.report_sequence = same_incarnation ? record.report_sequence : 0;
   if (same_incarnation && use.sequence <= record.sequence) {
     return answer;
   }
   if (!same_incarnation) {
     record.tenants.clear();
-    record.has_report = false;
+    record.report_sequence = 0;
   }
   record.incarnation = use.incarnation;
   record.sequence = use.sequence;
   record.last_contact = now;
   record.out_of_contact = false;
-  const bool first_report = use.whole && !record.has_report;
+  const bool first_report = use.whole && record.report_sequence == 0;
   for (const wire::QuotaUsageTotal& spent : use.spent) {
     charge(record, spent, first_report || !same_incarnation, now);
   }
@@ -83,7 +84,8 @@
     record.history =
         std::max(record.history, std::chrono::milliseconds(use.history_ms) + (started_at_ - now));
   }
-  record.has_report = record.has_report || use.whole;
+  record.report_sequence = use.whole ? use.sequence : record.report_sequence;
+  answer.report_sequence = record.report_sequence;
   for (const wire::QuotaCreditRequest& ask : use.asks) {
     answer.decisions.push_back(decide(record, ask, now));
   }
@@ -169,7 +171,7 @@
   if (silence > kMaxLeaderlessTime + timeout) {
     record.out_of_contact = false;
     record.tenants.clear();
-    record.has_report = false;
+    record.report_sequence = 0;
     record.incarnation = 0;
   } else if (silence > timeout && !record.out_of_contact) {
     record.out_of_contact = true;
@@ -209,7 +211,7 @@
   std::size_t out_of_contact = 0;
   for (const auto& [router, last_contact] : earlier_routers_) {
     const auto known = routers_.find(router);
-    const bool reported = known != routers_.end() && known->second.has_report;
+    const bool reported = known != routers_.end() && known->second.report_sequence > 0;
     lost += reported && known->second.history >= tolerance_.window ? 0 : 1;
     out_of_contact += !reported && now - last_contact > timeout ? 1 : 0;
   }
--- a/src/tenancy/quota_ledger.h
+++ b/src/tenancy/quota_ledger.h
@@ -91,8 +91,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     std::map<TenantName, RouterUsage> tenants;
-    bool has_report = false;  ///< a full report of this incarnation has been applied
-    Duration history{};       ///< time before this leader's start that the history covers
+    std::uint64_t report_sequence = 0;  ///< of the last full report; 0: none of this incarnation
+    Duration history{};                 ///< time before this leader's start that the history covers
     TimePoint last_contact{};
     bool out_of_contact = false;
   };
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -226,9 +226,11 @@
   std::uint64_t table = 0;
   std::int64_t status_interval_ms = 0;  ///< interval of the router's statuses; 0: the default
   bool grants_limit_credit = false;     ///< the leader's build supports LimitRequest
+  /// The leader's build confirms full reports of quota usage, see QuotaAnswer::report_sequence.
+  bool confirms_quota_reports = false;
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
                    members, directory, coming, confirm, proved, limited_tenants, loads, table,
-                   status_interval_ms, grants_limit_credit)
+                   status_interval_ms, grants_limit_credit, confirms_quota_reports)
 
   /// Number of members that the sender's build encodes; 0: not decoded from bytes.
   std::uint32_t encoded_member_count = 0;
@@ -298,7 +300,10 @@
 struct QuotaAnswer {
   std::uint64_t incarnation = 0;  ///< incarnation of the requesting router
   std::vector<QuotaDecision> decisions;
-  FERRYROCK_FIELDS(QuotaAnswer, incarnation, decisions)
+  /// QuotaUse::sequence of the last whole message that the leader has applied; 0: it has none of this
+  /// incarnation.
+  std::uint64_t report_sequence = 0;
+  FERRYROCK_FIELDS(QuotaAnswer, incarnation, decisions, report_sequence)
 };
 
 /// Minimum rate, in calls per second, at which calls are sent to a replica with a lower limit or a limit of
--- a/tests/tenancy/quota_load_test.cc
+++ b/tests/tenancy/quota_load_test.cc
@@ -120,6 +120,23 @@
   CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
 }
 
+/// Guards against usage that no leader ever learns of, because the message that reports it is lost.
+TEST_CASE("A quota holds if routers' first reports to a new leader are lost") {
+  const auto routers = GENERATE(std::size_t{9}, std::size_t{28}, kRouters);
+  const auto seed = GENERATE(range(1, 7));
+  const wire::Tenant tenant = overloadedTenant();
+  QuotaSimulation simulation(kRouters, tenant, kTolerance, static_cast<std::uint64_t>(seed));
+  simulation.run(4s, kOverload / 6, kCost);
+  simulation.run(4s, kOverload, kCost);
+  simulation.loseLeader();
+  simulation.run(3s, kOverload, kCost);
+  simulation.elect();
+  simulation.loseReports(routers);
+  simulation.run(8s, kOverload, kCost);
+  INFO(routers << " reports, seed " << seed);
+  CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
+}
+
 /// Guards against a new leader that counts nothing for routers which have restarted since they ran calls.
 TEST_CASE("A quota holds if routers restart while there is no leader") {
   const auto routers = GENERATE(std::size_t{5}, std::size_t{10}, std::size_t{20}, std::size_t{45});
--- a/tests/tenancy/quota_world.h
+++ b/tests/tenancy/quota_world.h
@@ -78,6 +78,7 @@
       settings_.push_back(settings);
     }
     cut_off_.resize(routers);
+    loses_report_.resize(routers);
     elect();
     ledger_->setCatalog(wire::ServiceCatalog{}, now_);
     ledger_->setCatalog(catalogOf(tenant_), now_);
@@ -99,6 +100,8 @@
       cut_off_[i] = i < count;
     }
   }
+  /// Loses the next full report of the first `count` routers.
+  void loseReports(std::size_t count) { std::fill_n(loses_report_.begin(), count, true); }
   /// Restarts the first `count` routers: their usage so far is known to nobody but the leader.
   void restart(std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
@@ -180,6 +183,7 @@
     wire::ServiceUpdate update;
     update.routers = static_cast<std::uint32_t>(clients_.size());
     update.limited_tenants = ledger_->limited();
+    update.confirms_quota_reports = true;
     updates_.push_back({now_ + update_delay_, leader_, std::move(update)});
   }
   void deliverUpdates() {
@@ -221,6 +225,10 @@
       if (!use || !ledger_ || cut_off_[i]) {
         continue;
       }
+      if (use->whole && loses_report_[i]) {
+        loses_report_[i] = false;
+        continue;
+      }
       for (const QuotaRequestOutcome& one : client.accept(ledger_->accept(*use, now_), now_)) {
         settle(one.number, one.reply);
       }
@@ -237,6 +245,7 @@
   std::vector<QuotaClient> clients_;
   std::vector<QuotaClientSettings> settings_;
   std::vector<bool> cut_off_;
+  std::vector<bool> loses_report_;
   std::map<NodeName, RouterContact> contacts_;
   TimePoint next_status_{};
   Duration update_delay_ = kUpdatePropagation;
