Let quota timeouts grow with the leader's status interval

Callers saw nothing yet: read in the code. In a fleet so large that the leader asks for statuses less often than each 700 ms, routers would take a present leader for lost between two of its updates and refuse calls of tenants within their limits.

Cause: the timeout of quotas was fixed, while that of the router's feed grows with the interval that the leader requests.

Change: the timeouts of quotas, at routers and at the leader, grow with the interval.

Evidence: "A leader that requests long status intervals isn't taken for lost between two updates" fails on the change before.

--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -82,7 +82,8 @@
   }
   if (now >= leader_->next_quota_contacts) {
     leader_->next_quota_contacts = now + kQuotaContactInterval;
-    leader_->quotas.updateContacts(directory_.routers(), tenancy::kLeaderTimeout, now);
+    const Duration timeout = tenancy::scaledTimeout(tenancy::kLeaderTimeout, leaderStatusInterval());
+    leader_->quotas.updateContacts(directory_.routers(), timeout, now);
   }
   if (leader_->quotas.refresh(now)) {
     leader_->push_to_all = true;
--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -48,7 +48,7 @@
 }
 
 bool QuotaClient::isSilentFor(Duration timeout, TimePoint now) const {
-  return !last_leader_contact_ || now - *last_leader_contact_ > timeout;
+  return !last_leader_contact_ || now - *last_leader_contact_ > scaledTimeout(timeout, status_interval_);
 }
 
 QuotaReply QuotaClient::request(std::uint64_t number, const wire::Tenant& tenant, std::int64_t cost,
@@ -196,6 +196,7 @@
     inherited_until_ = now + kInheritedLimitTime;
   }
   last_leader_contact_ = now;
+  status_interval_ = std::chrono::milliseconds(update.status_interval_ms);
   leader_reads_histories_ = update.supportsQuotaHistories();
   leader_confirms_reports_ = update.confirms_quota_reports;
   local_shares_.clear();
--- a/src/tenancy/quota_client.h
+++ b/src/tenancy/quota_client.h
@@ -106,7 +106,7 @@
     TimePoint at{};  ///< usage that left the window later than this isn't part of `level`
   };
 
-  /// True if the leader's last update is older than the timeout.
+  /// True if the leader's last update is older than the timeout, which grows with the status interval.
   bool isSilentFor(Duration timeout, TimePoint now) const;
   bool mustRequestCredit(const TenantName& tenant, TimePoint now) const;
   void confirmReport(std::uint64_t report_sequence, TimePoint now);
@@ -126,6 +126,7 @@
   std::optional<TimePoint> last_leader_contact_;
   bool leader_reads_histories_ = true;
   bool leader_confirms_reports_ = false;
+  Duration status_interval_{};  ///< requested by the leader; zero: the default
   std::optional<TimePoint> first_update_at_;
   std::set<TenantName> limited_;
   /// Tenants that the previous leader limited, which request credit until the new leader had time to learn of
--- a/src/tenancy/quota_tolerance.h
+++ b/src/tenancy/quota_tolerance.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "common/time.h"
 #include "tenancy/quota_bucket.h"
 #include "wire/service_types.h"
@@ -23,6 +25,9 @@
 /// Length of the slots in which routers record usage for the next leader.
 constexpr Duration kHistorySlot = std::chrono::seconds(1);
 
+/// Interval at which routers report their status to the leader, and get its updates, unless it requests a
+/// longer one.
+constexpr Duration kDefaultStatusInterval = std::chrono::milliseconds(250);
 /// A router without an update of the leader for longer than this requests credit for each call.
 constexpr Duration kMaxUnaskedSilence = std::chrono::milliseconds(400);
 /// A router without an update of the leader for longer than this grants credit by itself.
@@ -33,6 +38,11 @@
 /// Multiple of its rate at which a tenant may send calls while no leader counts its usage over all routers.
 constexpr double kPeakRateMultiple = 4;
 
+/// Scales a timeout for the status interval that the leader requests; zero: the default interval.
+inline Duration scaledTimeout(Duration timeout, Duration status_interval) {
+  return std::max(timeout, timeout * status_interval.count() / kDefaultStatusInterval.count());
+}
+
 // Shares of allowedOverrun(), each reserved for one way in which the leader's account lags behind the actual
 // usage. Their sum is below 1; the rest covers calls larger than the available credit, and clock error.
 
--- a/tests/tenancy/quota_report_test.cc
+++ b/tests/tenancy/quota_report_test.cc
@@ -109,6 +109,18 @@
   CHECK(router.nextDeadline() > now);
 }
 
+/// Guards against a present leader that routers take for lost between two of its updates.
+TEST_CASE("A leader that requests long status intervals isn't taken for lost between two updates") {
+  QuotaClient router = client();
+  wire::ServiceUpdate update = confirmingUpdate();
+  update.status_interval_ms = 1000;
+  router.onUpdate(kLeader, update, kStart);
+  const wire::Tenant tenant = limitedTenant(1000, 1000);
+  CHECK(router.request(1, tenant, 300, kStart + 1100ms).verdict == QuotaVerdict::Granted);
+  CHECK(router.counts().unasked == 1);
+  CHECK(router.request(2, tenant, 300, kStart + 2s).verdict == QuotaVerdict::Pending);
+}
+
 /// Guards against a router that grants on for longer than the leader holds its usage.
 TEST_CASE("A router without a leader for longer than its usage is held grants nothing") {
   QuotaClient router = client();
