Ignore quota, limit and budget data of stale updates

A late update of a replaced leader lifted the limits that its successor had set, made credit requests go nowhere and changed the number of routers that divide retry budgets.

Cause: the router passed each update to the quota client and the limits, also one that its feed had refused as older.

Change: only what the feed accepts reaches them. Catalogs and proofs keep their own rules.

Evidence: "A late update of a replaced leader doesn't change which tenants request credit, or from whom" fails with the former condition (0 requests in place of 1) and passes.

--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -59,14 +59,19 @@
 void CallRouter::applyUpdate(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now) {
   const NodeName leader = feed_.leader();
   const std::optional<TimePoint> previous_contact = feed_.lastLeaderContact();
+  const bool stale = feed_.isStale(update);
   const bool replicas_follow = feed_.accept(from, update, now);
   if (feed_.leader() != leader) {
     log_.write(LogLevel::Info, "control.leader",
                {{"leader", view(feed_.leader().value)},
                 {"revision", static_cast<std::int64_t>(update.revision.value)}});
   }
-  quota_.onUpdate(from, update, now);
-  replicas_.limits().onLeader(update.grants_limit_credit, update.routers, now);
+  if (!stale) {
+    quota_.onUpdate(from, update, now);
+    replicas_.limits().onLeader(update.grants_limit_credit, update.routers, now);
+    budget_.setRouters(update.routers);
+    replicas_.setRouters(update.routers);
+  }
   if (update.catalog) {
     applyCatalog(from, *update.catalog, previous_contact, now);
   }
@@ -77,8 +82,6 @@
                {{"version", static_cast<std::int64_t>(catalogVersion().value)}, {"by", view(from.value)}});
     routeUnroutedCalls(now);
   }
-  budget_.setRouters(update.routers);
-  replicas_.setRouters(update.routers);
   loads_.accept(update.coming, now);
   if (update.loads) {
     replicas_.acceptLoads(*update.loads, now);
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -25,8 +25,8 @@
 
 bool ControlFeed::accept(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now) {
   recordAnswer(from);
-  if (update.revision < revision_) {
-    return false;  // from a replaced leader, or delivered out of order
+  if (isStale(update)) {
+    return false;
   }
   leader_ = from;
   suggested_leader_ = from;
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -57,6 +57,8 @@
         members_(settings.seeds.begin(), settings.seeds.end()),
         proof_(settings.key_lifetime) {}
 
+  /// True if the update is from a replaced leader, or delivered out of order.
+  bool isStale(const wire::ServiceUpdate& update) const { return update.revision < revision_; }
   /// Returns true if the replicas of the update are to be applied. Its catalog is accepted or rejected by its
   /// version alone.
   bool accept(const NodeName& from, const wire::ServiceUpdate& update, TimePoint now);
--- a/tests/calls/tenant_test.cc
+++ b/tests/calls/tenant_test.cc
@@ -128,6 +128,20 @@
   CHECK(fixture.count<SendAttemptEffect>() == 1);
 }
 
+/// Guards against a replaced leader whose late update lifts the limits that its successor has set.
+TEST_CASE("A late update of a replaced leader doesn't change which tenants request credit, or from whom") {
+  TenantFixture fixture;
+  fixture.begin(true);
+  wire::ServiceUpdate late;
+  late.revision = LogIndex{1};
+  late.version = CatalogVersion{1};
+  fixture.take(fixture.keyedRouter().receive({NodeName("control-2"), late}, fixture.now));
+  fixture.keyed(kSecret);
+  CHECK(fixture.count<SendAttemptEffect>() == 0);
+  REQUIRE(fixture.lastQuotaUse() != nullptr);
+  CHECK(fixture.lastQuotaUse()->asks.size() == 1);
+}
+
 TEST_CASE("An open route needs no key but rejects a wrong one") {
   TenantFixture fixture;
   fixture.begin();
