Tell refused callers when reported usage leaves the window

Callers saw: under a new leader, callers beyond a quota were told to come back after 1 ms, again and again, although their tenant had no credit for seconds.

Cause: the time until there is credit was worked out from the leader's own charges, not from the usage that routers had reported to it, and was zero at a credit of exactly zero, with which nothing is granted.

Change: both count, with the time at which enough of them has left the window.

Evidence: "A new leader refuses callers until the usage that routers reported leaves the window": 1 ms before, where the credit returns after about 5 s.

--- a/src/tenancy/quota_bucket.h
+++ b/src/tenancy/quota_bucket.h
@@ -67,17 +67,17 @@
   double reportedLevel(TimePoint now) { return capacity() - extrapolatedUsage(now) - held_ - used_.sum(now); }
   /// Time until there is credit again if nothing is used in the meantime.
   Duration timeUntilCredit(TimePoint now) {
-    const double missing = -level(now);
-    if (missing <= 0) {
+    const double credit = level(now);
+    if (credit > 0) {
       return Duration::zero();
     }
+    const double missing = std::max(-credit, kLeastCredit);
     const double decay_per_second = assumed_ / toSeconds(limit_.window);
     const TimePoint decayed_at =
         now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing / decay_per_second));
     const bool decays = assumed(now) >= missing && reported_.sum(now) < assumed(now);
-    return (decays ? std::min(decayed_at, used_.timeOfDecrease(missing, now))
-                   : used_.timeOfDecrease(missing, now)) -
-           now;
+    const TimePoint expired_at = timeOfDecrease(missing, now);
+    return (decays ? std::min(decayed_at, expired_at) : expired_at) - now;
   }
   const QuotaLimit& limit() const { return limit_; }
 
@@ -104,11 +104,28 @@
     const double scaled = (reported + repeated) / (1 - lost_share_);
     return std::max(reported, std::min(scaled, capacity()));
   }
+  /// Time at which the usage and the reported usage have fallen by the amount if nothing is added; the end of
+  /// the window at the latest.
+  TimePoint timeOfDecrease(double amount, TimePoint now) {
+    const double sum = used_.sum(now) + reported_.sum(now);
+    TimePoint before = now;
+    TimePoint at = now + limit_.window + UsageWindow::kSlot;
+    while (at - before > kTimePrecision) {
+      const TimePoint middle = before + (at - before) / 2;
+      const TimePoint begin = middle - limit_.window;
+      const double left = used_.sumSince(begin, now) + reported_.sumSince(begin, now);
+      (sum - left >= amount ? at : before) = middle;
+    }
+    return at;
+  }
   double assumed(TimePoint now) const {
     const double passed = toSeconds(now - started_at_) / toSeconds(limit_.window);
     return assumed_ * std::clamp(1 - passed, 0.0, 1.0);
   }
 
+  /// Smallest credit with which a call is granted.
+  static constexpr double kLeastCredit = 1e-6;
+  static constexpr Duration kTimePrecision = std::chrono::milliseconds(1);
   /// Factor by which routers out of contact may use more than their share, since they also grant a part of
   /// the tolerance.
   static constexpr double kOutOfContactFactor = 1.25;
--- a/src/tenancy/usage_window.cc
+++ b/src/tenancy/usage_window.cc
@@ -53,20 +53,6 @@
   return sum;
 }
 
-TimePoint UsageWindow::timeOfDecrease(double amount, TimePoint now) {
-  expire(now);
-  double decrease = 0;
-  TimePoint at = now;
-  for (const Slot& slot : slots_) {
-    if (decrease >= amount) {
-      break;
-    }
-    decrease += slot.amount;
-    at = slot.end + window_;
-  }
-  return at;
-}
-
 void UsageWindow::expire(TimePoint now) {
   auto kept = slots_.begin();
   while (kept != slots_.end() && kept->end + window_ <= now) {
--- a/src/tenancy/usage_window.h
+++ b/src/tenancy/usage_window.h
@@ -20,8 +20,6 @@
   double sum(TimePoint now);
   /// Usage since `begin`, which must not be before the window's start.
   double sumSince(TimePoint begin, TimePoint now);
-  /// Time at which the sum has fallen by the amount if nothing is added; the end of the window at the latest.
-  TimePoint timeOfDecrease(double amount, TimePoint now);
 
   /// Default length of a slot; 80 slots per tenant for a window of 8 s.
   static constexpr Duration kSlot = std::chrono::milliseconds(100);
--- a/tests/tenancy/quota_history_test.cc
+++ b/tests/tenancy/quota_history_test.cc
@@ -67,5 +67,32 @@
   CHECK(grants(next, ++asked, used + 8s + 2100ms));
 }
 
+/// Guards against callers that a new leader sends back at once, though it knows when there will be credit.
+TEST_CASE("A new leader refuses callers until the usage that routers reported leaves the window") {
+  const QuotaTolerance exact{8s, 0, 0};
+  QuotaLedger ledger(exact, kStart);
+  ledger.setCatalog(catalogWithQuota(1000), kStart);
+  wire::QuotaUse report;
+  report.router = NodeName("edge-1");
+  report.incarnation = 7;
+  report.sequence = 1;
+  report.whole = true;
+  report.history_ms = 20'000;
+  report.spent = {{kTenant, 8000}};
+  report.histories = {{kTenant, {0, 0, 0, 8000}}};
+  ledger.accept(report, kStart + 10ms);
+  constexpr bool kComplete = true;
+  ledger.updateRouterHistory(std::map<NodeName, int>{{NodeName("edge-1"), 0}}, kComplete);
+  wire::QuotaUse ask;
+  ask.router = NodeName("edge-1");
+  ask.incarnation = 7;
+  ask.sequence = 2;
+  ask.asks = {{1, kTenant, 1}};
+  const wire::QuotaDecision decision = ledger.accept(ask, kStart + 20ms).decisions.at(0);
+  REQUIRE_FALSE(decision.granted);
+  CHECK(decision.retry_after_ms >= 4900);
+  CHECK(decision.retry_after_ms <= 7000);
+}
+
 }  // namespace
 }  // namespace ferryrock::tenancy
