Let the soak keep connections open, overlap its faults, and judge lost calls

Cause: the soak's clients asked a directory each second and half of them used new connections, so that they left a stopping router before it was gone; a call that ended without any answer was only counted.

Change: a third of the clients keep their router and its connections until a call fails.

--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -1,6 +1,7 @@
 #include <cxxopts.hpp>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,10 +18,12 @@
 
 constexpr int kDeskReplicas = 3;
 constexpr int kModelReplicas = 4;
-constexpr int kClients = 24;
+/// Every third client keeps its router.
+constexpr int kKeepsRouter = 3;
 constexpr Duration kReplacedEvery = 5s;
-/// Served calls a second at the end, below which service hasn't recovered; a client sends about eight.
-constexpr double kLeastServedPerSecond = 40;
+/// Served calls a second at the end for each client, below which service hasn't recovered; a client sends
+/// about eight.
+constexpr double kLeastServedPerSecond = 40.0 / 24;
 
 /// Keeps the replicas, and lets the one that has lived longest leave now and then.
 class Replicas {
@@ -53,21 +56,24 @@
   int count_ = 0;
 };
 
-/// "ADDRESS=FROM-TO", in seconds from `start`.
-void excuse(SoakContext& context, const std::string& entry, TimePoint start) {
+struct Excuse {
+  std::string router;
+  TimePoint from{};
+  TimePoint to{};
+};
+
+/// Reads "ADDRESS=FROM-TO", in seconds from `start`; nullopt: the default, none is excused.
+std::optional<Excuse> readExcuse(const std::string& entry, TimePoint start) {
   const std::size_t equals = entry.find('=');
   const std::size_t dash = entry.find('-', equals);
   if (equals == std::string::npos || dash == std::string::npos) {
-    return;  // the default: none is excused
+    return std::nullopt;
   }
   const auto seconds = [start](const std::string& text) {
     return start + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::stod(text)));
   };
-  const std::string router = entry.substr(0, equals);
-  const TimePoint from = seconds(entry.substr(equals + 1, dash - equals - 1));
-  const TimePoint to = seconds(entry.substr(dash + 1));
-  context.notices.excuse(router, from, to);
-  context.limits.excuse(router, from, to);
+  return Excuse{entry.substr(0, equals), seconds(entry.substr(equals + 1, dash - equals - 1)),
+                seconds(entry.substr(dash + 1))};
 }
 
 int report(const SoakOracle& oracle, double served_per_second) {
@@ -93,6 +99,9 @@
                         cxxopts::value<int>()->default_value("15"));
   options.add_options()("excused", "ADDRESS=FROM-TO: a router and the seconds in which it may be down",
                         cxxopts::value<std::vector<std::string>>()->default_value(""));
+  options.add_options()("crashed", "ADDRESS=FROM-TO: a router and the seconds in which it may lose calls",
+                        cxxopts::value<std::vector<std::string>>()->default_value(""));
+  options.add_options()("clients", "How many clients", cxxopts::value<int>()->default_value("24"));
   options.add_options()("seed", "Of all that is drawn", cxxopts::value<std::uint64_t>()->default_value("1"));
   const auto given = options.parse(argc, argv);
 
@@ -101,6 +110,7 @@
   SoakOracle oracle;
   SoakNoticeOracle notices(oracle);
   SoakLimitJudge limits(oracle);
+  SoakLossJudge losses(oracle);
   Random random(given["seed"].as<std::uint64_t>());
   SoakContext context{
       *dispatcher,
@@ -108,17 +118,28 @@
       oracle,
       notices,
       limits,
+      losses,
       random,
       {given["control"].as<std::vector<std::string>>(), given["directory"].as<std::vector<std::string>>()}};
   for (const std::string& entry : given["excused"].as<std::vector<std::string>>()) {
-    excuse(context, entry, context.now());
+    if (const auto excused = readExcuse(entry, context.now())) {
+      notices.excuse(excused->router, excused->from, excused->to);
+      limits.excuse(excused->router, excused->from, excused->to);
+    }
+  }
+  for (const std::string& entry : given["crashed"].as<std::vector<std::string>>()) {
+    if (const auto crashed = readExcuse(entry, context.now())) {
+      losses.excuse(crashed->router, crashed->from, crashed->to);
+    }
   }
   Replicas replicas(context);
   SoakOperator soak_operator(context);
   std::vector<std::unique_ptr<SoakClient>> clients;
-  clients.reserve(kClients);
-  for (int i = 0; i < kClients; ++i) {
-    clients.push_back(std::make_unique<SoakClient>(context, "c" + std::to_string(i)));
+  const int client_count = given["clients"].as<int>();
+  clients.reserve(static_cast<std::size_t>(client_count));
+  for (int i = 0; i < client_count; ++i) {
+    const bool keeps_router = i % kKeepsRouter == 0;
+    clients.push_back(std::make_unique<SoakClient>(context, "c" + std::to_string(i), keeps_router));
   }
   const Duration whole = std::chrono::seconds(given["seconds"].as<int>());
   const Duration last_part = std::chrono::seconds(given["quiet"].as<int>()) / 3;
@@ -131,7 +152,7 @@
 
   const double seconds = std::chrono::duration<double>(last_part).count();
   const double served_per_second = static_cast<double>(oracle.served() - served_before) / seconds;
-  if (served_per_second < kLeastServedPerSecond) {
+  if (served_per_second < kLeastServedPerSecond * client_count) {
     oracle.breakRule("RECOVER", "service did not come back after the last fault");
   }
   limits.judge();
--- a/tests/platform/soak/soak_world.cc
+++ b/tests/platform/soak/soak_world.cc
@@ -33,6 +33,8 @@
 constexpr double kEndsLimit = 0.06;
 /// Limits that are named, in calls a second.
 constexpr std::array kLimits = {0.0, 0.4, 1.0, 1.2, 3.0, 12.0};
+/// Of the configurations, those that the next one follows at once.
+constexpr double kFollowsAtOnce = 0.4;
 constexpr double kFaulty = 0.01;  ///< of the calls, for each kind of fault
 
 std::int64_t unixMilliseconds() {
@@ -73,7 +75,10 @@
     result_.whole = true;
     end();
   };
-  callbacks.on_failure = [this](http::SendProgress, const std::string&) { end(); };
+  callbacks.on_failure = [this](http::SendProgress progress, const std::string&) {
+    result_.may_be_sent = progress != http::SendProgress::NotSent;
+    end();
+  };
   call_ = context_.client.send(std::move(request), std::move(callbacks));
 }
 
@@ -139,6 +144,7 @@
     response->respond(503, std::move(headers), "");
   } else {
     context_.oracle.onRun(id, id_, context_.now());
+    context_.losses.onRun(id);
     run(request, response, id);
   }
 }
@@ -305,13 +311,15 @@
   }
 }
 
-SoakClient::SoakClient(SoakContext& context, std::string name) : context_(context), name_(std::move(name)) {
+SoakClient::SoakClient(SoakContext& context, std::string name, bool keeps_router)
+    : context_(context), name_(std::move(name)), keeps_router_(keeps_router) {
   timer_ = context.dispatcher.createTimer([this] { next(); });
   timer_->enable(Duration::zero());
 }
 
 void SoakClient::next() {
-  if (addresses_.empty() || context_.now() - resolved_ > kResolveEvery) {
+  const bool knows_router = keeps_router_ && !router_.empty();
+  if (!knows_router && (addresses_.empty() || context_.now() - resolved_ > kResolveEvery)) {
     resolve();
   } else {
     sendCall();
@@ -341,22 +349,27 @@
                                                     : "/stream/x";
   http::ClientRequest request;
   request.method = "POST";
-  const std::string router = addresses_[context_.random.below(addresses_.size())];
-  request.url = "http://" + router + path;
+  if (!keeps_router_ || router_.empty()) {
+    router_ = addresses_[context_.random.below(addresses_.size())];
+  }
+  request.url = "http://" + router_ + path;
   request.headers = {{"Host", "shop.example"}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "2500"}};
   if (kind == SoakKind::Stream) {
     request.headers.push_back({"X-Model", "m" + std::to_string(context_.random.below(kModels))});
   }
   request.body = "body of " + id;
   request.total_timeout = kCallTime;
-  request.fresh_connection = context_.random.chance(0.5);
+  request.fresh_connection = !keeps_router_ && context_.random.chance(0.5);
   context_.oracle.onSent(id, kind);
-  context_.notices.onSent(id, router, context_.now());
+  context_.notices.onSent(id, router_, context_.now());
+  context_.losses.onSent(id, router_, context_.now());
+  sent_at_ = context_.now();
   call_ = std::make_unique<SoakCall>(
       context_, request, [this, id, kind](const SoakCall::Result& result) { onAnswer(id, kind, result); });
 }
 
 void SoakClient::onAnswer(const std::string& id, SoakKind kind, const SoakCall::Result& result) {
+  judgeLoss(id, result);
   SoakOutcome outcome;
   outcome.status = result.status;
   outcome.whole = result.whole;
@@ -381,6 +394,21 @@
   timer_->enable(20ms + Duration(context_.random.below(80'000'000)));
 }
 
+void SoakClient::judgeLoss(const std::string& id, const SoakCall::Result& result) {
+  const TimePoint now = context_.now();
+  if (result.status != 0 || !result.may_be_sent) {
+    context_.losses.onAnswered(id);
+  } else if (now - sent_at_ >= kCallTime) {
+    context_.losses.onHeld(id, now);
+  } else {
+    context_.losses.onCut(id, now);
+  }
+  if (result.status == 0) {
+    router_.clear();
+    addresses_.clear();
+  }
+}
+
 SoakOperator::SoakOperator(SoakContext& context) : context_(context) {
   replace_timer_ = context.dispatcher.createTimer([this] { replace(); });
   read_timer_ = context.dispatcher.createTimer([this] { read(); });
@@ -430,7 +458,7 @@
     if (result.whole && result.status == 200) {
       context_.oracle.onConfigurationAcknowledged(version_);
       version_ += 1 + context_.random.below(3);
-      replace_timer_->enable(1500ms);
+      replace_timer_->enable(context_.random.chance(kFollowsAtOnce) ? 50ms : 1500ms);
     } else if (result.whole && result.status / 100 == 4 && result.status != 408 && result.status != 429) {
       context_.oracle.breakRule("CONFIG",
                                 "a proper configuration was refused with " + std::to_string(result.status));
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -11,6 +11,7 @@
 #include "common/random.h"
 #include "http/http.h"
 #include "platform/soak/soak_limit_judge.h"
+#include "platform/soak/soak_loss_judge.h"
 #include "platform/soak/soak_notice_oracle.h"
 #include "platform/soak/soak_oracle.h"
 
@@ -28,6 +29,7 @@
   SoakOracle& oracle;
   SoakNoticeOracle& notices;
   SoakLimitJudge& limits;
+  SoakLossJudge& losses;
   Random& random;
   SoakAddresses addresses;
 
@@ -46,6 +48,7 @@
     std::string leaving_replica;  ///< that said in this answer that it leaves
     std::string limited_replica;  ///< that named a limit in this answer
     TimePoint head_at{};
+    bool may_be_sent = false;  ///< if there is no status: whether the peer may have got the request
   };
   using Callback = std::function<void(Result)>;
 
@@ -112,19 +115,24 @@
   bool ended_ = false;
 };
 
-/// A client: asks a directory now and then, sends one call after the other.
+/// A client: asks a directory now and then, sends one call after the other. One that keeps its router sends
+/// all of them over open connections to it, until a call fails without an answer.
 class SoakClient {
  public:
-  SoakClient(SoakContext& context, std::string name);
+  SoakClient(SoakContext& context, std::string name, bool keeps_router);
 
  private:
   void next();
   void resolve();
   void sendCall();
   void onAnswer(const std::string& id, SoakKind kind, const SoakCall::Result& result);
+  void judgeLoss(const std::string& id, const SoakCall::Result& result);
 
   SoakContext& context_;
   std::string name_;
+  bool keeps_router_;
+  std::string router_;  ///< of the last call; empty: none, or it gave no answer
+  TimePoint sent_at_{};
   std::unique_ptr<event::Timer> timer_;
   std::unique_ptr<SoakCall> call_;
   std::vector<std::string> addresses_;
