Let a router without a leader stop granting when its usage is no longer held

In a fleet whose leader asks for long status intervals, routers without a leader would grant for several minutes, while the leader holds their usage for one.

Cause: the time for which a router grants by itself grew with the status interval; the time for which its usage is held doesn't.

Change: that time is fixed. Two comments of the ledger say what limits a tenant now.

Evidence: "A router without a leader for longer than its usage is held grants nothing" has a case with an interval of one second.

--- a/src/tenancy/quota_client.cc
+++ b/src/tenancy/quota_client.cc
@@ -156,7 +156,7 @@
 /// tolerance allows.
 QuotaReply QuotaClient::decideLocally(const TenantName& tenant, const wire::TenantQuota& quota,
                                       std::int64_t cost, TimePoint now) {
-  if (last_leader_contact_ && isSilentFor(kMaxLeaderlessTime, now)) {
+  if (last_leader_contact_ && now - *last_leader_contact_ > kMaxLeaderlessTime) {
     return {QuotaVerdict::Unavailable, kLeaderlessRetryAfter};
   }
   // The slot that was leaving the window at the last contact has been granted again by the leader in part.
--- a/src/tenancy/quota_ledger.h
+++ b/src/tenancy/quota_ledger.h
@@ -25,8 +25,8 @@
 
 /// Leader side of the tenants' quotas: usage over all routers. Calls of a tenant with much credit run at once
 /// and are charged through the totals that routers report every kChargeInterval. Once a tenant's credit is
-/// below half of its burst, the tenant is limited: routers request credit before each call, so that nothing
-/// is granted beyond the credit. A router out of contact may grant again what leaves the window of its own
+/// low, the tenant is limited: routers request credit before each call, so that nothing is granted beyond the
+/// credit. A router out of contact may grant again what leaves the window of its own
 /// usage; the ledger holds that usage until the router reports again. Not thread-safe.
 class QuotaLedger {
  public:
@@ -77,7 +77,7 @@
     QuotaBucket bucket;
     bool limited = false;
     bool from_first_catalog = false;  ///< earlier usage is known from the routers' reports only
-    bool ramping_up = false;          ///< set for a new leader until the credit reaches half of the burst
+    bool ramping_up = false;          ///< set for a new account until its credit has once been enough
     TimePoint limited_since{};
     TimePoint reserved_until{};  ///< retry times up to this one have been given to refused callers
   };
@@ -85,7 +85,7 @@
   struct RouterUsage {
     std::optional<std::int64_t> total;  ///< nullopt: not reported so far
     UsageWindow recent;
-    double held = 0;  ///< usage in the window at the last contact, if the router is out of contact
+    double held = 0;  ///< usage assumed for each window while the router is out of contact
   };
   struct RouterRecord {
     std::uint64_t incarnation = 0;
--- a/tests/tenancy/quota_report_test.cc
+++ b/tests/tenancy/quota_report_test.cc
@@ -124,11 +124,12 @@
 /// Guards against a router that grants on for longer than the leader holds its usage.
 TEST_CASE("A router without a leader for longer than its usage is held grants nothing") {
   QuotaClient router = client();
-  router.onUpdate(kLeader, confirmingUpdate(), kStart);
+  wire::ServiceUpdate update = confirmingUpdate();
+  update.status_interval_ms = GENERATE(250, 1000);
   const wire::Tenant tenant = limitedTenant(1000, 1000);
   std::uint64_t number = 0;
   for (TimePoint now = kStart; now < kStart + 10s; now += 100ms) {
-    router.onUpdate(kLeader, confirmingUpdate(), now);
+    router.onUpdate(kLeader, update, now);
     REQUIRE(router.request(++number, tenant, 100, now).verdict == QuotaVerdict::Granted);
   }
   std::uint64_t granted = 0;
