Begin the soak's excuses when its plan of faults begins

Both calls were cut by the kill of their router: c20-55 0.05 s after its router was killed by the plan, c7-206 likewise (logs of the routers and faults.txt; both ends lie within 0.1 s of the planned kill).

Cause: the judge counted the planned times from its own start, which was later than the start of the plan, so that a kill came before its excuse.

Change: the plan's start is taken before the judge is started and given to it. What is excused, and for how long, is as before.

--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <memory>
@@ -76,6 +77,17 @@
                 seconds(entry.substr(dash + 1))};
 }
 
+/// The start of the plan of faults by the dispatcher's clock.
+TimePoint planStart(const SoakContext& context, double began) {
+  if (began <= 0) {
+    return context.now();
+  }
+  const auto unix_now = std::chrono::system_clock::now().time_since_epoch();
+  const std::chrono::duration<double> since =
+      std::chrono::duration<double>(unix_now) - std::chrono::duration<double>(began);
+  return context.now() - std::chrono::duration_cast<Duration>(since);
+}
+
 int report(const SoakOracle& oracle, double served_per_second) {
   for (const std::string& line : oracle.broken()) {
     std::cout << "broken " << line << "\n";
@@ -101,6 +113,8 @@
                         cxxopts::value<std::vector<std::string>>()->default_value(""));
   options.add_options()("crashed", "ADDRESS=FROM-TO: a router and the seconds in which it may lose calls",
                         cxxopts::value<std::vector<std::string>>()->default_value(""));
+  options.add_options()("began", "Start of the plan of faults, in Unix seconds; 0: now",
+                        cxxopts::value<double>()->default_value("0"));
   options.add_options()("clients", "How many clients", cxxopts::value<int>()->default_value("24"));
   options.add_options()("seed", "Of all that is drawn", cxxopts::value<std::uint64_t>()->default_value("1"));
   const auto given = options.parse(argc, argv);
@@ -121,14 +135,15 @@
       losses,
       random,
       {given["control"].as<std::vector<std::string>>(), given["directory"].as<std::vector<std::string>>()}};
+  const TimePoint start = planStart(context, given["began"].as<double>());
   for (const std::string& entry : given["excused"].as<std::vector<std::string>>()) {
-    if (const auto excused = readExcuse(entry, context.now())) {
+    if (const auto excused = readExcuse(entry, start)) {
       notices.excuse(excused->router, excused->from, excused->to);
       limits.excuse(excused->router, excused->from, excused->to);
     }
   }
   for (const std::string& entry : given["crashed"].as<std::vector<std::string>>()) {
-    if (const auto crashed = readExcuse(entry, context.now())) {
+    if (const auto crashed = readExcuse(entry, start)) {
       losses.excuse(crashed->router, crashed->from, crashed->to);
     }
   }
