Keep a signal to reload that comes while a process starts

A member whose disk is full waits in its start, and would end by a reload of all processes.

Cause: the handler was set after the settings were read and the log was recovered; the signal's default action ends the process.

Evidence: program_test.sh sends the signal to a router that waits for its settings: "the process ended" before, passes after.

--- a/src/apps/ferryrock_main.cc
+++ b/src/apps/ferryrock_main.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
@@ -10,6 +11,7 @@
 #include "cli/exit_code.h"
 #include "common/error.h"
 #include "control_process/control_process.h"
+#include "event/early_signal.h"
 #include "router_process/router_process.h"
 
 namespace {
@@ -82,6 +84,7 @@
   ferryrock::cli::ProgramDescription program{FERRYROCK_VERSION, {}};
   for (const ProcessRole& role : processRoles()) {
     if (!arguments.empty() && arguments.front() == role.command.name) {
+      ferryrock::event::keepEarlySignal(SIGHUP);
       return runProcess(role, {arguments.begin() + 1, arguments.end()});
     }
     program.processes.push_back(role.command);
--- a/src/event/ace_dispatcher.cc
+++ b/src/event/ace_dispatcher.cc
@@ -26,6 +26,7 @@
 #include "common/error.h"
 #include "event/descriptor_set.h"
 #include "event/dispatcher.h"
+#include "event/early_signal.h"
 
 namespace ferryrock::event {
 namespace {
@@ -228,6 +229,9 @@
     if (!known && reactor_.register_handler(signal, &handler_) != 0) {
       throw Error(ResultCode::Internal, "signal " + std::to_string(signal) + " can't be handled");
     }
+    if (takeEarlySignal(signal)) {
+      post(signal_callbacks_[signal]);
+    }
   }
 
   void run() override {
--- a/tests/platform/program_test.sh
+++ b/tests/platform/program_test.sh
@@ -47,6 +47,25 @@
 data_folder: /proc/none
 TEXT
 refused "data folder that can't be made" 500 control --settings "$folder/control.yaml"
+# Guards against a signal to reload that ends a process which is still starting: it waits for its settings here.
+mkfifo "$folder/slow.yaml"
+"$program" router --settings "$folder/slow.yaml" > "$folder/slow.txt" 2>&1 &
+starting=$!
+sleep 1
+kill -HUP "$starting"
+sleep 0.5
+if kill -0 "$starting" 2> /dev/null; then
+  cat "$folder/router.yaml" > "$folder/slow.yaml"
+  for _ in $(seq 100); do
+    grep -q process.started "$folder/slow.txt" && break
+    sleep 0.1
+  done
+  grep -q process.started "$folder/slow.txt" || { echo "reload while starting: it never started"; failed=1; }
+  kill -KILL "$starting"
+else
+  echo "reload while starting: the process ended"
+  failed=1
+fi
 "$program" --help > /dev/null || failed=1
 "$program" --version | grep -q '^ferryrock ' || failed=1
 exit $failed
