--- a/tests/event/dispatcher_test.cc
+++ b/tests/event/dispatcher_test.cc
@@ -12,6 +12,8 @@
 #include <thread>
 #include <vector>
 
+#include "event/early_signal.h"
+
 namespace ferryrock::event {
 namespace {
 
@@ -255,6 +257,20 @@
   CHECK(calls == 2);
 }
 
+/// Guards against a signal that ends a process which is still starting, or is lost on it.
+TEST_CASE("a signal that was kept before its callback was set calls back once") {
+  keepEarlySignal(SIGUSR2);
+  ::kill(::getpid(), SIGUSR2);
+  const auto dispatcher = createAceDispatcher();
+  int calls = 0;
+  dispatcher->onSignal(SIGUSR2, [&] { ++calls; });
+  const auto end = dispatcher->createTimer([&] { dispatcher->exit(); });
+  end->enable(std::chrono::milliseconds(50));
+  dispatcher->run();
+  CHECK(calls == 1);
+  CHECK_FALSE(takeEarlySignal(SIGUSR2));
+}
+
 TEST_CASE("an exception thrown by a callback propagates out of run, and run may be called again") {
   const auto dispatcher = createAceDispatcher();
   const SocketPair pair;
