--- a/tests/tenancy/quota_load_test.cc
+++ b/tests/tenancy/quota_load_test.cc
@@ -84,6 +84,13 @@
   return limitedTenant(116'000, 116'000);
 }
 
+/// The leader is lost, and the cell elects another one 3 s later.
+void replaceLeader(QuotaSimulation& simulation) {
+  simulation.loseLeader();
+  simulation.run(3s, kOverload, kCost);
+  simulation.elect();
+}
+
 /// Guards against a cut-off router and the leader both granting what leaves the router's window.
 TEST_CASE("A quota holds while routers are cut off from a leader that stays, however long") {
   const auto routers = GENERATE(9, 19, 30);
@@ -143,9 +150,7 @@
   simulation.run(6s, kOverload, kCost);
   simulation.cutOff(19);
   simulation.run(2s, kOverload, kCost);
-  simulation.loseLeader();
-  simulation.run(3s, kOverload, kCost);
-  simulation.elect();
+  replaceLeader(simulation);
   simulation.run(14s, kOverload, kCost);
   simulation.cutOff(0);
   simulation.run(10s, kOverload, kCost);
@@ -161,9 +166,7 @@
   QuotaSimulation simulation(kRouters, tenant, kTolerance, static_cast<std::uint64_t>(seed));
   simulation.run(4s, kOverload / 6, kCost);
   simulation.run(4s, kOverload, kCost);
-  simulation.loseLeader();
-  simulation.run(3s, kOverload, kCost);
-  simulation.elect();
+  replaceLeader(simulation);
   simulation.loseReports(routers);
   simulation.run(8s, kOverload, kCost);
   INFO(routers << " reports, seed " << seed);
@@ -199,9 +202,7 @@
   simulation.setUpdateDelay(delay);
   simulation.run(6s, kOverload / 6, kCost);
   simulation.run(lost_at, kOverload, kCost);
-  simulation.loseLeader();
-  simulation.run(3s, kOverload, kCost);
-  simulation.elect();
+  replaceLeader(simulation);
   simulation.run(8s, kOverload, kCost);
   INFO(toMilliseconds(delay) << " ms late, lost after " << toMilliseconds(lost_at) << " ms, seed " << seed);
   CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
@@ -216,9 +217,7 @@
   QuotaSimulation simulation(kRouters, tenant, kTolerance, static_cast<std::uint64_t>(seed));
   simulation.run(6s, kOverload / 6, kCost);
   simulation.run(lost_at, kOverload, kCost);
-  simulation.loseLeader();
-  simulation.run(3s, kOverload, kCost);
-  simulation.elect();
+  replaceLeader(simulation);
   simulation.run(8s, kOverload, kCost);
   INFO("lost " << toMilliseconds(lost_at) << " ms after the rise, seed " << seed);
   CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
@@ -232,13 +231,9 @@
   QuotaSimulation simulation(kRouters, tenant, kTolerance, static_cast<std::uint64_t>(seed));
   simulation.run(6s, kOverload / 6, kCost);
   simulation.run(1500ms, kOverload, kCost);
-  simulation.loseLeader();
-  simulation.run(3s, kOverload, kCost);
-  simulation.elect();
+  replaceLeader(simulation);
   simulation.run(first_term, kOverload, kCost);
-  simulation.loseLeader();
-  simulation.run(3s, kOverload, kCost);
-  simulation.elect();
+  replaceLeader(simulation);
   simulation.run(8s, kOverload, kCost);
   INFO("led for " << toMilliseconds(first_term) << " ms, seed " << seed);
   CHECK(simulation.maxInWindow(8s) <= allowed(tenant, kTolerance));
