Tell when a router reaches no replica, and which replicas the leader leaves out

Neither logs nor metrics could tell 'the replicas are gone' from 'this router is partitioned from them', nor show that the leader leaves replicas out of placement. No decision changes.

Routers: DirectPaths counts as a partition that several replicas can't be reached while none has shown any progress; router.partitioned and router.reaches_replicas log it with the number of replicas, the time since the last progress and the calls concerned, two metrics count it. Members: fleet.seen and a metric have the number of replicas left out since routers don't reach them.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -507,6 +507,7 @@
   if (std::exchange(dispatch_pending_, false)) {
     dispatchWaiting(now);
   }
+  logPartition(now);
   sendStatuses(now);
   sendQuotaUse(now);
   sendLimitRequest(now);
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -11,6 +11,7 @@
 
 #include "calls/call.h"
 #include "calls/control_feed.h"
+#include "calls/direct_paths.h"
 #include "calls/expected_loads.h"
 #include "calls/model_interests.h"
 #include "calls/replica_table.h"
@@ -58,6 +59,7 @@
   std::uint64_t limit_changes = 0;    ///< number of times that a replica's rate limit was set or changed
   std::uint64_t limit_waits = 0;      ///< calls that waited for credit under a replica's rate limit
   std::uint64_t limit_refused = 0;    ///< refused: no replica has credit left under its rate limit
+  std::uint64_t partitions = 0;       ///< number of times that the router found itself partitioned
   std::uint64_t unknown_notice_headers = 0;  ///< responses with a replica header that this build doesn't know
 };
 
@@ -109,6 +111,7 @@
   std::size_t openCalls() const { return calls_.size(); }
   std::size_t knownReplicas() const { return replicas_.size(); }
   const ReplicaNotices& replicaNotices() const { return replicas_.notices(); }
+  const DirectPaths& directPaths() const { return paths_; }
   const ReplicaLimits& replicaLimits() const { return replicas_.limits(); }
   /// Time at which a leader last confirmed the current catalog or sent a newer one; nullopt: never.
   std::optional<TimePoint> lastControlContact() const { return feed_.lastLeaderContact(); }
@@ -282,6 +285,8 @@
   void logTableChanges(const wire::ServiceUpdate& update, TimePoint now);
   std::vector<wire::ModelCallCounts> modelCalls(TimePoint now);
   void sendStatuses(TimePoint now);
+  /// Logs that the router has become partitioned from the replicas, or that this has ended.
+  void logPartition(TimePoint now);
   Effects finish(TimePoint now);
 
   CallRouterSettings settings_;
@@ -291,6 +296,8 @@
   RetryBudget budget_;
   tenancy::QuotaClient quota_;
   ReplicaTable replicas_;
+  DirectPaths paths_;
+  std::optional<TimePoint> partitioned_since_;
   TrafficSplit split_;
   ExpectedLoads loads_;
   ModelInterests interests_;
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -86,6 +86,7 @@
   if (!answer.proven_not_run) {
     onAttemptAccepted(*state.attempt);
   }
+  paths_.onProgress(now);
   Replica* replica = release(state);
   if (replica != nullptr) {
     dispatch_pending_ = ReplicaTable::onProgress(*replica, now) || dispatch_pending_;
@@ -204,6 +205,7 @@
     return finish(now);
   }
   Call& state = (*call)->second;
+  paths_.onProgress(now);
   if (Replica* replica = replicas_.find(state.attempt->replica)) {
     dispatch_pending_ = ReplicaTable::onProgress(*replica, now) || dispatch_pending_;
   }
@@ -260,6 +262,7 @@
     return finish(now);
   }
   Call& state = (*call)->second;
+  paths_.onProgress(now);
   startStream(*call, attempt, now);
   onAttemptAccepted(*state.attempt);
   if (Replica* replica = release(state)) {
@@ -310,6 +313,9 @@
   const std::string address = failed == nullptr ? std::string() : failed->routed.address;
   Replica* replica = release(state);
   const bool unreachable = failure == AttemptFailure::NotSent;
+  if (unreachable) {
+    paths_.onUnreachable(replica_id);
+  }
   if (replica != nullptr && unreachable) {
     ReplicaTable::onUnreachable(*replica, now);
   }
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -168,6 +168,26 @@
   return model_calls;
 }
 
+void CallRouter::logPartition(TimePoint now) {
+  if (paths_.isPartitioned() == partitioned_since_.has_value()) {
+    return;
+  }
+  if (paths_.isPartitioned()) {
+    partitioned_since_ = now;
+    ++counts_.partitions;
+    log_.write(LogLevel::Warning, "router.partitioned",
+               {{"unreachable", static_cast<std::int64_t>(paths_.unreachableCount())},
+                {"replicas", static_cast<std::int64_t>(replicas_.size())},
+                {"last_progress_ms_ago", toMilliseconds(now - paths_.lastProgress())},
+                {"running", static_cast<std::int64_t>(attempts_.size())},
+                {"waiting", static_cast<std::int64_t>(waiting_.size())}});
+    return;
+  }
+  log_.write(LogLevel::Info, "router.reaches_replicas",
+             {{"partitioned_ms", toMilliseconds(now - *partitioned_since_)}});
+  partitioned_since_.reset();
+}
+
 void CallRouter::sendStatuses(TimePoint now) {
   if (!feed_.due(now)) {
     return;
--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -41,6 +41,11 @@
   }
   const std::vector<ProbedCall> calls = std::move(probed->second);
   pending_probes_.erase(probed);
+  if (outcome == ProbeOutcome::Alive) {
+    paths_.onProgress(now);
+  } else {
+    paths_.onUnreachable(replica);
+  }
   if (outcome == ProbeOutcome::Terminated) {
     recordReplicaCrash(replica, calls, now);
   }
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -278,6 +278,10 @@
       static_cast<double>(counts.limit_waits));
   set("ferryrock_calls_refused_limit", "Calls refused since no replica for them had room under its limit",
       static_cast<double>(counts.limit_refused));
+  set("ferryrock_router_partitioned", "1 while the router reaches no replica over its own connections",
+      router_.directPaths().isPartitioned() ? 1 : 0);
+  set("ferryrock_router_partitions", "Times that the router reached no replica any more",
+      static_cast<double>(counts.partitions));
   set("ferryrock_replica_notices_unknown", "Answers with a header of the replicas' own that isn't known",
       static_cast<double>(counts.unknown_notice_headers));
   const std::optional<TimePoint> proved = router_.catalogProof().provedAt();
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -331,7 +331,8 @@
   if (fleet != logged_fleet_) {
     log_.write(LogLevel::Info, "fleet.seen",
                {{"replicas", static_cast<std::int64_t>(fleet.replicas)},
-                {"routers", static_cast<std::int64_t>(fleet.routers)}});
+                {"routers", static_cast<std::int64_t>(fleet.routers)},
+                {"unreachable", static_cast<std::int64_t>(fleet.unreachable)}});
   }
   logged_fleet_ = fleet;
 }
@@ -420,6 +421,8 @@
   set("ferryrock_cell_voters", "Voters of the cell", static_cast<double>(view.voters));
   set("ferryrock_replicas_known", "Replicas that reported of late", static_cast<double>(fleet.replicas));
   set("ferryrock_routers_offered", "Routers that callers are sent to", static_cast<double>(fleet.routers));
+  set("ferryrock_replicas_unreachable", "Replicas left out of placement, since routers don't reach them",
+      static_cast<double>(fleet.unreachable));
   set("ferryrock_catalog_version", "Version of the catalog committed",
       static_cast<double>(view.catalog.value));
   set("ferryrock_quota_charged", "Quota that routers told as used, since this member leads",
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -77,7 +77,8 @@
 /// Number of replicas and routers that a member knows.
 struct FleetView {
   std::size_t replicas = 0;
-  std::size_t routers = 0;  ///< routers that callers may be sent to
+  std::size_t routers = 0;      ///< routers that callers may be sent to
+  std::size_t unreachable = 0;  ///< replicas left out of placement, since routers don't reach them
   friend bool operator==(const FleetView&, const FleetView&) = default;
 };
 
