--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -69,6 +69,13 @@
   NotSent,          ///< no byte was sent, so the call didn't run
   OutcomeUnknown,   ///< the call may have run
   ForeignResponse,  ///< the response belongs to another call; this call may have run
+  RelayFailed,      ///< the relay wasn't reached or didn't try to send the call, so it didn't run
+};
+
+/// Another router that sends an attempt to a replica over its own connections.
+struct Relay {
+  NodeName router;
+  std::string address;  ///< "host:port"
 };
 
 /// Effect: send the call to a replica.
@@ -83,6 +90,7 @@
   std::optional<std::uint64_t> resume_after;
   std::optional<TenantName> tenant;  ///< tenant that owns the caller's key
   bool withhold_key = false;         ///< the caller's key isn't forwarded to the replica
+  std::optional<Relay> relay;        ///< nullopt: over this router's own connections
 };
 
 /// Result of probing a replica that broke off a call.
@@ -90,6 +98,7 @@
   Alive,       ///< the same incarnation responds at its address
   Terminated,  ///< the process has terminated: nothing listens at its address, or another incarnation does
   Unknown,     ///< no response in time: the replica may be partitioned, frozen or slow
+  Refused,     ///< the connection was refused: the process has terminated, or this router's link refuses it
 };
 
 /// Effect: probe over a new connection whether the replica is still running. The result is passed to
@@ -97,6 +106,7 @@
 struct ProbeReplicaEffect {
   ReplicaId replica;
   std::string address;
+  std::optional<Relay> relay;  ///< nullopt: over a connection of this router
 };
 
 /// Effect: cancel the attempt. Its connection is closed so that the replica stops.
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -82,6 +82,7 @@
       quota_(quotaSettings(settings)),
       replicas_(settings.feed.zone, settings.seed,
                 {settings.feed.router, settings.feed.incarnation, settings.seed}),
+      relays_(settings.feed.zone),
       crashes_(settings.quarantine) {
   static_cast<void>(now);
 }
@@ -201,21 +202,26 @@
     return;
   }
   selectCredit(state, now);
+  updatePaths(now);
   const Choice choice = replicas_.choose(state.need, now);
   if (choice.replica == nullptr) {
     obtainCredit(call, choice, now);
-    waitForReplica(call, choice, now);
+    if (!refuseUnreachable(call, choice, now)) {
+      waitForReplica(call, choice, now);
+    }
   } else {
     for (const ReplicaId& limited : choice.limited) {
       replicas_.limits().requestSpareCredit(limited, now);
     }
-    sendTo(call, *choice.replica, choice.use, now);
+    sendTo(call, choice, now);
   }
 }
 
-void CallRouter::sendTo(CallPointer call, Replica& replica, const std::optional<balance::FleetLoad>& use,
-                        TimePoint now) {
+void CallRouter::sendTo(CallPointer call, const Choice& choice, TimePoint now) {
   Call& state = call->second;
+  Replica& replica = *choice.replica;
+  const std::optional<balance::FleetLoad>& use = choice.use;
+  const std::optional<Relay> relay = choice.relayed ? chooseRelay(now) : std::nullopt;
   waiting_.erase(call->first);
   chargeRetry(state, now);
   const AttemptNumber number{next_attempt_++};
@@ -223,6 +229,13 @@
   attempt.number = number;
   attempt.replica = replica.routed.id;
   attempt.sent = now;
+  if (relay) {
+    attempt.relay = relay->router;
+    relays_.onSent(relay->router);
+    ++counts_.relayed;
+  } else {
+    paths_.onSent(number, replica.routed.id, now);
+  }
   attempt.pending_prefill_tokens = state.need.prompt_tokens;
   replica.pending_prefill_tokens += state.need.prompt_tokens;
   replica.sent_tokens += state.need.prompt_tokens;
@@ -241,6 +254,7 @@
   effect.attempt = number;
   effect.replica = replica.routed.id;
   effect.address = replica.routed.address;
+  effect.relay = relay;
   effect.time_left = state.deadline - now;
   effect.streaming = state.route->kind == wire::CallKind::Streaming;
   effect.priority = state.priority;
@@ -251,6 +265,7 @@
              {{"request", view(state.request.id.value)},
               {"attempt", static_cast<std::int64_t>(state.attempts)},
               {"replica", view(replica.routed.id.value)},
+              {"relay", relay ? view(relay->router.value) : std::string_view()},
               {"outstanding", static_cast<std::int64_t>(replica.outstanding)},
               {"waited_ms", toMilliseconds(now - state.arrived)},
               {"time_left_ms", toMilliseconds(effect.time_left)}});
@@ -455,6 +470,7 @@
 }
 
 Effects CallRouter::tick(TimePoint now) {
+  probePaths(now);
   resolveQuotas(quota_.tick(now), now);
   resolveCredits(replicas_.limits().tick(now), now);
   if (now >= next_crash_expiry_) {
@@ -473,8 +489,8 @@
 }
 
 TimePoint CallRouter::nextDeadline() const {
-  const TimePoint status =
-      std::min({feed_.nextDeadline(), quota_.nextDeadline(), replicas_.limits().nextDeadline()});
+  const TimePoint status = std::min(
+      {feed_.nextDeadline(), quota_.nextDeadline(), replicas_.limits().nextDeadline(), nextPathProbe()});
   return timers_.empty() ? status : std::min(status, timers_.begin()->first);
 }
 
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -14,6 +14,7 @@
 #include "calls/direct_paths.h"
 #include "calls/expected_loads.h"
 #include "calls/model_interests.h"
+#include "calls/relay_routers.h"
 #include "calls/replica_table.h"
 #include "calls/retry_budget.h"
 #include "calls/route_table.h"
@@ -60,6 +61,8 @@
   std::uint64_t limit_waits = 0;      ///< calls that waited for credit under a replica's rate limit
   std::uint64_t limit_refused = 0;    ///< refused: no replica has credit left under its rate limit
   std::uint64_t partitions = 0;       ///< number of times that the router found itself partitioned
+  std::uint64_t relayed = 0;          ///< attempts sent through other routers
+  std::uint64_t relay_failures = 0;   ///< part of `relayed` that no relay sent to a replica
   std::uint64_t unknown_notice_headers = 0;  ///< responses with a replica header that this build doesn't know
 };
 
@@ -112,6 +115,12 @@
   std::size_t knownReplicas() const { return replicas_.size(); }
   const ReplicaNotices& replicaNotices() const { return replicas_.notices(); }
   const DirectPaths& directPaths() const { return paths_; }
+  /// Sets the address at which this router relays attempts of other routers, "host:port".
+  void setRelayAddress(std::string address) { feed_.setRelayAddress(std::move(address)); }
+  /// True if this router relays attempts of other routers now: it reaches replicas and isn't draining.
+  bool relaysAttempts(TimePoint now) const { return !draining_ && !paths_.isSuspect(now); }
+  /// Handles that a relayed attempt of another router has reached the replica at this address, or couldn't.
+  Effects onRelayedForOther(const std::string& replica_address, bool reached, TimePoint now);
   const ReplicaLimits& replicaLimits() const { return replicas_.limits(); }
   /// Time at which a leader last confirmed the current catalog or sent a newer one; nullopt: never.
   std::optional<TimePoint> lastControlContact() const { return feed_.lastLeaderContact(); }
@@ -123,6 +132,7 @@
   struct Attempt {
     AttemptNumber number;
     ReplicaId replica;
+    std::optional<NodeName> relay;  ///< router that sends it to the replica; nullopt: this one
     TimePoint sent{};
     std::uint64_t pending_prefill_tokens = 0;  ///< in the replica's prefill backlog until the first progress
     bool with_credit = false;           ///< the leader granted it a credit under the replica's rate limit
@@ -209,8 +219,7 @@
   void sendQuotaUse(TimePoint now);
   void routeUnroutedCalls(TimePoint now);
   void dispatch(CallPointer call, TimePoint now);
-  void sendTo(CallPointer call, Replica& replica, const std::optional<balance::FleetLoad>& use,
-              TimePoint now);
+  void sendTo(CallPointer call, const Choice& choice, TimePoint now);
   void logReopening(const ReplicaId& replica, const ReplicaNotices::Reopening& reopening);
   void waitForReplica(CallPointer call, const Choice& choice, TimePoint now);
   static WaitingCall waitingCall(const Call& call);
@@ -223,6 +232,25 @@
   /// Returns the call of the attempt; nullopt if the attempt has ended.
   std::optional<CallPointer> findCall(AttemptNumber attempt);
   Replica* release(Call& call);
+  // call_router_paths.cc
+  /// Determines how replicas can be reached now.
+  void updatePaths(TimePoint now);
+  /// Records that bytes of the attempt's replica have arrived.
+  void recordProgress(const Attempt& attempt, TimePoint now);
+  /// Records that the attempt certainly wasn't sent, or that its connection broke.
+  void recordPathFailure(const Attempt& attempt, AttemptFailure failure, const std::string& address,
+                         TimePoint now);
+  /// Probes the connection to a replica that couldn't be reached, at no caller's expense.
+  void probePaths(TimePoint now);
+  /// Records what a probe over a connection of this router shows about its path to the replica.
+  void recordProbedPath(const ReplicaId& replica, const std::string& address, ProbeOutcome outcome,
+                        TimePoint now);
+  TimePoint nextPathProbe() const;
+  /// Refuses a call whose replicas can't be reached by any path, if another router may serve it. Returns true
+  /// if the call has ended.
+  bool refuseUnreachable(CallPointer call, const Choice& choice, TimePoint now);
+  /// Returns a relay for a probe that this router's own link can't decide; nullopt: none.
+  std::optional<Relay> chooseRelay(TimePoint now) const;
   /// Called when the replica has accepted the attempt and runs it.
   void onAttemptAccepted(Attempt& attempt);
   // call_router_limits.cc
@@ -240,7 +268,10 @@
   void sendLimitRequest(TimePoint now);
   // call_router_crashes.cc
   /// Starts a probe of the replica that broke off the call, unless one is pending.
-  void probe(Call& call, const ReplicaId& replica, const std::string& address);
+  void probe(Call& call, const ReplicaId& replica, const std::string& address, TimePoint now);
+  /// Asks a relay to confirm that a replica which refused a connection has terminated. Returns false if there
+  /// is no relay.
+  bool confirmTermination(const ReplicaId& replica, TimePoint now);
   void recordReplicaCrash(const ReplicaId& replica, const std::vector<ProbedCall>& calls, TimePoint now);
   /// Records that the call ran to completion, which clears it of suspicion.
   void recordCompletedRun(const Call& call, TimePoint now);
@@ -297,6 +328,8 @@
   tenancy::QuotaClient quota_;
   ReplicaTable replicas_;
   DirectPaths paths_;
+  RelayRouters relays_;
+  TimePoint next_path_probe_{};
   std::optional<TimePoint> partitioned_since_;
   TrafficSplit split_;
   ExpectedLoads loads_;
@@ -319,8 +352,13 @@
   std::uint64_t next_attempt_ = 1;
   std::map<RouteName, Duration> stream_durations_;  ///< moving average of the duration of a route's streams
   quarantine::CrashLedger crashes_;
-  /// Pending probes, each with the calls that the replica broke off.
-  std::map<ReplicaId, std::vector<ProbedCall>> pending_probes_;
+  /// A pending probe, with the calls that the replica broke off.
+  struct PendingProbe {
+    std::string address;
+    bool relayed = false;
+    std::vector<ProbedCall> calls;
+  };
+  std::map<ReplicaId, PendingProbe> pending_probes_;
   TimePoint next_crash_expiry_{};
   bool draining_ = false;
   TimePoint refuse_from_ = TimePoint::max();  ///< set while draining
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -62,6 +62,10 @@
 Replica* CallRouter::release(Call& call) {
   onPromptPrefilled(*call.attempt);
   const Attempt attempt = *call.attempt;
+  paths_.onReleased(attempt.number);
+  if (attempt.relay) {
+    relays_.onReleased(*attempt.relay);
+  }
   if (attempt.reopening_round != 0) {
     replicas_.notices().onNotAccepted(attempt.replica, attempt.reopening_round);
   }
@@ -86,11 +90,8 @@
   if (!answer.proven_not_run) {
     onAttemptAccepted(*state.attempt);
   }
-  paths_.onProgress(now);
+  recordProgress(*state.attempt, now);
   Replica* replica = release(state);
-  if (replica != nullptr) {
-    dispatch_pending_ = ReplicaTable::onProgress(*replica, now) || dispatch_pending_;
-  }
   if (answer.proven_not_run) {
     if (replica != nullptr && answer.status == kMisdirected && !state.need.model.empty()) {
       replica->recordMissing(state.need.model, state.need.adapter, now);
@@ -205,10 +206,7 @@
     return finish(now);
   }
   Call& state = (*call)->second;
-  paths_.onProgress(now);
-  if (Replica* replica = replicas_.find(state.attempt->replica)) {
-    dispatch_pending_ = ReplicaTable::onProgress(*replica, now) || dispatch_pending_;
-  }
+  recordProgress(*state.attempt, now);
   onPromptPrefilled(*state.attempt);
   onAttemptAccepted(*state.attempt);
   const bool known = id && state.last_event && *id <= *state.last_event;
@@ -262,7 +260,7 @@
     return finish(now);
   }
   Call& state = (*call)->second;
-  paths_.onProgress(now);
+  recordProgress(*state.attempt, now);
   startStream(*call, attempt, now);
   onAttemptAccepted(*state.attempt);
   if (Replica* replica = release(state)) {
@@ -298,32 +296,25 @@
     return finish(now);
   }
   Call& state = (*call)->second;
+  const bool not_run = failure == AttemptFailure::NotSent || failure == AttemptFailure::RelayFailed;
   log_.write(LogLevel::Warning, "call.attempt_failed",
              {{"request", view(state.request.id.value)},
               {"fingerprint", quarantine::toText(state.request.fingerprint)},
               {"replica", view(state.attempt->replica.value)},
-              {"proved_unrun", failure == AttemptFailure::NotSent},
+              {"relay", state.attempt->relay ? view(state.attempt->relay->value) : std::string_view()},
+              {"proved_unrun", not_run},
               {"reason", view(reason)},
               {"after_ms", toMilliseconds(now - state.attempt->sent)}});
-  if (failure == AttemptFailure::NotSent && state.attempt->with_credit) {
+  if (not_run && state.attempt->with_credit) {
     replicas_.limits().returnCredit(state.attempt->replica);
   }
-  const ReplicaId replica_id = state.attempt->replica;
+  const Attempt attempt_state = *state.attempt;
+  const ReplicaId replica_id = attempt_state.replica;
   const Replica* failed = replicas_.find(replica_id);
   const std::string address = failed == nullptr ? std::string() : failed->routed.address;
-  Replica* replica = release(state);
-  const bool unreachable = failure == AttemptFailure::NotSent;
-  if (unreachable) {
-    paths_.onUnreachable(replica_id);
-  }
-  if (replica != nullptr && unreachable) {
-    ReplicaTable::onUnreachable(*replica, now);
-  }
-  if (replica != nullptr) {
-    replica->health.onFailure(
-        unreachable ? router::HealthFailure::Unreachable : router::HealthFailure::Failed, now, random_);
-  }
-  if (unreachable) {
+  release(state);
+  recordPathFailure(attempt_state, failure, address, now);
+  if (not_run) {
     constexpr bool kSpendsBudget = false;
     retryNotRun(*call, ResultCode::NoReplica, kSpendsBudget, now);
   } else {
@@ -331,7 +322,7 @@
     state.failure_reason = reason;
     state.last_failure = ResultCode::ReplicaFailed;
     if (!address.empty()) {
-      probe(state, replica_id, address);
+      probe(state, replica_id, address, now);
     }
     if (state.probed_replica) {
       setTimer(*call);
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -72,6 +72,9 @@
     budget_.setRouters(update.routers);
     replicas_.setRouters(update.routers);
   }
+  if (!stale && update.relays) {
+    relays_.set(*update.relays);
+  }
   if (update.catalog) {
     applyCatalog(from, *update.catalog, previous_contact, now);
   }
@@ -172,6 +175,7 @@
   if (paths_.isPartitioned() == partitioned_since_.has_value()) {
     return;
   }
+  feed_.expedite();
   if (paths_.isPartitioned()) {
     partitioned_since_ = now;
     ++counts_.partitions;
@@ -197,9 +201,11 @@
     effects_.emplace_back(RenewConnectionEffect{std::move(member)});
   }
   const NodeName leader = feed_.leader();
+  updatePaths(now);
   RouterState state{modelCalls(now),           replicas_.unreachable(now), ready(),
                     catalogVersion(),          crashes_.digest(),          replicas_.takeLocalLoads(),
-                    replicas_.takeEventGaps(), interests_.list(now)};
+                    replicas_.takeEventGaps(), interests_.list(now),       paths_.isPartitioned(),
+                    relays_.digest()};
   for (wire::SendEffect& send : feed_.statuses(std::move(state), now)) {
     effects_.emplace_back(std::move(send));
   }
--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -23,12 +23,17 @@
 /// truncated. When a replica crashes, several calls break off together, and one probe decides for all of
 /// them. A call that may be retried waits for the result, usually for a few milliseconds: retried at once, it
 /// could crash the next replica among as many other calls before any router knows of the first crash.
-void CallRouter::probe(Call& call, const ReplicaId& replica, const std::string& address) {
-  std::vector<ProbedCall>& calls = pending_probes_[replica];
-  if (calls.empty()) {
-    effects_.emplace_back(ProbeReplicaEffect{replica, address});
-  }
-  calls.push_back({call.request.number, call.request.fingerprint});
+///
+/// A router that can't rely on its own connections has the replica probed by another one.
+void CallRouter::probe(Call& call, const ReplicaId& replica, const std::string& address, TimePoint now) {
+  const auto [pending, inserted] = pending_probes_.try_emplace(replica);
+  if (inserted) {
+    const std::optional<Relay> relay = paths_.isSuspect(now) ? chooseRelay(now) : std::nullopt;
+    pending->second.address = address;
+    pending->second.relayed = relay.has_value();
+    effects_.emplace_back(ProbeReplicaEffect{replica, address, relay});
+  }
+  pending->second.calls.push_back({call.request.number, call.request.fingerprint});
   if (isRepeatable(call)) {
     call.probed_replica = replica;
   }
@@ -39,14 +44,16 @@
   if (probed == pending_probes_.end()) {
     return finish(now);
   }
-  const std::vector<ProbedCall> calls = std::move(probed->second);
-  pending_probes_.erase(probed);
-  if (outcome == ProbeOutcome::Alive) {
-    paths_.onProgress(now);
-  } else {
-    paths_.onUnreachable(replica);
+  const bool refused = outcome == ProbeOutcome::Refused;
+  if (!probed->second.relayed) {
+    recordProbedPath(replica, probed->second.address, outcome, now);
+    if (refused && !probed->second.calls.empty() && confirmTermination(replica, now)) {
+      return finish(now);
+    }
   }
-  if (outcome == ProbeOutcome::Terminated) {
+  const std::vector<ProbedCall> calls = std::move(probed->second.calls);
+  pending_probes_.erase(probed);
+  if (!calls.empty() && (refused || outcome == ProbeOutcome::Terminated)) {
     recordReplicaCrash(replica, calls, now);
   }
   for (const ProbedCall& probed_call : calls) {
@@ -60,6 +67,19 @@
   return finish(now);
 }
 
+/// A refused connection shows that a replica has terminated only if it isn't this router's own link that
+/// refuses it.
+bool CallRouter::confirmTermination(const ReplicaId& replica, TimePoint now) {
+  const std::optional<Relay> relay = chooseRelay(now);
+  if (!relay) {
+    return false;
+  }
+  PendingProbe& pending = pending_probes_.at(replica);
+  pending.relayed = true;
+  effects_.emplace_back(ProbeReplicaEffect{replica, pending.address, relay});
+  return true;
+}
+
 void CallRouter::recordReplicaCrash(const ReplicaId& replica, const std::vector<ProbedCall>& calls,
                                     TimePoint now) {
   ++counts_.replica_crashes;
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -196,6 +196,9 @@
   status.subscribes = true;
   status.table = table_;
   status.directory = wire::directoryDigest(directory_);
+  status.relay_address = settings_.relay_address;
+  status.partitioned = state.partitioned;
+  status.relays = state.relays;
   status.needs_catalog_proof = proof_.isNeeded() && !proof_.holds(now + kProofRenewalMargin);
   proof_.onStatusSent(sequence_, now);
   wire::CallRouterStatus leader_status = status;
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -14,7 +14,8 @@
 struct ControlFeedSettings {
   NodeName router;
   ZoneName zone;
-  std::string address;  ///< address that callers connect to
+  std::string address;        ///< address that callers connect to
+  std::string relay_address;  ///< address at which the router relays attempts of others; empty: it doesn't
   std::uint64_t incarnation = 0;
   std::vector<NodeName> seeds;
   Duration leader_interval = std::chrono::milliseconds(250);  ///< interval of statuses to the leader
@@ -43,6 +44,8 @@
   std::vector<wire::LocalReplicaLoad> local_loads;  ///< sent to the leader only
   std::vector<wire::ObservedEventGap> event_gaps;   ///< sent to the leader only
   std::vector<wire::ModelInterest> interests;       ///< sent to the leader only
+  bool partitioned = false;                         ///< the router reaches no replica itself
+  std::uint64_t relays = 0;                         ///< digest of the relays that the router knows
 };
 
 /// A router's communication with the control members: reports its status, finds the leader, and accepts only
@@ -70,6 +73,7 @@
   /// Records a message of the member, which shows that its connection works.
   void recordAnswer(const NodeName& from) { unanswered_since_.erase(from); }
   void addSeeds(const std::vector<NodeName>& seeds) { addMembers(seeds); }
+  void setRelayAddress(std::string address) { settings_.relay_address = std::move(address); }
 
   /// Requests that a status be sent to the leader soon, because demand or revisions have changed.
   void expedite() { expedited_ = true; }
--- a/src/calls/direct_paths.cc
+++ b/src/calls/direct_paths.cc
@@ -1,10 +1,38 @@
 #include "calls/direct_paths.h"
 
 namespace ferryrock::calls {
+namespace {
+
+/// Attempts without any progress for this long count as silent. Longer than the usual wait for a first event.
+constexpr Duration kSilenceTime = std::chrono::milliseconds(700);
+/// Number of silent attempts, and of replicas they were sent to, that put the router in doubt.
+constexpr std::size_t kMinSilentAttempts = 3;
+constexpr std::size_t kMinSilentReplicas = 2;
+
+}  // namespace
+
+void DirectPaths::onSent(AttemptNumber attempt, const ReplicaId& replica, TimePoint now) {
+  outstanding_[attempt] = {replica, now};
+}
 
 void DirectPaths::onProgress(TimePoint now) {
   last_progress_ = now;
   unreachable_.clear();
 }
 
+bool DirectPaths::isSilent(TimePoint now) const {
+  if (now - last_progress_ < kSilenceTime || outstanding_.size() < kMinSilentAttempts) {
+    return false;
+  }
+  std::size_t attempts = 0;
+  std::set<ReplicaId> replicas;
+  for (const auto& [number, attempt] : outstanding_) {
+    if (now - attempt.sent >= kSilenceTime) {
+      ++attempts;
+      replicas.insert(attempt.replica);
+    }
+  }
+  return attempts >= kMinSilentAttempts && replicas.size() >= kMinSilentReplicas;
+}
+
 }  // namespace ferryrock::calls
--- a/src/calls/direct_paths.h
+++ b/src/calls/direct_paths.h
@@ -1,23 +1,32 @@
 #pragma once
 
+#include <map>
 #include <set>
+#include <string>
 
 #include "calls/call.h"
 
 namespace ferryrock::calls {
 
 /// Decides whether this router is partitioned from the replicas: whether attempts fail because of the
-/// router's own links rather than because of the replicas. The router counts as partitioned once several
-/// replicas can't be reached and none has shown any progress since; any later progress ends that. Not
-/// thread-safe; used by one thread.
+/// router's own links rather than because of the replicas. Considers only attempts and probes over the
+/// router's own connections, not those that other routers relay. Not thread-safe; used by one thread.
+///
+/// The router counts as partitioned once several replicas can't be reached and none has shown any progress
+/// since; any later progress ends that. It is in doubt, and treated in the same way, while several attempts
+/// to different replicas have been silent for some time and nothing has arrived from any replica.
 class DirectPaths {
  public:
-  /// Bytes of a replica have arrived.
+  void onSent(AttemptNumber attempt, const ReplicaId& replica, TimePoint now);
+  void onReleased(AttemptNumber attempt) { outstanding_.erase(attempt); }
+  /// Bytes of the replica have arrived.
   void onProgress(TimePoint now);
   /// A connection to the replica couldn't be opened, or broke and couldn't be opened again.
-  void onUnreachable(const ReplicaId& replica) { unreachable_.insert(replica); }
+  void onUnreachable(const std::string& replica_address) { unreachable_.insert(replica_address); }
 
   bool isPartitioned() const { return unreachable_.size() >= kMinUnreachable; }
+  /// True if the router is partitioned or in doubt.
+  bool isSuspect(TimePoint now) const { return isPartitioned() || isSilent(now); }
   /// Number of replicas found unreachable since the last progress.
   std::size_t unreachableCount() const { return unreachable_.size(); }
   TimePoint lastProgress() const { return last_progress_; }
@@ -25,7 +34,15 @@
  private:
   static constexpr std::size_t kMinUnreachable = 2;
 
-  std::set<ReplicaId> unreachable_;
+  struct Outstanding {
+    ReplicaId replica;
+    TimePoint sent{};
+  };
+
+  bool isSilent(TimePoint now) const;
+
+  std::map<AttemptNumber, Outstanding> outstanding_;
+  std::set<std::string> unreachable_;  ///< addresses of replicas
   TimePoint last_progress_{};
 };
 
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -165,6 +165,7 @@
   }
   by_service_[found->second.routed.service].erase(id);
   if (found->second.outstanding == 0) {
+    to_probe_.erase(id);
     replicas_.erase(found);
   }
 }
@@ -186,6 +187,7 @@
 
 Choice ReplicaTable::choose(const ReplicaNeed& need, TimePoint now) {
   Options options;
+  Options relayed_options;
   Choice none;
   none.failure = subscribed_ && !need.model.empty() ? ChoiceFailure::NotHeld : ChoiceFailure::NoReplica;
   const auto exclude = [&none](ChoiceFailure failure, TimePoint until) {
@@ -201,8 +203,10 @@
     const TimePoint missing_until = replica.missingUntil(need.model, need.adapter);
     if (!replica.holds(need.model, need.adapter)) {
       none.failure = std::max(none.failure, ChoiceFailure::NotHeld);
-    } else if (replica.unreachable(now)) {
-      exclude(need.model.empty() ? ChoiceFailure::NoReplica : ChoiceFailure::NotHeld, *replica.probe_at);
+    } else if (!reachedDirectly(replica, now) && !reachedByRelay(replica, now)) {
+      none.unreachable = true;
+      exclude(need.model.empty() ? ChoiceFailure::NoReplica : ChoiceFailure::NotHeld,
+              retryTime(replica, now));
     } else if (now < missing_until) {
       exclude(ChoiceFailure::NotHeld, missing_until);
     } else if (const auto closed_until = notices_.closedUntil(id, now)) {
@@ -216,12 +220,26 @@
       exclude(ChoiceFailure::Limited, now + kLimitRecheckInterval);
       none.limited.push_back(id);
     } else {
-      options.push_back(&replica);
+      (reachedDirectly(replica, now) ? options : relayed_options).push_back(&replica);
     }
   }
-  if (options.empty()) {
+  const auto promising = [&need, now](const Replica* option) {
+    return option->health.admits(now) && !need.tried.contains(option->routed.id);
+  };
+  const bool relay =
+      options.empty() || (std::none_of(options.begin(), options.end(), promising) &&
+                          std::any_of(relayed_options.begin(), relayed_options.end(), promising));
+  Options& used = relay ? relayed_options : options;
+  if (used.empty()) {
     return none;
   }
+  Choice choice = chooseAmong(std::move(used), need, now);
+  choice.relayed = relay;
+  choice.limited = std::move(none.limited);
+  return choice;
+}
+
+Choice ReplicaTable::chooseAmong(Options options, const ReplicaNeed& need, TimePoint now) {
   keepIf(options, [now](const Replica& replica) { return replica.health.admits(now); });
   // A replica that has just started has no calls, so that all routers together would overload it.
   keepIf(options, [now](const Replica& replica) { return now >= replica.slow_until; });
@@ -233,15 +251,37 @@
   keepIf(options, [&need](const Replica& replica) { return !need.tried.contains(replica.routed.id); });
   ++turn_;
   if (!need.model.empty() && board_.isFresh(now) && isUneven(options)) {
-    Replica* replica = cheapest(options, need);
-    return {replica, ChoiceFailure::None, fleetLoad(*replica), {}, {}, std::move(none.limited)};
+    Choice choice;
+    choice.replica = cheapest(options, need);
+    choice.use = fleetLoad(*choice.replica);
+    return choice;
   }
-  return {leastLoaded(options, need), ChoiceFailure::None, {}, {}, {}, std::move(none.limited)};
+  Choice choice;
+  choice.replica = leastLoaded(options, need);
+  return choice;
+}
+
+/// While there are relays, no call tries a connection that failed: the router's probes do.
+bool ReplicaTable::reachedDirectly(const Replica& replica, TimePoint now) const {
+  return paths_.direct && (paths_.relayed ? !replica.probe_at : !replica.unreachable(now));
+}
+
+bool ReplicaTable::reachedByRelay(const Replica& replica, TimePoint now) const {
+  return paths_.relayed && !replica.unreachableByRelay(now);
+}
+
+TimePoint ReplicaTable::retryTime(const Replica& replica, TimePoint now) {
+  TimePoint earliest = TimePoint::max();
+  for (const std::optional<TimePoint>& at : {replica.probe_at, replica.relay_retry_at}) {
+    earliest = at && *at > now ? std::min(earliest, *at) : earliest;
+  }
+  return earliest == TimePoint::max() ? now + kProbeInterval : earliest;
 }
 
 bool ReplicaTable::serves(const Replica& replica, const ReplicaNeed& need, TimePoint now) const {
   return replica.listed && replica.routed.accepting && !notices_.isLeaving(replica.routed.id) &&
-         !replica.unreachable(now) && replica.holds(need.model, need.adapter);
+         (reachedDirectly(replica, now) || reachedByRelay(replica, now)) &&
+         replica.holds(need.model, need.adapter);
 }
 
 bool ReplicaTable::anyHolds(const ReplicaNeed& need, TimePoint now) const {
@@ -273,6 +313,9 @@
 
 std::vector<ReplicaId> ReplicaTable::unreachable(TimePoint now) const {
   std::vector<ReplicaId> ids;
+  if (!paths_.direct) {
+    return ids;
+  }
   for (const auto& [id, replica] : replicas_) {
     if (replica.listed && replica.unreachable(now)) {
       ids.push_back(id);
@@ -281,6 +324,32 @@
   return ids;
 }
 
+const Replica* ReplicaTable::takeProbe(TimePoint now) {
+  for (const ReplicaId& id : to_probe_) {
+    Replica& replica = replicas_.at(id);
+    if (replica.listed && now >= *replica.probe_at) {
+      replica.probe_at = now + kProbeInterval;
+      return &replica;
+    }
+  }
+  if (paths_.direct || replicas_.empty()) {
+    return nullptr;
+  }
+  // The connections are in doubt, although none has failed so far.
+  auto next = replicas_.upper_bound(last_probed_);
+  next = next == replicas_.end() ? replicas_.begin() : next;
+  last_probed_ = next->first;
+  return next->second.listed && !next->second.probe_at ? &next->second : nullptr;
+}
+
+TimePoint ReplicaTable::nextProbe() const {
+  TimePoint next = TimePoint::max();
+  for (const ReplicaId& id : to_probe_) {
+    next = std::min(next, *replicas_.at(id).probe_at);
+  }
+  return next;
+}
+
 /// Keeps replicas whose event gap isn't much above the lowest one. Replicas without an estimate are kept.
 void ReplicaTable::keepSmallGaps(Options& options, const ModelName& model) {
   Duration best = Duration::max();
@@ -408,17 +477,29 @@
 
 void ReplicaTable::onUnreachable(Replica& replica, TimePoint now) {
   replica.probe_at = now + kProbeInterval;
+  to_probe_.insert(replica.routed.id);
+}
+
+void ReplicaTable::onUnreachableByRelay(Replica& replica, TimePoint now) {
+  replica.relay_retry_at = now + kProbeInterval;
 }
 
 bool ReplicaTable::onProgress(Replica& replica, TimePoint now) {
   replica.health.onProgress(now);
+  to_probe_.erase(replica.routed.id);
   return std::exchange(replica.probe_at, std::nullopt).has_value();
 }
 
+bool ReplicaTable::onRelayedProgress(Replica& replica, TimePoint now) {
+  replica.health.onProgress(now);
+  return std::exchange(replica.relay_retry_at, std::nullopt).has_value();
+}
+
 void ReplicaTable::onReleased(Replica& replica) {
   replica.outstanding -= replica.outstanding > 0 ? 1 : 0;
   replica.health.onReleased();
   if (!replica.listed && replica.outstanding == 0) {
+    to_probe_.erase(replica.routed.id);
     replicas_.erase(replica.routed.id);
   }
 }
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -41,13 +41,17 @@
   /// Shortest mean gap within a stream since the last report to the leader, by model.
   std::map<ModelName, Duration> unreported_gaps;
   std::uint32_t load_key = 0;  ///< balance::loadKey() of its ID
-  /// Set after a failed connection. The replica gets no calls until then; after that, one call probes it.
+  /// Set after a failed connection. The replica gets no calls over this router's connections until then;
+  /// after that, one call or a probe of the router shows whether it can be reached again.
   std::optional<TimePoint> probe_at;
+  /// Set after a relay couldn't connect to the replica: no relay is used for it until then.
+  std::optional<TimePoint> relay_retry_at;
   bool listed = true;  ///< the leader lists the replica
   /// During slow start the replica is avoided, since it may crash under a load that it handles later.
   TimePoint slow_until{};
 
   bool unreachable(TimePoint now) const { return probe_at && now < *probe_at; }
+  bool unreachableByRelay(TimePoint now) const { return relay_retry_at && now < *relay_retry_at; }
   bool holds(const ModelName& model, const std::string& adapter) const;
   void recordGap(const ModelName& model, Duration gap);
   /// Records the mean gap over several events. Single gaps are unreliable, since events may be read together.
@@ -90,13 +94,21 @@
 
 struct Choice {
   Replica* replica = nullptr;
+  bool relayed = false;  ///< the replica is to be reached through another router
   ChoiceFailure failure = ChoiceFailure::None;
+  bool unreachable = false;               ///< some replica was excluded only because it can't be reached
   std::optional<balance::FleetLoad> use;  ///< load of the replica, if the choice was based on it
   std::optional<TimePoint> recheck_at;    ///< earliest time at which an excluded replica may be tried
   std::optional<TimePoint> opens_at;      ///< earliest end of a backoff among the excluded replicas
   std::vector<ReplicaId> limited;         ///< replicas excluded only because the call has no credit
 };
 
+/// How attempts can reach replicas at present.
+struct AvailablePaths {
+  bool direct = true;    ///< over this router's own connections
+  bool relayed = false;  ///< through other routers
+};
+
 /// The replicas that the leader lists, and those that still have attempts in flight. Not thread-safe; used by
 /// one thread.
 class ReplicaTable {
@@ -128,8 +140,16 @@
   /// Rate limits that replicas set for all routers together.
   ReplicaLimits& limits() { return limits_; }
   const ReplicaLimits& limits() const { return limits_; }
-  /// Replicas to which no connection can be established at present.
+  /// Sets how replicas can be reached. While there are relays, unreachable replicas are probed by takeProbe()
+  /// rather than by calls.
+  void setPaths(const AvailablePaths& paths) { paths_ = paths; }
+  /// Replicas to which no connection can be established at present. Empty while the router's own connections
+  /// are unusable, since that says nothing of the replicas.
   std::vector<ReplicaId> unreachable(TimePoint now) const;
+  /// Returns a replica whose connection should be probed now, and schedules its next probe; nullptr: none.
+  const Replica* takeProbe(TimePoint now);
+  /// Time of the next probe of an unreachable replica.
+  TimePoint nextProbe() const;
 
   /// Sets the number of routers that share the replicas, including this one.
   void setRouters(std::uint32_t routers) { routers_ = routers; }
@@ -144,9 +164,15 @@
 
   /// Records an attempt; see ReplicaNotices::onSent().
   std::optional<ReplicaNotices::Reopening> onSent(Replica& replica, TimePoint now);
-  static void onUnreachable(Replica& replica, TimePoint now);
-  /// Records progress of an attempt. Returns true if the replica was considered unreachable before.
-  static bool onProgress(Replica& replica, TimePoint now);
+  void onUnreachable(Replica& replica, TimePoint now);
+  /// Records that a relay couldn't connect to the replica.
+  static void onUnreachableByRelay(Replica& replica, TimePoint now);
+  /// Records progress of an attempt over this router's own connections. Returns true if the replica was
+  /// considered unreachable before.
+  bool onProgress(Replica& replica, TimePoint now);
+  /// Records progress of a relayed attempt. Returns true if relays were considered unable to reach the
+  /// replica.
+  static bool onRelayedProgress(Replica& replica, TimePoint now);
   void onReleased(Replica& replica);
   std::size_t size() const { return replicas_.size(); }
 
@@ -154,6 +180,12 @@
   using Options = std::vector<Replica*>;
 
   static void keepIf(Options& options, const std::function<bool(const Replica&)>& matches);
+  bool reachedDirectly(const Replica& replica, TimePoint now) const;
+  bool reachedByRelay(const Replica& replica, TimePoint now) const;
+  /// Time at which an unreachable replica may be tried again.
+  static TimePoint retryTime(const Replica& replica, TimePoint now);
+  /// Returns the choice among the replicas that may get the call.
+  Choice chooseAmong(Options options, const ReplicaNeed& need, TimePoint now);
   static void keepSmallGaps(Options& options, const ModelName& model);
   /// True if the replica accepts calls with these requirements, apart from backoffs and rate limits.
   bool serves(const Replica& replica, const ReplicaNeed& need, TimePoint now) const;
@@ -177,6 +209,9 @@
   std::uint64_t local_home_salt_;  ///< salt of the affinity homes, used where routers don't share homes
   std::uint32_t routers_ = 1;
   bool subscribed_ = false;
+  AvailablePaths paths_;
+  std::set<ReplicaId> to_probe_;  ///< replicas with probe_at
+  ReplicaId last_probed_;
   balance::FleetLoadView board_;
   ReplicaNotices notices_;
   ReplicaLimits limits_;
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -50,6 +50,7 @@
   CallQuarantined = 2024,
   ReplicaBackoff = 2025,
   ReplicaLimited = 2026,
+  RouterPartitioned = 2027,
 
   // 3xxx: changes and reads by operators.
   VersionConflict = 3001,
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -44,6 +44,14 @@
   return server;
 }
 
+http::ServerSettings relaySettings(const CallRouterProcessSettings& settings) {
+  const std::string address =
+      settings.listen_relay.empty() ? settings.internalAddress() : settings.listen_relay;
+  http::ServerSettings server = process::listenSettings(address, {}, kMaxCallBodyBytes);
+  server.idle_timeout = kIdleTimeout;
+  return server;
+}
+
 }  // namespace
 
 CallRouterShell::CallRouterShell(event::Dispatcher& dispatcher, CallRouterProcessSettings settings,
@@ -75,6 +83,10 @@
       [this](const ReplicaId& replica, const calls::ReplicaNotice& notice) {
         carryOut(router_.onNotice(replica, notice, now()));
       });
+  const http::ServerSettings relay = relaySettings(settings_);
+  relay_server_ = std::make_unique<RelayServer>(dispatcher_, relay, *http_client_, client_->keepAliveLimits(),
+                                                relayCallbacks(), log_);
+  router_.setRelayAddress(relay.address + ":" + std::to_string(relay_server_->server().port()));
   server_ = std::make_unique<CallServer>(dispatcher_, serverSettings(settings_), dialect, callerCallbacks());
   carryOut(router_.tick(now()));
 }
@@ -86,6 +98,18 @@
           [this](calls::CallNumber call) { carryOut(router_.onCallerGone(call, now())); }};
 }
 
+RelayCallbacks CallRouterShell::relayCallbacks() {
+  RelayCallbacks callbacks;
+  callbacks.accepts = [this] { return router_.relaysAttempts(now()); };
+  callbacks.on_reached = [this](const std::string& replica_address) {
+    carryOut(router_.onRelayedForOther(replica_address, true, now()));
+  };
+  callbacks.on_unreachable = [this](const std::string& replica_address) {
+    carryOut(router_.onRelayedForOther(replica_address, false, now()));
+  };
+  return callbacks;
+}
+
 ReplicaCallbacks CallRouterShell::replicaCallbacks() {
   ReplicaCallbacks callbacks;
   callbacks.on_head = [this](calls::AttemptNumber attempt, const calls::ReplicaNotice& notice) {
@@ -189,6 +213,7 @@
   if (passed >= settings_.stop_accepts && !std::exchange(listener_closed_, true)) {
     server_->server().stopListening();
     server_->server().closeIdleConnections();
+    relay_server_->server().closeAfterResponses();
   }
   const bool out_of_time = passed >= settings_.stop_limit - kStopMargin / 2;
   if (out_of_time && !router_.drained()) {
@@ -197,7 +222,8 @@
     return;
   }
   const bool lingered = passed >= settings_.stop_linger;
-  const bool idle = router_.drained() && server_->server().openRequests() == 0;
+  const bool idle = router_.drained() && server_->server().openRequests() == 0 &&
+                    relay_server_->server().openRequests() == 0;
   if ((lingered && idle) || out_of_time) {
     if (on_stopped_) {
       std::exchange(on_stopped_, nullptr)();
@@ -282,6 +308,17 @@
       router_.directPaths().isPartitioned() ? 1 : 0);
   set("ferryrock_router_partitions", "Times that the router reached no replica any more",
       static_cast<double>(counts.partitions));
+  set("ferryrock_attempts_relayed", "Attempts sent through other routers",
+      static_cast<double>(counts.relayed));
+  set("ferryrock_attempts_relay_failed", "Of those, attempts that no router sent to a replica",
+      static_cast<double>(counts.relay_failures));
+  const RelayServerCounts& relay = relay_server_->counts();
+  set("ferryrock_relay_forwarded", "Attempts of other routers that reached a replica through this one",
+      static_cast<double>(relay.forwarded));
+  set("ferryrock_relay_not_sent", "Attempts of other routers that reached no replica through this one",
+      static_cast<double>(relay.not_sent));
+  set("ferryrock_relay_broken", "Attempts of other routers that broke off without a response",
+      static_cast<double>(relay.unknown));
   set("ferryrock_replica_notices_unknown", "Answers with a header of the replicas' own that isn't known",
       static_cast<double>(counts.unknown_notice_headers));
   const std::optional<TimePoint> proved = router_.catalogProof().provedAt();
--- a/src/service_process/call_router_shell.h
+++ b/src/service_process/call_router_shell.h
@@ -8,6 +8,7 @@
 #include "common/metrics.h"
 #include "event/dispatcher.h"
 #include "service_process/call_server.h"
+#include "service_process/relay_server.h"
 #include "service_process/replica_client.h"
 #include "service_process/replica_prober.h"
 #include "service_process/service_settings.h"
@@ -49,6 +50,7 @@
   void carryOut(const calls::BreakStreamEffect& effect) { server_->breakOff(effect.call); }
   void carryOut(const calls::RefuseCallEffect& effect) { server_->refuse(effect); }
   CallerCallbacks callerCallbacks();
+  RelayCallbacks relayCallbacks();
   ReplicaCallbacks replicaCallbacks();
   void connectControl();
   void armTimer();
@@ -64,6 +66,7 @@
   std::unique_ptr<http::Client> http_client_;
   std::unique_ptr<ReplicaClient> client_;
   std::unique_ptr<ReplicaProber> prober_;
+  std::unique_ptr<RelayServer> relay_server_;
   std::unique_ptr<CallServer> server_;
   std::unique_ptr<event::Timer> timer_;
   std::unique_ptr<event::Timer> stop_timer_;
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -1,21 +1,22 @@
 #include "service_process/replica_client.h"
 
-#include <charconv>
 #include <chrono>
 #include <utility>
 
+#include "service_process/relay_protocol.h"
+
 namespace ferryrock::service_process {
 namespace {
 
 using calls::AttemptFailure;
 using calls::AttemptNumber;
 
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+/// Below the first retransmission of a lost SYN after 1 s: a longer wait would only delay the next attempt.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+constexpr Duration kRelayConnectTimeout = std::chrono::milliseconds(300);
+/// Maximum idle time of a connection to a relay.
+constexpr Duration kRelayIdleTime = std::chrono::seconds(30);
 constexpr int kStatusOk = 200;
-/// An idle connection is closed this long before the replica's keep-alive timeout expires.
-constexpr Duration kKeepAliveMargin = std::chrono::seconds(1);
-constexpr Duration kMaxIdleTime = std::chrono::seconds(30);
-constexpr std::size_t kMaxKeepAliveEntries = 10'000;
 
 bool isEventStream(int status, const http::Headers& headers) {
   const auto type = http::findHeader(headers, "Content-Type");
@@ -42,10 +43,13 @@
   http::ClientRequest request = dialect_.attempt(effect, content);
   request.connect_timeout = kConnectTimeout;
   request.exact_headers = true;
-  const auto keep_alive = keep_alive_.find(effect.address);
-  if (keep_alive != keep_alive_.end()) {
-    request.idle_limit = keep_alive->second;
-    request.fresh_connection = keep_alive->second == Duration::zero();
+  attempt->relayed = effect.relay.has_value();
+  if (effect.relay) {
+    sendThroughRelay(request, effect.relay->address, {effect.address, effect.time_left});
+    request.connect_timeout = kRelayConnectTimeout;
+    request.idle_limit = kRelayIdleTime;
+  } else {
+    keep_alive_.apply(effect.address, request);
   }
   http::ClientCallbacks callbacks;
   callbacks.on_headers = [this, number](int status, const http::Headers& headers) {
@@ -53,10 +57,9 @@
   };
   callbacks.on_data = [this, number](std::string_view bytes) { onData(number, bytes); };
   callbacks.on_complete = [this, number] { onComplete(number); };
-  callbacks.on_failure = [this, number](http::SendProgress progress, const std::string& reason) {
-    fail(number,
-         progress == http::SendProgress::NotSent ? AttemptFailure::NotSent : AttemptFailure::OutcomeUnknown,
-         reason);
+  const AttemptFailure not_sent = effect.relay ? AttemptFailure::RelayFailed : AttemptFailure::NotSent;
+  callbacks.on_failure = [this, number, not_sent](http::SendProgress progress, const std::string& reason) {
+    fail(number, progress == http::SendProgress::NotSent ? not_sent : AttemptFailure::OutcomeUnknown, reason);
   };
   attempt->call = client_.send(std::move(request), std::move(callbacks));
 }
@@ -81,13 +84,22 @@
   return attempt;
 }
 
-void ReplicaClient::onHeaders(AttemptNumber number, int status, const http::Headers& headers) {
+void ReplicaClient::onHeaders(AttemptNumber number, int status, const http::Headers& received) {
   const auto found = attempts_.find(number);
   if (found == attempts_.end()) {
     return;
   }
   const AttemptPtr kept = found->second;
   Attempt& attempt = *kept;
+  http::Headers headers = received;
+  if (attempt.relayed) {
+    const std::optional<RelayOutcome> outcome = takeRelayOutcome(headers);
+    if (outcome != RelayOutcome::Forwarded) {
+      fail(number, outcome ? attemptFailure(*outcome) : AttemptFailure::OutcomeUnknown,
+           outcome ? "the relay got no response of the replica" : "the response isn't one of a relay");
+      return;
+    }
+  }
   const calls::ReplicaNotice notice = dialect_.notice(status, headers);
   if (!dialect_.answersCall(attempt.id, status, headers)) {
     if (!notice.empty()) {
@@ -97,28 +109,12 @@
     return;
   }
   callbacks_.on_head(number, notice);
-  recordKeepAlive(attempt.address, headers);
-  attempt.answer.status = status;
-  attempt.answer.headers = headers;
-  attempt.streaming = isEventStream(status, headers);
-}
-
-void ReplicaClient::recordKeepAlive(const std::string& address, const http::Headers& headers) {
-  constexpr std::string_view kTimeout = "timeout=";
-  const auto header = http::findHeader(headers, "Keep-Alive");
-  const std::size_t place = header ? header->find(kTimeout) : std::string::npos;
-  if (place == std::string::npos) {
-    return;
+  if (!attempt.relayed) {
+    keep_alive_.record(attempt.address, headers);
   }
-  int seconds = 0;
-  const char* begin = header->data() + place + kTimeout.size();
-  std::from_chars(begin, header->data() + header->size(), seconds);
-  const Duration announced = std::chrono::seconds(seconds);
-  if (keep_alive_.size() > kMaxKeepAliveEntries) {
-    keep_alive_.clear();
-  }
-  keep_alive_[address] =
-      std::min(kMaxIdleTime, announced > kKeepAliveMargin ? announced - kKeepAliveMargin : Duration{});
+  attempt.streaming = isEventStream(status, headers);
+  attempt.answer.status = status;
+  attempt.answer.headers = std::move(headers);
 }
 
 void ReplicaClient::onData(AttemptNumber number, std::string_view bytes) {
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -9,6 +9,7 @@
 #include "event/dispatcher.h"
 #include "service_process/call_dialect.h"
 #include "service_process/event_splitter.h"
+#include "service_process/keep_alive_limits.h"
 
 namespace ferryrock::service_process {
 
@@ -42,12 +43,14 @@
   /// callbacks for the events of a stream. nullptr if the attempt has ended.
   const HttpResponse* answerOf(calls::AttemptNumber attempt) const;
   std::size_t running() const { return attempts_.size(); }
+  KeepAliveLimits& keepAliveLimits() { return keep_alive_; }
 
  private:
   struct Attempt {
     RequestId id;
     ReplicaId replica;
     std::string address;
+    bool relayed = false;
     HttpResponse answer;
     bool streaming = false;
     EventSplitter events;
@@ -59,7 +62,6 @@
   void onData(calls::AttemptNumber number, std::string_view bytes);
   void onComplete(calls::AttemptNumber number);
   void fail(calls::AttemptNumber number, calls::AttemptFailure failure, const std::string& reason);
-  void recordKeepAlive(const std::string& address, const http::Headers& headers);
   /// Removes the attempt. Its client call is destroyed after the running callback returns.
   AttemptPtr take(calls::AttemptNumber number);
 
@@ -68,7 +70,7 @@
   const CallDialect& dialect_;
   ReplicaCallbacks callbacks_;
   std::map<calls::AttemptNumber, AttemptPtr> attempts_;
-  std::map<std::string, Duration> keep_alive_;  ///< idle limit by address, from the last Keep-Alive header
+  KeepAliveLimits keep_alive_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/service_process/replica_prober.cc
+++ b/src/service_process/replica_prober.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "service_process/relay_protocol.h"
+
 namespace ferryrock::service_process {
 namespace {
 
@@ -32,24 +34,46 @@
   request.connect_timeout = kProbeTimeout;
   request.total_timeout = kProbeTimeout;
   request.fresh_connection = true;
+  if (effect.relay) {
+    constexpr bool kProbe = true;
+    sendThroughRelay(request, effect.relay->address, {effect.address, kProbeTimeout, kProbe});
+    request.fresh_connection = false;
+  }
   http::ClientCallbacks callbacks;
-  callbacks.on_headers = [this, replica = effect.replica, probe](int status, const http::Headers& headers) {
+  callbacks.on_headers = [this, replica = effect.replica, relayed = effect.relay.has_value(), probe](
+                             int status, const http::Headers& received) {
+    http::Headers headers = received;
     probe->status = status;
+    if (relayed) {
+      probe->relayed = takeRelayOutcome(headers).value_or(RelayOutcome::Unknown);
+    }
+    if (probe->relayed != RelayOutcome::Forwarded) {
+      return;
+    }
     const calls::ReplicaNotice notice = dialect_.notice(status, headers);
     if (!notice.empty()) {
       on_notice_(replica, notice);
     }
   };
-  callbacks.on_complete = [this, replica = effect.replica, probe] {
-    finish(replica, dialect_.probeOutcome(probe->status));
-  };
-  callbacks.on_refused = [probe] { probe->refused = true; };
+  callbacks.on_complete = [this, replica = effect.replica, probe] { finish(replica, outcomeOf(*probe)); };
+  callbacks.on_refused = [probe, relayed = effect.relay.has_value()] { probe->refused = !relayed; };
   callbacks.on_failure = [this, replica = effect.replica, probe](http::SendProgress, const std::string&) {
-    finish(replica, probe->refused ? ProbeOutcome::Terminated : ProbeOutcome::Unknown);
+    finish(replica, probe->refused ? ProbeOutcome::Refused : ProbeOutcome::Unknown);
   };
   probe->call = client_.send(std::move(request), std::move(callbacks));
 }
 
+ProbeOutcome ReplicaProber::outcomeOf(const Probe& probe) const {
+  switch (probe.relayed) {
+    case RelayOutcome::Forwarded:
+      return dialect_.probeOutcome(probe.status);
+    case RelayOutcome::Refused:
+      return ProbeOutcome::Refused;
+    default:
+      return ProbeOutcome::Unknown;
+  }
+}
+
 void ReplicaProber::finish(const ReplicaId& replica, ProbeOutcome outcome) {
   const auto found = probes_.find(replica);
   if (found == probes_.end()) {
--- a/src/service_process/replica_prober.h
+++ b/src/service_process/replica_prober.h
@@ -6,6 +6,7 @@
 
 #include "event/dispatcher.h"
 #include "service_process/call_dialect.h"
+#include "service_process/relay_protocol.h"
 
 namespace ferryrock::service_process {
 
@@ -29,8 +30,10 @@
     std::unique_ptr<http::ClientCall> call;
     int status = 0;
     bool refused = false;
+    RelayOutcome relayed = RelayOutcome::Forwarded;  ///< what the relay reported, if there is one
   };
 
+  calls::ProbeOutcome outcomeOf(const Probe& probe) const;
   void finish(const ReplicaId& replica, calls::ProbeOutcome outcome);
 
   event::Dispatcher& dispatcher_;
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -55,11 +55,19 @@
   return nodes;
 }
 
+std::string ServiceProcessSettings::internalAddress() const {
+  return host + ":" + std::to_string(internal_port);
+}
+
 CallRouterProcessSettings readCallRouterSettings(SettingsReader& reader) {
   CallRouterProcessSettings settings;
   readCommon(reader, settings);
   settings.listen_calls = readAddress(reader, "listen_calls");
   settings.listen_status = readAddress(reader, "listen_status");
+  settings.listen_relay = reader.text("listen_relay", "");
+  if (!settings.listen_relay.empty()) {
+    process::parseAddress(settings.listen_relay);
+  }
   settings.retries.share = reader.number("retry_share", 0, 100, settings.retries.share);
   settings.retries.slack = reader.number("retry_slack", 0, 1e9, settings.retries.slack);
   settings.retries.window = reader.duration("retry_window", 100ms, 1h, settings.retries.window);
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -31,11 +31,15 @@
 
   /// The internal addresses of the seeds.
   std::vector<NodeName> seedNodes() const;
+  /// "host:port" of the machine's internal port.
+  std::string internalAddress() const;
 };
 
 struct CallRouterProcessSettings : ServiceProcessSettings {
   std::string listen_calls;   ///< "host:port"
   std::string listen_status;  ///< "host:port"
+  /// "host:port" at which attempts of other routers are taken; empty: the internal port of the machine.
+  std::string listen_relay;
   calls::RetryBudgetSettings retries;
   /// Time within which all routers reject a revoked key. nullopt: a router without contact to the control
   /// members accepts the keys of its last known catalog without limit.
--- a/src/services/router_directory.cc
+++ b/src/services/router_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/hashing.h"
+
 namespace ferryrock::services {
 namespace {
 
@@ -11,9 +13,56 @@
 constexpr Duration kReachabilityTtl = std::chrono::milliseconds(1000);
 /// Number of missed statuses after which a router counts as gone.
 constexpr int kMaxMissedStatuses = 3;
+/// Number of relays per router, of its own zone and of other zones each: a router still has one if the others
+/// have been lost since the list was made.
+constexpr std::size_t kRelaysPerGroup = 3;
+/// Candidates kept per group, enough to spread the relayed attempts of many routers.
+constexpr std::size_t kMaxRelayCandidates = 64;
+
+void appendRelays(std::vector<wire::RelayRouter>& relays, const std::vector<wire::RelayRouter>& candidates,
+                  const NodeName& router) {
+  const std::size_t first = candidates.empty() ? 0 : stableHash(router.value) % candidates.size();
+  std::size_t added = 0;
+  for (std::size_t i = 0; i < candidates.size() && added < kRelaysPerGroup; ++i) {
+    const wire::RelayRouter& candidate = candidates[(first + i) % candidates.size()];
+    if (candidate.router != router) {
+      relays.push_back(candidate);
+      ++added;
+    }
+  }
+}
 
 }  // namespace
 
+std::vector<wire::RelayRouter> chooseRelays(const RelayCandidates& candidates, const NodeName& router) {
+  std::vector<wire::RelayRouter> relays;
+  appendRelays(relays, candidates.same_zone, router);
+  appendRelays(relays, candidates.other_zones, router);
+  return relays;
+}
+
+/// The candidates of other zones are taken at even distances, so that each zone is represented.
+RelayCandidates RouterDirectory::relayCandidates(const ZoneName& zone, TimePoint now) const {
+  RelayCandidates candidates;
+  std::vector<const wire::CallRouterStatus*> others;
+  for (const auto& [name, record] : routers_) {
+    const wire::CallRouterStatus& status = record.status;
+    if (!isOffered(record, now) || status.partitioned || status.relay_address.empty()) {
+      continue;
+    }
+    if (status.zone != zone) {
+      others.push_back(&status);
+    } else if (candidates.same_zone.size() < kMaxRelayCandidates) {
+      candidates.same_zone.push_back({name, status.zone, status.relay_address});
+    }
+  }
+  const std::size_t step = std::max<std::size_t>(1, others.size() / kMaxRelayCandidates);
+  for (std::size_t i = 0; i < others.size(); i += step) {
+    candidates.other_zones.push_back({others[i]->router, others[i]->zone, others[i]->relay_address});
+  }
+  return candidates;
+}
+
 bool RouterDirectory::accept(const wire::CallRouterStatus& status, TimePoint now) {
   RouterRecord& record = routers_[status.router];
   const bool same_incarnation = record.status.incarnation == status.incarnation;
--- a/src/services/router_directory.h
+++ b/src/services/router_directory.h
@@ -10,6 +10,16 @@
 
 namespace ferryrock::services {
 
+/// Routers that reach replicas and relay attempts of others.
+struct RelayCandidates {
+  std::vector<wire::RelayRouter> same_zone;
+  std::vector<wire::RelayRouter> other_zones;
+};
+
+/// Returns the relays for one router: a few of its zone, then a few of other zones. Which ones depends on the
+/// router's name, so that routers that are partitioned together don't all use the same relays.
+std::vector<wire::RelayRouter> chooseRelays(const RelayCandidates& candidates, const NodeName& router);
+
 struct RouterRecord {
   wire::CallRouterStatus status;
   TimePoint last_contact{};
@@ -33,6 +43,10 @@
   /// Number of routers that callers may be sent to, among which retry budgets are divided.
   std::size_t acceptingCount(TimePoint now) const;
 
+  /// Routers that relay attempts for routers of the zone: those that are offered to callers and reach
+  /// replicas.
+  RelayCandidates relayCandidates(const ZoneName& zone, TimePoint now) const;
+
   /// Replicas that at least one router with recent contact can't connect to.
   std::set<ReplicaId> unreachable(TimePoint now) const;
 
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -251,6 +251,9 @@
   std::size_t sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
   /// Returns the loads of all replicas if the router is due for them.
   std::optional<std::vector<wire::ReplicaLoad>> loadsFor(const NodeName& router, TimePoint now);
+  /// Returns the router's relays if it knows others.
+  static std::optional<std::vector<wire::RelayRouter>> relaysFor(const wire::CallRouterStatus& status,
+                                                                 const FeedContext& context);
   std::vector<wire::ExpectedModelLoad> expectedLoadsFor(const wire::CallRouterStatus& status, TimePoint now);
   bool awaitsConfirmation(const wire::CallRouterStatus& status) const;
   bool hasPendingChanges() const;
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -111,8 +111,9 @@
   const std::size_t routers = std::max<std::size_t>(1, directory_.acceptingCount(now));
   std::vector<std::string> directory = directory_.addresses(zone, now, kMaxDirectoryAddresses);
   const std::uint64_t digest = wire::directoryDigest(directory);
-  FeedContext context{node_->hosted().catalog(), memberNodes(),        static_cast<std::uint32_t>(routers),
-                      leader_->complete,         std::move(directory), digest};
+  FeedContext context{
+      node_->hosted().catalog(), memberNodes(), static_cast<std::uint32_t>(routers),  leader_->complete,
+      std::move(directory),      digest,        directory_.relayCandidates(zone, now)};
   return leader_->contexts.emplace(zone, std::move(context)).first->second;
 }
 
--- a/src/services/service_control_updates.cc
+++ b/src/services/service_control_updates.cc
@@ -100,12 +100,23 @@
     update.proved = leader_->receipts.provedBy(status.router, *followed);
   }
   update.loads = loadsFor(status.router, now);
+  update.relays = relaysFor(status, context);
   leader_->updates.onSent(status.router, update, now);
   const std::size_t entries = update.replicas.size();
   send(status.router, std::move(update));
   return entries;
 }
 
+/// Routers of builds without relays have no relay address.
+std::optional<std::vector<wire::RelayRouter>> ServiceControlImpl::relaysFor(
+    const wire::CallRouterStatus& status, const FeedContext& context) {
+  if (status.relay_address.empty()) {
+    return std::nullopt;
+  }
+  std::vector<wire::RelayRouter> relays = chooseRelays(context.relays, status.router);
+  return wire::relaysDigest(relays) == status.relays ? std::nullopt : std::optional(std::move(relays));
+}
+
 std::optional<std::vector<wire::ReplicaLoad>> ServiceControlImpl::loadsFor(const NodeName& router,
                                                                            TimePoint now) {
   const Duration since = now - leader_->updates.loadsSent(router);
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -57,6 +57,14 @@
   return digest;
 }
 
+std::uint64_t relaysDigest(const std::vector<RelayRouter>& relays) {
+  std::uint64_t digest = 0;
+  for (const RelayRouter& relay : relays) {
+    digest = stableHash(relay.router.value + " " + relay.zone.value + " " + relay.address, digest + 1);
+  }
+  return digest;
+}
+
 std::uint64_t contactsDigest(const std::vector<RouterContact>& contacts) {
   std::uint64_t digest = 0;
   for (const RouterContact& contact : contacts) {
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -20,6 +20,14 @@
   FERRYROCK_FIELDS(RouterContact, router, zone, address, incarnation, subscribes)
 };
 
+/// A router that relays attempts of other routers to replicas.
+struct RelayRouter {
+  NodeName router;
+  ZoneName zone;
+  std::string address;  ///< internal address at which it takes such attempts, "host:port"
+  FERRYROCK_FIELDS(RelayRouter, router, zone, address)
+};
+
 /// Sent periodically by each control process to those that it knows, whether they are members or not. From a
 /// process that isn't a member, it is also the request to become one.
 struct MemberHello {
@@ -149,9 +157,14 @@
   bool subscribes = false;
   std::uint64_t table = 0;               ///< ServiceUpdate::table of the router's table
   std::vector<ModelInterest> interests;  ///< for the leader
+  /// Address at which the router relays attempts of others, "host:port"; empty: it doesn't.
+  std::string relay_address;
+  bool partitioned = false;  ///< the router reaches no replica over its own connections
+  std::uint64_t relays = 0;  ///< relaysDigest() of the relays that it knows
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
                    revision, model_calls, directory, missed_update, unreachable, needs_catalog_proof,
-                   crash_digest, local_loads, event_gaps, subscribes, table, interests)
+                   crash_digest, local_loads, event_gaps, subscribes, table, interests, relay_address,
+                   partitioned, relays)
 
   /// Number of members that the sender's build encodes; 0: not decoded from bytes.
   std::uint32_t encoded_member_count = 0;
@@ -228,9 +241,12 @@
   bool grants_limit_credit = false;     ///< the leader's build supports LimitRequest
   /// The leader's build confirms full reports of quota usage, see QuotaAnswer::report_sequence.
   bool confirms_quota_reports = false;
+  /// Routers through which the receiver may reach replicas that it can't reach itself; set if it knows
+  /// others.
+  std::optional<std::vector<RelayRouter>> relays;
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
                    members, directory, coming, confirm, proved, limited_tenants, loads, table,
-                   status_interval_ms, grants_limit_credit, confirms_quota_reports)
+                   status_interval_ms, grants_limit_credit, confirms_quota_reports, relays)
 
   /// Number of members that the sender's build encodes; 0: not decoded from bytes.
   std::uint32_t encoded_member_count = 0;
@@ -372,5 +388,7 @@
 std::uint64_t directoryDigest(const std::vector<std::string>& addresses);
 /// Hash of the contacts in their order; 0 for none.
 std::uint64_t contactsDigest(const std::vector<RouterContact>& contacts);
+/// Hash of the relays in their order; 0 for none.
+std::uint64_t relaysDigest(const std::vector<RelayRouter>& relays);
 
 }  // namespace ferryrock::wire
--- /dev/null
+++ b/tests/service_process/relay_test.cc
@@ -0,0 +1,274 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "common/error.h"
+#include "http/fixture.h"
+#include "service_process/relay_server.h"
+#include "service_process/replica_client.h"
+#include "service_process/replica_prober.h"
+
+/// Tests attempts that one router sends to a replica through the RelayServer of another, over loopback.
+namespace ferryrock::service_process {
+namespace {
+
+using namespace std::chrono_literals;
+/// Minimal dialect: the call id is in the header "Call-Id".
+class RelayTestDialect : public CallDialect {
+ public:
+  ParsedCall parse(http::Request) const override { throw Error(ResultCode::Internal, "not used"); }
+  http::Headers callerHeaders(const http::Headers& headers) const override { return headers; }
+  HttpResponse refusal(const RequestId&, ResultCode, bool, std::optional<Duration>,
+                       const std::string&) const override {
+    return {};
+  }
+  http::ClientRequest attempt(const calls::SendAttemptEffect& effect,
+                              const CallContent& content) const override {
+    http::ClientRequest request;
+    request.method = content.method;
+    request.url = "http://" + effect.address + content.target;
+    request.headers = content.headers;
+    request.body = content.body;
+    return request;
+  }
+  bool answersCall(const RequestId& id, int, const http::Headers& headers) const override {
+    return http::findHeader(headers, "Call-Id") == id.value;
+  }
+  calls::AnswerSummary summarize(int status, const http::Headers&) const override { return {status, false}; }
+  calls::ReplicaNotice notice(int, const http::Headers&) const override { return {}; }
+  http::ClientRequest probe(const calls::ProbeReplicaEffect& effect) const override {
+    http::ClientRequest request;
+    request.url = "http://" + effect.address + "/probe";
+    return request;
+  }
+  calls::ProbeOutcome probeOutcome(int status) const override {
+    return status == 421 ? calls::ProbeOutcome::Terminated : calls::ProbeOutcome::Alive;
+  }
+};
+
+struct RelayedCall {
+  std::optional<calls::AnswerSummary> answer;
+  HttpResponse response;
+  std::vector<std::string> events;
+  bool stream_ended = false;
+  std::optional<calls::AttemptFailure> failure;
+  bool ended() const { return answer || stream_ended || failure; }
+};
+
+class RelayFixture {
+ public:
+  RelayFixture()
+      : sender_client(http::createClient(loop.dispatcher())),
+        relay_client(http::createClient(loop.dispatcher())) {
+    ReplicaCallbacks callbacks;
+    callbacks.on_head = [](calls::AttemptNumber, const calls::ReplicaNotice&) {};
+    callbacks.on_notice = [](const ReplicaId&, const calls::ReplicaNotice&) {};
+    callbacks.on_answer = [this](calls::AttemptNumber number, const calls::AnswerSummary& answer) {
+      records[number].answer = answer;
+      records[number].response = *sender->answerOf(number);
+    };
+    callbacks.on_stream_event = [this](calls::AttemptNumber number, const StreamEvent& event) {
+      records[number].events.push_back(event.bytes);
+    };
+    callbacks.on_stream_end = [this](calls::AttemptNumber number) { records[number].stream_ended = true; };
+    callbacks.on_failure = [this](calls::AttemptNumber number, calls::AttemptFailure failure,
+                                  const std::string&) { records[number].failure = failure; };
+    sender = std::make_unique<ReplicaClient>(loop.dispatcher(), *sender_client, dialect, callbacks);
+    RelayCallbacks relay_callbacks;
+    relay_callbacks.accepts = [this] { return accepts; };
+    relay_callbacks.on_reached = [this](const std::string&) { ++reached; };
+    relay_callbacks.on_unreachable = [this](const std::string&) { ++unreachable; };
+    relay = std::make_unique<RelayServer>(loop.dispatcher(), http::ServerSettings{}, *relay_client,
+                                          keep_alive, relay_callbacks, log);
+  }
+
+  calls::Relay relayAddress() const {
+    return {NodeName("edge-2"), "127.0.0.1:" + std::to_string(relay->server().port())};
+  }
+  RelayedCall& start(std::uint16_t replica_port, http::Headers headers = {}) {
+    const calls::AttemptNumber number{++next};
+    calls::SendAttemptEffect effect;
+    effect.attempt = number;
+    effect.replica = ReplicaId("r1");
+    effect.address = "127.0.0.1:" + std::to_string(replica_port);
+    effect.time_left = 2s;
+    effect.relay = relayAddress();
+    headers.push_back({"Call-Id", "c1"});
+    sender->send(effect, {RequestId("c1"), "POST", "/x?y=%20z", std::move(headers), "body"});
+    return records[number];
+  }
+  RelayedCall& run(std::uint16_t replica_port, http::Headers headers = {}) {
+    RelayedCall& call = start(replica_port, std::move(headers));
+    REQUIRE(loop.runUntil([&] { return call.ended(); }));
+    return call;
+  }
+  std::unique_ptr<http::Server> replica(http::RequestHandler handler) {
+    return http::createServer(loop.dispatcher(), {}, std::move(handler));
+  }
+  /// Returns a port at which nothing listens.
+  std::uint16_t closedPort() {
+    return replica([](const http::Request&, const http::ResponseWriterPtr&) {})->port();
+  }
+
+  http::Loop loop;
+  RelayTestDialect dialect;
+  NoEventLog log;
+  KeepAliveLimits keep_alive;
+  std::unique_ptr<http::Client> sender_client;
+  std::unique_ptr<http::Client> relay_client;
+  std::unique_ptr<ReplicaClient> sender;
+  std::unique_ptr<RelayServer> relay;
+  std::map<calls::AttemptNumber, RelayedCall> records;
+  std::uint64_t next = 0;
+  bool accepts = true;
+  int reached = 0;
+  int unreachable = 0;
+};
+
+TEST_CASE("A relayed call and its response are passed on unchanged") {
+  RelayFixture fixture;
+  std::vector<http::Request> seen;
+  const auto replica =
+      fixture.replica([&](const http::Request& request, const http::ResponseWriterPtr& response) {
+        seen.push_back(request);
+        response->respond(207, {{"Call-Id", "c1"}, {"Seal", "a  b"}}, "the answer");
+      });
+  const RelayedCall& call = fixture.run(replica->port(), {{"Odd", "a  b"}, {"Host", "shop.example"}});
+  REQUIRE(call.answer);
+  CHECK(call.answer->status == 207);
+  CHECK(call.response.body == "the answer");
+  CHECK(http::findHeader(call.response.headers, "Seal") == "a  b");
+  REQUIRE(seen.size() == 1);
+  CHECK(seen[0].method == "POST");
+  CHECK(seen[0].target == "/x?y=%20z");
+  CHECK(seen[0].body == "body");
+  CHECK(http::findHeader(seen[0].headers, "Odd") == "a  b");
+  CHECK(http::findHeader(seen[0].headers, "Host") == "shop.example");
+  for (const http::Headers* headers : {&seen[0].headers, &call.response.headers}) {
+    CHECK(std::none_of(headers->begin(), headers->end(),
+                       [](const http::Header& header) { return header.name.starts_with("Ferryrock"); }));
+  }
+  CHECK(fixture.reached == 1);
+}
+
+TEST_CASE("Relay headers of a caller or of a replica have no effect") {
+  RelayFixture fixture;
+  const std::uint16_t other = fixture.closedPort();
+  const auto replica = fixture.replica([](const http::Request&, const http::ResponseWriterPtr& response) {
+    response->respond(200, {{"Call-Id", "c1"}, {"ferryrock-relay-outcome", "not-relayed"}}, "served");
+  });
+  const RelayedCall& call = fixture.run(
+      replica->port(),
+      {{"ferryrock-relay-target", "127.0.0.1:" + std::to_string(other)}, {"Ferryrock-Relay-Limit-Ms", "x"}});
+  REQUIRE(call.answer);
+  CHECK(call.response.body == "served");
+}
+
+TEST_CASE("Events of a relayed stream arrive one by one as the replica sends them") {
+  RelayFixture fixture;
+  http::ResponseWriterPtr writer;
+  const auto replica = fixture.replica([&](const http::Request&, const http::ResponseWriterPtr& response) {
+    response->start(200, {{"Call-Id", "c1"}, {"Content-Type", "text/event-stream"}});
+    writer = response;
+  });
+  RelayedCall& call = fixture.start(replica->port());
+  REQUIRE(fixture.loop.runUntil([&] { return writer != nullptr; }));
+  for (std::size_t i = 1; i <= 3; ++i) {
+    writer->write("id: " + std::to_string(i) + "\n\n");
+    REQUIRE(fixture.loop.runUntil([&] { return call.events.size() == i; }));
+  }
+  writer->finish();
+  REQUIRE(fixture.loop.runUntil([&] { return call.ended(); }));
+  CHECK(call.stream_ended);
+}
+
+TEST_CASE("A response that breaks off behind a relay is never taken as complete") {
+  RelayFixture fixture;
+  const auto replica = fixture.replica([](const http::Request&, const http::ResponseWriterPtr& response) {
+    response->start(200, {{"Call-Id", "c1"}});
+    response->write("half of");
+    response->abort();
+  });
+  CHECK(fixture.run(replica->port()).failure == calls::AttemptFailure::OutcomeUnknown);
+}
+
+TEST_CASE("A relayed call counts as not run only if no byte of it was sent to a replica") {
+  RelayFixture fixture;
+  const std::uint16_t closed = fixture.closedPort();
+  CHECK(fixture.run(closed).failure == calls::AttemptFailure::NotSent);
+  CHECK(fixture.unreachable == 1);
+  fixture.accepts = false;
+  int calls_seen = 0;
+  const auto replica = fixture.replica([&](const http::Request&, const http::ResponseWriterPtr& response) {
+    ++calls_seen;
+    response->respond(200, {{"Call-Id", "c1"}}, "");
+  });
+  CHECK(fixture.run(replica->port()).failure == calls::AttemptFailure::RelayFailed);
+  CHECK(calls_seen == 0);
+}
+
+TEST_CASE("A relay that ends while a replica runs the call leaves the outcome unknown") {
+  RelayFixture fixture;
+  http::ResponseWriterPtr running;
+  const auto replica = fixture.replica(
+      [&](const http::Request&, const http::ResponseWriterPtr& response) { running = response; });
+  RelayedCall& call = fixture.start(replica->port());
+  REQUIRE(fixture.loop.runUntil([&] { return running != nullptr; }));
+  fixture.relay.reset();
+  REQUIRE(fixture.loop.runUntil([&] { return call.ended(); }));
+  CHECK(call.failure == calls::AttemptFailure::OutcomeUnknown);
+}
+
+TEST_CASE("Cancelling a relayed attempt closes the relay's connection to the replica") {
+  RelayFixture fixture;
+  bool closed = false;
+  http::ResponseWriterPtr running;
+  const auto replica = fixture.replica([&](const http::Request&, const http::ResponseWriterPtr& response) {
+    running = response;
+    response->onClosed([&] { closed = true; });
+  });
+  fixture.start(replica->port());
+  REQUIRE(fixture.loop.runUntil([&] { return running != nullptr; }));
+  const TimePoint cancelled_at = std::chrono::steady_clock::now();
+  fixture.sender->cancel(calls::AttemptNumber{1});
+  REQUIRE(fixture.loop.runUntil([&] { return closed; }));
+  CHECK(std::chrono::steady_clock::now() - cancelled_at < 500ms);
+  CHECK(fixture.relay->openAttempts() == 0);
+}
+
+TEST_CASE(
+    "A probe through a relay tells a replica that has terminated from one that this router can't reach") {
+  RelayFixture fixture;
+  std::vector<calls::ProbeOutcome> outcomes;
+  ReplicaProber prober(
+      fixture.loop.dispatcher(), *fixture.sender_client, fixture.dialect,
+      [&](const ReplicaId&, calls::ProbeOutcome outcome) { outcomes.push_back(outcome); },
+      [](const ReplicaId&, const calls::ReplicaNotice&) {});
+  const auto probe = [&](std::uint16_t port, bool relayed) {
+    const std::size_t before = outcomes.size();
+    std::optional<calls::Relay> relay;
+    if (relayed) {
+      relay = fixture.relayAddress();
+    }
+    prober.send({ReplicaId("r1"), "127.0.0.1:" + std::to_string(port), relay});
+    REQUIRE(fixture.loop.runUntil([&] { return outcomes.size() > before; }));
+    return outcomes.back();
+  };
+  int status = 200;
+  const auto replica = fixture.replica([&](const http::Request&, const http::ResponseWriterPtr& response) {
+    response->respond(status, {}, "");
+  });
+  constexpr bool kRelayed = true;
+  CHECK(probe(replica->port(), kRelayed) == calls::ProbeOutcome::Alive);
+  status = 421;
+  CHECK(probe(replica->port(), kRelayed) == calls::ProbeOutcome::Terminated);
+  const std::uint16_t closed = fixture.closedPort();
+  CHECK(probe(closed, kRelayed) == calls::ProbeOutcome::Refused);
+  CHECK(probe(closed, !kRelayed) == calls::ProbeOutcome::Refused);
+  fixture.accepts = false;
+  CHECK(probe(replica->port(), kRelayed) == calls::ProbeOutcome::Unknown);
+  fixture.relay.reset();
+}
+
+}  // namespace
+}  // namespace ferryrock::service_process
--- a/tests/services/partitioned_fleet.cc
+++ b/tests/services/partitioned_fleet.cc
@@ -1,5 +1,6 @@
 #include "services/partitioned_fleet.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
 
@@ -44,7 +45,7 @@
   }
   const std::map<AttemptKey, Running> running = running_;
   for (const auto& [key, attempt] : running) {
-    if (partitioned_nodes_.contains(key.first)) {
+    if (partitioned_nodes_.contains(key.first) && !attempt.sent.relay) {
       running_.erase(key);
       fail(*attempt.router, attempt.sent, calls::AttemptFailure::OutcomeUnknown,
            kind == PartitionKind::Silent ? kUnacknowledgedTimeout : kHop);
@@ -64,6 +65,7 @@
   } else if (const auto* delivered = std::get_if<calls::DeliverAnswerEffect>(&effect)) {
     finish({router.node, delivered->call}, true);
   } else if (const auto* refused = std::get_if<calls::RefuseCallEffect>(&effect)) {
+    ++refusals[refused->code];
     finish({router.node, refused->call}, false);
   } else if (const auto* probed = std::get_if<calls::ProbeReplicaEffect>(&effect)) {
     probe(router, *probed);
@@ -71,6 +73,42 @@
 }
 
 void PartitionedFleet::send(RunningRouter& router, const calls::SendAttemptEffect& sent) {
+  if (sent.relay) {
+    ++relayed;
+    cluster.schedule(kHop, [this, &router, sent] { sendRelayed(router, sent); });
+  } else {
+    sendDirectly(router, sent);
+  }
+}
+
+RunningRouter& PartitionedFleet::relayOf(const calls::Relay& relay) {
+  return **std::find_if(routers.begin(), routers.end(),
+                        [&relay](const RunningRouter* router) { return router->node == relay.router; });
+}
+
+/// As the production relay does, tells its router whether it reached the replica.
+void PartitionedFleet::sendRelayed(RunningRouter& router, const calls::SendAttemptEffect& sent) {
+  RunningRouter& relay = relayOf(*sent.relay);
+  const std::string address = sent.address;
+  if (!relay.logic->relaysAttempts(cluster.now())) {
+    fail(router, sent, calls::AttemptFailure::RelayFailed, kHop);
+  } else if (isPartitioned(relay)) {
+    const Duration delay = kind_ == PartitionKind::Silent ? kRelayConnectTimeout : 2 * kHop;
+    fail(router, sent, calls::AttemptFailure::NotSent, delay + kHop);
+    cluster.schedule(delay, [this, &relay, address] {
+      cluster.actRouter(relay, [address](calls::CallRouter& logic, TimePoint now) {
+        return logic.onRelayedForOther(address, false, now);
+      });
+    });
+  } else {
+    run(router, sent);
+    cluster.actRouter(relay, [address](calls::CallRouter& logic, TimePoint now) {
+      return logic.onRelayedForOther(address, true, now);
+    });
+  }
+}
+
+void PartitionedFleet::sendDirectly(RunningRouter& router, const calls::SendAttemptEffect& sent) {
   Connections& open = connections_[{router.node, sent.replica}];
   if (open.dead > 0) {
     --open.dead;
@@ -98,7 +136,7 @@
   if (running_.erase({router.node, sent.attempt}) == 0) {
     return;
   }
-  ++connections_[{router.node, sent.replica}].idle;
+  connections_[{router.node, sent.replica}].idle += sent.relay ? 0 : 1;
   cluster.actRouter(router, [attempt = sent.attempt](calls::CallRouter& logic, TimePoint now) {
     calls::Effects effects = logic.onHead(attempt, {}, now);
     calls::Effects rest = logic.onAnswer(attempt, {200, false}, now);
@@ -120,10 +158,12 @@
 void PartitionedFleet::probe(RunningRouter& router, const calls::ProbeReplicaEffect& effect) {
   using calls::ProbeOutcome;
   const bool silent = kind_ == PartitionKind::Silent;
-  const ProbeOutcome outcome = !isPartitioned(router) ? ProbeOutcome::Alive
-                               : silent               ? ProbeOutcome::Unknown
-                                                      : ProbeOutcome::Terminated;
-  const Duration delay = isPartitioned(router) && silent ? kProbeTimeout : 2 * kHop;
+  const RunningRouter& prober = effect.relay ? relayOf(*effect.relay) : router;
+  const bool partitioned_prober = isPartitioned(prober);
+  const ProbeOutcome outcome = !partitioned_prober      ? ProbeOutcome::Alive
+                               : silent || effect.relay ? ProbeOutcome::Unknown
+                                                        : ProbeOutcome::Refused;
+  const Duration delay = partitioned_prober && silent ? kProbeTimeout : 2 * kHop;
   cluster.schedule(delay, [this, &router, replica = effect.replica, outcome] {
     cluster.actRouter(router, [replica, outcome](calls::CallRouter& logic, TimePoint now) {
       return logic.onProbed(replica, outcome, now);
@@ -182,6 +222,14 @@
   others = {};
 }
 
+std::uint64_t PartitionedFleet::crashesRecorded() const {
+  std::uint64_t sum = 0;
+  for (const RunningRouter* router : routers) {
+    sum += router->logic->counts().replica_crashes;
+  }
+  return sum;
+}
+
 bool PartitionedFleet::unequal() const {
   if (partitioned.sent == 0 || others.sent == 0) {
     return false;
--- a/tests/services/partitioned_fleet.h
+++ b/tests/services/partitioned_fleet.h
@@ -52,6 +52,10 @@
   /// True if first attempts at partitioned routers were served less than two thirds as often as at the
   /// others, and more than 10 + 1 in 50 of all first attempts failed there.
   bool unequal() const;
+  /// Sum over the routers.
+  std::uint64_t crashesRecorded() const;
+  std::size_t relayed = 0;  ///< attempts that routers sent through others
+  std::map<ResultCode, std::size_t> refusals;
 
  private:
   static constexpr Duration kHop = std::chrono::milliseconds(1);
@@ -59,6 +63,7 @@
   static constexpr Duration kHeartbeat = std::chrono::milliseconds(600);
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+  static constexpr Duration kRelayConnectTimeout = std::chrono::milliseconds(250);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
   /// Timeout of data that is sent over a dead connection.
   static constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1500);
@@ -77,6 +82,10 @@
 
   void onEffect(RunningRouter& router, const calls::Effect& effect);
   void send(RunningRouter& router, const calls::SendAttemptEffect& sent);
+  void sendDirectly(RunningRouter& router, const calls::SendAttemptEffect& sent);
+  /// Handles an attempt at its relay.
+  void sendRelayed(RunningRouter& router, const calls::SendAttemptEffect& sent);
+  RunningRouter& relayOf(const calls::Relay& relay);
   void run(RunningRouter& router, const calls::SendAttemptEffect& sent);
   void answer(RunningRouter& router, const calls::SendAttemptEffect& sent);
   void fail(RunningRouter& router, const calls::SendAttemptEffect& sent, calls::AttemptFailure failure,
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -192,6 +192,7 @@
   calls::CallRouterSettings settings;
   settings.feed.router = router.node;
   settings.feed.address = router.node.value + ":80";
+  settings.feed.relay_address = router.node.value + ":90";
   settings.feed.incarnation = random_.next();
   settings.feed.seeds = seeds_;
   settings.feed.key_lifetime = key_lifetime;
