Leave a replica out of placement only if no router reaches it

Cause: the leader took one router's unreachable replicas for unreachable to all. Change: routers also tell which replicas they had a response of; a replica counts as unreachable if a router that isn't partitioned can't connect to it and no router had a response of it for 0.6 s or two status intervals. What partitioned routers report doesn't count. Why it works: reach is a relation of router and replica; a replica that really is dark answers no router.

--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -444,10 +444,11 @@
   std::vector<wire::LocalReplicaLoad> local_loads;
   for (auto& [id, replica] : replicas_) {
     const std::uint64_t sent = std::exchange(replica.sent_tokens, 0);
-    if (replica.outstanding > 0 || sent > 0) {
+    const bool reached = std::exchange(replica.reached, false);
+    if (replica.outstanding > 0 || sent > 0 || reached) {
       local_loads.push_back({replica.load_key, replica.outstanding,
                              static_cast<std::uint32_t>(replica.pending_prefill_tokens),
-                             static_cast<std::uint32_t>(sent)});
+                             static_cast<std::uint32_t>(sent), reached});
     }
   }
   board_.onReported(local_loads);
@@ -486,12 +487,14 @@
 
 bool ReplicaTable::onProgress(Replica& replica, TimePoint now) {
   replica.health.onProgress(now);
+  replica.reached = true;
   to_probe_.erase(replica.routed.id);
   return std::exchange(replica.probe_at, std::nullopt).has_value();
 }
 
 bool ReplicaTable::onRelayedProgress(Replica& replica, TimePoint now) {
   replica.health.onProgress(now);
+  replica.reached = true;
   return std::exchange(replica.relay_retry_at, std::nullopt).has_value();
 }
 
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -33,6 +33,7 @@
   std::uint32_t outstanding = 0;             ///< attempts of this router in flight
   std::uint64_t pending_prefill_tokens = 0;  ///< prompt tokens of attempts without any progress yet
   std::uint64_t sent_tokens = 0;             ///< prompt tokens sent since the last report to the leader
+  bool reached = false;                      ///< any progress since the last report to the leader
   TimePoint refused_until{};  ///< end of the pause after the replica refused a call as full or draining
   /// Models and adapters that the replica reported as missing although the table lists them.
   std::map<std::pair<ModelName, std::string>, MissingModel> missing;
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -332,6 +332,7 @@
     log_.write(LogLevel::Info, "fleet.seen",
                {{"replicas", static_cast<std::int64_t>(fleet.replicas)},
                 {"routers", static_cast<std::int64_t>(fleet.routers)},
+                {"routers_partitioned", static_cast<std::int64_t>(fleet.partitioned)},
                 {"unreachable", static_cast<std::int64_t>(fleet.unreachable)}});
   }
   logged_fleet_ = fleet;
@@ -421,6 +422,8 @@
   set("ferryrock_cell_voters", "Voters of the cell", static_cast<double>(view.voters));
   set("ferryrock_replicas_known", "Replicas that reported of late", static_cast<double>(fleet.replicas));
   set("ferryrock_routers_offered", "Routers that callers are sent to", static_cast<double>(fleet.routers));
+  set("ferryrock_routers_partitioned", "Routers that reach no replica over their own connections",
+      static_cast<double>(fleet.partitioned));
   set("ferryrock_replicas_unreachable", "Replicas left out of placement, since routers don't reach them",
       static_cast<double>(fleet.unreachable));
   set("ferryrock_catalog_version", "Version of the catalog committed",
--- a/src/services/router_directory.cc
+++ b/src/services/router_directory.cc
@@ -1,8 +1,10 @@
 #include "services/router_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "balance/load_key.h"
 #include "common/hashing.h"
 
 namespace ferryrock::services {
@@ -11,6 +13,9 @@
 constexpr Duration kRouterExpiry = std::chrono::seconds(10);
 /// Routers report unreachable replicas to the leader more often than this.
 constexpr Duration kReachabilityTtl = std::chrono::milliseconds(1000);
+/// A replica counts as reached for this long after a response to any router, or for two status intervals.
+constexpr Duration kReachedTtl = std::chrono::milliseconds(600);
+constexpr int kReachedIntervals = 2;
 /// Number of missed statuses after which a router counts as gone.
 constexpr int kMaxMissedStatuses = 3;
 /// Number of relays per router, of its own zone and of other zones each: a router still has one if the others
@@ -71,6 +76,11 @@
   }
   record.status = status;
   record.last_contact = now;
+  for (const wire::LocalReplicaLoad& load : status.local_loads) {
+    if (load.reached) {
+      reached_at_[load.replica] = now;
+    }
+  }
   return true;
 }
 
@@ -78,6 +88,7 @@
   const Duration expiry = extendedTimeout(kRouterExpiry);
   std::erase_if(routers_,
                 [now, expiry](const auto& item) { return now - item.second.last_contact > expiry; });
+  std::erase_if(reached_at_, [now, expiry](const auto& item) { return now - item.second > expiry; });
 }
 
 Duration RouterDirectory::extendedTimeout(Duration min_timeout) const {
@@ -159,14 +170,31 @@
                     [this, now](const auto& item) { return isOffered(item.second, now); }));
 }
 
+bool RouterDirectory::reportsReachability(const RouterRecord& record, TimePoint now) const {
+  return now - record.last_contact <= extendedTimeout(kReachabilityTtl);
+}
+
 std::set<ReplicaId> RouterDirectory::unreachable(TimePoint now) const {
+  const Duration reached_ttl = std::max(kReachedTtl, kReachedIntervals * status_interval_);
+  const auto reachedLately = [&](const ReplicaId& id) {
+    const auto reached = reached_at_.find(balance::loadKey(id.value));
+    return reached != reached_at_.end() && now - reached->second <= reached_ttl;
+  };
   std::set<ReplicaId> ids;
   for (const auto& [name, record] : routers_) {
-    if (now - record.last_contact <= extendedTimeout(kReachabilityTtl)) {
-      ids.insert(record.status.unreachable.begin(), record.status.unreachable.end());
+    if (record.status.partitioned || !reportsReachability(record, now)) {
+      continue;
     }
+    std::copy_if(record.status.unreachable.begin(), record.status.unreachable.end(),
+                 std::inserter(ids, ids.end()), [&](const ReplicaId& id) { return !reachedLately(id); });
   }
   return ids;
 }
 
+std::size_t RouterDirectory::partitionedCount(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(routers_.begin(), routers_.end(), [&](const auto& item) {
+    return item.second.status.partitioned && reportsReachability(item.second, now);
+  }));
+}
+
 }  // namespace ferryrock::services
--- a/src/services/router_directory.h
+++ b/src/services/router_directory.h
@@ -47,8 +47,12 @@
   /// replicas.
   RelayCandidates relayCandidates(const ZoneName& zone, TimePoint now) const;
 
-  /// Replicas that at least one router with recent contact can't connect to.
+  /// Replicas that no router reaches: at least one router with recent contact can't connect to them, and none
+  /// has had a response of them of late. What a router that reaches no replica reports doesn't count, since
+  /// it says nothing of the replicas.
   std::set<ReplicaId> unreachable(TimePoint now) const;
+  /// Number of routers with recent contact that reach no replica.
+  std::size_t partitionedCount(TimePoint now) const;
 
   /// Sets the interval at which routers report their status to this member. All expiry times are at least
   /// three intervals.
@@ -71,9 +75,12 @@
  private:
   bool isOffered(const RouterRecord& record, TimePoint now) const;
   Duration extendedTimeout(Duration min_timeout) const;
+  bool reportsReachability(const RouterRecord& record, TimePoint now) const;
 
   std::map<NodeName, RouterRecord> routers_;
   Duration status_interval_{};
+  /// When a router last reported a response of the replica, by balance::loadKey() of its ID.
+  std::map<std::uint32_t, TimePoint> reached_at_;
   std::set<NodeName> contacts_;  ///< routers of the leader's last list
   std::uint64_t contacts_digest_ = 0;
 };
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -447,7 +447,8 @@
 }
 
 FleetView ServiceControlImpl::fleet(TimePoint now) const {
-  return {registry_.replicas().size(), directory_.acceptingCount(now), directory_.unreachable(now).size()};
+  return {registry_.replicas().size(), directory_.acceptingCount(now), directory_.partitionedCount(now),
+          directory_.unreachable(now).size()};
 }
 
 std::unique_ptr<ServiceControl> createServiceControl(const ServiceControlSettings& settings,
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -78,6 +78,7 @@
 struct FleetView {
   std::size_t replicas = 0;
   std::size_t routers = 0;      ///< routers that callers may be sent to
+  std::size_t partitioned = 0;  ///< routers that reach no replica over their own connections
   std::size_t unreachable = 0;  ///< replicas left out of placement, since routers don't reach them
   friend bool operator==(const FleetView&, const FleetView&) = default;
 };
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -111,7 +111,8 @@
   std::uint32_t streams = 0;                 ///< attempts in flight
   std::uint32_t pending_prefill_tokens = 0;  ///< prompt tokens of attempts without a first event so far
   std::uint32_t sent_tokens = 0;             ///< prompt tokens sent to the replica since the last status
-  FERRYROCK_FIELDS(LocalReplicaLoad, replica, streams, pending_prefill_tokens, sent_tokens)
+  bool reached = false;                      ///< the replica has sent something since the last status
+  FERRYROCK_FIELDS(LocalReplicaLoad, replica, streams, pending_prefill_tokens, sent_tokens, reached)
 };
 
 /// The shortest gap between two events of a model's streams since the last status.
