Bound the attempts in flight at replicas that refusals crash

Nothing read the header; refusals had no bound over all routers.

Change: from the first such answer on each router bounds its attempts in flight there, at first by its share of the replica's slots, and tries one more now and then, all routers together at 0.15 N a second; a refusal lowers the bound.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -53,14 +53,19 @@
   std::optional<Duration> retry_after;       ///< requested backoff; above zero
   std::string malformed_retry_after;         ///< value of the header if it couldn't be parsed as a time
   std::optional<double> calls_per_second{};  ///< accepted from all routers together; 0 or above
-  bool limit_absent = false;      ///< the replica ran the call and its response states no rate limit
-  std::string malformed_limit{};  ///< value of the header if it couldn't be parsed as a number
-  std::string unknown_header{};   ///< name of the first replica header that this build doesn't know
+  bool limit_absent = false;  ///< the replica ran the call and its response states no rate limit
+  /// The replica crashes if it has to refuse more calls a second than this because it is full; 0 or above.
+  std::optional<double> brittle_refusals{};
+  bool brittle_absent = false;      ///< the replica ran the call and doesn't state that it is brittle
+  std::string malformed_brittle{};  ///< value of the header if it couldn't be parsed as a number
+  std::string malformed_limit{};    ///< value of the header if it couldn't be parsed as a number
+  std::string unknown_header{};     ///< name of the first replica header that this build doesn't know
 
   /// True if the notice contains nothing that has to be handled, except possibly the absence of a limit.
   bool empty() const {
     return !leaving && !retry_after && malformed_retry_after.empty() && !calls_per_second &&
-           malformed_limit.empty() && unknown_header.empty();
+           malformed_limit.empty() && !brittle_refusals && malformed_brittle.empty() &&
+           unknown_header.empty();
   }
 };
 
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -60,6 +60,7 @@
   std::uint64_t limit_changes = 0;    ///< number of times that a replica's rate limit was set or changed
   std::uint64_t limit_waits = 0;      ///< calls that waited for credit under a replica's rate limit
   std::uint64_t limit_refused = 0;    ///< refused: no replica has credit left under its rate limit
+  std::uint64_t brittle_changes = 0;  ///< number of times that a replica began to state that it is brittle
   std::uint64_t partitions = 0;       ///< number of times that the router found itself partitioned
   std::uint64_t relayed = 0;          ///< attempts sent through other routers
   std::uint64_t relay_failures = 0;   ///< part of `relayed` that no relay sent to a replica
@@ -121,6 +122,7 @@
   bool relaysAttempts(TimePoint now) const { return !draining_ && !paths_.isSuspect(now); }
   /// Handles that a relayed attempt of another router has reached the replica at this address, or couldn't.
   Effects onRelayedForOther(const std::string& replica_address, bool reached, TimePoint now);
+  const BrittleReplicas& brittleReplicas() const { return replicas_.brittle(); }
   const ReplicaLimits& replicaLimits() const { return replicas_.limits(); }
   /// Time at which a leader last confirmed the current catalog or sent a newer one; nullopt: never.
   std::optional<TimePoint> lastControlContact() const { return feed_.lastLeaderContact(); }
@@ -288,6 +290,8 @@
                    TimePoint now);
   void applyLimit(const ReplicaId& replica, const ReplicaNotice& notice, std::optional<TimePoint> sent,
                   TimePoint now);
+  /// Records whether the replica is brittle.
+  void applyBrittleness(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
   /// Counts and logs headers that are malformed or unknown.
   void logUnreadableHeaders(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
   void recordGap(Call& call, TimePoint now);
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -97,6 +97,7 @@
       replica->recordMissing(state.need.model, state.need.adapter, now);
     } else if (replica != nullptr && !replicas_.notices().closedUntil(replica_id, now)) {
       replica->refused_until = now + kRefusalBackoff;
+      replicas_.brittle().onRefused(replica_id, replica->outstanding, now);
     }
     log_.write(LogLevel::Info, "call.refused_by_replica",
                {{"request", view(state.request.id.value)},
@@ -133,7 +134,8 @@
     return finish(now);
   }
   const Attempt& answered = *(*call)->second.attempt;
-  if (!notice.empty() || replicas_.limits().isLimited(answered.replica)) {
+  if (!notice.empty() || replicas_.limits().isLimited(answered.replica) ||
+      replicas_.brittle().isBrittle(answered.replica)) {
     applyNotice(answered.replica, notice, answered.sent, now);
   }
   return finish(now);
@@ -161,6 +163,7 @@
                 {"waiting", static_cast<std::int64_t>(waiting_.size())}});
   }
   applyLimit(replica, notice, sent, now);
+  applyBrittleness(replica, notice, now);
   logUnreadableHeaders(replica, notice, now);
 }
 
@@ -184,10 +187,27 @@
   }
 }
 
+void CallRouter::applyBrittleness(const ReplicaId& id, const ReplicaNotice& notice, TimePoint now) {
+  BrittleReplicas& brittle = replicas_.brittle();
+  const Replica* replica = replicas_.find(id);
+  if (notice.brittle_refusals && replica != nullptr) {
+    if (brittle.record(id, *notice.brittle_refusals, replica->routed.slots, now)) {
+      ++counts_.brittle_changes;
+      log_.write(LogLevel::Info, "replica.brittle",
+                 {{"replica", view(id.value)},
+                  {"refusals_per_second", *notice.brittle_refusals},
+                  {"outstanding", static_cast<std::int64_t>(replica->outstanding)}});
+    }
+  } else if (notice.brittle_absent && brittle.isBrittle(id)) {
+    brittle.forget(id);
+    log_.write(LogLevel::Info, "replica.brittle_ended", {{"replica", view(id.value)}});
+  }
+}
+
 void CallRouter::logUnreadableHeaders(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now) {
   counts_.unknown_notice_headers += notice.unknown_header.empty() ? 0 : 1;
   const bool unread = !notice.malformed_retry_after.empty() || !notice.malformed_limit.empty() ||
-                      !notice.unknown_header.empty();
+                      !notice.malformed_brittle.empty() || !notice.unknown_header.empty();
   if (!unread || now < next_unreadable_log_) {
     return;
   }
@@ -196,6 +216,7 @@
              {{"replica", view(replica.value)},
               {"retry_after", view(notice.malformed_retry_after)},
               {"limit", view(notice.malformed_limit)},
+              {"brittle", view(notice.malformed_brittle)},
               {"unknown_header", view(notice.unknown_header)}});
 }
 
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -148,6 +148,7 @@
     unlist(former);
     notices_.forget(former);
     limits_.forget(former);
+    brittle_.forget(former);
   }
   incarnations_[name] = id;
   return true;
@@ -216,6 +217,8 @@
       exclude(ChoiceFailure::Refusing, replica.refused_until);
     } else if (!notices_.admits(id, now)) {
       exclude(ChoiceFailure::Refusing, now + kReopeningRecheckInterval);
+    } else if (const auto full_until = brittle_.closedUntil(id, replica.outstanding, now)) {
+      exclude(ChoiceFailure::Refusing, *full_until);
     } else if (need.credit != id && !limits_.admits(id, now)) {
       exclude(ChoiceFailure::Limited, now + kLimitRecheckInterval);
       none.limited.push_back(id);
@@ -468,6 +471,7 @@
 }
 
 std::optional<ReplicaNotices::Reopening> ReplicaTable::onSent(Replica& replica, TimePoint now) {
+  brittle_.onSent(replica.routed.id, replica.outstanding, now);
   ++replica.outstanding;
   if (replica.probe_at) {
     replica.probe_at = now + kProbeInterval;
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "balance/call_cost.h"
+#include "calls/brittle_replicas.h"
 #include "calls/replica_limits.h"
 #include "calls/replica_notices.h"
 #include "common/random.h"
@@ -117,7 +118,7 @@
   /// Equally loaded replicas are chosen in an order that differs between routers and changes from call to
   /// call.
   ReplicaTable(ZoneName zone, std::uint64_t seed, const ReplicaLimitsSettings& limits = {})
-      : zone_(std::move(zone)), local_home_salt_(seed), limits_(limits), turn_(seed) {}
+      : zone_(std::move(zone)), local_home_salt_(seed), limits_(limits), brittle_(seed), turn_(seed) {}
 
   /// Applies the replicas of an update. A replica that accepts calls again after it was closed is reopened
   /// step by step.
@@ -141,6 +142,9 @@
   /// Rate limits that replicas set for all routers together.
   ReplicaLimits& limits() { return limits_; }
   const ReplicaLimits& limits() const { return limits_; }
+  /// Replicas that refusals may crash.
+  BrittleReplicas& brittle() { return brittle_; }
+  const BrittleReplicas& brittle() const { return brittle_; }
   /// Sets how replicas can be reached. While there are relays, unreachable replicas are probed by takeProbe()
   /// rather than by calls.
   void setPaths(const AvailablePaths& paths) { paths_ = paths; }
@@ -153,7 +157,10 @@
   TimePoint nextProbe() const;
 
   /// Sets the number of routers that share the replicas, including this one.
-  void setRouters(std::uint32_t routers) { routers_ = routers; }
+  void setRouters(std::uint32_t routers) {
+    routers_ = routers;
+    brittle_.setRouters(routers);
+  }
   std::uint32_t routers() const { return routers_; }
 
   /// Applies the aggregated loads that the leader publishes.
@@ -216,6 +223,7 @@
   balance::FleetLoadView board_;
   ReplicaNotices notices_;
   ReplicaLimits limits_;
+  BrittleReplicas brittle_;
   std::uint64_t turn_;
 };
 
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -319,6 +319,10 @@
       static_cast<double>(relay.not_sent));
   set("ferryrock_relay_broken", "Attempts of other routers that broke off without a response",
       static_cast<double>(relay.unknown));
+  set("ferryrock_replicas_brittle", "Replicas that say that refusals crash them",
+      static_cast<double>(router_.brittleReplicas().size()));
+  set("ferryrock_replica_brittle_named", "Times that a replica began to say so",
+      static_cast<double>(counts.brittle_changes));
   set("ferryrock_replica_notices_unknown", "Answers with a header of the replicas' own that isn't known",
       static_cast<double>(counts.unknown_notice_headers));
   const std::optional<TimePoint> proved = router_.catalogProof().provedAt();
--- a/tests/services/relayed_calls_test.cc
+++ b/tests/services/relayed_calls_test.cc
@@ -77,6 +77,7 @@
   fleet.callFor(8s, kCallsPerSecond, false);
   fleet.heal();
   fleet.callFor(3s, kCallsPerSecond, true);
+  fleet.cluster.runFor(1s);
   CHECK(shareServed(fleet.partitioned) > 0.98);
   CHECK(shareServed(fleet.others) > 0.98);
   const std::size_t relayed = fleet.relayed;
