Let routers of the soak lose their links to all replicas

The soak had no partition between routers and replicas, so that it couldn't show RECOVER. First attempts there are judged as the users' rule does.

--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -1,9 +1,11 @@
+#include <algorithm>
 #include <chrono>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http/http.h"
@@ -77,6 +79,44 @@
                 seconds(entry.substr(dash + 1))};
 }
 
+/// A partition of one process from all replicas.
+struct Partition {
+  std::string process;
+  Excuse period;  ///< of the process' address
+};
+
+/// Reads "PROCESS@ADDRESS=FROM-TO", in seconds from `start`; nullopt: the default, there is none.
+std::optional<Partition> readPartition(const std::string& entry, TimePoint start) {
+  const std::size_t at = entry.find('@');
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto period = readExcuse(entry.substr(at + 1), start);
+  return period ? std::optional(Partition{entry.substr(0, at), *period}) : std::nullopt;
+}
+
+/// Carries the partitions out at their times.
+class Partitions {
+ public:
+  Partitions(SoakContext& context, const std::vector<Partition>& partitions) {
+    for (const Partition& partition : partitions) {
+      add(context, partition.period.from,
+          [&context, process = partition.process] { context.links.partition(process); });
+      add(context, partition.period.to,
+          [&context, process = partition.process] { context.links.heal(process); });
+      context.reach.partition(partition.period.router, partition.period.from, partition.period.to);
+    }
+  }
+
+ private:
+  void add(SoakContext& context, TimePoint at, event::Callback callback) {
+    timers_.push_back(context.dispatcher.createTimer(std::move(callback)));
+    timers_.back()->enable(std::max<Duration>(Duration::zero(), at - context.now()));
+  }
+
+  std::vector<std::unique_ptr<event::Timer>> timers_;
+};
+
 /// The start of the plan of faults by the dispatcher's clock.
 TimePoint planStart(const SoakContext& context, double began) {
   if (began <= 0) {
@@ -113,6 +153,10 @@
                         cxxopts::value<std::vector<std::string>>()->default_value(""));
   options.add_options()("crashed", "ADDRESS=FROM-TO: a router and the seconds in which it may lose calls",
                         cxxopts::value<std::vector<std::string>>()->default_value(""));
+  options.add_options()("partitioned", "PROCESS@ADDRESS=FROM-TO: a router that reaches no replica then",
+                        cxxopts::value<std::vector<std::string>>()->default_value(""));
+  options.add_options()("processes", "Folder with a file NAME.pid for each process",
+                        cxxopts::value<std::string>()->default_value(""));
   options.add_options()("began", "Start of the plan of faults, in Unix seconds; 0: now",
                         cxxopts::value<double>()->default_value("0"));
   options.add_options()("clients", "How many clients", cxxopts::value<int>()->default_value("24"));
@@ -125,6 +169,8 @@
   SoakNoticeOracle notices(oracle);
   SoakLimitJudge limits(oracle);
   SoakLossJudge losses(oracle);
+  SoakReachJudge reach(oracle);
+  SoakLinks links(*dispatcher, given["processes"].as<std::string>());
   Random random(given["seed"].as<std::uint64_t>());
   SoakContext context{
       *dispatcher,
@@ -133,6 +179,8 @@
       notices,
       limits,
       losses,
+      reach,
+      links,
       random,
       {given["control"].as<std::vector<std::string>>(), given["directory"].as<std::vector<std::string>>()}};
   const TimePoint start = planStart(context, given["began"].as<double>());
@@ -140,6 +188,7 @@
     if (const auto excused = readExcuse(entry, start)) {
       notices.excuse(excused->router, excused->from, excused->to);
       limits.excuse(excused->router, excused->from, excused->to);
+      reach.excuse(excused->router, excused->from, excused->to);
     }
   }
   for (const std::string& entry : given["crashed"].as<std::vector<std::string>>()) {
@@ -147,6 +196,13 @@
       losses.excuse(crashed->router, crashed->from, crashed->to);
     }
   }
+  std::vector<Partition> planned;
+  for (const std::string& entry : given["partitioned"].as<std::vector<std::string>>()) {
+    if (auto partition = readPartition(entry, start)) {
+      planned.push_back(std::move(*partition));
+    }
+  }
+  const Partitions partitions(context, planned);
   Replicas replicas(context);
   SoakOperator soak_operator(context);
   std::vector<std::unique_ptr<SoakClient>> clients;
@@ -171,6 +227,8 @@
     oracle.breakRule("RECOVER", "service did not come back after the last fault");
   }
   limits.judge();
+  reach.judge();
+  std::cout << "partitions judged " << reach.judged() << "\n";
   std::cout << "limits named " << limits.named() << "\n";
   return report(oracle, served_per_second);
 }
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -11,9 +11,11 @@
 #include "common/random.h"
 #include "http/http.h"
 #include "platform/soak/soak_limit_judge.h"
+#include "platform/soak/soak_links.h"
 #include "platform/soak/soak_loss_judge.h"
 #include "platform/soak/soak_notice_oracle.h"
 #include "platform/soak/soak_oracle.h"
+#include "platform/soak/soak_reach_judge.h"
 
 namespace ferryrock::platform {
 
@@ -30,6 +32,8 @@
   SoakNoticeOracle& notices;
   SoakLimitJudge& limits;
   SoakLossJudge& losses;
+  SoakReachJudge& reach;
+  SoakLinks& links;
   Random& random;
   SoakAddresses addresses;
 
@@ -100,6 +104,7 @@
   bool with_models_;
   std::int64_t born_;  ///< Unix milliseconds of its start; 0: it doesn't tell
   std::unique_ptr<http::Server> server_;
+  std::uint16_t port_ = 0;  ///< at which the processes reach it
   std::unique_ptr<event::Timer> beat_timer_;
   std::unique_ptr<event::Timer> load_timer_;
   std::unique_ptr<event::Timer> end_timer_;
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -258,6 +258,23 @@
   }
 }
 
+TEST_CASE("How many refusals a second a replica survives is read from each of its answers") {
+  CHECK(kDialect.notice(200, {{"Server-Brittle", "6"}}).brittle_refusals == 6);
+  CHECK(kDialect.notice(503, {{"server-brittle", "2.5"}}).brittle_refusals == 2.5);
+  CHECK(kDialect.notice(200, {{"Server-Brittle", "0"}}).brittle_refusals == 0);
+  CHECK(kDialect.notice(200, {{"Server-Brittle", "9"}, {"Server-Brittle", "4"}}).brittle_refusals == 4);
+  for (const char* text : {"", "few", "-1", "3x", "nan", "inf"}) {
+    const calls::ReplicaNotice notice = kDialect.notice(200, {{"Server-Brittle", text}});
+    CHECK_FALSE(notice.brittle_refusals);
+    CHECK_FALSE(notice.malformed_brittle.empty());
+    CHECK_FALSE(notice.brittle_absent);
+    CHECK(notice.unknown_header.empty());
+  }
+  CHECK(kDialect.notice(200, {}).brittle_absent);
+  CHECK_FALSE(kDialect.notice(503, {}).brittle_absent);
+  CHECK_FALSE(kDialect.notice(421, {{"Server-Brittle", "6"}}).brittle_refusals);
+}
+
 TEST_CASE("A header of the replicas' own that isn't known is told") {
   CHECK(kDialect.notice(200, {{"X-Odd", "1"}, {"Server-Mood", "low"}}).unknown_header == "Server-Mood");
   CHECK(kDialect.notice(200, {{"Server", "x"}, {"Server-Limit", "1"}, {"Server-Leaving", "1"}})
