Tell partitions of a router apart by service

Cause: one state for all services; any response ended the partition. And a relay that couldn't connect to a replica made the replica unreachable for all relays. Change: paths are judged by service; relays are left out for a service; a relay declines at once what it knows it can't reach; a replica counts as out of reach of relays when two in a row couldn't connect.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -221,7 +221,7 @@
   Call& state = call->second;
   Replica& replica = *choice.replica;
   const std::optional<balance::FleetLoad>& use = choice.use;
-  const std::optional<Relay> relay = choice.relayed ? chooseRelay(now) : std::nullopt;
+  const std::optional<Relay> relay = choice.relayed ? chooseRelay(state.need.service, now) : std::nullopt;
   waiting_.erase(call->first);
   chargeRetry(state, now);
   const AttemptNumber number{next_attempt_++};
@@ -234,7 +234,7 @@
     relays_.onSent(relay->router);
     ++counts_.relayed;
   } else {
-    paths_.onSent(number, replica.routed.id, now);
+    paths_[state.need.service].onSent(number, replica.routed.id, now);
   }
   attempt.pending_prefill_tokens = state.need.prompt_tokens;
   replica.pending_prefill_tokens += state.need.prompt_tokens;
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -115,11 +115,14 @@
   std::size_t openCalls() const { return calls_.size(); }
   std::size_t knownReplicas() const { return replicas_.size(); }
   const ReplicaNotices& replicaNotices() const { return replicas_.notices(); }
-  const DirectPaths& directPaths() const { return paths_; }
+  /// True if the router reaches no replica over its own connections.
+  bool isPartitioned() const;
   /// Sets the address at which this router relays attempts of other routers, "host:port".
   void setRelayAddress(std::string address) { feed_.setRelayAddress(std::move(address)); }
-  /// True if this router relays attempts of other routers now: it reaches replicas and isn't draining.
-  bool relaysAttempts(TimePoint now) const { return !draining_ && !paths_.isSuspect(now); }
+  /// True if this router relays attempts of other routers: it reaches some replica and isn't draining.
+  bool relaysAttempts() const { return !draining_ && !isPartitioned(); }
+  /// False if this router knows that it can't connect to the replica at this address.
+  bool reachesReplicaAt(const std::string& address, TimePoint now) const;
   /// Handles that a relayed attempt of another router has reached the replica at this address, or couldn't.
   Effects onRelayedForOther(const std::string& replica_address, bool reached, TimePoint now);
   const BrittleReplicas& brittleReplicas() const { return replicas_.brittle(); }
@@ -238,21 +241,19 @@
   /// Determines how replicas can be reached now.
   void updatePaths(TimePoint now);
   /// Records that bytes of the attempt's replica have arrived.
-  void recordProgress(const Attempt& attempt, TimePoint now);
+  void recordProgress(const Call& call, TimePoint now);
   /// Records that the attempt certainly wasn't sent, or that its connection broke.
-  void recordPathFailure(const Attempt& attempt, AttemptFailure failure, const std::string& address,
-                         TimePoint now);
+  void recordPathFailure(const Attempt& attempt, AttemptFailure failure, const ServiceName& service,
+                         const std::string& address, TimePoint now);
   /// Probes the connection to a replica that couldn't be reached, at no caller's expense.
   void probePaths(TimePoint now);
-  /// Records what a probe over a connection of this router shows about its path to the replica.
-  void recordProbedPath(const ReplicaId& replica, const std::string& address, ProbeOutcome outcome,
-                        TimePoint now);
   TimePoint nextPathProbe() const;
   /// Refuses a call whose replicas can't be reached by any path, if another router may serve it. Returns true
   /// if the call has ended.
   bool refuseUnreachable(CallPointer call, const Choice& choice, TimePoint now);
-  /// Returns a relay for a probe that this router's own link can't decide; nullopt: none.
-  std::optional<Relay> chooseRelay(TimePoint now) const;
+  /// Returns a relay to replicas of the service; nullopt: none.
+  std::optional<Relay> chooseRelay(const ServiceName& service, TimePoint now) const;
+  bool isSuspect(const ServiceName& service, TimePoint now) const;
   /// Called when the replica has accepted the attempt and runs it.
   void onAttemptAccepted(Attempt& attempt);
   // call_router_limits.cc
@@ -331,10 +332,10 @@
   RetryBudget budget_;
   tenancy::QuotaClient quota_;
   ReplicaTable replicas_;
-  DirectPaths paths_;
+  std::map<ServiceName, DirectPaths> paths_;
   RelayRouters relays_;
   TimePoint next_path_probe_{};
-  std::optional<TimePoint> partitioned_since_;
+  std::map<ServiceName, TimePoint> partitioned_since_;
   TrafficSplit split_;
   ExpectedLoads loads_;
   ModelInterests interests_;
@@ -358,10 +359,14 @@
   quarantine::CrashLedger crashes_;
   /// A pending probe, with the calls that the replica broke off.
   struct PendingProbe {
+    ServiceName service;
     std::string address;
     bool relayed = false;
     std::vector<ProbedCall> calls;
   };
+  /// Records what a probe over a connection of this router shows about its path to the replica.
+  void recordProbedPath(const ReplicaId& replica, const PendingProbe& probe, ProbeOutcome outcome,
+                        TimePoint now);
   std::map<ReplicaId, PendingProbe> pending_probes_;
   TimePoint next_crash_expiry_{};
   bool draining_ = false;
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -62,7 +62,7 @@
 Replica* CallRouter::release(Call& call) {
   onPromptPrefilled(*call.attempt);
   const Attempt attempt = *call.attempt;
-  paths_.onReleased(attempt.number);
+  paths_[call.need.service].onReleased(attempt.number);
   if (attempt.relay) {
     relays_.onReleased(*attempt.relay);
   }
@@ -90,7 +90,7 @@
   if (!answer.proven_not_run) {
     onAttemptAccepted(*state.attempt);
   }
-  recordProgress(*state.attempt, now);
+  recordProgress(state, now);
   Replica* replica = release(state);
   if (answer.proven_not_run) {
     if (replica != nullptr && answer.status == kMisdirected && !state.need.model.empty()) {
@@ -227,7 +227,7 @@
     return finish(now);
   }
   Call& state = (*call)->second;
-  recordProgress(*state.attempt, now);
+  recordProgress(state, now);
   onPromptPrefilled(*state.attempt);
   onAttemptAccepted(*state.attempt);
   const bool known = id && state.last_event && *id <= *state.last_event;
@@ -281,7 +281,7 @@
     return finish(now);
   }
   Call& state = (*call)->second;
-  recordProgress(*state.attempt, now);
+  recordProgress(state, now);
   startStream(*call, attempt, now);
   onAttemptAccepted(*state.attempt);
   if (Replica* replica = release(state)) {
@@ -334,7 +334,7 @@
   const Replica* failed = replicas_.find(replica_id);
   const std::string address = failed == nullptr ? std::string() : failed->routed.address;
   release(state);
-  recordPathFailure(attempt_state, failure, address, now);
+  recordPathFailure(attempt_state, failure, state.need.service, address, now);
   if (not_run) {
     constexpr bool kSpendsBudget = false;
     retryNotRun(*call, ResultCode::NoReplica, kSpendsBudget, now);
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -172,24 +172,28 @@
 }
 
 void CallRouter::logPartition(TimePoint now) {
-  if (paths_.isPartitioned() == partitioned_since_.has_value()) {
-    return;
-  }
-  feed_.expedite();
-  if (paths_.isPartitioned()) {
-    partitioned_since_ = now;
+  for (const auto& [service, paths] : paths_) {
+    const auto since = partitioned_since_.find(service);
+    if (paths.isPartitioned() == (since != partitioned_since_.end())) {
+      continue;
+    }
+    feed_.expedite();
+    if (since != partitioned_since_.end()) {
+      log_.write(LogLevel::Info, "router.reaches_replicas",
+                 {{"service", view(service.value)}, {"partitioned_ms", toMilliseconds(now - since->second)}});
+      partitioned_since_.erase(since);
+      continue;
+    }
+    partitioned_since_[service] = now;
     ++counts_.partitions;
     log_.write(LogLevel::Warning, "router.partitioned",
-               {{"unreachable", static_cast<std::int64_t>(paths_.unreachableCount())},
+               {{"service", view(service.value)},
+                {"unreachable", static_cast<std::int64_t>(paths.unreachableCount())},
                 {"replicas", static_cast<std::int64_t>(replicas_.size())},
-                {"last_progress_ms_ago", toMilliseconds(now - paths_.lastProgress())},
+                {"last_progress_ms_ago", toMilliseconds(now - paths.lastProgress())},
                 {"running", static_cast<std::int64_t>(attempts_.size())},
                 {"waiting", static_cast<std::int64_t>(waiting_.size())}});
-    return;
   }
-  log_.write(LogLevel::Info, "router.reaches_replicas",
-             {{"partitioned_ms", toMilliseconds(now - *partitioned_since_)}});
-  partitioned_since_.reset();
 }
 
 void CallRouter::sendStatuses(TimePoint now) {
@@ -204,7 +208,7 @@
   updatePaths(now);
   RouterState state{modelCalls(now),           replicas_.unreachable(now), ready(),
                     catalogVersion(),          crashes_.digest(),          replicas_.takeLocalLoads(),
-                    replicas_.takeEventGaps(), interests_.list(now),       paths_.isPartitioned(),
+                    replicas_.takeEventGaps(), interests_.list(now),       isPartitioned(),
                     relays_.digest()};
   for (wire::SendEffect& send : feed_.statuses(std::move(state), now)) {
     effects_.emplace_back(std::move(send));
--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -28,7 +28,9 @@
 void CallRouter::probe(Call& call, const ReplicaId& replica, const std::string& address, TimePoint now) {
   const auto [pending, inserted] = pending_probes_.try_emplace(replica);
   if (inserted) {
-    const std::optional<Relay> relay = paths_.isSuspect(now) ? chooseRelay(now) : std::nullopt;
+    const ServiceName& service = call.need.service;
+    const std::optional<Relay> relay = isSuspect(service, now) ? chooseRelay(service, now) : std::nullopt;
+    pending->second.service = service;
     pending->second.address = address;
     pending->second.relayed = relay.has_value();
     effects_.emplace_back(ProbeReplicaEffect{replica, address, relay});
@@ -46,7 +48,7 @@
   }
   const bool refused = outcome == ProbeOutcome::Refused;
   if (!probed->second.relayed) {
-    recordProbedPath(replica, probed->second.address, outcome, now);
+    recordProbedPath(replica, probed->second, outcome, now);
     if (refused && !probed->second.calls.empty() && confirmTermination(replica, now)) {
       return finish(now);
     }
@@ -70,11 +72,11 @@
 /// A refused connection shows that a replica has terminated only if it isn't this router's own link that
 /// refuses it.
 bool CallRouter::confirmTermination(const ReplicaId& replica, TimePoint now) {
-  const std::optional<Relay> relay = chooseRelay(now);
+  PendingProbe& pending = pending_probes_.at(replica);
+  const std::optional<Relay> relay = chooseRelay(pending.service, now);
   if (!relay) {
     return false;
   }
-  PendingProbe& pending = pending_probes_.at(replica);
   pending.relayed = true;
   effects_.emplace_back(ProbeReplicaEffect{replica, pending.address, relay});
   return true;
--- a/src/calls/call_router_paths.cc
+++ b/src/calls/call_router_paths.cc
@@ -18,33 +18,63 @@
 
 }  // namespace
 
+bool CallRouter::isSuspect(const ServiceName& service, TimePoint now) const {
+  const auto paths = paths_.find(service);
+  return paths != paths_.end() && paths->second.isSuspect(now);
+}
+
+/// A service without traffic since a partition began doesn't count: nothing is known of its replicas.
+bool CallRouter::isPartitioned() const {
+  return std::any_of(paths_.begin(), paths_.end(), [this](const auto& item) {
+    const DirectPaths& lost = item.second;
+    return lost.isPartitioned() && std::all_of(paths_.begin(), paths_.end(), [&lost](const auto& other) {
+             return other.second.lastProgress() <= lost.unreachableSince();
+           });
+  });
+}
+
+bool CallRouter::reachesReplicaAt(const std::string& address, TimePoint now) const {
+  const Replica* replica = replicas_.findByAddress(address);
+  return replica == nullptr || (!replica->probe_at && !isSuspect(replica->routed.service, now));
+}
+
 /// Without relays the router's own connections are tried even if they are in doubt.
 void CallRouter::updatePaths(TimePoint now) {
-  const bool relayed = relays_.anyAvailable(now);
-  replicas_.setPaths({!relayed || !paths_.isSuspect(now), relayed});
+  AvailablePaths available;
+  available.relayed = relays_.anyAvailable({}, now);
+  for (const auto& [service, paths] : paths_) {
+    const bool relayed = relays_.anyAvailable(service, now);
+    if (!relayed) {
+      available.not_relayed.insert(service);
+    } else if (paths.isSuspect(now)) {
+      available.suspect.insert(service);
+    }
+  }
+  replicas_.setPaths(available);
 }
 
-std::optional<Relay> CallRouter::chooseRelay(TimePoint now) const {
-  const std::optional<wire::RelayRouter> relay = relays_.choose(now);
+std::optional<Relay> CallRouter::chooseRelay(const ServiceName& service, TimePoint now) const {
+  const std::optional<wire::RelayRouter> relay = relays_.choose(service, now);
   return relay ? std::optional(Relay{relay->router, relay->address}) : std::nullopt;
 }
 
-void CallRouter::recordProgress(const Attempt& attempt, TimePoint now) {
+void CallRouter::recordProgress(const Call& call, TimePoint now) {
+  const Attempt& attempt = *call.attempt;
   Replica* replica = replicas_.find(attempt.replica);
   if (attempt.relay) {
-    relays_.onForwarded(*attempt.relay);
+    relays_.onForwarded(*attempt.relay, call.need.service);
     const bool first = replica != nullptr && ReplicaTable::onRelayedProgress(*replica, now);
     dispatch_pending_ = dispatch_pending_ || first;
     return;
   }
-  paths_.onProgress(now);
+  paths_[call.need.service].onProgress(now);
   const bool first = replica != nullptr && replicas_.onProgress(*replica, now);
   dispatch_pending_ = dispatch_pending_ || first;
 }
 
 /// An unreachable replica isn't ejected while it can be reached through relays.
-void CallRouter::recordPathFailure(const Attempt& attempt, AttemptFailure failure, const std::string& address,
-                                   TimePoint now) {
+void CallRouter::recordPathFailure(const Attempt& attempt, AttemptFailure failure, const ServiceName& service,
+                                   const std::string& address, TimePoint now) {
   Replica* replica = replicas_.find(attempt.replica);
   if (failure == AttemptFailure::RelayFailed) {
     ++counts_.relay_failures;
@@ -52,8 +82,10 @@
     return;
   }
   const bool unreachable = failure == AttemptFailure::NotSent;
-  if (unreachable && !attempt.relay) {
-    paths_.onUnreachable(address);
+  if (unreachable && attempt.relay) {
+    relays_.onUnreachable(*attempt.relay, service, now);
+  } else if (unreachable) {
+    paths_[service].onUnreachable(address, now);
   }
   if (replica == nullptr) {
     return;
@@ -65,7 +97,7 @@
   }
   if (!unreachable) {
     replica->health.onFailure(router::HealthFailure::Failed, now, random_);
-  } else if (attempt.relay || !relays_.anyAvailable(now)) {
+  } else if (!attempt.relay && !relays_.anyAvailable(service, now)) {
     replica->health.onFailure(router::HealthFailure::Unreachable, now, random_);
   }
 }
@@ -82,6 +114,7 @@
   next_path_probe_ = now + kPathProbeInterval;
   const auto [pending, inserted] = pending_probes_.try_emplace(replica->routed.id);
   if (inserted) {
+    pending->second.service = replica->routed.service;
     pending->second.address = replica->routed.address;
     effects_.emplace_back(ProbeReplicaEffect{replica->routed.id, replica->routed.address, std::nullopt});
   }
@@ -93,26 +126,35 @@
 }
 
 /// The response of another incarnation at the address also shows that the path works.
-void CallRouter::recordProbedPath(const ReplicaId& id, const std::string& address, ProbeOutcome outcome,
+void CallRouter::recordProbedPath(const ReplicaId& id, const PendingProbe& probe, ProbeOutcome outcome,
                                   TimePoint now) {
   Replica* replica = replicas_.find(id);
   if (outcome == ProbeOutcome::Alive || outcome == ProbeOutcome::Terminated) {
-    paths_.onProgress(now);
+    paths_[probe.service].onProgress(now);
     const bool first = replica != nullptr && replicas_.onProgress(*replica, now);
     dispatch_pending_ = dispatch_pending_ || first;
     return;
   }
-  paths_.onUnreachable(address);
+  paths_[probe.service].onUnreachable(probe.address, now);
   if (replica != nullptr) {
     replicas_.onUnreachable(*replica, now);
   }
 }
 
 Effects CallRouter::onRelayedForOther(const std::string& replica_address, bool reached, TimePoint now) {
+  const Replica* known = replicas_.findByAddress(replica_address);
+  Replica* replica = known == nullptr ? nullptr : replicas_.find(known->routed.id);
+  if (replica == nullptr) {
+    return finish(now);
+  }
+  DirectPaths& paths = paths_[replica->routed.service];
   if (reached) {
-    paths_.onProgress(now);
+    paths.onProgress(now);
+    const bool first = replicas_.onProgress(*replica, now);
+    dispatch_pending_ = dispatch_pending_ || first;
   } else {
-    paths_.onUnreachable(replica_address);
+    paths.onUnreachable(replica_address, now);
+    replicas_.onUnreachable(*replica, now);
   }
   return finish(now);
 }
@@ -121,7 +163,8 @@
   const Call& state = call->second;
   const bool elsewhere =
       choice.failure == ChoiceFailure::NotHeld || choice.failure == ChoiceFailure::NoReplica;
-  if (!choice.unreachable || !elsewhere || !paths_.isPartitioned() || state.may_have_run || state.started) {
+  if (!choice.unreachable || !elsewhere || !isSuspect(state.need.service, now) || state.may_have_run ||
+      state.started) {
     return false;
   }
   refuse(call, ResultCode::RouterPartitioned,
--- a/src/calls/direct_paths.cc
+++ b/src/calls/direct_paths.cc
@@ -20,6 +20,11 @@
   unreachable_.clear();
 }
 
+void DirectPaths::onUnreachable(const std::string& replica_address, TimePoint now) {
+  unreachable_since_ = unreachable_.empty() ? now : unreachable_since_;
+  unreachable_.insert(replica_address);
+}
+
 bool DirectPaths::isSilent(TimePoint now) const {
   if (now - last_progress_ < kSilenceTime || outstanding_.size() < kMinSilentAttempts) {
     return false;
--- a/src/calls/direct_paths.h
+++ b/src/calls/direct_paths.h
@@ -8,8 +8,8 @@
 
 namespace ferryrock::calls {
 
-/// Decides whether this router is partitioned from the replicas: whether attempts fail because of the
-/// router's own links rather than because of the replicas. Considers only attempts and probes over the
+/// Decides whether this router is partitioned from the replicas of one service: whether attempts fail because
+/// of the router's own links rather than because of the replicas. Considers only attempts and probes over the
 /// router's own connections, not those that other routers relay. Not thread-safe; used by one thread.
 ///
 /// The router counts as partitioned once several replicas can't be reached and none has shown any progress
@@ -22,7 +22,7 @@
   /// Bytes of the replica have arrived.
   void onProgress(TimePoint now);
   /// A connection to the replica couldn't be opened, or broke and couldn't be opened again.
-  void onUnreachable(const std::string& replica_address) { unreachable_.insert(replica_address); }
+  void onUnreachable(const std::string& replica_address, TimePoint now);
 
   bool isPartitioned() const { return unreachable_.size() >= kMinUnreachable; }
   /// True if the router is partitioned or in doubt.
@@ -30,6 +30,8 @@
   /// Number of replicas found unreachable since the last progress.
   std::size_t unreachableCount() const { return unreachable_.size(); }
   TimePoint lastProgress() const { return last_progress_; }
+  /// When the first of the unreachable replicas was found.
+  TimePoint unreachableSince() const { return unreachable_since_; }
 
  private:
   static constexpr std::size_t kMinUnreachable = 2;
@@ -43,6 +45,7 @@
 
   std::map<AttemptNumber, Outstanding> outstanding_;
   std::set<std::string> unreachable_;  ///< addresses of replicas
+  TimePoint unreachable_since_{};
   TimePoint last_progress_{};
 };
 
--- a/src/calls/relay_routers.cc
+++ b/src/calls/relay_routers.cc
@@ -21,8 +21,8 @@
     Relay relay = known == relays_.end() ? Relay{} : known->second;
     // Another address is another process, which hasn't failed yet.
     if (relay.router.address != router.address) {
-      relay.failures = 0;
-      relay.excluded_until = {};
+      relay.exclusion = {};
+      relay.service_exclusions.clear();
     }
     relay.router = router;
     next.emplace(router.router, std::move(relay));
@@ -31,18 +31,28 @@
   digest_ = wire::relaysDigest(relays);
 }
 
-bool RelayRouters::anyAvailable(TimePoint now) const {
+void RelayRouters::Exclusion::extend(TimePoint now) {
+  const std::uint32_t doublings = std::min(failures++, kMaxDoublings);
+  until = now + std::min(kMaxExclusion, kFirstExclusion * (1U << doublings));
+}
+
+bool RelayRouters::Relay::available(const ServiceName& service, TimePoint now) const {
+  const auto excluded = service_exclusions.find(service);
+  return now >= exclusion.until && (excluded == service_exclusions.end() || now >= excluded->second.until);
+}
+
+bool RelayRouters::anyAvailable(const ServiceName& service, TimePoint now) const {
   return std::any_of(relays_.begin(), relays_.end(),
-                     [now](const auto& item) { return now >= item.second.excluded_until; });
+                     [&](const auto& item) { return item.second.available(service, now); });
 }
 
-std::optional<wire::RelayRouter> RelayRouters::choose(TimePoint now) const {
+std::optional<wire::RelayRouter> RelayRouters::choose(const ServiceName& service, TimePoint now) const {
   const Relay* best = nullptr;
   const auto rank = [this](const Relay& relay) {
     return std::make_tuple(relay.router.zone != zone_, relay.outstanding);
   };
   for (const auto& [name, relay] : relays_) {
-    if (now >= relay.excluded_until && (best == nullptr || rank(relay) < rank(*best))) {
+    if (relay.available(service, now) && (best == nullptr || rank(relay) < rank(*best))) {
       best = &relay;
     }
   }
@@ -63,21 +73,26 @@
   }
 }
 
-void RelayRouters::onForwarded(const NodeName& relay) {
+void RelayRouters::onForwarded(const NodeName& relay, const ServiceName& service) {
   const auto found = relays_.find(relay);
   if (found != relays_.end()) {
-    found->second.failures = 0;
-    found->second.excluded_until = {};
+    found->second.exclusion = {};
+    found->second.service_exclusions.erase(service);
   }
 }
 
 void RelayRouters::onFailure(const NodeName& relay, TimePoint now) {
   const auto found = relays_.find(relay);
-  if (found == relays_.end()) {
-    return;
+  if (found != relays_.end()) {
+    found->second.exclusion.extend(now);
+  }
+}
+
+void RelayRouters::onUnreachable(const NodeName& relay, const ServiceName& service, TimePoint now) {
+  const auto found = relays_.find(relay);
+  if (found != relays_.end()) {
+    found->second.service_exclusions[service].extend(now);
   }
-  const std::uint32_t doublings = std::min(found->second.failures++, kMaxDoublings);
-  found->second.excluded_until = now + std::min(kMaxExclusion, kFirstExclusion * (1U << doublings));
 }
 
 }  // namespace ferryrock::calls
--- a/src/calls/relay_routers.h
+++ b/src/calls/relay_routers.h
@@ -23,25 +23,33 @@
   /// wire::relaysDigest() of the current list.
   std::uint64_t digest() const { return digest_; }
   bool empty() const { return relays_.empty(); }
-  /// True if choose() would return a relay.
-  bool anyAvailable(TimePoint now) const;
-  /// Returns the available relay with the fewest attempts of this router, one of the local zone if there is
-  /// any; nullopt: none is available.
-  std::optional<wire::RelayRouter> choose(TimePoint now) const;
+  /// True if choose() would return a relay for the service.
+  bool anyAvailable(const ServiceName& service, TimePoint now) const;
+  /// Returns the available relay to replicas of the service with the fewest attempts of this router, one of
+  /// the local zone if there is any; nullopt: none is available.
+  std::optional<wire::RelayRouter> choose(const ServiceName& service, TimePoint now) const;
 
   void onSent(const NodeName& relay);
   void onReleased(const NodeName& relay);
-  /// The relay forwarded an attempt.
-  void onForwarded(const NodeName& relay);
+  /// The relay forwarded an attempt to a replica of the service.
+  void onForwarded(const NodeName& relay, const ServiceName& service);
   /// The relay wasn't reached, or refused to forward an attempt.
   void onFailure(const NodeName& relay, TimePoint now);
+  /// The relay couldn't connect to a replica of the service.
+  void onUnreachable(const NodeName& relay, const ServiceName& service, TimePoint now);
 
  private:
+  struct Exclusion {
+    std::uint32_t failures = 0;  ///< failures in a row
+    TimePoint until{};
+    void extend(TimePoint now);
+  };
   struct Relay {
     wire::RelayRouter router;
     std::uint32_t outstanding = 0;  ///< attempts of this router in flight
-    std::uint32_t failures = 0;     ///< failures in a row
-    TimePoint excluded_until{};
+    Exclusion exclusion;
+    std::map<ServiceName, Exclusion> service_exclusions;
+    bool available(const ServiceName& service, TimePoint now) const;
   };
 
   ZoneName zone_;
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -41,6 +41,9 @@
 constexpr Duration kLimitRecheckInterval = std::chrono::milliseconds(100);
 /// Interval between two probes of an unreachable replica.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+/// Number of relays in a row that couldn't connect to a replica before it counts as unreachable for all: one
+/// alone may be partitioned itself.
+constexpr std::uint32_t kMaxRelayFailures = 2;
 
 std::uint64_t homeWeight(const Replica& replica, std::uint64_t key) {
   return stableHash(replica.routed.id.value, key);
@@ -176,6 +179,13 @@
   return found == replicas_.end() ? nullptr : &found->second;
 }
 
+const Replica* ReplicaTable::findByAddress(const std::string& address) const {
+  const auto found = std::find_if(replicas_.begin(), replicas_.end(), [&address](const auto& item) {
+    return item.second.listed && item.second.routed.address == address;
+  });
+  return found == replicas_.end() ? nullptr : &found->second;
+}
+
 /// Keeps the matching options, or all of them if none matches.
 void ReplicaTable::keepIf(Options& options, const std::function<bool(const Replica&)>& matches) {
   Options kept;
@@ -266,11 +276,12 @@
 
 /// While there are relays, no call tries a connection that failed: the router's probes do.
 bool ReplicaTable::reachedDirectly(const Replica& replica, TimePoint now) const {
-  return paths_.direct && (paths_.relayed ? !replica.probe_at : !replica.unreachable(now));
+  return !isSuspect(replica) && (paths_.relayed ? !replica.probe_at : !replica.unreachable(now));
 }
 
 bool ReplicaTable::reachedByRelay(const Replica& replica, TimePoint now) const {
-  return paths_.relayed && !replica.unreachableByRelay(now);
+  return paths_.relayed && !paths_.not_relayed.contains(replica.routed.service) &&
+         !replica.unreachableByRelay(now);
 }
 
 TimePoint ReplicaTable::retryTime(const Replica& replica, TimePoint now) {
@@ -316,11 +327,8 @@
 
 std::vector<ReplicaId> ReplicaTable::unreachable(TimePoint now) const {
   std::vector<ReplicaId> ids;
-  if (!paths_.direct) {
-    return ids;
-  }
   for (const auto& [id, replica] : replicas_) {
-    if (replica.listed && replica.unreachable(now)) {
+    if (replica.listed && replica.unreachable(now) && !isSuspect(replica)) {
       ids.push_back(id);
     }
   }
@@ -335,14 +343,15 @@
       return &replica;
     }
   }
-  if (paths_.direct || replicas_.empty()) {
+  if (paths_.suspect.empty() || replicas_.empty()) {
     return nullptr;
   }
   // The connections are in doubt, although none has failed so far.
   auto next = replicas_.upper_bound(last_probed_);
   next = next == replicas_.end() ? replicas_.begin() : next;
   last_probed_ = next->first;
-  return next->second.listed && !next->second.probe_at ? &next->second : nullptr;
+  const Replica& replica = next->second;
+  return replica.listed && !replica.probe_at && isSuspect(replica) ? &replica : nullptr;
 }
 
 TimePoint ReplicaTable::nextProbe() const {
@@ -486,7 +495,10 @@
 }
 
 void ReplicaTable::onUnreachableByRelay(Replica& replica, TimePoint now) {
-  replica.relay_retry_at = now + kProbeInterval;
+  if (++replica.relay_failures >= kMaxRelayFailures) {
+    replica.relay_failures = 0;
+    replica.relay_retry_at = now + kProbeInterval;
+  }
 }
 
 bool ReplicaTable::onProgress(Replica& replica, TimePoint now) {
@@ -499,6 +511,7 @@
 bool ReplicaTable::onRelayedProgress(Replica& replica, TimePoint now) {
   replica.health.onProgress(now);
   replica.reached = true;
+  replica.relay_failures = 0;
   return std::exchange(replica.relay_retry_at, std::nullopt).has_value();
 }
 
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -46,9 +46,10 @@
   /// Set after a failed connection. The replica gets no calls over this router's connections until then;
   /// after that, one call or a probe of the router shows whether it can be reached again.
   std::optional<TimePoint> probe_at;
-  /// Set after a relay couldn't connect to the replica: no relay is used for it until then.
+  /// Set after several relays in a row couldn't connect to the replica: none is used for it until then.
   std::optional<TimePoint> relay_retry_at;
-  bool listed = true;  ///< the leader lists the replica
+  std::uint32_t relay_failures = 0;  ///< relays in a row that couldn't connect to it
+  bool listed = true;                ///< the leader lists the replica
   /// During slow start the replica is avoided, since it may crash under a load that it handles later.
   TimePoint slow_until{};
 
@@ -107,8 +108,9 @@
 
 /// How attempts can reach replicas at present.
 struct AvailablePaths {
-  bool direct = true;    ///< over this router's own connections
-  bool relayed = false;  ///< through other routers
+  bool relayed = false;               ///< some router relays attempts
+  std::set<ServiceName> suspect;      ///< services that this router's own connections aren't used for
+  std::set<ServiceName> not_relayed;  ///< services that no router relays to now, though it may to others
 };
 
 /// The replicas that the leader lists, and those that still have attempts in flight. Not thread-safe; used by
@@ -127,6 +129,8 @@
   /// may hold a model that none of the listed ones holds.
   void setSubscribed(bool subscribed) { subscribed_ = subscribed; }
   Replica* find(const ReplicaId& id);
+  /// Returns the listed replica at this address; nullptr: none.
+  const Replica* findByAddress(const std::string& address) const;
   /// Chooses the replica for a call: healthy, not tried yet and least loaded. Calls with the same affinity
   /// key share a home replica unless it is much busier than the others. An ejected replica is used only if
   /// there is no other.
@@ -148,8 +152,8 @@
   /// Sets how replicas can be reached. While there are relays, unreachable replicas are probed by takeProbe()
   /// rather than by calls.
   void setPaths(const AvailablePaths& paths) { paths_ = paths; }
-  /// Replicas to which no connection can be established at present. Empty while the router's own connections
-  /// are unusable, since that says nothing of the replicas.
+  /// Replicas to which no connection can be established at present, except those of services that this
+  /// router's own connections aren't used for, since that says nothing of the replicas.
   std::vector<ReplicaId> unreachable(TimePoint now) const;
   /// Returns a replica whose connection should be probed now, and schedules its next probe; nullptr: none.
   const Replica* takeProbe(TimePoint now);
@@ -188,6 +192,7 @@
   using Options = std::vector<Replica*>;
 
   static void keepIf(Options& options, const std::function<bool(const Replica&)>& matches);
+  bool isSuspect(const Replica& replica) const { return paths_.suspect.contains(replica.routed.service); }
   bool reachedDirectly(const Replica& replica, TimePoint now) const;
   bool reachedByRelay(const Replica& replica, TimePoint now) const;
   /// Time at which an unreachable replica may be tried again.
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -100,7 +100,10 @@
 
 RelayCallbacks CallRouterShell::relayCallbacks() {
   RelayCallbacks callbacks;
-  callbacks.accepts = [this] { return router_.relaysAttempts(now()); };
+  callbacks.accepts = [this] { return router_.relaysAttempts(); };
+  callbacks.reaches = [this](const std::string& replica_address) {
+    return router_.reachesReplicaAt(replica_address, now());
+  };
   callbacks.on_reached = [this](const std::string& replica_address) {
     carryOut(router_.onRelayedForOther(replica_address, true, now()));
   };
@@ -305,7 +308,7 @@
   set("ferryrock_calls_refused_limit", "Calls refused since no replica for them had room under its limit",
       static_cast<double>(counts.limit_refused));
   set("ferryrock_router_partitioned", "1 while the router reaches no replica over its own connections",
-      router_.directPaths().isPartitioned() ? 1 : 0);
+      router_.isPartitioned() ? 1 : 0);
   set("ferryrock_router_partitions", "Times that the router reached no replica any more",
       static_cast<double>(counts.partitions));
   set("ferryrock_attempts_relayed", "Attempts sent through other routers",
--- a/src/service_process/relay_server.cc
+++ b/src/service_process/relay_server.cc
@@ -58,6 +58,11 @@
     respond(response, RelayOutcome::NotRelayed, "this router relays no attempts at present");
     return;
   }
+  if (!callbacks_.reaches(attempt->target.address)) {
+    ++counts_.not_sent;
+    respond(response, RelayOutcome::Unreachable, "this router can't connect to the replica at present");
+    return;
+  }
   const std::uint64_t number = next_attempt_++;
   attempts_[number] = attempt;
   response->onClosed([this, alive = alive_, number] {
@@ -145,10 +150,10 @@
     return;
   }
   const bool not_sent = progress == http::SendProgress::NotSent;
+  const bool terminated = attempt->refused && callbacks_.accepts();
   if (not_sent) {
     callbacks_.on_unreachable(attempt->target.address);
   }
-  const bool terminated = attempt->refused && callbacks_.accepts();
   log_.write(LogLevel::Warning, "relay.attempt_failed",
              {{"replica", std::string_view(attempt->target.address)},
               {"proved_unrun", not_sent},
--- a/src/service_process/relay_server.h
+++ b/src/service_process/relay_server.h
@@ -25,6 +25,8 @@
 struct RelayCallbacks {
   /// Whether attempts of other routers are relayed now. False while this router reaches no replica itself.
   std::function<bool()> accepts;
+  /// False if this router knows that it can't connect to the replica at this address.
+  std::function<bool(const std::string& replica_address)> reaches;
   /// A relayed attempt has reached the replica at this address, or couldn't connect to it.
   std::function<void(const std::string& replica_address)> on_reached;
   std::function<void(const std::string& replica_address)> on_unreachable;
--- a/tests/calls/relay_routers_test.cc
+++ b/tests/calls/relay_routers_test.cc
@@ -10,6 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr TimePoint kStart{std::chrono::seconds(1000)};
+const ServiceName kService("desk");
 
 wire::RelayRouter relay(const std::string& name, const std::string& zone) {
   return {NodeName(name), ZoneName(zone), name + ":90"};
@@ -17,41 +18,50 @@
 
 TEST_CASE("Relays of the local zone are used first, the one with the fewest attempts before others") {
   RelayRouters relays(ZoneName("a"));
-  CHECK_FALSE(relays.choose(kStart));
+  CHECK_FALSE(relays.choose(kService, kStart));
   relays.set({relay("far", "b"), relay("near-1", "a"), relay("near-2", "a")});
-  const NodeName first = relays.choose(kStart)->router;
+  const NodeName first = relays.choose(kService, kStart)->router;
   relays.onSent(first);
-  const NodeName second = relays.choose(kStart)->router;
+  const NodeName second = relays.choose(kService, kStart)->router;
   CHECK(first != second);
   CHECK(second != NodeName("far"));
   relays.onFailure(NodeName("near-1"), kStart);
   relays.onFailure(NodeName("near-2"), kStart);
-  CHECK(relays.choose(kStart)->router == NodeName("far"));
+  CHECK(relays.choose(kService, kStart)->router == NodeName("far"));
 }
 
 TEST_CASE("A relay that keeps failing is left out for longer each time, until it forwards an attempt") {
   RelayRouters relays(ZoneName("a"));
   relays.set({relay("one", "a")});
   relays.onFailure(NodeName("one"), kStart);
-  CHECK_FALSE(relays.anyAvailable(kStart + 200ms));
-  CHECK(relays.anyAvailable(kStart + 250ms));
+  CHECK_FALSE(relays.anyAvailable(kService, kStart + 200ms));
+  CHECK(relays.anyAvailable(kService, kStart + 250ms));
   relays.onFailure(NodeName("one"), kStart + 250ms);
-  CHECK_FALSE(relays.anyAvailable(kStart + 700ms));
+  CHECK_FALSE(relays.anyAvailable(kService, kStart + 700ms));
   relays.set({relay("one", "a")});
-  CHECK_FALSE(relays.anyAvailable(kStart + 700ms));
-  relays.onForwarded(NodeName("one"));
-  CHECK(relays.anyAvailable(kStart + 700ms));
+  CHECK_FALSE(relays.anyAvailable(kService, kStart + 700ms));
+  relays.onForwarded(NodeName("one"), kService);
+  CHECK(relays.anyAvailable(kService, kStart + 700ms));
   relays.set({});
-  CHECK_FALSE(relays.anyAvailable(kStart + 700ms));
+  CHECK_FALSE(relays.anyAvailable(kService, kStart + 700ms));
+}
+
+TEST_CASE("A relay that can't reach one service still relays to others") {
+  RelayRouters relays(ZoneName("a"));
+  relays.set({relay("one", "a")});
+  relays.onUnreachable(NodeName("one"), kService, kStart);
+  CHECK_FALSE(relays.anyAvailable(kService, kStart + 200ms));
+  CHECK(relays.anyAvailable(ServiceName("llm"), kStart + 200ms));
+  CHECK(relays.anyAvailable(kService, kStart + 250ms));
 }
 
 TEST_CASE("Several unreachable replicas without any progress make a partition, and any progress ends it") {
   DirectPaths paths;
   paths.onProgress(kStart);
-  paths.onUnreachable("r1:80");
-  paths.onUnreachable("r1:80");
+  paths.onUnreachable("r1:80", kStart);
+  paths.onUnreachable("r1:80", kStart);
   CHECK_FALSE(paths.isPartitioned());
-  paths.onUnreachable("r2:80");
+  paths.onUnreachable("r2:80", kStart);
   CHECK(paths.isPartitioned());
   paths.onProgress(kStart + 1s);
   CHECK_FALSE(paths.isPartitioned());
--- a/tests/calls/relayed_attempt_test.cc
+++ b/tests/calls/relayed_attempt_test.cc
@@ -30,7 +30,7 @@
     fail(AttemptFailure::NotSent);
     fail(AttemptFailure::NotSent);
     answer(200);
-    REQUIRE(router().directPaths().isPartitioned());
+    REQUIRE(router().isPartitioned());
   }
   const SendAttemptEffect& sent() const { return *last<SendAttemptEffect>(); }
 };
@@ -139,14 +139,14 @@
 
 TEST_CASE("A router that reaches no replica declines to relay, until it reaches one again") {
   RelayedCalls fixture;
-  CHECK(fixture.router().relaysAttempts(fixture.now));
+  CHECK(fixture.router().relaysAttempts());
   fixture.take(fixture.router().onRelayedForOther("e1:80", false, fixture.now));
   fixture.take(fixture.router().onRelayedForOther("e2:80", false, fixture.now));
-  CHECK_FALSE(fixture.router().relaysAttempts(fixture.now));
+  CHECK_FALSE(fixture.router().relaysAttempts());
   fixture.take(fixture.router().onRelayedForOther("e1:80", true, fixture.now));
-  CHECK(fixture.router().relaysAttempts(fixture.now));
+  CHECK(fixture.router().relaysAttempts());
   fixture.take(fixture.router().beginDrain(fixture.now, fixture.now + 5s, fixture.now));
-  CHECK_FALSE(fixture.router().relaysAttempts(fixture.now));
+  CHECK_FALSE(fixture.router().relaysAttempts());
 }
 
 }  // namespace
--- a/tests/service_process/relay_test.cc
+++ b/tests/service_process/relay_test.cc
@@ -76,6 +76,7 @@
     sender = std::make_unique<ReplicaClient>(loop.dispatcher(), *sender_client, dialect, callbacks);
     RelayCallbacks relay_callbacks;
     relay_callbacks.accepts = [this] { return accepts; };
+    relay_callbacks.reaches = [](const std::string&) { return true; };
     relay_callbacks.on_reached = [this](const std::string&) { ++reached; };
     relay_callbacks.on_unreachable = [this](const std::string&) { ++unreachable; };
     relay = std::make_unique<RelayServer>(loop.dispatcher(), http::ServerSettings{}, *relay_client,
--- a/tests/services/partitioned_fleet.cc
+++ b/tests/services/partitioned_fleet.cc
@@ -90,8 +90,10 @@
 void PartitionedFleet::sendRelayed(RunningRouter& router, const calls::SendAttemptEffect& sent) {
   RunningRouter& relay = relayOf(*sent.relay);
   const std::string address = sent.address;
-  if (!relay.logic->relaysAttempts(cluster.now())) {
+  if (!relay.logic->relaysAttempts()) {
     fail(router, sent, calls::AttemptFailure::RelayFailed, kHop);
+  } else if (!relay.logic->reachesReplicaAt(address, cluster.now())) {
+    fail(router, sent, calls::AttemptFailure::NotSent, kHop);
   } else if (isPartitioned(relay)) {
     const Duration delay = kind_ == PartitionKind::Silent ? kRelayConnectTimeout : 2 * kHop;
     fail(router, sent, calls::AttemptFailure::NotSent, delay + kHop);
