Judge a refused connection by the router's other connections

Behind a partition by reset, new connections are refused while replicas live.

Change: a refusal counts at once while the router has an attempt in flight at another replica of the service, since a reset of its links would have ended that too. Otherwise a relay is asked, which judges in the same way, or has no sign of trouble with the service.

--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -123,6 +123,9 @@
   bool relaysAttempts() const { return !draining_ && !isPartitioned(); }
   /// False if this router knows that it can't connect to the replica at this address.
   bool reachesReplicaAt(const std::string& address, TimePoint now) const;
+  /// True if a refused connection to this address shows that the replica has terminated, and not that this
+  /// router's own links to the service's replicas are at fault.
+  bool trustsRefusal(const std::string& address) const;
   /// Handles that a relayed attempt of another router has reached the replica at this address, or couldn't.
   Effects onRelayedForOther(const std::string& replica_address, bool reached, TimePoint now);
   const BrittleReplicas& brittleReplicas() const { return replicas_.brittle(); }
@@ -254,6 +257,9 @@
   /// Returns a relay to replicas of the service; nullopt: none.
   std::optional<Relay> chooseRelay(const ServiceName& service, TimePoint now) const;
   bool isSuspect(const ServiceName& service, TimePoint now) const;
+  /// True if the router has open connections to other replicas of the service, which a partition that resets
+  /// connections would have closed.
+  bool hasOpenConnections(const ServiceName& service, const ReplicaId& other_than) const;
   /// Called when the replica has accepted the attempt and runs it.
   void onAttemptAccepted(Attempt& attempt);
   // call_router_limits.cc
@@ -272,8 +278,8 @@
   // call_router_crashes.cc
   /// Starts a probe of the replica that broke off the call, unless one is pending.
   void probe(Call& call, const ReplicaId& replica, const std::string& address, TimePoint now);
-  /// Asks a relay to confirm that a replica which refused a connection has terminated. Returns false if there
-  /// is no relay.
+  /// Asks a relay to confirm that a replica which refused a connection has terminated. Returns false if that
+  /// isn't needed, or if there is no relay.
   bool confirmTermination(const ReplicaId& replica, TimePoint now);
   void recordReplicaCrash(const ReplicaId& replica, const std::vector<ProbedCall>& calls, TimePoint now);
   /// Records that the call ran to completion, which clears it of suspicion.
--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -70,9 +70,13 @@
 }
 
 /// A refused connection shows that a replica has terminated only if it isn't this router's own link that
-/// refuses it.
+/// refuses it. While other connections of the router are open, no relay is asked: the calls that crash
+/// replicas must be known soon.
 bool CallRouter::confirmTermination(const ReplicaId& replica, TimePoint now) {
   PendingProbe& pending = pending_probes_.at(replica);
+  if (hasOpenConnections(pending.service, replica)) {
+    return false;
+  }
   const std::optional<Relay> relay = chooseRelay(pending.service, now);
   if (!relay) {
     return false;
--- a/src/calls/call_router_paths.cc
+++ b/src/calls/call_router_paths.cc
@@ -28,7 +28,7 @@
   return std::any_of(paths_.begin(), paths_.end(), [this](const auto& item) {
     const DirectPaths& lost = item.second;
     return lost.isPartitioned() && std::all_of(paths_.begin(), paths_.end(), [&lost](const auto& other) {
-             return other.second.lastProgress() <= lost.unreachableSince();
+             return &other.second == &lost || other.second.lastProgress() < lost.unreachableSince();
            });
   });
 }
@@ -38,6 +38,27 @@
   return replica == nullptr || (!replica->probe_at && !isSuspect(replica->routed.service, now));
 }
 
+bool CallRouter::hasOpenConnections(const ServiceName& service, const ReplicaId& other_than) const {
+  const auto paths = paths_.find(service);
+  return paths != paths_.end() && paths->second.anyOpenTo(other_than);
+}
+
+bool CallRouter::trustsRefusal(const std::string& address) const {
+  const Replica* replica = replicas_.findByAddress(address);
+  if (replica == nullptr) {
+    return !isPartitioned();
+  }
+  const ServiceName& service = replica->routed.service;
+  if (hasOpenConnections(service, replica->routed.id)) {
+    return true;
+  }
+  const bool other_doubts = std::any_of(
+      pending_probes_.begin(), pending_probes_.end(),
+      [&](const auto& item) { return item.second.service == service && item.second.address != address; });
+  const auto paths = paths_.find(service);
+  return !other_doubts && (paths == paths_.end() || paths->second.unreachableCount() == 0);
+}
+
 /// Without relays the router's own connections are tried even if they are in doubt.
 void CallRouter::updatePaths(TimePoint now) {
   AvailablePaths available;
@@ -163,8 +184,8 @@
   const Call& state = call->second;
   const bool elsewhere =
       choice.failure == ChoiceFailure::NotHeld || choice.failure == ChoiceFailure::NoReplica;
-  if (!choice.unreachable || !elsewhere || !isSuspect(state.need.service, now) || state.may_have_run ||
-      state.started) {
+  if (!choice.unreachable || !elsewhere || !relays_.known() || !isSuspect(state.need.service, now) ||
+      state.may_have_run || state.started) {
     return false;
   }
   refuse(call, ResultCode::RouterPartitioned,
--- a/src/calls/direct_paths.cc
+++ b/src/calls/direct_paths.cc
@@ -1,5 +1,7 @@
 #include "calls/direct_paths.h"
 
+#include <algorithm>
+
 namespace ferryrock::calls {
 namespace {
 
@@ -25,6 +27,11 @@
   unreachable_.insert(replica_address);
 }
 
+bool DirectPaths::anyOpenTo(const ReplicaId& other_than) const {
+  return std::any_of(outstanding_.begin(), outstanding_.end(),
+                     [&other_than](const auto& item) { return item.second.replica != other_than; });
+}
+
 bool DirectPaths::isSilent(TimePoint now) const {
   if (now - last_progress_ < kSilenceTime || outstanding_.size() < kMinSilentAttempts) {
     return false;
--- a/src/calls/direct_paths.h
+++ b/src/calls/direct_paths.h
@@ -27,6 +27,8 @@
   bool isPartitioned() const { return unreachable_.size() >= kMinUnreachable; }
   /// True if the router is partitioned or in doubt.
   bool isSuspect(TimePoint now) const { return isPartitioned() || isSilent(now); }
+  /// True if an attempt is in flight at another replica: its connection is open.
+  bool anyOpenTo(const ReplicaId& other_than) const;
   /// Number of replicas found unreachable since the last progress.
   std::size_t unreachableCount() const { return unreachable_.size(); }
   TimePoint lastProgress() const { return last_progress_; }
--- a/src/calls/relay_routers.cc
+++ b/src/calls/relay_routers.cc
@@ -29,6 +29,7 @@
   }
   relays_ = std::move(next);
   digest_ = wire::relaysDigest(relays);
+  known_ = known_ || !relays.empty();
 }
 
 void RelayRouters::Exclusion::extend(TimePoint now) {
--- a/src/calls/relay_routers.h
+++ b/src/calls/relay_routers.h
@@ -23,6 +23,8 @@
   /// wire::relaysDigest() of the current list.
   std::uint64_t digest() const { return digest_; }
   bool empty() const { return relays_.empty(); }
+  /// True once the list has named any router, even if it is empty now.
+  bool known() const { return known_; }
   /// True if choose() would return a relay for the service.
   bool anyAvailable(const ServiceName& service, TimePoint now) const;
   /// Returns the available relay to replicas of the service with the fewest attempts of this router, one of
@@ -55,6 +57,7 @@
   ZoneName zone_;
   std::map<NodeName, Relay> relays_;
   std::uint64_t digest_ = 0;
+  bool known_ = false;
 };
 
 }  // namespace ferryrock::calls
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -104,6 +104,9 @@
   callbacks.reaches = [this](const std::string& replica_address) {
     return router_.reachesReplicaAt(replica_address, now());
   };
+  callbacks.trusts_refusal = [this](const std::string& replica_address) {
+    return router_.trustsRefusal(replica_address);
+  };
   callbacks.on_reached = [this](const std::string& replica_address) {
     carryOut(router_.onRelayedForOther(replica_address, true, now()));
   };
--- a/src/service_process/relay_server.cc
+++ b/src/service_process/relay_server.cc
@@ -150,7 +150,7 @@
     return;
   }
   const bool not_sent = progress == http::SendProgress::NotSent;
-  const bool terminated = attempt->refused && callbacks_.accepts();
+  const bool terminated = attempt->refused && callbacks_.trusts_refusal(attempt->target.address);
   if (not_sent) {
     callbacks_.on_unreachable(attempt->target.address);
   }
--- a/src/service_process/relay_server.h
+++ b/src/service_process/relay_server.h
@@ -27,6 +27,8 @@
   std::function<bool()> accepts;
   /// False if this router knows that it can't connect to the replica at this address.
   std::function<bool(const std::string& replica_address)> reaches;
+  /// Whether a refused connection to this address shows that the replica has terminated.
+  std::function<bool(const std::string& replica_address)> trusts_refusal;
   /// A relayed attempt has reached the replica at this address, or couldn't connect to it.
   std::function<void(const std::string& replica_address)> on_reached;
   std::function<void(const std::string& replica_address)> on_unreachable;
--- a/src/services/table_feed.h
+++ b/src/services/table_feed.h
@@ -20,7 +20,7 @@
   bool complete = false;               ///< replicas that haven't reported to this leader yet are gone
   std::vector<std::string> directory;  ///< router addresses that callers may connect to
   std::uint64_t directory_digest = 0;  ///< wire::directoryDigest() of it
-  RelayCandidates relays;              ///< routers that may relay attempts of routers of the zone
+  RelayCandidates relays{};            ///< routers that may relay attempts of routers of the zone
 };
 
 /// Returns the catalog without its models, which routers don't need. They are most of its bytes and rarely
--- a/tests/calls/relayed_attempt_test.cc
+++ b/tests/calls/relayed_attempt_test.cc
@@ -24,12 +24,15 @@
     }
     send(update);
   }
-  /// Makes both replicas unreachable over the router's own connections.
-  void partition() {
+  /// Makes both replicas of the service "desk" unreachable over the router's own connections.
+  void partitionService() {
     call("/once/x");
     fail(AttemptFailure::NotSent);
     fail(AttemptFailure::NotSent);
     answer(200);
+  }
+  void partition() {
+    partitionService();
     REQUIRE(router().isPartitioned());
   }
   const SendAttemptEffect& sent() const { return *last<SendAttemptEffect>(); }
@@ -137,6 +140,43 @@
   CHECK(fixture.router().counts().replica_crashes == (relay_reaches ? 0 : 1));
 }
 
+TEST_CASE("A crash is recorded without a relay while the router has connections to other replicas") {
+  RelayedCalls fixture;
+  fixture.call("/once/x");
+  const AttemptNumber first = fixture.attempt();
+  const ReplicaId replica = fixture.sent().replica;
+  fixture.call("/once/x");
+  REQUIRE(fixture.sent().replica != replica);
+  fixture.take(fixture.router().onFailure(first, AttemptFailure::OutcomeUnknown, "reset", fixture.now));
+  fixture.take(fixture.router().onProbed(replica, ProbeOutcome::Refused, fixture.now));
+  CHECK(fixture.router().counts().replica_crashes == 1);
+}
+
+TEST_CASE("A router that can't reach one service's replicas uses and offers its connections to another's") {
+  RelayedCalls fixture;
+  wire::RoutedReplica engine = CallFixture::replica("m1", "llm");
+  engine.held = {{ModelName("m"), {}}};
+  fixture.addReplicas({engine});
+  fixture.call("/model/x", "m");
+  fixture.answer(200);
+  fixture.partitionService();
+  fixture.call("/model/x", "m");
+  CHECK_FALSE(fixture.sent().relay);
+  fixture.answer(200);
+  fixture.call("/once/x");
+  CHECK(fixture.sent().relay);
+  CHECK(fixture.router().relaysAttempts());
+  CHECK(fixture.router().reachesReplicaAt("m1:80", fixture.now));
+  CHECK_FALSE(fixture.router().reachesReplicaAt("e1:80", fixture.now));
+}
+
+TEST_CASE("A refused connection isn't trusted while other replicas of the service can't be reached") {
+  RelayedCalls fixture;
+  CHECK(fixture.router().trustsRefusal("e1:80"));
+  fixture.take(fixture.router().onRelayedForOther("e2:80", false, fixture.now));
+  CHECK_FALSE(fixture.router().trustsRefusal("e1:80"));
+}
+
 TEST_CASE("A router that reaches no replica declines to relay, until it reaches one again") {
   RelayedCalls fixture;
   CHECK(fixture.router().relaysAttempts());
--- a/tests/service_process/relay_test.cc
+++ b/tests/service_process/relay_test.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <map>
+#include <utility>
 
 #include "common/error.h"
 #include "http/fixture.h"
@@ -77,6 +79,7 @@
     RelayCallbacks relay_callbacks;
     relay_callbacks.accepts = [this] { return accepts; };
     relay_callbacks.reaches = [](const std::string&) { return true; };
+    relay_callbacks.trusts_refusal = [this](const std::string&) { return trusts_refusal; };
     relay_callbacks.on_reached = [this](const std::string&) { ++reached; };
     relay_callbacks.on_unreachable = [this](const std::string&) { ++unreachable; };
     relay = std::make_unique<RelayServer>(loop.dispatcher(), http::ServerSettings{}, *relay_client,
@@ -122,6 +125,7 @@
   std::map<calls::AttemptNumber, RelayedCall> records;
   std::uint64_t next = 0;
   bool accepts = true;
+  bool trusts_refusal = true;
   int reached = 0;
   int unreachable = 0;
 };
@@ -145,7 +149,7 @@
   CHECK(seen[0].body == "body");
   CHECK(http::findHeader(seen[0].headers, "Odd") == "a  b");
   CHECK(http::findHeader(seen[0].headers, "Host") == "shop.example");
-  for (const http::Headers* headers : {&seen[0].headers, &call.response.headers}) {
+  for (const http::Headers* headers : {&std::as_const(seen[0].headers), &call.response.headers}) {
     CHECK(std::none_of(headers->begin(), headers->end(),
                        [](const http::Header& header) { return header.name.starts_with("Ferryrock"); }));
   }
@@ -230,7 +234,7 @@
   });
   fixture.start(replica->port());
   REQUIRE(fixture.loop.runUntil([&] { return running != nullptr; }));
-  const TimePoint cancelled_at = std::chrono::steady_clock::now();
+  const auto cancelled_at = std::chrono::steady_clock::now();
   fixture.sender->cancel(calls::AttemptNumber{1});
   REQUIRE(fixture.loop.runUntil([&] { return closed; }));
   CHECK(std::chrono::steady_clock::now() - cancelled_at < 500ms);
@@ -266,6 +270,8 @@
   const std::uint16_t closed = fixture.closedPort();
   CHECK(probe(closed, kRelayed) == calls::ProbeOutcome::Refused);
   CHECK(probe(closed, !kRelayed) == calls::ProbeOutcome::Refused);
+  fixture.trusts_refusal = false;
+  CHECK(probe(closed, kRelayed) == calls::ProbeOutcome::Unknown);
   fixture.accepts = false;
   CHECK(probe(replica->port(), kRelayed) == calls::ProbeOutcome::Unknown);
   fixture.relay.reset();
--- a/tests/services/crashing_fleet.cc
+++ b/tests/services/crashing_fleet.cc
@@ -165,11 +165,24 @@
   });
 }
 
+/// As the production relay does, one that has doubts about its own links doesn't report a refusal.
+calls::ProbeOutcome CrashingFleet::outcomeOf(const calls::ProbeReplicaEffect& probe,
+                                             const Replica* replica) const {
+  using calls::ProbeOutcome;
+  if (replica != nullptr && replica->up) {
+    return replica->id == probe.replica ? ProbeOutcome::Alive : ProbeOutcome::Terminated;
+  }
+  const auto relay = std::find_if(routers.begin(), routers.end(), [&probe](const RunningRouter* router) {
+    return probe.relay && router->node == probe.relay->router;
+  });
+  const bool trusted = relay == routers.end() || (*relay)->logic->trustsRefusal(probe.address);
+  return trusted ? ProbeOutcome::Refused : ProbeOutcome::Unknown;
+}
+
 void CrashingFleet::onProbe(RunningRouter& router, const calls::ProbeReplicaEffect& probe) {
   cluster.schedule(2 * kNetworkDelay, [this, &router, probe] {
     const Replica* replica = replicaAt(probe.address);
-    const bool alive = replica != nullptr && replica->up && replica->id == probe.replica;
-    const auto outcome = alive ? calls::ProbeOutcome::Alive : calls::ProbeOutcome::Terminated;
+    const calls::ProbeOutcome outcome = outcomeOf(probe, replica);
     cluster.actRouter(router, [replica = probe.replica, outcome](calls::CallRouter& logic, TimePoint now) {
       return logic.onProbed(replica, outcome, now);
     });
--- a/tests/services/crashing_fleet.h
+++ b/tests/services/crashing_fleet.h
@@ -100,6 +100,7 @@
   void onSend(RunningRouter& router, const calls::SendAttemptEffect& send);
   void onCancel(RunningRouter& router, calls::AttemptNumber attempt);
   void onProbe(RunningRouter& router, const calls::ProbeReplicaEffect& probe);
+  calls::ProbeOutcome outcomeOf(const calls::ProbeReplicaEffect& probe, const Replica* replica) const;
   void onRefusal(const OpenCall& call, const calls::RefuseCallEffect& refusal);
   void finishCall(Replica& replica, std::uint64_t expected_incarnation, const RunningCall& call);
   void crash(Replica& replica);
--- a/tests/services/partitioned_fleet.cc
+++ b/tests/services/partitioned_fleet.cc
@@ -134,7 +134,16 @@
   cluster.schedule(2 * kHop + kServiceTime, [this, &router, sent] { answer(router, sent); });
 }
 
+void PartitionedFleet::silence(std::size_t replica, Duration duration) {
+  silent_until_[ReplicaId(replicaName(replica))] = cluster.now() + duration;
+}
+
 void PartitionedFleet::answer(RunningRouter& router, const calls::SendAttemptEffect& sent) {
+  const auto silent = silent_until_.find(sent.replica);
+  if (silent != silent_until_.end() && cluster.now() < silent->second) {
+    cluster.schedule(silent->second - cluster.now(), [this, &router, sent] { answer(router, sent); });
+    return;
+  }
   if (running_.erase({router.node, sent.attempt}) == 0) {
     return;
   }
--- a/tests/services/partitioned_fleet.h
+++ b/tests/services/partitioned_fleet.h
@@ -36,6 +36,8 @@
   void partition(const std::set<std::size_t>& routers, PartitionKind kind);
   /// Ends the partition. Connections that were silent stay dead.
   void heal();
+  /// The replica goes on with its calls, but nothing of it arrives anywhere for this time.
+  void silence(std::size_t replica, Duration duration);
   /// Runs the cell for the time with calls at this rate over all routers together. Calls are counted if
   /// `counted` is set.
   void callFor(Duration time, double calls_per_second, bool counted);
@@ -102,6 +104,7 @@
   std::map<Link, Connections> connections_;
   std::map<AttemptKey, Running> running_;
   std::map<CallKey, FirstAttempts*> counted_;
+  std::map<ReplicaId, TimePoint> silent_until_;
   std::uint64_t sequence_ = 0;
 };
 
--- a/tests/services/relayed_calls_test.cc
+++ b/tests/services/relayed_calls_test.cc
@@ -92,6 +92,21 @@
   CHECK(shareServed(fleet.others) > 0.99);
 }
 
+TEST_CASE("Replicas that are silent for most of a second lose no call, get none twice and are used again") {
+  PartitionedFleet fleet(9, 4, 17);
+  fleet.callFor(5s, kCallsPerSecond, true);
+  for (std::size_t replica = 0; replica < 4; ++replica) {
+    fleet.silence(replica, 900ms);
+    fleet.callFor(2s, kCallsPerSecond, true);
+  }
+  fleet.cluster.runFor(2s);
+  CHECK(fleet.others.failed() == 0);
+  CHECK(fleet.crashesRecorded() == 0);
+  CHECK(fleet.relayed == 0);
+  CHECK(std::all_of(fleet.runs_by_call.begin(), fleet.runs_by_call.end(),
+                    [](const auto& item) { return item.second == 1; }));
+}
+
 TEST_CASE("Partitioned routers keep being served while there is no leader") {
   PartitionedFleet fleet(9, 4, 16);
   fleet.callFor(5s, kCallsPerSecond, false);
