Tell what a router uses of the retry budget, and when a retry was charged

Change: call.sent has the time since its retry was charged (-1: not charged); retry.budget, once a second while retries are wanted, has the router's calls, retries, part, the number of routers it is divided by and how long the process has run; two metrics count retries that were not charged and that were not allowed.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -83,9 +83,8 @@
       replicas_(settings.feed.zone, settings.seed,
                 {settings.feed.router, settings.feed.incarnation, settings.seed}),
       relays_(settings.feed.zone),
-      crashes_(settings.quarantine) {
-  static_cast<void>(now);
-}
+      started_at_(now),
+      crashes_(settings.quarantine) {}
 
 Effects CallRouter::onCall(CallRequest request, TimePoint now) {
   ++counts_.accepted;
@@ -268,7 +267,9 @@
               {"relay", relay ? view(relay->router.value) : std::string_view()},
               {"outstanding", static_cast<std::int64_t>(replica.outstanding)},
               {"waited_ms", toMilliseconds(now - state.arrived)},
+              {"charged_ms_ago", state.retry_charged_at ? toMilliseconds(now - *state.retry_charged_at) : -1},
               {"time_left_ms", toMilliseconds(effect.time_left)}});
+  state.retry_charged_at.reset();
   effects_.emplace_back(std::move(effect));
   if (use) {
     log_.write(LogLevel::Info, "call.balanced",
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -44,6 +44,8 @@
   std::uint64_t broken = 0;  ///< streams aborted by the router
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
+  std::uint64_t uncharged_retries = 0;     ///< part of `retries` that wasn't charged to the retry budget
+  std::uint64_t retry_budget_refused = 0;  ///< retries that the retry budget didn't allow
   std::uint64_t resumed = 0;
   std::uint64_t caller_gone = 0;
   std::uint64_t unknown_keys = 0;     ///< refused: no key, or a key that belongs to no tenant
@@ -182,6 +184,7 @@
     std::uint32_t crashed_attempts = 0;         ///< number of `attempts` whose replica has crashed
     std::optional<ReplicaId> probed_replica;    ///< replica being probed, which broke off the call
     std::string failure_reason;                 ///< reason of the last failed attempt
+    std::optional<TimePoint> retry_charged_at;  ///< the next attempt was charged to the retry budget
     bool demand_expedited = false;
     bool may_have_run = false;
     bool started = false;  ///< the headers of the stream were forwarded to the caller
@@ -310,6 +313,10 @@
   void recordStreamDuration(const Call& call, TimePoint now);
   static bool isRepeatable(const Call& call);
   static bool mayRetry(const Call& call);
+  /// Charges the call's next attempt to the retry budget. Returns false if the budget is used up.
+  bool chargeRetryBudget(Call& call, TimePoint now);
+  /// Logs how much of the retry budget this router has used, while it uses or lacks any.
+  void logRetryBudget(const ServiceName& service, TimePoint now);
   void deliver(CallPointer call, AttemptNumber attempt, int status, TimePoint now);
   void refuse(CallPointer call, ResultCode code, const std::string& detail,
               std::optional<Duration> retry_after, TimePoint now);
@@ -360,6 +367,8 @@
   std::uint64_t table_changes_ = 0;  ///< changed entries of the replica table since it was last logged
   TimePoint next_table_log_{};
   TimePoint next_unreadable_log_{};
+  std::map<ServiceName, TimePoint> next_retry_budget_log_;
+  TimePoint started_at_;
   std::uint64_t next_attempt_ = 1;
   std::map<RouteName, Duration> stream_durations_;  ///< moving average of the duration of a route's streams
   quarantine::CrashLedger crashes_;
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -21,6 +21,8 @@
 constexpr int kUnavailable = 503;
 /// Minimum interval between two log lines about unreadable notices.
 constexpr Duration kUnreadableLogInterval = 1s;
+/// Minimum interval between two log lines about the retry budget of a service.
+constexpr Duration kRetryBudgetLogInterval = 1s;
 /// Number of gaps in a stream that are averaged. Averaging is needed because a router that gets a tenth of a
 /// core reads two or three events at once.
 constexpr int kGapsPerMean = 8;
@@ -116,8 +118,8 @@
   } else if (replica != nullptr && !failed) {
     replica->health.onSuccess(now);
   }
-  const bool again = failed && mayRetry(state) && state.deadline - now > kMinTimeLeft &&
-                     budget_.spend(state.need.service, now);
+  const bool again =
+      failed && mayRetry(state) && state.deadline - now > kMinTimeLeft && chargeRetryBudget(state, now);
   if (again) {
     ++counts_.retries;
     recordPossibleRun(state);
@@ -363,8 +365,9 @@
   state.refusals += spends_budget ? 1 : 0;
   state.last_failure = reason;
   const bool tries_left = state.refusals < kMaxRefusals && state.deadline - now > kMinTimeLeft;
-  if (tries_left && (!spends_budget || budget_.spend(state.need.service, now))) {
+  if (tries_left && (!spends_budget || chargeRetryBudget(state, now))) {
     ++counts_.retries;
+    counts_.uncharged_retries += spends_budget ? 0 : 1;
     dispatch(call, now);
   } else if (state.started) {
     breakStream(call, "no replica accepted the rest of the stream", now);
@@ -385,11 +388,36 @@
   return isRepeatable(call) && call.attempts - call.crashed_attempts < call.route->max_attempts;
 }
 
+bool CallRouter::chargeRetryBudget(Call& call, TimePoint now) {
+  const bool allowed = budget_.spend(call.need.service, now);
+  counts_.retry_budget_refused += allowed ? 0 : 1;
+  if (allowed) {
+    call.retry_charged_at = now;
+  }
+  logRetryBudget(call.need.service, now);
+  return allowed;
+}
+
+void CallRouter::logRetryBudget(const ServiceName& service, TimePoint now) {
+  TimePoint& next = next_retry_budget_log_[service];
+  if (now < next) {
+    return;
+  }
+  next = now + kRetryBudgetLogInterval;
+  const RetryUsage usage = budget_.usage(service, now);
+  log_.write(LogLevel::Info, "retry.budget",
+             {{"service", view(service.value)},
+              {"calls", static_cast<std::int64_t>(usage.calls)},
+              {"retries", static_cast<std::int64_t>(usage.retries)},
+              {"allowed", usage.allowed},
+              {"routers", static_cast<std::int64_t>(usage.routers)},
+              {"alive_ms", toMilliseconds(now - started_at_)}});
+}
+
 void CallRouter::retryPossiblyRun(CallPointer call, ResultCode reason, const std::string& detail,
                                   TimePoint now) {
   Call& state = call->second;
-  const bool again =
-      mayRetry(state) && state.deadline - now > kMinTimeLeft && budget_.spend(state.need.service, now);
+  const bool again = mayRetry(state) && state.deadline - now > kMinTimeLeft && chargeRetryBudget(state, now);
   if (again) {
     ++counts_.retries;
     counts_.resumed += state.started ? 1 : 0;
--- a/src/calls/retry_budget.cc
+++ b/src/calls/retry_budget.cc
@@ -25,13 +25,23 @@
   Window& window = windows_[service];
   drop(window.calls, now);
   drop(window.retries, now);
-  const double own_share = settings_.share * static_cast<double>(window.calls.size());
-  const double allowed = kSafetyFactor * (own_share + settings_.slack / routers_);
-  if (static_cast<double>(window.retries.size()) + 1 > allowed) {
+  if (static_cast<double>(window.retries.size()) + 1 > allowed(window)) {
     return false;
   }
   window.retries.push_back(now);
   return true;
 }
 
+double RetryBudget::allowed(const Window& window) const {
+  const double own_share = settings_.share * static_cast<double>(window.calls.size());
+  return kSafetyFactor * (own_share + settings_.slack / routers_);
+}
+
+RetryUsage RetryBudget::usage(const ServiceName& service, TimePoint now) {
+  Window& window = windows_[service];
+  drop(window.calls, now);
+  drop(window.retries, now);
+  return {window.calls.size(), window.retries.size(), allowed(window), routers_};
+}
+
 }  // namespace ferryrock::calls
--- a/src/calls/retry_budget.h
+++ b/src/calls/retry_budget.h
@@ -1,19 +1,24 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 
+#include "balance/retry_budget_settings.h"
 #include "common/identifiers.h"
 #include "common/time.h"
 
 namespace ferryrock::calls {
 
-/// Limit of the retries of all routers together, per service and window.
-struct RetryBudgetSettings {
-  double share = 0.2;  ///< share of the calls in the window
-  double slack = 10;   ///< number of retries in addition to the share, over all routers
-  Duration window = std::chrono::seconds(10);
+using balance::RetryBudgetSettings;
+
+/// What one router has used of its part in the current window.
+struct RetryUsage {
+  std::size_t calls = 0;
+  std::size_t retries = 0;
+  double allowed = 0;         ///< retries
+  std::uint32_t routers = 1;  ///< number of routers that the slack is divided by
 };
 
 /// One router's part of the budget: the share of its own calls and an equal part of the slack. A retry counts
@@ -26,6 +31,7 @@
   void onCall(const ServiceName& service, TimePoint now);
   /// Charges one retry; returns false if the budget is used up.
   bool spend(const ServiceName& service, TimePoint now);
+  RetryUsage usage(const ServiceName& service, TimePoint now);
   /// Estimated time until another retry may be possible.
   Duration pause() const { return settings_.window / 4; }
 
@@ -34,6 +40,7 @@
     std::deque<TimePoint> calls;
     std::deque<TimePoint> retries;
   };
+  double allowed(const Window& window) const;
   void drop(std::deque<TimePoint>& times, TimePoint now) const;
 
   RetryBudgetSettings settings_;
