--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -196,6 +196,7 @@
   settings.feed.incarnation = random_.next();
   settings.feed.seeds = seeds_;
   settings.feed.key_lifetime = key_lifetime;
+  settings.retries = retries;
   settings.seed = settings.feed.incarnation;
   router.logic = std::make_unique<calls::CallRouter>(settings, router.log, time_);
 }
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -106,6 +106,8 @@
   bool publishes_loads = false;
   /// Setting of routers that are added or restarted later.
   std::optional<Duration> key_lifetime;
+  /// Setting of routers that are added or restarted later.
+  balance::RetryBudgetSettings retries;
   /// Handles the effects of routers on callers and replicas; may be empty.
   std::function<void(RunningRouter&, const calls::Effect&)> on_router_effect;
   /// Delivers an event to the member; while the member is frozen, the event is queued.
