Charge a retry to the retry budget when it is sent

What callers saw: a service received more repeated attempts than the budget allows.

Cause: a retry was charged when it was decided. Also, an attempt that failed before it was sent made the next one free, even if an earlier attempt of the call had arrived.

Change: a call knows how many of its attempts may have arrived at a replica. A further one is charged when it is sent; if that attempt certainly did not arrive, the charge is taken back. A retry is still refused at once if the budget is used up when it is decided.

The charge now is in the window at the time at which the attempt arrives, whatever the call waited for.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -208,6 +208,8 @@
     if (!refuseUnreachable(call, choice, now)) {
       waitForReplica(call, choice, now);
     }
+  } else if (state.arrivals > 0 && !retryBudgetAllows(state, now)) {
+    refuseUncoveredRetry(call, now);
   } else {
     for (const ReplicaId& limited : choice.limited) {
       replicas_.limits().requestSpareCredit(limited, now);
@@ -228,6 +230,8 @@
   attempt.number = number;
   attempt.replica = replica.routed.id;
   attempt.sent = now;
+  attempt.charged = state.arrivals > 0 && budget_.spend(state.need.service, now);
+  ++state.arrivals;
   if (relay) {
     attempt.relay = relay->router;
     relays_.onSent(relay->router);
@@ -267,9 +271,8 @@
               {"relay", relay ? view(relay->router.value) : std::string_view()},
               {"outstanding", static_cast<std::int64_t>(replica.outstanding)},
               {"waited_ms", toMilliseconds(now - state.arrived)},
-              {"charged_ms_ago", state.retry_charged_at ? toMilliseconds(now - *state.retry_charged_at) : -1},
+              {"charged", attempt.charged},
               {"time_left_ms", toMilliseconds(effect.time_left)}});
-  state.retry_charged_at.reset();
   effects_.emplace_back(std::move(effect));
   if (use) {
     log_.write(LogLevel::Info, "call.balanced",
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -44,7 +44,6 @@
   std::uint64_t broken = 0;  ///< streams aborted by the router
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
-  std::uint64_t uncharged_retries = 0;     ///< part of `retries` that wasn't charged to the retry budget
   std::uint64_t retry_budget_refused = 0;  ///< retries that the retry budget didn't allow
   std::uint64_t resumed = 0;
   std::uint64_t caller_gone = 0;
@@ -145,6 +144,7 @@
     std::optional<NodeName> relay;  ///< router that sends it to the replica; nullopt: this one
     TimePoint sent{};
     std::uint64_t pending_prefill_tokens = 0;  ///< in the replica's prefill backlog until the first progress
+    bool charged = false;                      ///< charged to the retry budget
     bool with_credit = false;           ///< the leader granted it a credit under the replica's rate limit
     std::uint64_t reopening_round = 0;  ///< backoff round that the attempt probes; 0: none, or accepted
     int measured_events = 0;            ///< number of events since measured_since
@@ -184,7 +184,7 @@
     std::uint32_t crashed_attempts = 0;         ///< number of `attempts` whose replica has crashed
     std::optional<ReplicaId> probed_replica;    ///< replica being probed, which broke off the call
     std::string failure_reason;                 ///< reason of the last failed attempt
-    std::optional<TimePoint> retry_charged_at;  ///< the next attempt was charged to the retry budget
+    std::uint32_t arrivals = 0;  ///< attempts that may have arrived at a replica, including the running one
     bool demand_expedited = false;
     bool may_have_run = false;
     bool started = false;  ///< the headers of the stream were forwarded to the caller
@@ -307,14 +307,16 @@
   void recordGap(Call& call, TimePoint now);
   /// Removes the prompt from the replica's prefill backlog.
   void onPromptPrefilled(Attempt& attempt);
-  /// spends_budget: the attempt reached a replica, so that the next one is charged to the retry budget.
-  void retryNotRun(CallPointer call, ResultCode reason, bool spends_budget, TimePoint now);
+  /// reached_replica: the attempt was refused by a replica, rather than not sent to one.
+  void retryNotRun(CallPointer call, ResultCode reason, bool reached_replica, TimePoint now);
   void retryPossiblyRun(CallPointer call, ResultCode reason, const std::string& detail, TimePoint now);
   void recordStreamDuration(const Call& call, TimePoint now);
   static bool isRepeatable(const Call& call);
   static bool mayRetry(const Call& call);
-  /// Charges the call's next attempt to the retry budget. Returns false if the budget is used up.
-  bool chargeRetryBudget(Call& call, TimePoint now);
+  /// True if the retry budget covers another attempt at present. The attempt is charged when it is sent.
+  bool retryBudgetAllows(const Call& call, TimePoint now);
+  /// Ends a call whose next attempt the retry budget doesn't cover.
+  void refuseUncoveredRetry(CallPointer call, TimePoint now);
   /// Logs how much of the retry budget this router has used, while it uses or lacks any.
   void logRetryBudget(const ServiceName& service, TimePoint now);
   void deliver(CallPointer call, AttemptNumber attempt, int status, TimePoint now);
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -105,8 +105,8 @@
                {{"request", view(state.request.id.value)},
                 {"replica", view(replica_id.value)},
                 {"status", static_cast<std::int64_t>(answer.status)}});
-    constexpr bool kSpendsBudget = true;
-    retryNotRun(*call, ResultCode::ReplicaRefused, kSpendsBudget, now);
+    constexpr bool kReachedReplica = true;
+    retryNotRun(*call, ResultCode::ReplicaRefused, kReachedReplica, now);
     return finish(now);
   }
   recordCompletedRun(state, now);
@@ -119,9 +119,10 @@
     replica->health.onSuccess(now);
   }
   const bool again =
-      failed && mayRetry(state) && state.deadline - now > kMinTimeLeft && chargeRetryBudget(state, now);
+      failed && mayRetry(state) && state.deadline - now > kMinTimeLeft && retryBudgetAllows(state, now);
   if (again) {
     ++counts_.retries;
+    state.failure_reason = "the replica answered with an error";
     recordPossibleRun(state);
     dispatch(*call, now);
   } else {
@@ -338,8 +339,12 @@
   release(state);
   recordPathFailure(attempt_state, failure, state.need.service, address, now);
   if (not_run) {
-    constexpr bool kSpendsBudget = false;
-    retryNotRun(*call, ResultCode::NoReplica, kSpendsBudget, now);
+    --state.arrivals;
+    if (attempt_state.charged) {
+      budget_.refund(state.need.service);
+    }
+    constexpr bool kReachedReplica = false;
+    retryNotRun(*call, ResultCode::NoReplica, kReachedReplica, now);
   } else {
     recordPossibleRun(state);
     state.failure_reason = reason;
@@ -356,18 +361,17 @@
   return finish(now);
 }
 
-/// The last attempt certainly didn't run, so the call may be sent to another replica whatever its kind. An
-/// attempt that reached no replica puts no load on the service, so it isn't charged to the retry budget; it
-/// is limited only by ejections and the call's deadline.
-void CallRouter::retryNotRun(CallPointer call, ResultCode reason, bool spends_budget, TimePoint now) {
+/// The last attempt certainly didn't run, so the call may be sent to another replica whatever its kind. While
+/// no attempt has reached a replica, a further one puts no load on the service that the retry budget counts;
+/// it is limited only by ejections and the call's deadline.
+void CallRouter::retryNotRun(CallPointer call, ResultCode reason, bool reached_replica, TimePoint now) {
   Call& state = call->second;
   --state.attempts;
-  state.refusals += spends_budget ? 1 : 0;
+  state.refusals += reached_replica ? 1 : 0;
   state.last_failure = reason;
   const bool tries_left = state.refusals < kMaxRefusals && state.deadline - now > kMinTimeLeft;
-  if (tries_left && (!spends_budget || chargeRetryBudget(state, now))) {
+  if (tries_left && (state.arrivals == 0 || retryBudgetAllows(state, now))) {
     ++counts_.retries;
-    counts_.uncharged_retries += spends_budget ? 0 : 1;
     dispatch(call, now);
   } else if (state.started) {
     breakStream(call, "no replica accepted the rest of the stream", now);
@@ -388,16 +392,23 @@
   return isRepeatable(call) && call.attempts - call.crashed_attempts < call.route->max_attempts;
 }
 
-bool CallRouter::chargeRetryBudget(Call& call, TimePoint now) {
-  const bool allowed = budget_.spend(call.need.service, now);
+bool CallRouter::retryBudgetAllows(const Call& call, TimePoint now) {
+  const bool allowed = budget_.allows(call.need.service, now);
   counts_.retry_budget_refused += allowed ? 0 : 1;
-  if (allowed) {
-    call.retry_charged_at = now;
-  }
   logRetryBudget(call.need.service, now);
   return allowed;
 }
 
+void CallRouter::refuseUncoveredRetry(CallPointer call, TimePoint now) {
+  const Call& state = call->second;
+  if (state.may_have_run) {
+    refuse(call, ResultCode::ReplicaFailed, state.failure_reason, std::nullopt, now);
+  } else {
+    refuse(call, ResultCode::RetryBudgetSpent, "replicas refused the call before running it",
+           retryTimeAfterRefusals(state, now), now);
+  }
+}
+
 void CallRouter::logRetryBudget(const ServiceName& service, TimePoint now) {
   TimePoint& next = next_retry_budget_log_[service];
   if (now < next) {
@@ -417,7 +428,7 @@
 void CallRouter::retryPossiblyRun(CallPointer call, ResultCode reason, const std::string& detail,
                                   TimePoint now) {
   Call& state = call->second;
-  const bool again = mayRetry(state) && state.deadline - now > kMinTimeLeft && chargeRetryBudget(state, now);
+  const bool again = mayRetry(state) && state.deadline - now > kMinTimeLeft && retryBudgetAllows(state, now);
   if (again) {
     ++counts_.retries;
     counts_.resumed += state.started ? 1 : 0;
--- a/src/calls/retry_budget.h
+++ b/src/calls/retry_budget.h
@@ -29,8 +29,12 @@
 
   void setRouters(std::uint32_t routers) { routers_ = routers == 0 ? 1 : routers; }
   void onCall(const ServiceName& service, TimePoint now);
-  /// Charges one retry; returns false if the budget is used up.
+  /// True if a retry may be sent now.
+  bool allows(const ServiceName& service, TimePoint now);
+  /// Charges one retry that is being sent; returns false if the budget is used up.
   bool spend(const ServiceName& service, TimePoint now);
+  /// Takes back the latest charge: the retry has certainly not reached a replica.
+  void refund(const ServiceName& service);
   RetryUsage usage(const ServiceName& service, TimePoint now);
   /// Estimated time until another retry may be possible.
   Duration pause() const { return settings_.window / 4; }
@@ -40,7 +44,9 @@
     std::deque<TimePoint> calls;
     std::deque<TimePoint> retries;
   };
+  Window& current(const ServiceName& service, TimePoint now);
   double allowed(const Window& window) const;
+  bool hasRoom(const Window& window) const;
   void drop(std::deque<TimePoint>& times, TimePoint now) const;
 
   RetryBudgetSettings settings_;
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -251,8 +251,6 @@
   set("ferryrock_calls_open", "Calls without a final answer", static_cast<double>(router_.openCalls()));
   set("ferryrock_call_attempts", "Sendings to replicas", static_cast<double>(counts.attempts));
   set("ferryrock_call_retries", "Sendings beyond the first", static_cast<double>(counts.retries));
-  set("ferryrock_call_retries_uncharged", "Retries that the retry budget wasn't charged for",
-      static_cast<double>(counts.uncharged_retries));
   set("ferryrock_call_retries_refused", "Retries that the retry budget didn't allow",
       static_cast<double>(counts.retry_budget_refused));
   set("ferryrock_call_streams_resumed", "Streams that went on at another replica",
