Let the leader own each retry budget and grant it as leased credits

Cause: the sum was kept by parts. Each router reckoned its own, from its memory, which a restart empties, and from the number of routers that one member believed in at one moment. In a large fleet a part is below one retry, so that no router could retry at all.

Change: the leader keeps the sum (services/retry_ledger). A retry needs a credit of the leader, or is covered by a small share of the router's own calls, which needs no leader and no number of routers. Credits are leased: without updates they lapse at the router, while the leader counts them until a window after the end of the lease. A former process of a router counts as having used all its credits when it ended. A new leader takes over what routers report and counts what it can't know as used. Retries that have no credit wait up to 250 ms for the leader's answer and are refused at once if it has none. Routers hold a few credits ahead, so that the first retries need no round trip.

Tests: the fixtures of routers got a leader that grants credits. The test of the old class keeps its checks with the credits that were its part of the slack. A test that expected a refusal at once now lets the leader answer first.

--- a/src/balance/retry_budget_settings.h
+++ b/src/balance/retry_budget_settings.h
@@ -12,4 +12,10 @@
   Duration window = std::chrono::seconds(10);
 };
 
+/// Share of RetryBudgetSettings::share that each router uses for its own calls without asking a leader. It is
+/// bounded by the router's calls, however many routers there are and however often they restart.
+constexpr double kOwnRetryShare = 0.25;
+/// A retry may arrive later than the retries around it, so that it counts for this long beyond the window.
+constexpr Duration kRetryDelayMargin = std::chrono::seconds(1);
+
 }  // namespace ferryrock::balance
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -52,6 +52,14 @@
   }
 }
 
+/// Returns what of the retry budget an attempt was charged to, as text for log lines.
+std::string_view chargeName(std::optional<RetryCharge> charge) {
+  if (!charge) {
+    return "";
+  }
+  return *charge == RetryCharge::Credit ? "credit" : "own_share";
+}
+
 ResultCode refusalCode(ChoiceFailure failure) {
   switch (failure) {
     case ChoiceFailure::NotHeld:
@@ -78,7 +86,7 @@
       log_(log),
       random_(settings.seed),
       feed_(settings.feed),
-      budget_(settings.retries),
+      budget_(settings.retries, settings.feed.incarnation),
       quota_(quotaSettings(settings)),
       replicas_(settings.feed.zone, settings.seed,
                 {settings.feed.router, settings.feed.incarnation, settings.seed}),
@@ -208,17 +216,19 @@
     if (!refuseUnreachable(call, choice, now)) {
       waitForReplica(call, choice, now);
     }
-  } else if (state.arrivals > 0 && !retryBudgetAllows(state, now)) {
-    refuseUncoveredRetry(call, now);
-  } else {
+    return;
+  }
+  std::optional<RetryCharge> charge;
+  if (state.arrivals == 0 || coverRetry(call, charge, now)) {
     for (const ReplicaId& limited : choice.limited) {
       replicas_.limits().requestSpareCredit(limited, now);
     }
-    sendTo(call, choice, now);
+    sendTo(call, choice, charge, now);
   }
 }
 
-void CallRouter::sendTo(CallPointer call, const Choice& choice, TimePoint now) {
+void CallRouter::sendTo(CallPointer call, const Choice& choice, std::optional<RetryCharge> charge,
+                        TimePoint now) {
   Call& state = call->second;
   Replica& replica = *choice.replica;
   const std::optional<balance::FleetLoad>& use = choice.use;
@@ -230,7 +240,7 @@
   attempt.number = number;
   attempt.replica = replica.routed.id;
   attempt.sent = now;
-  attempt.charged = state.arrivals > 0 && budget_.spend(state.need.service, now);
+  attempt.charge = charge;
   ++state.arrivals;
   if (relay) {
     attempt.relay = relay->router;
@@ -271,7 +281,7 @@
               {"relay", relay ? view(relay->router.value) : std::string_view()},
               {"outstanding", static_cast<std::int64_t>(replica.outstanding)},
               {"waited_ms", toMilliseconds(now - state.arrived)},
-              {"charged", attempt.charged},
+              {"charged_to", chargeName(charge)},
               {"time_left_ms", toMilliseconds(effect.time_left)}});
   effects_.emplace_back(std::move(effect));
   if (use) {
@@ -422,6 +432,7 @@
   waiting_.erase(call->first);
   unrouted_.erase(call->first);
   awaiting_credit_.erase(call->first);
+  awaiting_retry_credit_.erase(call->first);
   calls_.erase(call);
 }
 
@@ -449,6 +460,7 @@
   if (!state.attempt && !state.probed_replica && !awaiting_credit_.contains(call->first)) {
     state.timer = std::min(state.timer, state.wait_deadline);
     state.timer = state.retry_at ? std::min(state.timer, *state.retry_at) : state.timer;
+    state.timer = state.credit_deadline ? std::min(state.timer, *state.credit_deadline) : state.timer;
   }
   timers_.insert({state.timer, call->first});
 }
@@ -463,6 +475,8 @@
   } else if (state.route == nullptr) {
     refuse(call, state.last_failure, "the router has not received a catalog and its proof yet", kRetryLater,
            now);
+  } else if (state.credit_deadline && now >= *state.credit_deadline) {
+    refuseUncoveredRetry(call, now);
   } else if (now >= state.deadline || now >= state.wait_deadline) {
     refuse(call, state.last_failure, "no replica became available in time",
            state.last_failure == ResultCode::LoadCannotFinishInTime ? kRetryLater
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -45,6 +45,7 @@
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
   std::uint64_t retry_budget_refused = 0;  ///< retries that the retry budget didn't allow
+  std::uint64_t retry_credit_waits = 0;    ///< retries that waited for a credit of the retry budget
   std::uint64_t resumed = 0;
   std::uint64_t caller_gone = 0;
   std::uint64_t unknown_keys = 0;     ///< refused: no key, or a key that belongs to no tenant
@@ -144,7 +145,7 @@
     std::optional<NodeName> relay;  ///< router that sends it to the replica; nullopt: this one
     TimePoint sent{};
     std::uint64_t pending_prefill_tokens = 0;  ///< in the replica's prefill backlog until the first progress
-    bool charged = false;                      ///< charged to the retry budget
+    std::optional<RetryCharge> charge;         ///< what of the retry budget it was charged to
     bool with_credit = false;           ///< the leader granted it a credit under the replica's rate limit
     std::uint64_t reopening_round = 0;  ///< backoff round that the attempt probes; 0: none, or accepted
     int measured_events = 0;            ///< number of events since measured_since
@@ -185,6 +186,7 @@
     std::optional<ReplicaId> probed_replica;    ///< replica being probed, which broke off the call
     std::string failure_reason;                 ///< reason of the last failed attempt
     std::uint32_t arrivals = 0;  ///< attempts that may have arrived at a replica, including the running one
+    std::optional<TimePoint> credit_deadline;  ///< limit of the wait for a credit of the retry budget
     bool demand_expedited = false;
     bool may_have_run = false;
     bool started = false;  ///< the headers of the stream were forwarded to the caller
@@ -230,7 +232,7 @@
   void sendQuotaUse(TimePoint now);
   void routeUnroutedCalls(TimePoint now);
   void dispatch(CallPointer call, TimePoint now);
-  void sendTo(CallPointer call, const Choice& choice, TimePoint now);
+  void sendTo(CallPointer call, const Choice& choice, std::optional<RetryCharge> charge, TimePoint now);
   void logReopening(const ReplicaId& replica, const ReplicaNotices::Reopening& reopening);
   void waitForReplica(CallPointer call, const Choice& choice, TimePoint now);
   static WaitingCall waitingCall(const Call& call);
@@ -313,8 +315,20 @@
   void recordStreamDuration(const Call& call, TimePoint now);
   static bool isRepeatable(const Call& call);
   static bool mayRetry(const Call& call);
-  /// True if the retry budget covers another attempt at present. The attempt is charged when it is sent.
+  /// True if the retry budget covers another attempt, or may cover it soon. The attempt is charged when it is
+  /// sent.
   bool retryBudgetAllows(const Call& call, TimePoint now);
+  /// Charges the attempt that is about to be sent. Returns false if the call waits for a credit or was
+  /// refused.
+  bool coverRetry(CallPointer call, std::optional<RetryCharge>& charge, TimePoint now);
+  /// Sends a call again, once the retry budget covers it.
+  void dispatchRetry(CallPointer call, TimePoint now);
+  /// Lets the call wait for a credit of the retry budget, or refuses it if none is expected.
+  void awaitRetryCredit(CallPointer call, TimePoint now);
+  /// Sends the retries that have waited for credits of these services, or refuses them.
+  void resolveRetryCredits(const std::set<ServiceName>& services, TimePoint now);
+  /// Number of calls that wait for a credit, by service.
+  std::map<ServiceName, std::uint32_t> waitingRetries() const;
   /// Ends a call whose next attempt the retry budget doesn't cover.
   void refuseUncoveredRetry(CallPointer call, TimePoint now);
   /// Logs how much of the retry budget this router has used, while it uses or lacks any.
@@ -359,8 +373,9 @@
   std::map<AttemptNumber, CallNumber> attempts_;
   std::set<std::pair<TimePoint, CallNumber>> timers_;
   std::set<CallNumber> waiting_;
-  std::set<CallNumber> unrouted_;         ///< waiting for the first catalog or its first proof
-  std::set<CallNumber> awaiting_credit_;  ///< waiting for quota credit of their tenants
+  std::set<CallNumber> unrouted_;               ///< waiting for the first catalog or its first proof
+  std::set<CallNumber> awaiting_credit_;        ///< waiting for quota credit of their tenants
+  std::set<CallNumber> awaiting_retry_credit_;  ///< waiting for a credit of the retry budget
   /// Calls by the number of their pending credit request.
   std::map<std::uint64_t, CallNumber> credit_requests_;
   /// Number of calls since the last report to the leader, by service, model and adapter.
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -21,6 +21,8 @@
 constexpr int kUnavailable = 503;
 /// Minimum interval between two log lines about unreadable notices.
 constexpr Duration kUnreadableLogInterval = 1s;
+/// A leader answers within some 10 ms. A retry doesn't wait longer than this for one that is busy or gone.
+constexpr Duration kRetryCreditTimeout = 250ms;
 /// Minimum interval between two log lines about the retry budget of a service.
 constexpr Duration kRetryBudgetLogInterval = 1s;
 /// Number of gaps in a stream that are averaged. Averaging is needed because a router that gets a tenth of a
@@ -118,8 +120,9 @@
   } else if (replica != nullptr && !failed) {
     replica->health.onSuccess(now);
   }
-  const bool again =
-      failed && mayRetry(state) && state.deadline - now > kMinTimeLeft && retryBudgetAllows(state, now);
+  // The replica's answer can't be kept while the call waits for a credit.
+  const bool again = failed && mayRetry(state) && state.deadline - now > kMinTimeLeft &&
+                     budget_.covers(state.need.service, now);
   if (again) {
     ++counts_.retries;
     state.failure_reason = "the replica answered with an error";
@@ -340,8 +343,8 @@
   recordPathFailure(attempt_state, failure, state.need.service, address, now);
   if (not_run) {
     --state.arrivals;
-    if (attempt_state.charged) {
-      budget_.refund(state.need.service);
+    if (attempt_state.charge) {
+      budget_.refund(state.need.service, *attempt_state.charge);
     }
     constexpr bool kReachedReplica = false;
     retryNotRun(*call, ResultCode::NoReplica, kReachedReplica, now);
@@ -372,7 +375,7 @@
   const bool tries_left = state.refusals < kMaxRefusals && state.deadline - now > kMinTimeLeft;
   if (tries_left && (state.arrivals == 0 || retryBudgetAllows(state, now))) {
     ++counts_.retries;
-    dispatch(call, now);
+    dispatchRetry(call, now);
   } else if (state.started) {
     breakStream(call, "no replica accepted the rest of the stream", now);
   } else {
@@ -393,12 +396,80 @@
 }
 
 bool CallRouter::retryBudgetAllows(const Call& call, TimePoint now) {
-  const bool allowed = budget_.allows(call.need.service, now);
+  const bool allowed = budget_.mayRetry(call.need.service, now);
   counts_.retry_budget_refused += allowed ? 0 : 1;
   logRetryBudget(call.need.service, now);
   return allowed;
 }
 
+/// Credits are requested before a replica is looked for, so that a call whose retry isn't covered is refused
+/// at once.
+void CallRouter::dispatchRetry(CallPointer call, TimePoint now) {
+  if (call->second.arrivals == 0 || budget_.covers(call->second.need.service, now)) {
+    call->second.credit_deadline.reset();
+    awaiting_retry_credit_.erase(call->first);
+    dispatch(call, now);
+  } else {
+    awaitRetryCredit(call, now);
+  }
+}
+
+bool CallRouter::coverRetry(CallPointer call, std::optional<RetryCharge>& charge, TimePoint now) {
+  Call& state = call->second;
+  charge = budget_.spend(state.need.service, now);
+  logRetryBudget(state.need.service, now);
+  if (charge) {
+    state.credit_deadline.reset();
+    awaiting_retry_credit_.erase(call->first);
+    return true;
+  }
+  awaitRetryCredit(call, now);
+  return false;
+}
+
+void CallRouter::awaitRetryCredit(CallPointer call, TimePoint now) {
+  Call& state = call->second;
+  const bool timed_out = state.credit_deadline && now >= *state.credit_deadline;
+  if (timed_out || !budget_.expectsCredit(state.need.service, now)) {
+    ++counts_.retry_budget_refused;
+    refuseUncoveredRetry(call, now);
+    return;
+  }
+  if (awaiting_retry_credit_.insert(call->first).second) {
+    ++counts_.retry_credit_waits;
+    waiting_.erase(call->first);
+    state.credit_deadline = std::min(state.deadline, now + kRetryCreditTimeout);
+    state.wait_deadline = std::max(state.wait_deadline, *state.credit_deadline);
+    feed_.expedite();
+  }
+  setTimer(call);
+}
+
+void CallRouter::resolveRetryCredits(const std::set<ServiceName>& services, TimePoint now) {
+  std::vector<std::pair<std::uint32_t, CallNumber>> order;
+  for (const CallNumber number : awaiting_retry_credit_) {
+    const Call& call = calls_.at(number);
+    if (services.contains(call.need.service)) {
+      order.emplace_back(call.priority, number);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  for (const auto& [priority, number] : order) {
+    const CallPointer call = calls_.find(number);
+    if (call != calls_.end() && !call->second.attempt) {
+      dispatchRetry(call, now);
+    }
+  }
+}
+
+std::map<ServiceName, std::uint32_t> CallRouter::waitingRetries() const {
+  std::map<ServiceName, std::uint32_t> waiting;
+  for (const CallNumber number : awaiting_retry_credit_) {
+    ++waiting[calls_.at(number).need.service];
+  }
+  return waiting;
+}
+
 void CallRouter::refuseUncoveredRetry(CallPointer call, TimePoint now) {
   const Call& state = call->second;
   if (state.may_have_run) {
@@ -419,9 +490,10 @@
   log_.write(LogLevel::Info, "retry.budget",
              {{"service", view(service.value)},
               {"calls", static_cast<std::int64_t>(usage.calls)},
-              {"retries", static_cast<std::int64_t>(usage.retries)},
-              {"allowed", usage.allowed},
-              {"routers", static_cast<std::int64_t>(usage.routers)},
+              {"own_retries", static_cast<std::int64_t>(usage.own_retries)},
+              {"credited_retries", static_cast<std::int64_t>(usage.credited_retries)},
+              {"credits", static_cast<std::int64_t>(usage.credits)},
+              {"waiting", static_cast<std::int64_t>(awaiting_retry_credit_.size())},
               {"alive_ms", toMilliseconds(now - started_at_)}});
 }
 
@@ -432,7 +504,7 @@
   if (again) {
     ++counts_.retries;
     counts_.resumed += state.started ? 1 : 0;
-    dispatch(call, now);
+    dispatchRetry(call, now);
   } else if (state.started) {
     breakStream(call, detail, now);
   } else {
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -69,9 +69,13 @@
   if (!stale) {
     quota_.onUpdate(from, update, now);
     replicas_.limits().onLeader(update.grants_limit_credit, update.routers, now);
-    budget_.setRouters(update.routers);
     replicas_.setRouters(update.routers);
   }
+  if (!stale && update.retry_credits) {
+    resolveRetryCredits(budget_.accept(*update.retry_credits, now), now);
+  } else if (!stale) {
+    budget_.onLegacyLeader();
+  }
   if (!stale && update.relays) {
     relays_.set(*update.relays);
   }
@@ -206,13 +210,22 @@
   }
   const NodeName leader = feed_.leader();
   updatePaths(now);
-  RouterState state{modelCalls(now),           replicas_.unreachable(now), ready(),
-                    catalogVersion(),          crashes_.digest(),          replicas_.takeLocalLoads(),
-                    replicas_.takeEventGaps(), interests_.list(now),       isPartitioned(),
-                    relays_.digest()};
+  RouterState state{modelCalls(now),
+                    replicas_.unreachable(now),
+                    ready(),
+                    catalogVersion(),
+                    crashes_.digest(),
+                    replicas_.takeLocalLoads(),
+                    replicas_.takeEventGaps(),
+                    interests_.list(now),
+                    isPartitioned(),
+                    relays_.digest(),
+                    budget_.report(waitingRetries(), now),
+                    toMilliseconds(now - started_at_)};
   for (wire::SendEffect& send : feed_.statuses(std::move(state), now)) {
     effects_.emplace_back(std::move(send));
   }
+  budget_.onStatusSent(feed_.lastSequence(), now);
   if (!leader.empty() && feed_.leader().empty()) {
     log_.write(LogLevel::Warning, "control.silent",
                {{"leader", view(leader.value)},
--- a/src/calls/control_feed.cc
+++ b/src/calls/control_feed.cc
@@ -199,6 +199,7 @@
   status.relay_address = settings_.relay_address;
   status.partitioned = state.partitioned;
   status.relays = state.relays;
+  status.alive_ms = state.alive_ms;
   status.needs_catalog_proof = proof_.isNeeded() && !proof_.holds(now + kProofRenewalMargin);
   proof_.onStatusSent(sequence_, now);
   wire::CallRouterStatus leader_status = status;
@@ -206,6 +207,7 @@
   leader_status.unreachable = std::move(state.unreachable);
   leader_status.local_loads = std::move(state.local_loads);
   leader_status.event_gaps = std::move(state.event_gaps);
+  leader_status.retry_uses = std::move(state.retry_uses);
   if (holdsSubscribedTable()) {
     leader_status.interests = std::move(state.interests);
   }
--- a/src/calls/control_feed.h
+++ b/src/calls/control_feed.h
@@ -46,6 +46,8 @@
   std::vector<wire::ModelInterest> interests;       ///< sent to the leader only
   bool partitioned = false;                         ///< the router reaches no replica itself
   std::uint64_t relays = 0;                         ///< digest of the relays that the router knows
+  std::vector<wire::RetryUse> retry_uses;           ///< sent to the leader only
+  std::int64_t alive_ms = 0;                        ///< time since the process started
 };
 
 /// A router's communication with the control members: reports its status, finds the leader, and accepts only
@@ -87,6 +89,8 @@
   /// Returns the members that have answered no status within the timeout. A member is returned again only
   /// after another such period.
   std::vector<NodeName> unresponsiveMembers(TimePoint now);
+  /// Sequence of the statuses that were sent last.
+  std::uint64_t lastSequence() const { return sequence_; }
   TimePoint nextDeadline() const;
 
   /// Addresses that callers may connect to, as last published by a leader; kept while there is no leader.
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -253,6 +253,8 @@
   set("ferryrock_call_retries", "Sendings beyond the first", static_cast<double>(counts.retries));
   set("ferryrock_call_retries_refused", "Retries that the retry budget didn't allow",
       static_cast<double>(counts.retry_budget_refused));
+  set("ferryrock_call_retries_asked", "Retries that waited for a credit of the retry budget",
+      static_cast<double>(counts.retry_credit_waits));
   set("ferryrock_call_streams_resumed", "Streams that went on at another replica",
       static_cast<double>(counts.resumed));
   set("ferryrock_callers_gone", "Callers that left before their answer",
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -57,6 +57,7 @@
   control.placement = settings.placement;
   control.publishes_loads = settings.publishes_loads;
   control.quota_tolerance = settings.quota_tolerance;
+  control.retries = settings.retries;
   return control;
 }
 
@@ -336,6 +337,21 @@
                 {"unreachable", static_cast<std::int64_t>(fleet.unreachable)}});
   }
   logged_fleet_ = fleet;
+  logRetryBudgets(time);
+}
+
+/// Logs what the leader knows of each retry budget that routers use, with the limits of logFleetChanges().
+void ServiceControlShell::logRetryBudgets(TimePoint time) {
+  for (const services::RetryBudgetView& view : control_->retryBudgets(time)) {
+    if (view.used > 0) {
+      log_.write(LogLevel::Info, "retry.budgets",
+                 {{"service", std::string_view(view.service.value)},
+                  {"budget", view.budget},
+                  {"used", view.used},
+                  {"outstanding", view.outstanding},
+                  {"assumed", view.assumed}});
+    }
+  }
 }
 
 /// Logs the memory in use, and the traffic by kind of message since the previous call.
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -65,6 +65,7 @@
   void updatePeers();
   void logViewChanges();
   void logFleetChanges();
+  void logRetryBudgets(TimePoint time);
   void logResourceUsage();
   void armTimer();
   void continueStop();
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -35,6 +35,9 @@
   quota.window = reader.duration("quota_window", 100ms, 1h, quota.window);
   quota.overshoot = reader.number("quota_overshoot", 0, 100, quota.overshoot);
   quota.slack = reader.number("quota_slack", 0, 1e12, quota.slack);
+  settings.retries.share = reader.number("retry_share", 0, 100, settings.retries.share);
+  settings.retries.slack = reader.number("retry_slack", 0, 1e9, settings.retries.slack);
+  settings.retries.window = reader.duration("retry_window", 100ms, 1h, settings.retries.window);
   settings.log = readLogSettings(reader.section("log"));
   settings.log.bounded_standard_output = settings.log.file.empty();
 }
@@ -68,9 +71,6 @@
   if (!settings.listen_relay.empty()) {
     process::parseAddress(settings.listen_relay);
   }
-  settings.retries.share = reader.number("retry_share", 0, 100, settings.retries.share);
-  settings.retries.slack = reader.number("retry_slack", 0, 1e9, settings.retries.slack);
-  settings.retries.window = reader.duration("retry_window", 100ms, 1h, settings.retries.window);
   if (reader.has("key_revocation_limit")) {
     settings.key_revocation_limit = reader.duration("key_revocation_limit", 500ms, 1h);
   }
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "calls/retry_budget.h"
+#include "balance/retry_budget_settings.h"
 #include "common/event_log.h"
 #include "common/log_settings.h"
 #include "common/settings_reader.h"
@@ -28,6 +28,7 @@
   LogSettings log;
   EventLogLimits log_limits;
   tenancy::QuotaTolerance quota_tolerance;
+  balance::RetryBudgetSettings retries;
 
   /// The internal addresses of the seeds.
   std::vector<NodeName> seedNodes() const;
@@ -40,7 +41,6 @@
   std::string listen_status;  ///< "host:port"
   /// "host:port" at which attempts of other routers are taken; empty: the internal port of the machine.
   std::string listen_relay;
-  calls::RetryBudgetSettings retries;
   /// Time within which all routers reject a revoked key. nullopt: a router without contact to the control
   /// members accepts the keys of its last known catalog without limit.
   std::optional<Duration> key_revocation_limit;
--- a/src/services/router_directory.h
+++ b/src/services/router_directory.h
@@ -40,7 +40,7 @@
   /// limit divided by the number of zones; if the zone has fewer than kMinChoices, also routers of other
   /// zones.
   std::vector<std::string> addresses(const ZoneName& zone, TimePoint now, std::size_t limit) const;
-  /// Number of routers that callers may be sent to, among which retry budgets are divided.
+  /// Number of routers that callers may be sent to.
   std::size_t acceptingCount(TimePoint now) const;
 
   /// Routers that relay attempts for routers of the zone: those that are offered to callers and reach
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -33,6 +33,10 @@
   return control;
 }
 
+bool isEmpty(const consensus::RecoveredState& state) {
+  return state.entries.empty() && !state.snapshot;
+}
+
 }  // namespace
 
 ServiceControlImpl::ServiceControlImpl(const ServiceControlSettings& settings,
@@ -40,6 +44,7 @@
                                        TimeSource& time_source)
     : settings_(settings),
       self_(settings.control.log.node),
+      saw_cell_formed_(settings.control.log.bootstrap && isEmpty(recovered)),
       node_(control::createControlNode(nodeSettings(settings.control), std::move(recovered),
                                        std::move(random), time_source)),
       membership_manager_(membershipSettings(settings), time_source.monotonicTime()),
@@ -109,6 +114,7 @@
   if (leader_) {
     leader_->receipts.onStatus(status, now);
     leader_->loads.accept(status, now);
+    leader_->retries.accept(status, now);
   }
   if (leader_ && node_->log().hasLease(now)) {
     updateRouter(status, now);
@@ -294,6 +300,7 @@
       leader_->demand.keepRouters(directory_.routers());
       leader_->loads.expire(now);
       leader_->limits.expire(now);
+      leader_->retries.expire(now);
       leader_->updates.keepRouters(directory_.routers());
       leader_->tables.keepRouters(directory_.routers());
       leader_->receipts.keepRouters(directory_.routers());
@@ -384,7 +391,7 @@
     placer.switches = settings_.placement;
     // An earlier leader's lease may end up to election_timeout_min after this election, see elect_at_start.
     placer.first_order = now + settings_.order_lease + settings_.control.log.election_timeout_min;
-    leader_.emplace(term, placer, registry_, index_, settings_.quota_tolerance,
+    leader_.emplace(term, placer, registry_, index_, settings_.quota_tolerance, newRetryLedger(now),
                     settings_.router_contact_timeout, now);
     registry_.clearLimits();
     leader_->push_to_all = isLargeFleet();  // announces the new leader to the routers at once
@@ -451,6 +458,10 @@
           directory_.unreachable(now).size()};
 }
 
+std::vector<RetryBudgetView> ServiceControlImpl::retryBudgets(TimePoint now) const {
+  return leader_ ? leader_->retries.view(now) : std::vector<RetryBudgetView>();
+}
+
 std::unique_ptr<ServiceControl> createServiceControl(const ServiceControlSettings& settings,
                                                      consensus::RecoveredState recovered, Random random,
                                                      TimeSource& time_source) {
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -13,6 +13,7 @@
 #include "services/placement_switches.h"
 #include "services/replica_orders.h"
 #include "services/replica_registry.h"
+#include "services/retry_ledger.h"
 #include "services/router_directory.h"
 #include "tenancy/quota_ledger.h"
 
@@ -36,6 +37,7 @@
   /// Publish the load of replicas over all routers to the routers.
   bool publishes_loads = false;
   tenancy::QuotaTolerance quota_tolerance;
+  balance::RetryBudgetSettings retries;
   /// A replica without a report for longer than this is removed.
   Duration replica_silence = std::chrono::seconds(6);
 };
@@ -141,6 +143,8 @@
   virtual ServiceControlView view(TimePoint now) const = 0;
   /// Separate from view(), since it scans the routers.
   virtual FleetView fleet(TimePoint now) const = 0;
+  /// Use of the retry budgets over all routers; empty unless this member leads. Scans the routers.
+  virtual std::vector<RetryBudgetView> retryBudgets(TimePoint now) const = 0;
 };
 
 std::unique_ptr<ServiceControl> createServiceControl(const ServiceControlSettings& settings,
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -62,6 +62,7 @@
   std::vector<NodeName> peers() const override;
   ServiceControlView view(TimePoint now) const override;
   FleetView fleet(TimePoint now) const override;
+  std::vector<RetryBudgetView> retryBudgets(TimePoint now) const override;
 
  private:
   // Purposes of proposals and quorum reads.
@@ -110,13 +111,14 @@
   struct LeaderState {
     LeaderState(Term own_term, const ModelPlacerSettings& placer_settings, ReplicaRegistry& registry,
                 const ReplicaIndex& index, const tenancy::QuotaTolerance& quota_tolerance,
-                Duration router_contact_timeout, TimePoint now)
+                RetryLedger retry_ledger, Duration router_contact_timeout, TimePoint now)
         : term(own_term),
           feed(own_term, registry),
           tables(index),
           placer(placer_settings, registry, demand),
           rollout(router_contact_timeout),
           quotas(quota_tolerance, now),
+          retries(std::move(retry_ledger)),
           since(now) {}
     Term term;
     TableFeed feed;                  ///< for routers that get tables of all replicas
@@ -130,6 +132,7 @@
     StatusReceipts receipts;
     ProofRequests proof_requests;
     tenancy::QuotaLedger quotas;
+    RetryLedger retries;
     TimePoint next_quota_contacts{};  ///< next update of `quotas` with the routers out of contact
     LimitLedger limits;
     CatalogVersion quota_version;              ///< version of the catalog whose limits `quotas` applies
@@ -251,6 +254,8 @@
   std::size_t sendUpdate(const wire::CallRouterStatus& status, TimePoint now);
   /// Returns the loads of all replicas if the router is due for them.
   std::optional<std::vector<wire::ReplicaLoad>> loadsFor(const NodeName& router, TimePoint now);
+  /// The retry ledger of a leader that begins: what routers used under earlier leaders counts.
+  RetryLedger newRetryLedger(TimePoint now) const;
   /// Returns the router's relays if it knows others.
   static std::optional<std::vector<wire::RelayRouter>> relaysFor(const wire::CallRouterStatus& status,
                                                                  const FeedContext& context);
@@ -277,6 +282,7 @@
 
   ServiceControlSettings settings_;
   NodeName self_;
+  bool saw_cell_formed_;  ///< the cell was formed after the start of this process
   std::unique_ptr<control::ControlNode> node_;
   ReplicaRegistry registry_;
   RouterDirectory directory_;
--- a/src/services/service_control_updates.cc
+++ b/src/services/service_control_updates.cc
@@ -36,6 +36,8 @@
 constexpr double kBytesPerLoad = 14;
 /// In fleets so large that the interval would exceed this, no loads are reported: routers ignore older sums.
 constexpr Duration kMaxLoadsInterval = std::chrono::seconds(2);
+/// Routers that start together with the cell have started by this time.
+constexpr Duration kJointStart = std::chrono::seconds(3);
 
 bool waitsForModel(const wire::CallRouterStatus& status) {
   return std::any_of(status.model_calls.begin(), status.model_calls.end(),
@@ -60,7 +62,9 @@
   if (!needsUpdate(status, now)) {
     return;
   }
-  if (isLargeFleet()) {
+  if (isLargeFleet() && RetryLedger::isAwaited(status)) {
+    leader_->urgent_updates.add(status.router);
+  } else if (isLargeFleet()) {
     leader_->regular_updates.add(status.router);
   } else {
     sendUpdate(status, now);
@@ -74,7 +78,7 @@
       subscribes(status) ? !status.missed_update : leader_->feed.holds(expected, leader_->feed.revision());
   const bool current = holds_table && expected.catalog >= node_->hosted().catalog().version &&
                        expected.directory == feedContext(status.zone, now).directory_digest &&
-                       !waitsForModel(status);
+                       !waitsForModel(status) && !RetryLedger::isAwaited(status);
   // A little less than the status interval, so that each regular status gets a response.
   const Duration keepalive_interval = std::max(kKeepaliveInterval, leaderStatusInterval() * 4 / 5);
   return !current || now - leader_->updates.lastSent(status.router) >= keepalive_interval;
@@ -101,12 +105,32 @@
   }
   update.loads = loadsFor(status.router, now);
   update.relays = relaysFor(status, context);
+  if (status.takesRetryCredits()) {
+    update.retry_credits = leader_->retries.creditsFor(status, leaderStatusInterval(), now);
+  }
   leader_->updates.onSent(status.router, update, now);
   const std::size_t entries = update.replicas.size();
   send(status.router, std::move(update));
   return entries;
 }
 
+/// A member has heard of all routers once it has run for as long as their use counts. In a cell that was
+/// formed while it ran, no router process is older, and those that started together with the cell are the
+/// first ones.
+RetryLedger ServiceControlImpl::newRetryLedger(TimePoint now) const {
+  const Duration counted_for = settings_.retries.window + balance::kRetryDelayMargin;
+  EarlierRetryUse earlier;
+  for (const auto& [router, record] : directory_.routers()) {
+    earlier.routers.insert(router);
+  }
+  earlier.lists_all = saw_cell_formed_ || now - started_at_ >= counted_for;
+  earlier.reported_from = now - counted_for;
+  if (saw_cell_formed_) {
+    earlier.reported_from = std::max(earlier.reported_from, started_at_ + kJointStart);
+  }
+  return {settings_.retries, std::move(earlier), now};
+}
+
 /// Routers of builds without relays have no relay address.
 std::optional<std::vector<wire::RelayRouter>> ServiceControlImpl::relaysFor(
     const wire::CallRouterStatus& status, const FeedContext& context) {
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -134,6 +134,36 @@
   FERRYROCK_FIELDS(ReplicaLoad, replica, streams, pending_prefill_tokens, tokens_per_s, slowness_percent)
 };
 
+/// Use of the retry budget of one service by one router process, see calls::RetryBudget.
+struct RetryUse {
+  ServiceName service;
+  std::uint32_t calls = 0;     ///< calls that arrived within the window
+  std::uint64_t received = 0;  ///< credits that leaders granted since the process started
+  std::uint64_t used = 0;      ///< part of `received` that retries were charged to
+  std::uint64_t dropped = 0;   ///< part of `received` that lapsed or was returned unused
+  /// Retries sent in each of the latest seconds, latest first, whatever they were charged to.
+  std::vector<std::uint32_t> recent;
+  std::uint32_t waiting = 0;  ///< retries that wait for a credit
+  FERRYROCK_FIELDS(RetryUse, service, calls, received, used, dropped, recent, waiting)
+};
+
+/// Credits of one router under the retry budget of one service.
+struct RetryGrant {
+  ServiceName service;
+  std::uint64_t total = 0;  ///< RetryUse::received from now on; never lower than before
+  std::uint32_t keep = 0;   ///< credits that the router may keep; it returns further ones
+  FERRYROCK_FIELDS(RetryGrant, service, total, keep)
+};
+
+/// Leased credits of one router under the retry budgets.
+struct RetryCredits {
+  std::uint64_t incarnation = 0;      ///< incarnation of the router
+  std::uint64_t status_sequence = 0;  ///< the status that the credits answer
+  std::int64_t lease_ms = 0;          ///< how long credits may be used, from the time at which it was sent
+  std::vector<RetryGrant> grants;
+  FERRYROCK_FIELDS(RetryCredits, incarnation, status_sequence, lease_ms, grants)
+};
+
 /// Status of a call router: its contact data, what it has in force and the demand of its calls.
 struct CallRouterStatus {
   NodeName router;
@@ -160,12 +190,14 @@
   std::vector<ModelInterest> interests;  ///< for the leader
   /// Address at which the router relays attempts of others, "host:port"; empty: it doesn't.
   std::string relay_address;
-  bool partitioned = false;  ///< the router reaches no replica over its own connections
-  std::uint64_t relays = 0;  ///< relaysDigest() of the relays that it knows
+  bool partitioned = false;          ///< the router reaches no replica over its own connections
+  std::uint64_t relays = 0;          ///< relaysDigest() of the relays that it knows
+  std::vector<RetryUse> retry_uses;  ///< for the leader; services without calls and retries aren't listed
+  std::int64_t alive_ms = 0;         ///< time since the process started
   FERRYROCK_FIELDS(CallRouterStatus, router, zone, address, incarnation, sequence, accepting, catalog,
                    revision, model_calls, directory, missed_update, unreachable, needs_catalog_proof,
                    crash_digest, local_loads, event_gaps, subscribes, table, interests, relay_address,
-                   partitioned, relays)
+                   partitioned, relays, retry_uses, alive_ms)
 
   /// Number of members that the sender's build encodes; 0: not decoded from bytes.
   std::uint32_t encoded_member_count = 0;
@@ -173,7 +205,12 @@
   bool supportsIncarnationIds() const {
     return encoded_member_count == 0 || encoded_member_count >= kMembersWithLoads;
   }
+  /// Routers of builds without `retry_uses` divide the retry budgets among themselves.
+  bool takesRetryCredits() const {
+    return encoded_member_count == 0 || encoded_member_count >= kMembersWithRetryUses;
+  }
   static constexpr std::uint32_t kMembersWithLoads = 16;
+  static constexpr std::uint32_t kMembersWithRetryUses = 23;
 };
 
 /// A replica as routers need it.
@@ -222,7 +259,7 @@
   std::vector<RoutedReplica> replicas;
   std::vector<ReplicaId> removed;
   bool complete = false;      ///< replicas that the whole table doesn't list are gone
-  std::uint32_t routers = 1;  ///< number of routers that share the retry budgets
+  std::uint32_t routers = 1;  ///< number of routers that callers may be sent to
   std::vector<NodeName> members;
   /// Addresses for callers; set if the router has another directory.
   std::optional<std::vector<std::string>> directory;
@@ -245,9 +282,10 @@
   /// Routers through which the receiver may reach replicas that it can't reach itself; set if it knows
   /// others.
   std::optional<std::vector<RelayRouter>> relays;
+  std::optional<RetryCredits> retry_credits;  ///< nullopt: the leader's build grants none
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
                    members, directory, coming, confirm, proved, limited_tenants, loads, table,
-                   status_interval_ms, grants_limit_credit, confirms_quota_reports, relays)
+                   status_interval_ms, grants_limit_credit, confirms_quota_reports, relays, retry_credits)
 
   /// Number of members that the sender's build encodes; 0: not decoded from bytes.
   std::uint32_t encoded_member_count = 0;
--- a/tests/calls/call_fixture.h
+++ b/tests/calls/call_fixture.h
@@ -12,7 +12,8 @@
 /// A call router under a virtual clock that records the effects it returns.
 class CallFixture {
  public:
-  explicit CallFixture(double retry_slack = 100) : router_(settings(retry_slack), log_, now) {}
+  explicit CallFixture(double retry_slack = 100)
+      : retry_slack_(retry_slack), router_(settings(retry_slack), log_, now) {}
 
   /// Applies the catalog: /safe/ is repeatable, /once/ at most once, /stream/ a resumable stream, /single/ a
   /// stream that can't be resumed, and /model/ a stream on a service with models. Each route has a time limit
@@ -21,11 +22,33 @@
     wire::ServiceUpdate update;
     update.catalog = catalog(1);
     send(update);
+    keepAlive();
   }
+  /// Sends an update without changes.
+  void keepAlive() {
+    wire::ServiceUpdate update;
+    update.base = LogIndex{(std::uint64_t{1} << 40) | 1};
+    send(update);
+  }
+  /// Sends the update of a leader that grants each service the slack of the retry budget, once.
   void send(wire::ServiceUpdate update) {
     update.revision = LogIndex{(std::uint64_t{1} << 40) | ++revision_};
+    update.retry_credits = retryCredits();
     take(router_.receive({NodeName("control-1"), update}, now));
   }
+  wire::RetryCredits retryCredits() const {
+    constexpr std::int64_t kLeaseMs = 3'600'000;
+    wire::RetryCredits credits;
+    credits.lease_ms = kLeaseMs;
+    for (const Effect& effect : all) {
+      const auto* sent = std::get_if<wire::SendEffect>(&effect);
+      const auto* status = sent == nullptr ? nullptr : std::get_if<wire::CallRouterStatus>(&sent->message);
+      credits.status_sequence = status == nullptr ? credits.status_sequence : status->sequence;
+    }
+    const auto slack = static_cast<std::uint32_t>(retry_slack_);
+    credits.grants = {{ServiceName("desk"), slack, slack}, {ServiceName("llm"), slack, slack}};
+    return credits;
+  }
   static wire::RoutedReplica replica(const std::string& id, const std::string& service = "desk") {
     wire::RoutedReplica replica;
     replica.id = ReplicaId(id);
@@ -134,6 +157,7 @@
   CallRouter& router() { return router_; }
 
  private:
+  double retry_slack_;
   NoEventLog log_;
   CallRouter router_;
   std::uint64_t calls_ = 0;
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -147,6 +147,8 @@
   CHECK(fixture.count<DeliverAnswerEffect>() == 1);
   fixture.call("/once/x");
   fixture.answer(503, true);
+  fixture.pass(20ms);
+  fixture.keepAlive();  // the leader's answer to the status that asks for a credit
   REQUIRE(fixture.last<RefuseCallEffect>() != nullptr);
   CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::RetryBudgetSpent);
 }
--- a/tests/calls/parts_test.cc
+++ b/tests/calls/parts_test.cc
@@ -31,9 +31,15 @@
   RetryBudgetSettings settings;
   settings.share = 0.2;
   settings.slack = 50;
-  RetryBudget budget(settings);
-  budget.setRouters(5);
+  RetryBudget budget(settings, 1);
   const ServiceName service("desk");
+  const auto update = [&budget, &service](std::uint64_t sequence, TimePoint now) {
+    constexpr std::uint32_t kPartOfSlack = 10;
+    budget.report({}, now);
+    budget.onStatusSent(sequence, now);
+    budget.accept({1, sequence, 3000, {{service, sequence * kPartOfSlack, kPartOfSlack}}}, now);
+  };
+  update(1, kStart);
   for (int i = 0; i < 100; ++i) {
     budget.onCall(service, kStart);
   }
@@ -44,6 +50,7 @@
   CHECK(spent <= 30);
   CHECK(spent >= 15);
   CHECK_FALSE(budget.spend(service, kStart + 9s));
+  update(2, kStart + 11s);
   CHECK(budget.spend(service, kStart + 11s));
 }
 
--- a/tests/calls/tenant_test.cc
+++ b/tests/calls/tenant_test.cc
@@ -42,6 +42,8 @@
     update.revision = LogIndex{(std::uint64_t{1} << 40) | ++revisions_};
     update.version = CatalogVersion{version_};
     update.proved = {kIncarnation, proved_sequence};
+    update.retry_credits = retryCredits();
+    update.retry_credits->incarnation = kIncarnation;
     take(router_.receive({kLeader, update}, now));
   }
   void begin(bool limited = false) {
--- a/tests/services/retry_fleet.cc
+++ b/tests/services/retry_fleet.cc
@@ -27,8 +27,7 @@
 }  // namespace
 
 RetryFleet::RetryFleet(std::size_t router_count, std::size_t replicas, std::uint64_t seed)
-    : cluster(kMembers, 1, seed), oracle(budget()), random(seed) {
-  cluster.retries = budget();
+    : cluster(kMembers, 1, seed, budget()), oracle(budget()), random(seed) {
   cluster.on_router_effect = [this](RunningRouter& router, const calls::Effect& effect) {
     onEffect(router, effect);
   };
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -24,8 +24,9 @@
 
 }  // namespace
 
-ServiceCluster::ServiceCluster(std::size_t founders, std::uint32_t tolerated_losses, std::uint64_t seed)
-    : random_(seed), tolerated_losses_(tolerated_losses) {
+ServiceCluster::ServiceCluster(std::size_t founders, std::uint32_t tolerated_losses, std::uint64_t seed,
+                               const balance::RetryBudgetSettings& retries)
+    : random_(seed), tolerated_losses_(tolerated_losses), retries_(retries) {
   for (std::size_t i = 0; i < founders; ++i) {
     seeds_.push_back(nodeAt(i));
     wire::Member member;
@@ -73,6 +74,7 @@
   settings.seeds = seeds_;
   settings.tolerated_losses = tolerated_losses_;
   settings.publishes_loads = publishes_loads;
+  settings.retries = retries_;
   member.control = createServiceControl(settings, member.storage->recover(), Random(random_.next()), clock_);
   act(member, [](ServiceControl& control, TimePoint now) { return control.tick(now); });
   const std::uint64_t starts = member.starts;
@@ -196,7 +198,7 @@
   settings.feed.incarnation = random_.next();
   settings.feed.seeds = seeds_;
   settings.feed.key_lifetime = key_lifetime;
-  settings.retries = retries;
+  settings.retries = retries_;
   settings.seed = settings.feed.incarnation;
   router.logic = std::make_unique<calls::CallRouter>(settings, router.log, time_);
 }
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -70,7 +70,8 @@
 
 class ServiceCluster {
  public:
-  explicit ServiceCluster(std::size_t founders, std::uint32_t tolerated_losses, std::uint64_t seed = 7);
+  explicit ServiceCluster(std::size_t founders, std::uint32_t tolerated_losses, std::uint64_t seed = 7,
+                          const balance::RetryBudgetSettings& retries = {});
 
   TimePoint now() const { return time_; }
   ServiceMember& member(std::size_t number) { return *members_.at(number); }
@@ -106,8 +107,6 @@
   bool publishes_loads = false;
   /// Setting of routers that are added or restarted later.
   std::optional<Duration> key_lifetime;
-  /// Setting of routers that are added or restarted later.
-  balance::RetryBudgetSettings retries;
   /// Handles the effects of routers on callers and replicas; may be empty.
   std::function<void(RunningRouter&, const calls::Effect&)> on_router_effect;
   /// Delivers an event to the member; while the member is frozen, the event is queued.
@@ -180,6 +179,7 @@
 
   Random random_;
   std::uint32_t tolerated_losses_;
+  balance::RetryBudgetSettings retries_;
   TimePoint time_{std::chrono::seconds(1000)};
   std::uint64_t next_order_ = 1;
   std::uint64_t next_request_ = 1;
