Tell the software versions of replicas, and which call resumes which stream

Whether streams changed versions within one answer, over a caller's tries or over services couldn't be told: no line had a replica's version, and none said that a call resumes a stream.

Change: reports and router tables have the replica's software version, unknown from members of the build before. call.sent has the version of the replica; stream.resumed names the call that brought the first event, the last event that the caller has, the service and the replica. No decision changes: test_calls, test_platform and test_wire pass as before.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -36,6 +36,8 @@
   std::uint64_t answer_tokens = 0;            ///< upper bound of generated tokens
   bool has_token_counts = false;              ///< the call carries the token counts above
   std::optional<std::uint64_t> resume_after;  ///< ID of the last stream event that the caller has received
+  /// ID of the call that brought the first event of the stream that this call resumes; empty: unknown.
+  RequestId resumes;
   tenancy::Credential credential;
   wire::CallFingerprint fingerprint;  ///< identical whenever the caller repeats the same call
 };
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -274,15 +274,25 @@
   effect.tenant = state.tenant;
   effect.withhold_key = state.routes->keys().requiresKeys();
   effect.resume_after = state.last_event ? state.last_event : state.request.resume_after;
-  log_.write(LogLevel::Info, "call.sent",
-             {{"request", view(state.request.id.value)},
-              {"attempt", static_cast<std::int64_t>(state.attempts)},
-              {"replica", view(replica.routed.id.value)},
-              {"relay", relay ? view(relay->router.value) : std::string_view()},
-              {"outstanding", static_cast<std::int64_t>(replica.outstanding)},
-              {"waited_ms", toMilliseconds(now - state.arrived)},
-              {"charged_to", chargeName(charge)},
-              {"time_left_ms", toMilliseconds(effect.time_left)}});
+  if (state.request.resume_after) {
+    log_.write(LogLevel::Info, "stream.resumed",
+               {{"request", view(state.request.id.value)},
+                {"stream", view(state.request.resumes.value)},
+                {"after_event", static_cast<std::int64_t>(*state.request.resume_after)},
+                {"service", view(state.need.service.value)},
+                {"replica", view(replica.routed.id.value)}});
+  }
+  log_.write(
+      LogLevel::Info, "call.sent",
+      {{"request", view(state.request.id.value)},
+       {"attempt", static_cast<std::int64_t>(state.attempts)},
+       {"replica", view(replica.routed.id.value)},
+       {"version", replica.routed.version ? view(*replica.routed.version) : std::string_view("unknown")},
+       {"relay", relay ? view(relay->router.value) : std::string_view()},
+       {"outstanding", static_cast<std::int64_t>(replica.outstanding)},
+       {"waited_ms", toMilliseconds(now - state.arrived)},
+       {"charged_to", chargeName(charge)},
+       {"time_left_ms", toMilliseconds(effect.time_left)}});
   effects_.emplace_back(std::move(effect));
   if (use) {
     log_.write(LogLevel::Info, "call.balanced",
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -24,7 +24,7 @@
   const bool same_start = (left.slow_start_ms > 0) == (right.slow_start_ms > 0);
   return same_start && left.service == right.service && left.address == right.address &&
          left.slots == right.slots && left.held == right.held && left.zone == right.zone &&
-         left.leaving == right.leaving;
+         left.leaving == right.leaving && left.version == right.version;
 }
 
 bool listsAdapter(const wire::ReplicaReport& report, const ModelName& model, const std::string& adapter) {
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -24,6 +24,7 @@
   replica.held = record.usable();
   replica.calls_per_second = record.calls_per_second;
   replica.limit_ended = record.limit_ended;
+  replica.version = record.report.version;
   return replica;
 }
 
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -226,9 +226,10 @@
   /// Limit on the calls per second that the replica accepts from all routers together, as received by one of
   /// them; credit must be requested before a call is sent to it. nullopt: no limit is known.
   std::optional<double> calls_per_second;
-  bool limit_ended = false;  ///< the limit known to this leader no longer applies
+  bool limit_ended = false;            ///< the limit known to this leader no longer applies
+  std::optional<std::string> version;  ///< see ReplicaReport::version
   FERRYROCK_FIELDS(RoutedReplica, id, service, address, zone, slots, accepting, slow_start_ms, held,
-                   calls_per_second, limit_ended)
+                   calls_per_second, limit_ended, version)
 };
 
 /// A model that is being loaded or will be soon.
--- a/src/wire/service_types.h
+++ b/src/wire/service_types.h
@@ -150,8 +150,10 @@
   std::vector<LoadedModel> held;
   std::vector<ModelName> in_memory;  ///< weights that the replica can load fast
   std::vector<ModelName> on_disk;
+  /// Version of the replica's software; nullopt: not known, as from a build that doesn't read it.
+  std::optional<std::string> version;
   FERRYROCK_FIELDS(ReplicaReport, id, service, address, zone, slots, leaving, terminates_in_ms, slow_start_ms,
-                   sequence, held, in_memory, on_disk)
+                   sequence, held, in_memory, on_disk, version)
 };
 
 /// Identifies a call that is sent again: equal for the same method, host, path with query, caller and body.
