Continue an answer only at replicas of the version that began it

What callers saw: streams held events from two software versions of a back end.

Cause: after a replica had broken a stream off, the router sent the rest to any replica that held the model; it knew no versions.

Change: with its first event a stream gets a source: the version of its replica, or that replica alone if the version isn't known. Only replicas that match are candidates from then on. If none is left, the stream is broken off at once, so that the caller can take it up elsewhere.

It works since the choice of a replica is the one place through which every attempt passes.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -212,6 +212,9 @@
   updatePaths(now);
   const Choice choice = replicas_.choose(state.need, now);
   if (choice.replica == nullptr) {
+    if (refuseWithoutVersion(call, choice, now)) {
+      return;
+    }
     obtainCredit(call, choice, now);
     if (!refuseUnreachable(call, choice, now)) {
       waitForReplica(call, choice, now);
@@ -374,6 +377,20 @@
   return call.last_failure == ResultCode::ReplicaLimited ? kRetryLater : kRetrySoon;
 }
 
+/// The caller may take the stream up again where a replica of the version is known. A subscribed table may
+/// lack replicas that the next one lists.
+bool CallRouter::refuseWithoutVersion(CallPointer call, const Choice& choice, TimePoint now) {
+  const bool none_holds = choice.failure == ChoiceFailure::NoReplica ||
+                          (choice.failure == ChoiceFailure::NotHeld && !feed_.holdsSubscribedTable());
+  if (!call->second.need.source || choice.unreachable || choice.recheck_at || !none_holds) {
+    return false;
+  }
+  ++counts_.version_gone;
+  refuse(call, ResultCode::StreamVersionGone, "no replica of the version that began the stream", std::nullopt,
+         now);
+  return true;
+}
+
 void CallRouter::waitForReplica(CallPointer call, const Choice& choice, TimePoint now) {
   Call& state = call->second;
   const ChoiceFailure failure = choice.failure;
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -47,6 +47,7 @@
   std::uint64_t retry_budget_refused = 0;  ///< retries that the retry budget didn't allow
   std::uint64_t retry_credit_waits = 0;    ///< retries that waited for a credit of the retry budget
   std::uint64_t resumed = 0;
+  std::uint64_t version_gone = 0;  ///< streams that no replica of the version that began them could continue
   std::uint64_t caller_gone = 0;
   std::uint64_t unknown_keys = 0;     ///< refused: no key, or a key that belongs to no tenant
   std::uint64_t unproved = 0;         ///< refused: the catalog isn't proven to be current
@@ -256,6 +257,9 @@
   /// Probes the connection to a replica that couldn't be reached, at no caller's expense.
   void probePaths(TimePoint now);
   TimePoint nextPathProbe() const;
+  /// Ends a call whose caller has events of a stream that no replica may continue. Returns true if it has
+  /// ended.
+  bool refuseWithoutVersion(CallPointer call, const Choice& choice, TimePoint now);
   /// Refuses a call whose replicas can't be reached by any path, if another router may serve it. Returns true
   /// if the call has ended.
   bool refuseUnreachable(CallPointer call, const Choice& choice, TimePoint now);
@@ -307,6 +311,8 @@
   /// Counts and logs headers that are malformed or unknown.
   void logUnreadableHeaders(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
   void recordGap(Call& call, TimePoint now);
+  /// Records what the stream began at, when its first event arrives.
+  void recordSource(Call& call);
   /// Removes the prompt from the replica's prefill backlog.
   void onPromptPrefilled(Attempt& attempt);
   /// reached_replica: the attempt was refused by a replica, rather than not sent to one.
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -238,6 +238,7 @@
   onAttemptAccepted(*state.attempt);
   const bool known = id && state.last_event && *id <= *state.last_event;
   if (!known) {
+    recordSource(state);
     state.last_event = id ? id : state.last_event;
     startStream(*call, attempt, now);
     recordGap(state, now);
@@ -246,6 +247,15 @@
   return finish(now);
 }
 
+void CallRouter::recordSource(Call& call) {
+  if (call.need.source) {
+    return;
+  }
+  const Replica* replica = replicas_.find(call.attempt->replica);
+  call.need.source =
+      StreamSource{replica == nullptr ? std::nullopt : replica->routed.version, call.attempt->replica};
+}
+
 /// Records the gap since the previous event. The first event is read together with the headers, so it
 /// provides no gap.
 void CallRouter::recordGap(Call& call, TimePoint now) {
--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -208,7 +208,8 @@
   for (const ReplicaId& id : by_service_[need.service]) {
     Replica& replica = replicas_.at(id);
     // A notice to this router overrides the leader's list, which may be older.
-    if (!replica.listed || !replica.routed.accepting || notices_.isLeaving(id)) {
+    if (!replica.listed || !replica.routed.accepting || notices_.isLeaving(id) ||
+        (need.source && !need.source->mayContinueAt(replica.routed))) {
       continue;
     }
     const TimePoint missing_until = replica.missingUntil(need.model, need.adapter);
@@ -294,6 +295,7 @@
 
 bool ReplicaTable::serves(const Replica& replica, const ReplicaNeed& need, TimePoint now) const {
   return replica.listed && replica.routed.accepting && !notices_.isLeaving(replica.routed.id) &&
+         (!need.source || need.source->mayContinueAt(replica.routed)) &&
          (reachedDirectly(replica, now) || reachedByRelay(replica, now)) &&
          replica.holds(need.model, need.adapter);
 }
--- a/src/calls/replica_table.h
+++ b/src/calls/replica_table.h
@@ -69,6 +69,17 @@
   void recordMissing(const ModelName& model, const std::string& adapter, TimePoint now);
 };
 
+/// What began a stream of which the caller has events: what different software versions write doesn't fit
+/// together.
+struct StreamSource {
+  std::optional<std::string> version;  ///< nullopt: unknown, so that only the same replica may go on
+  ReplicaId replica;
+
+  bool mayContinueAt(const wire::RoutedReplica& candidate) const {
+    return candidate.id == replica || (version && candidate.version == version);
+  }
+};
+
 /// Requirements of a call on its replica.
 struct ReplicaNeed {
   ServiceName service;
@@ -84,6 +95,8 @@
   /// Set for a call that would be quarantined after one more crash. Replicas that the trial doesn't own are
   /// used only if no other is left.
   std::optional<quarantine::Trial> trial;
+  /// Set once the caller has events of a stream: only replicas that may continue it are candidates.
+  std::optional<StreamSource> source;
 };
 
 enum class ChoiceFailure : std::uint8_t {
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -257,6 +257,9 @@
       static_cast<double>(counts.retry_credit_waits));
   set("ferryrock_call_streams_resumed", "Streams that went on at another replica",
       static_cast<double>(counts.resumed));
+  set("ferryrock_streams_version_gone",
+      "Streams that no replica of the software version that began them could go on with",
+      static_cast<double>(counts.version_gone));
   set("ferryrock_callers_gone", "Callers that left before their answer",
       static_cast<double>(counts.caller_gone));
   set("ferryrock_calls_unknown_key", "Calls without a key that a tenant holds",
--- a/tests/calls/call_fixture.h
+++ b/tests/calls/call_fixture.h
@@ -55,6 +55,7 @@
     replica.service = ServiceName(service);
     replica.address = id + ":80";
     replica.slots = 4;
+    replica.version = "v1";
     return replica;
   }
   void addReplicas(const std::vector<wire::RoutedReplica>& replicas) {
