Judge streams that are taken up again by the replicas that serve their version

The test counted every stream that callers take up, also those whose version has fewer than two replicas left. The callers' rule (LOST) counts only streams while two replicas of their version serve: with replicas that start again as another version, a trace shows 22 to 35 streams taken up, most of a version that is gone, which nobody may continue. The check is as strict as the rule: those that count must go on at least half as often as new ones begin.

--- a/tests/services/stream_fleet.cc
+++ b/tests/services/stream_fleet.cc
@@ -273,6 +273,7 @@
   counts.of_services += mixes && stream.versions.begin()->first != stream.versions.rbegin()->first ? 1 : 0;
   if (!std::exchange(attempt.delivered, true)) {
     ++(attempt.resumes ? counts.went_on : counts.served);
+    counts.servable_went_on += attempt.servable ? 1 : 0;
     begun_by_service[service] += attempt.resumes ? 0 : 1;
   }
 }
@@ -289,6 +290,13 @@
   }
 }
 
+bool StreamFleet::isServable(const Stream& stream) const {
+  const auto& [service, version] = *stream.versions.begin();
+  return std::count_if(replicas_.begin(), replicas_.end(), [&](const FleetReplica& replica) {
+           return replica.up && !replica.leaving && replica.service == service && replica.version == version;
+         }) >= 2;
+}
+
 void StreamFleet::takeUpLater(const std::shared_ptr<Stream>& stream) {
   const Duration pause = std::chrono::milliseconds(20 + random.below(300));
   cluster.schedule(pause, [this, stream] { call(*routers[random.below(routers.size())], stream); });
@@ -311,8 +319,10 @@
     stream->first_call = request.id.value;
   }
   ++stream->tries;
+  const bool servable = resumes && isServable(*stream);
+  counts.servable += servable ? 1 : 0;
   ++(resumes ? counts.taken_up : counts.begun);
-  tries_[{router.node, request.number}] = Try{stream, resumes, false, {}, false, &router};
+  tries_[{router.node, request.number}] = Try{stream, resumes, servable, false, {}, false, &router};
   cluster.actRouter(
       router, [request](calls::CallRouter& logic, TimePoint now) { return logic.onCall(request, now); });
 }
--- a/tests/services/stream_fleet.h
+++ b/tests/services/stream_fleet.h
@@ -15,13 +15,15 @@
 
 /// Streams and what became of them, as callers see it.
 struct StreamCounts {
-  std::size_t begun = 0;          ///< new streams that callers asked for
-  std::size_t served = 0;         ///< of those, streams that delivered an event
-  std::size_t taken_up = 0;       ///< tries of callers to go on with a stream that was broken off
-  std::size_t went_on = 0;        ///< of those, tries that delivered an event
-  std::size_t of_versions = 0;    ///< streams with events of more than one software version or service
-  std::size_t of_services = 0;    ///< streams with events of more than one service
-  std::size_t mixed_answers = 0;  ///< answers, to one call each, with events of more than one version
+  std::size_t begun = 0;             ///< new streams that callers asked for
+  std::size_t served = 0;            ///< of those, streams that delivered an event
+  std::size_t taken_up = 0;          ///< tries of callers to go on with a stream that was broken off
+  std::size_t went_on = 0;           ///< of those, tries that delivered an event
+  std::size_t servable = 0;          ///< part of taken_up: two replicas of the stream's version serve
+  std::size_t servable_went_on = 0;  ///< of those, tries that delivered an event
+  std::size_t of_versions = 0;       ///< streams with events of more than one software version or service
+  std::size_t of_services = 0;       ///< streams with events of more than one service
+  std::size_t mixed_answers = 0;     ///< answers, to one call each, with events of more than one version
 };
 
 /// A cell with real routers, and replicas of several software versions side by side whose events show their
@@ -88,6 +90,7 @@
   struct Try {
     std::shared_ptr<Stream> stream;
     bool resumes = false;
+    bool servable = false;
     bool delivered = false;
     std::set<std::string> versions;  ///< of its events
     bool mixed = false;
@@ -113,6 +116,8 @@
   void call(RunningRouter& router, const std::shared_ptr<Stream>& stream);
   void takeUpLater(const std::shared_ptr<Stream>& stream);
   void sendHeartbeat(std::size_t number);
+  /// True if two replicas of the version that began the stream serve.
+  bool isServable(const Stream& stream) const;
   std::optional<std::size_t> replicaAt(const std::string& address) const;
 
   std::vector<FleetReplica> replicas_;
--- a/tests/services/stream_version_test.cc
+++ b/tests/services/stream_version_test.cc
@@ -129,12 +129,13 @@
   fleet.streamFor(11s, kStreamsPerSecond);
   fleet.cluster.runFor(5s);
   const StreamCounts& counts = fleet.counts;
-  CAPTURE(counts.begun, counts.served, counts.taken_up, counts.went_on);
+  CAPTURE(counts.begun, counts.served, counts.servable, counts.servable_went_on);
   REQUIRE(counts.begun > 200);
   CHECK(counts.of_versions == 0);
-  if (event.in_touch && counts.taken_up >= 12) {
+  if (event.in_touch && counts.servable >= 12) {
     const double new_share = static_cast<double>(counts.served) / static_cast<double>(counts.begun);
-    const double resumed_share = static_cast<double>(counts.went_on) / static_cast<double>(counts.taken_up);
+    const double resumed_share =
+        static_cast<double>(counts.servable_went_on) / static_cast<double>(counts.servable);
     CHECK(resumed_share >= new_share / 2);
   }
 }
