Resume a stream only at the version that began it, as members remember it

What callers saw: streams held events from two software versions over several tries of their callers, also after all processes had lost power.

Cause: a stream that a caller takes up was a new call to its router, and went to any replica. No process remembered what began a stream once its router had answered or died; Resumes, which names the call that brought the first event, was not read.

Change: with the first event of a resumable stream its router reports the origin (service, version, replica) to three members, chosen by the stream's id, and again every 2 s while the stream runs. A router at which a caller takes the stream up looks the origin up by Resumes: in its own memory, else at all members, of which one suffices. The call then has the same restriction as the rest of an answer. An origin never changes, so that members need no agreement and a new leader or lost members make no wrong answer. A stream that nobody knows, or whose version is gone, is refused at once as not run (2028, 2029). Callers with a part of their stream come before new calls of their priority.

Every way by which a caller's next try reaches a replica needs the origin now, whoever is out of touch.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -1,6 +1,7 @@
 #include "calls/call_router.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "quarantine/call_fingerprint.h"
@@ -160,7 +161,15 @@
     return;
   }
   const wire::CallRoute* route = state.route;
+  if (resumesStream(state) && !findSource(call, now)) {
+    return;
+  }
   state.need.service = split_.next(*route);
+  if (state.origin && state.origin->service != state.need.service) {
+    refuseUnknownOrigin(call, "the call was drawn for another service than the one that began the stream",
+                        std::nullopt, now);
+    return;
+  }
   const wire::HostedService* service = state.routes->findService(state.need.service);
   if (service != nullptr && service->engine) {
     state.need.model = state.request.model;
@@ -277,13 +286,8 @@
   effect.tenant = state.tenant;
   effect.withhold_key = state.routes->keys().requiresKeys();
   effect.resume_after = state.last_event ? state.last_event : state.request.resume_after;
-  if (state.request.resume_after) {
-    log_.write(LogLevel::Info, "stream.resumed",
-               {{"request", view(state.request.id.value)},
-                {"stream", view(state.request.resumes.value)},
-                {"after_event", static_cast<std::int64_t>(*state.request.resume_after)},
-                {"service", view(state.need.service.value)},
-                {"replica", view(replica.routed.id.value)}});
+  if (state.origin && state.request.resume_after) {
+    logResumedStream(state, replica);
   }
   log_.write(
       LogLevel::Info, "call.sent",
@@ -377,20 +381,6 @@
   return call.last_failure == ResultCode::ReplicaLimited ? kRetryLater : kRetrySoon;
 }
 
-/// The caller may take the stream up again where a replica of the version is known. A subscribed table may
-/// lack replicas that the next one lists.
-bool CallRouter::refuseWithoutVersion(CallPointer call, const Choice& choice, TimePoint now) {
-  const bool none_holds = choice.failure == ChoiceFailure::NoReplica ||
-                          (choice.failure == ChoiceFailure::NotHeld && !feed_.holdsSubscribedTable());
-  if (!call->second.need.source || choice.unreachable || choice.recheck_at || !none_holds) {
-    return false;
-  }
-  ++counts_.version_gone;
-  refuse(call, ResultCode::StreamVersionGone, "no replica of the version that began the stream", std::nullopt,
-         now);
-  return true;
-}
-
 void CallRouter::waitForReplica(CallPointer call, const Choice& choice, TimePoint now) {
   Call& state = call->second;
   const ChoiceFailure failure = choice.failure;
@@ -429,12 +419,14 @@
 }
 
 void CallRouter::dispatchWaiting(TimePoint now) {
-  std::vector<std::pair<std::uint32_t, CallNumber>> order;
+  // Of equal priority, callers that have a part of their stream already come first.
+  std::vector<std::tuple<std::uint32_t, bool, CallNumber>> order;
   for (const CallNumber number : waiting_) {
-    order.emplace_back(calls_.at(number).priority, number);
+    const Call& waiting = calls_.at(number);
+    order.emplace_back(waiting.priority, !waiting.need.source, number);
   }
   std::sort(order.begin(), order.end());
-  for (const auto& [priority, number] : order) {
+  for (const auto& [priority, is_new, number] : order) {
     const CallPointer call = calls_.find(number);
     if (call != calls_.end() && !call->second.attempt) {
       dispatch(call, now);
@@ -460,6 +452,9 @@
   unrouted_.erase(call->first);
   awaiting_credit_.erase(call->first);
   awaiting_retry_credit_.erase(call->first);
+  if (call->second.origin) {
+    origins_.onEnded(call->second.origin->stream);
+  }
   calls_.erase(call);
 }
 
@@ -517,6 +512,9 @@
 Effects CallRouter::tick(TimePoint now) {
   probePaths(now);
   resolveQuotas(quota_.tick(now), now);
+  for (const StreamOriginAnswer& answer : origins_.tick(now)) {
+    resolveOrigin(answer, now);
+  }
   resolveCredits(replicas_.limits().tick(now), now);
   if (now >= next_crash_expiry_) {
     next_crash_expiry_ = now + kCrashExpiryInterval;
@@ -534,8 +532,9 @@
 }
 
 TimePoint CallRouter::nextDeadline() const {
-  const TimePoint status = std::min(
-      {feed_.nextDeadline(), quota_.nextDeadline(), replicas_.limits().nextDeadline(), nextPathProbe()});
+  const TimePoint status =
+      std::min({feed_.nextDeadline(), quota_.nextDeadline(), replicas_.limits().nextDeadline(),
+                nextPathProbe(), origins_.nextDeadline()});
   return timers_.empty() ? status : std::min(status, timers_.begin()->first);
 }
 
@@ -572,6 +571,9 @@
   sendStatuses(now);
   sendQuotaUse(now);
   sendLimitRequest(now);
+  for (wire::SendEffect& send : origins_.takeMessages()) {
+    effects_.emplace_back(std::move(send));
+  }
   return std::exchange(effects_, {});
 }
 
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -18,6 +18,7 @@
 #include "calls/replica_table.h"
 #include "calls/retry_budget.h"
 #include "calls/route_table.h"
+#include "calls/stream_origin_client.h"
 #include "calls/traffic_split.h"
 #include "calls/wait_policy.h"
 #include "common/event_log.h"
@@ -47,6 +48,9 @@
   std::uint64_t retry_budget_refused = 0;  ///< retries that the retry budget didn't allow
   std::uint64_t retry_credit_waits = 0;    ///< retries that waited for a credit of the retry budget
   std::uint64_t resumed = 0;
+  std::uint64_t origins_known = 0;    ///< calls that resume a stream of which this router knew the origin
+  std::uint64_t origins_asked = 0;    ///< calls that resume a stream of which a member knew the origin
+  std::uint64_t origins_unknown = 0;  ///< refused: no one knows what began the stream that the call resumes
   std::uint64_t version_gone = 0;  ///< streams that no replica of the version that began them could continue
   std::uint64_t caller_gone = 0;
   std::uint64_t unknown_keys = 0;     ///< refused: no key, or a key that belongs to no tenant
@@ -186,6 +190,7 @@
     std::uint32_t crashed_attempts = 0;         ///< number of `attempts` whose replica has crashed
     std::optional<ReplicaId> probed_replica;    ///< replica being probed, which broke off the call
     std::string failure_reason;                 ///< reason of the last failed attempt
+    std::optional<wire::StreamOrigin> origin;   ///< what the stream began at; set together with need.source
     std::uint32_t arrivals = 0;  ///< attempts that may have arrived at a replica, including the running one
     std::optional<TimePoint> credit_deadline;  ///< limit of the wait for a credit of the retry budget
     bool demand_expedited = false;
@@ -311,8 +316,18 @@
   /// Counts and logs headers that are malformed or unknown.
   void logUnreadableHeaders(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
   void recordGap(Call& call, TimePoint now);
+  // call_router_streams.cc
+  /// True if the caller has events of the stream already.
+  static bool resumesStream(const Call& call);
+  /// Finds what the stream began at. Returns false if the call waits for the members' answers or was refused.
+  bool findSource(CallPointer call, TimePoint now);
+  static void setOrigin(Call& call, const wire::StreamOrigin& origin);
+  void resolveOrigin(const StreamOriginAnswer& answer, TimePoint now);
+  void refuseUnknownOrigin(CallPointer call, const std::string& detail, std::optional<Duration> retry_after,
+                           TimePoint now);
+  void logResumedStream(const Call& call, const Replica& replica);
   /// Records what the stream began at, when its first event arrives.
-  void recordSource(Call& call);
+  void recordSource(Call& call, TimePoint now);
   /// Removes the prompt from the replica's prefill backlog.
   void onPromptPrefilled(Attempt& attempt);
   /// reached_replica: the attempt was refused by a replica, rather than not sent to one.
@@ -372,6 +387,9 @@
   TimePoint next_path_probe_{};
   std::map<ServiceName, TimePoint> partitioned_since_;
   TrafficSplit split_;
+  StreamOriginClient origins_;
+  /// Calls that wait for the origin of the stream that they resume.
+  std::map<RequestId, std::vector<CallNumber>> awaiting_origin_;
   ExpectedLoads loads_;
   ModelInterests interests_;
   std::shared_ptr<const RouteTable> routes_;
--- a/src/calls/call_router_control.cc
+++ b/src/calls/call_router_control.cc
@@ -25,6 +25,7 @@
     applyUpdate(envelope.from, *update, now);
   } else if (const auto* list = std::get_if<wire::MemberList>(&envelope.message)) {
     feed_.accept(envelope.from, *list);
+    origins_.onMember(envelope.from, list->keeps_stream_origins);
   } else if (const auto* late = std::get_if<wire::CatalogUpdate>(&envelope.message)) {
     feed_.recordAnswer(envelope.from);
     applyCatalog(envelope.from, late->catalog, feed_.lastLeaderContact(), now);
@@ -37,6 +38,11 @@
   } else if (const auto* records = std::get_if<wire::CrashRecords>(&envelope.message)) {
     feed_.recordAnswer(envelope.from);
     applyCrashRecords(envelope.from, *records, now);
+  } else if (const auto* origin = std::get_if<wire::StreamOriginReply>(&envelope.message)) {
+    feed_.recordAnswer(envelope.from);
+    if (const auto decided = origins_.accept(envelope.from, *origin, now)) {
+      resolveOrigin(*decided, now);
+    }
   }
   return finish(now);
 }
@@ -76,6 +82,7 @@
   } else if (!stale) {
     budget_.onLegacyLeader();
   }
+  origins_.onMember(from, update.keeps_stream_origins);
   if (!stale && update.relays) {
     relays_.set(*update.relays);
   }
--- /dev/null
+++ b/src/calls/stream_origin_client.cc
@@ -0,0 +1,141 @@
+#include "calls/stream_origin_client.h"
+
+#include <algorithm>
+
+#include "common/hashing.h"
+
+namespace ferryrock::calls {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A member answers within some 10 ms; one that doesn't within this time is busy or gone.
+constexpr Duration kReplyTimeout = 250ms;
+/// Interval at which running streams are reported again, to members that have started since.
+constexpr Duration kRepetitionInterval = 2s;
+/// Time for which this router itself remembers streams, and their maximum number.
+constexpr Duration kRetention = 60s;
+constexpr std::size_t kMaxKnown = 20'000;
+
+}  // namespace
+
+void StreamOriginClient::onMember(const NodeName& member, bool keeps_origins) {
+  if (keeps_origins) {
+    members_.insert(member);
+  } else {
+    members_.erase(member);
+  }
+}
+
+void StreamOriginClient::onRunning(const wire::StreamOrigin& origin, TimePoint now) {
+  if (origin.stream.empty()) {
+    return;
+  }
+  remember(origin, now);
+  running_.insert(origin.stream);
+  report(origin);
+  next_repetition_ = std::min(next_repetition_, now + kRepetitionInterval);
+}
+
+void StreamOriginClient::remember(const wire::StreamOrigin& origin, TimePoint now) {
+  if (known_.insert_or_assign(origin.stream, origin).second) {
+    known_since_.emplace_back(now, origin.stream);
+  }
+  forgetOld(now);
+}
+
+/// A stream that still runs stays known.
+void StreamOriginClient::forgetOld(TimePoint now) {
+  while (!known_since_.empty() &&
+         (now - known_since_.front().first > kRetention || known_since_.size() > kMaxKnown)) {
+    if (!running_.contains(known_since_.front().second)) {
+      known_.erase(known_since_.front().second);
+    }
+    known_since_.pop_front();
+  }
+}
+
+/// The members with the highest hashes, so that a change of the members moves few streams.
+void StreamOriginClient::report(const wire::StreamOrigin& origin) {
+  std::vector<std::pair<std::uint64_t, NodeName>> ranked;
+  for (const NodeName& member : members_) {
+    ranked.emplace_back(stableHash(origin.stream.value + " " + member.value), member);
+  }
+  const std::size_t copies = std::min(kCopies, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(copies), ranked.end(),
+                    std::greater<>());
+  for (std::size_t i = 0; i < copies; ++i) {
+    reports_[ranked[i].second].origins.push_back(origin);
+  }
+}
+
+std::optional<wire::StreamOrigin> StreamOriginClient::find(const RequestId& stream) const {
+  const auto found = known_.find(stream);
+  return found == known_.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool StreamOriginClient::ask(const RequestId& stream, TimePoint now) {
+  if (stream.empty() || members_.empty()) {
+    return false;
+  }
+  if (queries_.try_emplace(stream, Query{now, members_}).second) {
+    for (const NodeName& member : members_) {
+      messages_.push_back({member, wire::StreamOriginQuery{stream}});
+    }
+  }
+  return true;
+}
+
+std::optional<StreamOriginAnswer> StreamOriginClient::accept(const NodeName& from,
+                                                             const wire::StreamOriginReply& reply,
+                                                             TimePoint now) {
+  const auto query = queries_.find(reply.stream);
+  if (query == queries_.end()) {
+    return std::nullopt;
+  }
+  query->second.unanswered.erase(from);
+  if (!reply.origin && !query->second.unanswered.empty()) {
+    return std::nullopt;
+  }
+  queries_.erase(query);
+  if (reply.origin) {
+    remember(*reply.origin, now);
+  }
+  return StreamOriginAnswer{reply.stream, reply.origin};
+}
+
+std::vector<StreamOriginAnswer> StreamOriginClient::tick(TimePoint now) {
+  std::vector<StreamOriginAnswer> answers;
+  for (auto query = queries_.begin(); query != queries_.end();) {
+    if (now - query->second.since >= kReplyTimeout) {
+      answers.push_back({query->first, std::nullopt, false});
+      query = queries_.erase(query);
+    } else {
+      ++query;
+    }
+  }
+  if (now >= next_repetition_) {
+    for (const RequestId& stream : running_) {
+      report(known_.at(stream));
+    }
+    next_repetition_ = running_.empty() ? TimePoint::max() : now + kRepetitionInterval;
+  }
+  return answers;
+}
+
+std::vector<wire::SendEffect> StreamOriginClient::takeMessages() {
+  for (auto& [member, origins] : std::exchange(reports_, {})) {
+    messages_.push_back({member, std::move(origins)});
+  }
+  return std::exchange(messages_, {});
+}
+
+TimePoint StreamOriginClient::nextDeadline() const {
+  TimePoint deadline = next_repetition_;
+  for (const auto& [stream, query] : queries_) {
+    deadline = std::min(deadline, query.since + kReplyTimeout);
+  }
+  return deadline;
+}
+
+}  // namespace ferryrock::calls
--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -90,6 +90,10 @@
     {RouterPartitioned, "RouterPartitioned", 503,
      "The router reaches no replica that could run the call, neither itself nor through another router.",
      "Come back after Retry-After, at another router."},
+    {StreamOriginUnknown, "StreamOriginUnknown", 503,
+     "The software version that began the stream isn't known, so that the rest of it can't be run.",
+     "Come back after Retry-After if there is one; otherwise discard the partial answer and send the request "
+     "again without it."},
     {StreamVersionGone, "StreamVersionGone", 503,
      "No replica of the software version that began the stream can run the rest of it.",
      "Discard the partial answer and send the request again without it."},
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -51,6 +51,7 @@
   ReplicaBackoff = 2025,
   ReplicaLimited = 2026,
   RouterPartitioned = 2027,
+  StreamOriginUnknown = 2028,
   StreamVersionGone = 2029,
 
   // 3xxx: changes and reads by operators.
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -257,6 +257,12 @@
       static_cast<double>(counts.retry_credit_waits));
   set("ferryrock_call_streams_resumed", "Streams that went on at another replica",
       static_cast<double>(counts.resumed));
+  set("ferryrock_streams_resumed_known", "Calls that took up a stream whose origin this router knew",
+      static_cast<double>(counts.origins_known));
+  set("ferryrock_streams_resumed_asked", "Calls that took up a stream whose origin a member knew",
+      static_cast<double>(counts.origins_asked));
+  set("ferryrock_streams_origin_unknown", "Calls that took up a stream whose origin nobody knew",
+      static_cast<double>(counts.origins_unknown));
   set("ferryrock_streams_version_gone",
       "Streams that no replica of the software version that began them could go on with",
       static_cast<double>(counts.version_gone));
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -123,7 +123,9 @@
   if (leader_) {
     leader_->demand.accept(status.router, status.model_calls, now);
   }
-  send(from, wire::MemberList{memberNodes(), node_->log().leader(), toMilliseconds(memberStatusInterval())});
+  constexpr bool kKeepsStreamOrigins = true;
+  send(from, wire::MemberList{memberNodes(), node_->log().leader(), toMilliseconds(memberStatusInterval()),
+                              kKeepsStreamOrigins});
   offerCatalog(status, now);
 }
 
@@ -154,6 +156,15 @@
   }
 }
 
+void ServiceControlImpl::onMessage(const NodeName&, const wire::StreamOrigins& origins, TimePoint now) {
+  stream_origins_.accept(origins, now);
+}
+
+/// Any member answers, whether it leads or not: an origin never changes.
+void ServiceControlImpl::onMessage(const NodeName& from, const wire::StreamOriginQuery& query, TimePoint) {
+  send(from, stream_origins_.answer(query));
+}
+
 void ServiceControlImpl::applyEffects(control::Effects effects, TimePoint now) {
   for (control::Effect& effect : effects) {
     std::visit([this, now](auto& typed) { applyEffect(typed, now); }, effect);
@@ -294,6 +305,7 @@
     next_expiry_ = now + kExpiryInterval;
     directory_.expire(now);
     crashes_.expire(now);
+    stream_origins_.expire(now);
     const bool settled = leader_ && leader_->complete;
     registry_.expire(now, settled ? settings_.replica_silence : kFollowerSilence);
     if (leader_) {
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -22,6 +22,7 @@
 #include "services/router_tables.h"
 #include "services/service_control.h"
 #include "services/status_receipts.h"
+#include "services/stream_origin_store.h"
 #include "services/table_feed.h"
 #include "services/update_ledger.h"
 #include "services/update_queue.h"
@@ -164,6 +165,8 @@
   void onMessage(const NodeName& from, const wire::QuotaUse& use, TimePoint now);
   void onMessage(const NodeName& from, const wire::CrashRecords& records, TimePoint now);
   void onMessage(const NodeName& from, const wire::LimitRequest& request, TimePoint now);
+  void onMessage(const NodeName& from, const wire::StreamOrigins& origins, TimePoint now);
+  void onMessage(const NodeName& from, const wire::StreamOriginQuery& query, TimePoint now);
   template <class OtherMessage>
   void onMessage(const NodeName& from, const OtherMessage& message, TimePoint now) {
     applyEffects(node_->receive({from, message}, now), now);
@@ -304,6 +307,7 @@
   std::set<wire::CallFingerprint> quarantines_proposed_;
   ReplicaIndex index_;
   ReportRelay relay_;
+  StreamOriginStore stream_origins_;
   NodeName reported_leader_;  ///< last leader that sendReportsToNewLeader() ran for
   Term reported_term_;        ///< term of that leader
   TimePoint next_hello_;
--- a/src/services/service_control_updates.cc
+++ b/src/services/service_control_updates.cc
@@ -100,6 +100,7 @@
   update.limited_tenants = leader_->quotas.limited();
   update.grants_limit_credit = true;
   update.confirms_quota_reports = true;
+  update.keeps_stream_origins = true;
   if (const auto followed = node_->log().leadershipConfirmedAt(now)) {
     update.proved = leader_->receipts.provedBy(status.router, *followed);
   }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -213,7 +213,8 @@
     std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotResponse,
                  TimeoutNow, RouterStatus, DemandReport, RouterCommands, TableUpdate, CommandReplies,
                  MemberHello, MemberList, ReplicaReports, LeaveRequest, LeaveReply, CallRouterStatus,
-                 ServiceUpdate, CatalogUpdate, QuotaUse, QuotaAnswer, CrashRecords, LimitRequest, LimitReply>;
+                 ServiceUpdate, CatalogUpdate, QuotaUse, QuotaAnswer, CrashRecords, LimitRequest, LimitReply,
+                 StreamOrigins, StreamOriginQuery, StreamOriginReply>;
 
 /// A message with its sender.
 struct Envelope {
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -55,7 +55,8 @@
   NodeName leader;  ///< empty: unknown
   /// Interval at which the member requests statuses from the router; 0: the default.
   std::int64_t status_interval_ms = 0;
-  FERRYROCK_FIELDS(MemberList, nodes, leader, status_interval_ms)
+  bool keeps_stream_origins = false;  ///< the member's build supports StreamOrigins and StreamOriginQuery
+  FERRYROCK_FIELDS(MemberList, nodes, leader, status_interval_ms, keeps_stream_origins)
 };
 
 /// A report that is unchanged from the previous one.
@@ -284,9 +285,11 @@
   /// others.
   std::optional<std::vector<RelayRouter>> relays;
   std::optional<RetryCredits> retry_credits;  ///< nullopt: the leader's build grants none
+  bool keeps_stream_origins = false;          ///< see MemberList::keeps_stream_origins
   FERRYROCK_FIELDS(ServiceUpdate, base, revision, version, catalog, replicas, removed, complete, routers,
                    members, directory, coming, confirm, proved, limited_tenants, loads, table,
-                   status_interval_ms, grants_limit_credit, confirms_quota_reports, relays, retry_credits)
+                   status_interval_ms, grants_limit_credit, confirms_quota_reports, relays, retry_credits,
+                   keeps_stream_origins)
 
   /// Number of members that the sender's build encodes; 0: not decoded from bytes.
   std::uint32_t encoded_member_count = 0;
@@ -424,6 +427,34 @@
   FERRYROCK_FIELDS(CrashRecords, records, shares_all)
 };
 
+/// What a stream began at. It never changes: once a caller has an event of the stream, the rest may come only
+/// from replicas of the same service and software version.
+struct StreamOrigin {
+  RequestId stream;  ///< ID of the call that brought the first event
+  ServiceName service;
+  std::optional<std::string> version;  ///< see ReplicaReport::version
+  ReplicaId replica;
+  FERRYROCK_FIELDS(StreamOrigin, stream, service, version, replica)
+};
+
+/// Sent by a router to control members for each resumable stream that begins, and again while it runs.
+struct StreamOrigins {
+  std::vector<StreamOrigin> origins;
+  FERRYROCK_FIELDS(StreamOrigins, origins)
+};
+
+/// Sent by a router to control members: what did the stream begin at?
+struct StreamOriginQuery {
+  RequestId stream;
+  FERRYROCK_FIELDS(StreamOriginQuery, stream)
+};
+
+struct StreamOriginReply {
+  RequestId stream;
+  std::optional<StreamOrigin> origin;  ///< nullopt: the member doesn't know the stream
+  FERRYROCK_FIELDS(StreamOriginReply, stream, origin)
+};
+
 /// Hash of the addresses in their order; 0 for none.
 std::uint64_t directoryDigest(const std::vector<std::string>& addresses);
 /// Hash of the contacts in their order; 0 for none.
