Keep a stream that is taken up at the service that began it

What callers saw: on routes that split their calls, a stream that a caller took up could go on at another service.

Cause: the service was drawn anew for every call, also for one that goes on with a stream.

Change: such a call goes to the service of the stream's origin, if the route still leads there, and isn't drawn. It doesn't count among the calls that the weights divide.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -164,12 +164,11 @@
   if (resumesStream(state) && !findSource(call, now)) {
     return;
   }
-  state.need.service = split_.next(*route);
-  if (state.origin && state.origin->service != state.need.service) {
-    refuseUnknownOrigin(call, "the call was drawn for another service than the one that began the stream",
-                        std::nullopt, now);
+  if (state.origin && !routesTo(*route, state.origin->service)) {
+    refuseVersionGone(call, "the route no longer leads to the service that began the stream", now);
     return;
   }
+  state.need.service = state.origin ? state.origin->service : split_.next(*route);
   const wire::HostedService* service = state.routes->findService(state.need.service);
   if (service != nullptr && service->engine) {
     state.need.model = state.request.model;
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -317,6 +317,9 @@
   void logUnreadableHeaders(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
   void recordGap(Call& call, TimePoint now);
   // call_router_streams.cc
+  /// True if the route sends calls to the service.
+  static bool routesTo(const wire::CallRoute& route, const ServiceName& service);
+  void refuseVersionGone(CallPointer call, const std::string& detail, TimePoint now);
   /// True if the caller has events of the stream already.
   static bool resumesStream(const Call& call);
   /// Finds what the stream began at. Returns false if the call waits for the members' answers or was refused.
--- a/src/calls/call_router_streams.cc
+++ b/src/calls/call_router_streams.cc
@@ -23,6 +23,12 @@
 
 }  // namespace
 
+bool CallRouter::routesTo(const wire::CallRoute& route, const ServiceName& service) {
+  return std::any_of(route.targets.begin(), route.targets.end(), [&service](const wire::RouteTarget& target) {
+    return target.service == service && target.weight > 0;
+  });
+}
+
 bool CallRouter::resumesStream(const Call& call) {
   return call.request.resume_after && call.route->kind == wire::CallKind::Streaming;
 }
@@ -127,10 +133,13 @@
   if (!call->second.need.source || choice.unreachable || choice.recheck_at || !none_holds) {
     return false;
   }
-  ++counts_.version_gone;
-  refuse(call, ResultCode::StreamVersionGone, "no replica of the version that began the stream", std::nullopt,
-         now);
+  refuseVersionGone(call, "no replica of the version that began the stream", now);
   return true;
 }
 
+void CallRouter::refuseVersionGone(CallPointer call, const std::string& detail, TimePoint now) {
+  ++counts_.version_gone;
+  refuse(call, ResultCode::StreamVersionGone, detail, std::nullopt, now);
+}
+
 }  // namespace ferryrock::calls
