Let replicas of the soak be of two versions, and judge retries and streams

Change: replicas draw one of two versions, which their events show; replicas break off more streams, and clients close the connection in the middle of some. Clients take such streams up again, up to three tries, at a router drawn anew.

--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -170,6 +170,8 @@
   SoakLimitJudge limits(oracle);
   SoakLossJudge losses(oracle);
   SoakReachJudge reach(oracle);
+  SoakRetryJudge retries(oracle);
+  SoakStreamJudge streams(oracle);
   SoakLinks links(*dispatcher, given["processes"].as<std::string>());
   Random random(given["seed"].as<std::uint64_t>());
   SoakContext context{
@@ -180,6 +182,8 @@
       limits,
       losses,
       reach,
+      retries,
+      streams,
       links,
       random,
       {given["control"].as<std::vector<std::string>>(), given["directory"].as<std::vector<std::string>>()}};
@@ -228,6 +232,11 @@
   }
   limits.judge();
   reach.judge();
+  retries.judge();
+  streams.judge();
+  std::cout << "streams taken up " << streams.takenUp() << ", went on " << streams.wentOn()
+            << ", with two versions " << streams.mixed() << "\n";
+  std::cout << "worst use of a retry budget " << retries.worstUse() << "\n";
   std::cout << "partitions judged " << reach.judged() << "\n";
   std::cout << "limits named " << limits.named() << "\n";
   return report(oracle, served_per_second);
--- a/tests/platform/soak/soak_world.cc
+++ b/tests/platform/soak/soak_world.cc
@@ -36,6 +36,12 @@
 /// Of the configurations, those that the next one follows at once.
 constexpr double kFollowsAtOnce = 0.4;
 constexpr double kFaulty = 0.01;  ///< of the calls, for each kind of fault
+/// Of the streams, those that their replica breaks off, and those in which the client closes its connection.
+constexpr double kBreaksStream = 0.04;
+constexpr double kDropsStream = 0.08;
+/// Bytes of a stream after which such a client closes its connection.
+constexpr std::size_t kDropAfter = 120;
+constexpr int kMaxTries = 3;
 
 std::int64_t unixMilliseconds() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -46,14 +52,18 @@
   return http::findHeader(request.headers, name).value_or("");
 }
 
-std::string eventText(std::uint64_t number, const std::string& id) {
-  return "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
+std::string eventText(std::uint64_t number, const std::string& id, const std::string& version) {
+  return "id: " + std::to_string(number) + "\ndata: " + id + " " + version + "\n\n";
 }
 
 }  // namespace
 
-SoakCall::SoakCall(SoakContext& context, http::ClientRequest request, Callback callback)
-    : context_(context), request_(std::move(request)), callback_(std::move(callback)) {
+SoakCall::SoakCall(SoakContext& context, http::ClientRequest request, Callback callback,
+                   std::size_t drop_after)
+    : context_(context),
+      request_(std::move(request)),
+      callback_(std::move(callback)),
+      drop_after_(drop_after) {
   send(request_);
 }
 
@@ -70,7 +80,18 @@
                                   : "";
     location_ = http::findHeader(headers, "Location").value_or("");
   };
-  callbacks.on_data = [this](std::string_view bytes) { result_.body.append(bytes); };
+  callbacks.on_data = [this](std::string_view bytes) {
+    result_.body.append(bytes);
+    if (drop_after_ > 0 && result_.body.size() >= drop_after_) {
+      drop_after_ = 0;
+      context_.dispatcher.post([this, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired() && call_ && !result_.whole) {
+          call_.reset();
+          end();
+        }
+      });
+    }
+  };
   callbacks.on_complete = [this] {
     result_.whole = true;
     end();
@@ -86,7 +107,7 @@
   constexpr int kRedirect = 307;
   constexpr int kMostRedirects = 2;
   context_.dispatcher.post([this, alive = std::weak_ptr<bool>(alive_)] {
-    if (alive.expired()) {
+    if (alive.expired() || !callback_) {
       return;
     }
     if (result_.status == kRedirect && redirects_++ < kMostRedirects) {
@@ -104,6 +125,7 @@
     : context_(context),
       id_(std::move(id)),
       with_models_(with_models),
+      version_(context.random.chance(0.5) ? "v1" : "v2"),
       born_(context.random.chance(kTellsBirth) ? unixMilliseconds() : 0) {
   server_ = http::createServer(context.dispatcher, {},
                                [this](const http::Request& request, const http::ResponseWriterPtr& response) {
@@ -117,6 +139,15 @@
   });
   end_timer_ = context.dispatcher.createTimer([this] { ended_ = true; });
   beat_timer_->enable(Duration::zero());
+  if (with_models_) {
+    context.streams.onReplica(version_, true);
+  }
+}
+
+void SoakReplica::stopServing() {
+  if (std::exchange(serving_, false) && with_models_) {
+    context_.streams.onReplica(version_, false);
+  }
 }
 
 void SoakReplica::handle(const http::Request& request, const http::ResponseWriterPtr& response) {
@@ -137,6 +168,7 @@
   if (!held_up) {
     context_.notices.onArrived(id, id_, context_.now());
     context_.limits.onArrived(id_, context_.notices.routerOf(id), context_.now());
+    context_.retries.onArrived(service(), id, context_.now());
   }
   if (other || lacking) {
     response->respond(421, headersFor(id, !kSealed), "");
@@ -208,7 +240,7 @@
                          const std::string& id) {
   const std::string last = header(request, "Last-Event-Id");
   auto sent = std::make_shared<std::uint64_t>(last.empty() ? 0 : std::stoull(last));
-  const bool breaks = context_.random.chance(kFaulty);
+  const bool breaks = context_.random.chance(kBreaksStream);
   constexpr bool kSealed = true;
   http::Headers headers = headersFor(id, kSealed);
   headers.push_back({"Content-Type", "text/event-stream"});
@@ -223,7 +255,7 @@
       context_.dispatcher.post([timer] { timer->reset(); });
       return;
     }
-    response->write(eventText(++*sent, id));
+    response->write(eventText(++*sent, id, version_));
     (*timer)->enable(kEventInterval);
   });
   (*timer)->enable(kEventInterval);
@@ -277,7 +309,7 @@
   }
   drawLimit();
   Json body = {{"service", service()}, {"address", "127.0.0.1:" + std::to_string(port_)},
-               {"zone", "z"},          {"generation", "v1"},
+               {"zone", "z"},          {"generation", version_},
                {"slots", 8},           {"state", leaving_ ? "draining" : "ready"},
                {"coldRemainingMs", 0}, {"models", Json::parse(modelsJson())},
                {"seqNo", ++beats_}};
@@ -346,7 +378,8 @@
 
 void SoakClient::sendCall() {
   constexpr std::uint64_t kKinds = 3;
-  const auto kind = static_cast<SoakKind>(context_.random.below(kKinds));
+  const bool resumes = std::exchange(takes_up_, false);
+  const auto kind = resumes ? SoakKind::Stream : static_cast<SoakKind>(context_.random.below(kKinds));
   const std::string id = name_ + "-" + std::to_string(++calls_);
   const char* path = kind == SoakKind::Repeatable   ? "/safe/x"
                      : kind == SoakKind::AtMostOnce ? "/once/x"
@@ -359,17 +392,58 @@
   request.url = "http://" + router_ + path;
   request.headers = {{"Host", "shop.example"}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "2500"}};
   if (kind == SoakKind::Stream) {
-    request.headers.push_back({"X-Model", "m" + std::to_string(context_.random.below(kModels))});
+    if (!resumes) {
+      stream_ = SoakStream{id, "m" + std::to_string(context_.random.below(kModels))};
+    }
+    ++stream_->tries;
+    request.headers.push_back({"X-Model", stream_->model});
+  }
+  judged_ = resumes && context_.streams.mayGoOn(stream_->first_id);
+  if (resumes) {
+    request.headers.push_back({"Last-Event-Id", std::to_string(stream_->last_event)});
+    request.headers.push_back({"Resumes", stream_->first_id});
   }
+  const bool drops = kind == SoakKind::Stream && context_.random.chance(kDropsStream);
   request.body = "body of " + id;
   request.total_timeout = kCallTime;
   request.fresh_connection = !keeps_router_ && context_.random.chance(0.5);
   context_.oracle.onSent(id, kind);
+  context_.retries.onSent(kind == SoakKind::Stream ? "llm" : "desk", context_.now());
   context_.notices.onSent(id, router_, context_.now());
   context_.losses.onSent(id, router_, context_.now());
   sent_at_ = context_.now();
   call_ = std::make_unique<SoakCall>(
-      context_, request, [this, id, kind](const SoakCall::Result& result) { onAnswer(id, kind, result); });
+      context_, request, [this, id, kind](const SoakCall::Result& result) { onAnswer(id, kind, result); },
+      drops ? kDropAfter : 0);
+}
+
+void SoakClient::readEvents(const std::string& id, const SoakCall::Result& result, SoakOutcome& outcome) {
+  outcome.last_event = stream_->last_event;
+  std::size_t place = 0;
+  bool delivered = false;
+  while (place < result.body.size()) {
+    const std::string expected = "id: " + std::to_string(outcome.last_event + 1) + "\ndata: " + id + " ";
+    const std::size_t end = result.body.find("\n\n", place);
+    if (result.body.compare(place, expected.size(), expected) != 0 || end == std::string::npos) {
+      const bool cut = expected.starts_with(result.body.substr(place)) || end == std::string::npos;
+      outcome.events_in_order = result.status != 200 || (cut && !result.whole);
+      break;
+    }
+    const std::size_t version = place + expected.size();
+    context_.streams.onEvent(stream_->first_id, result.body.substr(version, end - version));
+    place = end + 2;
+    ++outcome.last_event;
+    delivered = true;
+  }
+  const bool is_new = stream_->tries == 1;
+  if (is_new) {
+    context_.streams.onNew(delivered);
+  } else if (judged_) {
+    context_.streams.onTakenUp(delivered);
+  }
+  stream_->last_event = outcome.last_event;
+  takes_up_ =
+      outcome.last_event > 0 && outcome.last_event < SoakOracle::kStreamEvents && stream_->tries < kMaxTries;
 }
 
 void SoakClient::onAnswer(const std::string& id, SoakKind kind, const SoakCall::Result& result) {
@@ -378,15 +452,8 @@
   outcome.status = result.status;
   outcome.whole = result.whole;
   outcome.body = result.body;
-  std::size_t place = 0;
-  while (kind == SoakKind::Stream && place < result.body.size()) {
-    const std::string expected = eventText(outcome.last_event + 1, id);
-    if (result.body.compare(place, expected.size(), expected) != 0) {
-      outcome.events_in_order = result.status != 200;
-      break;
-    }
-    place += expected.size();
-    ++outcome.last_event;
+  if (kind == SoakKind::Stream) {
+    readEvents(id, result, outcome);
   }
   if (!result.leaving_replica.empty()) {
     context_.notices.onLeavingHeard(id, result.leaving_replica, context_.now());
@@ -396,6 +463,9 @@
   }
   context_.oracle.onOutcome(id, outcome, context_.now());
   context_.reach.onOutcome(context_.notices.routerOf(id), sent_at_, result.status == 200 && result.whole);
+  if (takes_up_) {
+    router_.clear();
+  }
   timer_->enable(20ms + Duration(context_.random.below(80'000'000)));
 }
 
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -16,6 +16,8 @@
 #include "platform/soak/soak_notice_oracle.h"
 #include "platform/soak/soak_oracle.h"
 #include "platform/soak/soak_reach_judge.h"
+#include "platform/soak/soak_retry_judge.h"
+#include "platform/soak/soak_stream_judge.h"
 
 namespace ferryrock::platform {
 
@@ -33,6 +35,8 @@
   SoakLimitJudge& limits;
   SoakLossJudge& losses;
   SoakReachJudge& reach;
+  SoakRetryJudge& retries;
+  SoakStreamJudge& streams;
   SoakLinks& links;
   Random& random;
   SoakAddresses addresses;
@@ -56,7 +60,8 @@
   };
   using Callback = std::function<void(Result)>;
 
-  SoakCall(SoakContext& context, http::ClientRequest request, Callback callback);
+  /// drop_after: the caller closes the connection after this many bytes of the body; 0: it doesn't.
+  SoakCall(SoakContext& context, http::ClientRequest request, Callback callback, std::size_t drop_after = 0);
 
  private:
   void send(http::ClientRequest request);
@@ -65,6 +70,7 @@
   SoakContext& context_;
   http::ClientRequest request_;
   Callback callback_;
+  std::size_t drop_after_;
   Result result_;
   std::string location_;
   int redirects_ = 0;
@@ -77,9 +83,15 @@
 class SoakReplica {
  public:
   SoakReplica(SoakContext& context, std::string id, bool with_models);
+  ~SoakReplica() { stopServing(); }
+  SoakReplica(const SoakReplica&) = delete;
+  SoakReplica& operator=(const SoakReplica&) = delete;
   const std::string& id() const { return id_; }
   /// Says that it leaves until that is acknowledged, serves on for a while, and ends.
-  void leave() { leaving_ = true; }
+  void leave() {
+    leaving_ = true;
+    stopServing();
+  }
   bool ended() const { return ended_; }
 
  private:
@@ -91,6 +103,7 @@
   void run(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   void stream(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   int takeOrder(const std::string& body);
+  void stopServing();
   /// Begins, changes or ends its limit now and then.
   void drawLimit();
   std::string service() const { return with_models_ ? "llm" : "desk"; }
@@ -102,6 +115,8 @@
   SoakContext& context_;
   std::string id_;
   bool with_models_;
+  std::string version_;  ///< of its software
+  bool serving_ = true;
   std::int64_t born_;  ///< Unix milliseconds of its start; 0: it doesn't tell
   std::unique_ptr<http::Server> server_;
   std::uint16_t port_ = 0;  ///< at which the processes reach it
@@ -120,8 +135,17 @@
   bool ended_ = false;
 };
 
-/// A client: asks a directory now and then, sends one call after the other. One that keeps its router sends
-/// all of them over open connections to it, until a call fails without an answer.
+/// A stream that a client takes up again after its connection broke.
+struct SoakStream {
+  std::string first_id;  ///< of the call that brought the first event
+  std::string model;
+  std::uint64_t last_event = 0;
+  int tries = 0;
+};
+
+/// A client: asks a directory now and then, sends one call after the other. It takes streams up again that
+/// were broken off, at another router, and sometimes closes its connection in the middle of one. One that
+/// keeps its router sends all of them over open connections to it, until a call fails without an answer.
 class SoakClient {
  public:
   SoakClient(SoakContext& context, std::string name, bool keeps_router);
@@ -131,6 +155,8 @@
   void resolve();
   void sendCall();
   void onAnswer(const std::string& id, SoakKind kind, const SoakCall::Result& result);
+  /// Reads the events of a stream's answer, which begin after the stream's last one.
+  void readEvents(const std::string& id, const SoakCall::Result& result, SoakOutcome& outcome);
   void judgeLoss(const std::string& id, const SoakCall::Result& result);
 
   SoakContext& context_;
@@ -143,6 +169,9 @@
   std::vector<std::string> addresses_;
   TimePoint resolved_{};
   std::uint64_t calls_ = 0;
+  std::optional<SoakStream> stream_;  ///< of the call under way
+  bool takes_up_ = false;             ///< the next call goes on with stream_
+  bool judged_ = false;               ///< the call takes a stream up that the judge counts
 };
 
 /// The operator: replaces the configuration, resends what got no clear answer, reads it back.
--- a/tests/services/retry_ledger_test.cc
+++ b/tests/services/retry_ledger_test.cc
@@ -26,7 +26,7 @@
     status.alive_ms = toMilliseconds(now - started);
     status.retry_uses = {use};
     ledger.accept(status, now);
-    const wire::RetryCredits credits = ledger.creditsFor(status, kStatusInterval, now);
+    wire::RetryCredits credits = ledger.creditsFor(status, kStatusInterval, now);
     use.received = credits.grants.at(0).total;
     return credits;
   }
--- a/tests/services/stream_fleet.cc
+++ b/tests/services/stream_fleet.cc
@@ -291,9 +291,10 @@
 }
 
 bool StreamFleet::isServable(const Stream& stream) const {
-  const auto& [service, version] = *stream.versions.begin();
-  return std::count_if(replicas_.begin(), replicas_.end(), [&](const FleetReplica& replica) {
-           return replica.up && !replica.leaving && replica.service == service && replica.version == version;
+  const std::pair<std::string, std::string>& began_at = *stream.versions.begin();
+  return std::count_if(replicas_.begin(), replicas_.end(), [&began_at](const FleetReplica& replica) {
+           return replica.up && !replica.leaving && replica.service == began_at.first &&
+                  replica.version == began_at.second;
          }) >= 2;
 }
 
