Tell the software versions of each service, and the streams that a member knows

Members log the number of replicas by version for each service when it changes (fleet.versions), and have metrics of the streams whose origin they remember and of the queries for them. No decision changes.

--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -336,10 +336,26 @@
                 {"routers_partitioned", static_cast<std::int64_t>(fleet.partitioned)},
                 {"unreachable", static_cast<std::int64_t>(fleet.unreachable)}});
   }
+  if (fleet.versions != logged_fleet_.versions) {
+    logVersions(fleet);
+  }
   logged_fleet_ = fleet;
   logRetryBudgets(time);
 }
 
+/// Logs the number of replicas of each software version, for each service.
+void ServiceControlShell::logVersions(const services::FleetView& fleet) {
+  for (const auto& [service, versions] : fleet.versions) {
+    std::string text;
+    for (const auto& [version, replicas] : versions) {
+      text += (text.empty() ? "" : ", ") + version + ": " + std::to_string(replicas);
+    }
+    log_.write(
+        LogLevel::Info, "fleet.versions",
+        {{"service", std::string_view(service.value)}, {"replicas_by_version", std::string_view(text)}});
+  }
+}
+
 /// Logs what the leader knows of each retry budget that routers use, with the limits of logFleetChanges().
 void ServiceControlShell::logRetryBudgets(TimePoint time) {
   for (const services::RetryBudgetView& view : control_->retryBudgets(time)) {
@@ -442,6 +458,12 @@
       static_cast<double>(fleet.partitioned));
   set("ferryrock_replicas_unreachable", "Replicas left out of placement, since routers don't reach them",
       static_cast<double>(fleet.unreachable));
+  set("ferryrock_stream_origins", "Streams whose origin this member remembers",
+      static_cast<double>(view.stream_origins));
+  set("ferryrock_stream_origins_found", "Queries for an origin that this member knew",
+      static_cast<double>(view.origin_queries.found));
+  set("ferryrock_stream_origins_unknown", "Queries for an origin that this member didn't know",
+      static_cast<double>(view.origin_queries.unknown));
   set("ferryrock_catalog_version", "Version of the catalog committed",
       static_cast<double>(view.catalog.value));
   set("ferryrock_quota_charged", "Quota that routers told as used, since this member leads",
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -66,6 +66,7 @@
   void logViewChanges();
   void logFleetChanges();
   void logRetryBudgets(TimePoint time);
+  void logVersions(const services::FleetView& fleet);
   void logResourceUsage();
   void armTimer();
   void continueStop();
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -456,6 +456,8 @@
   view.evacuated_zones = node_->hosted().evacuated().size();
   view.quarantined_calls = crashes_.quarantined().size();
   view.suspected_calls = crashes_.size() - view.quarantined_calls;
+  view.stream_origins = stream_origins_.size();
+  view.origin_queries = stream_origins_.counts();
   if (leader_) {
     view.quota = leader_->quotas.counts();
     view.limited_tenants = leader_->quotas.limited().size();
@@ -466,8 +468,12 @@
 }
 
 FleetView ServiceControlImpl::fleet(TimePoint now) const {
-  return {registry_.replicas().size(), directory_.acceptingCount(now), directory_.partitionedCount(now),
-          directory_.unreachable(now).size()};
+  FleetView fleet{registry_.replicas().size(), directory_.acceptingCount(now),
+                  directory_.partitionedCount(now), directory_.unreachable(now).size()};
+  for (const auto& [id, record] : registry_.replicas()) {
+    ++fleet.versions[record.report.service][record.report.version.value_or("unknown")];
+  }
+  return fleet;
 }
 
 std::vector<RetryBudgetView> ServiceControlImpl::retryBudgets(TimePoint now) const {
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,7 @@
 #include "services/replica_registry.h"
 #include "services/retry_ledger.h"
 #include "services/router_directory.h"
+#include "services/stream_origin_store.h"
 #include "tenancy/quota_ledger.h"
 
 /// A control member of hosted services as pure logic without I/O.
@@ -74,6 +76,8 @@
   std::size_t evacuated_zones = 0;    ///< zones whose replicas get no new calls
   std::size_t quarantined_calls = 0;  ///< calls that aren't sent to replicas, since several crashed on them
   std::size_t suspected_calls = 0;    ///< calls on which replicas crashed, too few for a quarantine
+  std::size_t stream_origins = 0;     ///< streams whose origin this member remembers
+  StreamOriginCounts origin_queries;
 };
 
 /// Number of replicas and routers that a member knows.
@@ -82,6 +86,8 @@
   std::size_t routers = 0;      ///< routers that callers may be sent to
   std::size_t partitioned = 0;  ///< routers that reach no replica over their own connections
   std::size_t unreachable = 0;  ///< replicas left out of placement, since routers don't reach them
+  /// Number of replicas by software version, for each service; "unknown" for those whose version isn't known.
+  std::map<ServiceName, std::map<std::string, std::size_t>> versions{};
   friend bool operator==(const FleetView&, const FleetView&) = default;
 };
 
