Judge only first attempts of callers that stay at partitioned routers

The rule on partitioned routers (RECOVER) speaks of callers' first attempts. The soak's clients had learned to take streams up again and to close connections in the middle of streams; its judge counted the one as further first attempts and the other as calls that weren't served. Neither is one. The bound is as it was.

--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -171,6 +171,8 @@
   std::uint64_t calls_ = 0;
   std::optional<SoakStream> stream_;  ///< of the call under way
   bool takes_up_ = false;             ///< the next call goes on with stream_
+  bool resumes_ = false;              ///< the call takes a stream up
+  bool drops_ = false;                ///< the client may close the call's connection
   bool judged_ = false;               ///< the call takes a stream up that the judge counts
 };
 
