Give crash records the fields of suspects other than calls

Cause: records name a call by a fingerprint of its whole body, so they can't say that calls which differ share a cause. Change: kind, name and trials of a record, secondary evidence of a crash, requests and grants of trials: new last members of their messages. Nothing reads them yet.

--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -424,7 +424,11 @@
 struct CrashRecords {
   std::vector<CrashRecord> records;
   bool shares_all = false;  ///< all shared records of the sender are listed
-  FERRYROCK_FIELDS(CrashRecords, records, shares_all)
+  /// From a router: quarantined traits for which it has a call that could test them.
+  std::vector<CallFingerprint> trial_requests{};
+  /// From the leader: traits that the router may test with one call each.
+  std::vector<CallFingerprint> trial_grants{};
+  FERRYROCK_FIELDS(CrashRecords, records, shares_all, trial_requests, trial_grants)
 };
 
 /// What a stream began at. It never changes: once a caller has an event of the stream, the rest may come only
--- a/src/wire/service_types.h
+++ b/src/wire/service_types.h
@@ -166,20 +166,29 @@
   FERRYROCK_FIELDS(CallFingerprint, high, low)
 };
 
-/// A replica that crashed while it ran a call.
+/// What may crash a replica: one call, or a trait that different calls share.
+enum class SuspectKind : std::uint8_t { Call, PromptPart, Adapter };
+
+/// A replica that crashed while it ran a call, or calls with the same trait.
 struct ReplicaCrash {
   ReplicaId replica;
-  /// The call was answered since, so that the crash doesn't count against it.
+  /// A call of the suspect was answered since, so that the crash doesn't count against it.
   bool refuted = false;
-  FERRYROCK_FIELDS(ReplicaCrash, replica, refuted)
+  /// Calls with this trait had been answered shortly before, or the replica hadn't begun to answer them, so that
+  /// another trait explains the crash better.
+  bool secondary = false;
+  FERRYROCK_FIELDS(ReplicaCrash, replica, refuted, secondary)
 };
 
-/// Crashes recorded for one call. Records of the same call are merged by union.
+/// Crashes recorded for one suspect. Records of the same suspect are merged by union.
 struct CrashRecord {
-  CallFingerprint call;
+  CallFingerprint call;             ///< identifies the suspect, whatever its kind
   std::vector<ReplicaCrash> ended;  ///< ordered by replica id
   std::int64_t age_ms = 0;          ///< time since the last crash
-  FERRYROCK_FIELDS(CrashRecord, call, ended, age_ms)
+  SuspectKind kind = SuspectKind::Call;
+  std::string name{};        ///< of a trait, for operators: the prompt part's ID, or "MODEL/ADAPTER"
+  std::uint32_t trials = 0;  ///< calls granted so far that test whether a quarantined trait still crashes
+  FERRYROCK_FIELDS(CrashRecord, call, ended, age_ms, kind, name, trials)
 };
 
 }  // namespace ferryrock::wire
