Tell the prompt parts of calls, and how far a replica had come when it ended

Cause: the logs can't tell a part of a prompt that crashes replicas from replicas that end for another reason, or an empty stream from a whole one. Change: IDs of shared prompt parts in call.admitted and crash.replica_ended; head and events of an attempt that failed; events of a finished stream.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -33,6 +33,7 @@
   std::uint64_t affinity_key = 0;  ///< hash of the shared parts of the prompt; 0: none
   std::uint64_t prompt_tokens = 0;
   std::uint64_t shared_tokens = 0;            ///< tokens in prompt parts that other calls share
+  std::vector<std::string> shared_parts;      ///< IDs of these parts, in order
   std::uint64_t answer_tokens = 0;            ///< upper bound of generated tokens
   bool has_token_counts = false;              ///< the call carries the token counts above
   std::optional<std::uint64_t> resume_after;  ///< ID of the last stream event that the caller has received
@@ -42,6 +43,15 @@
   wire::CallFingerprint fingerprint;  ///< identical whenever the caller repeats the same call
 };
 
+/// IDs separated by blanks, for logs.
+inline std::string joined(const std::vector<std::string>& ids) {
+  std::string text;
+  for (const std::string& id : ids) {
+    text += (text.empty() ? "" : " ") + id;
+  }
+  return text;
+}
+
 /// The parts of a replica's response that decide how the call proceeds.
 struct AnswerSummary {
   int status = 0;
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -152,6 +152,7 @@
               {"service", view(state.need.service.value)},
               {"model", view(state.need.model.value)},
               {"adapter", view(state.need.adapter)},
+              {"parts", joined(state.request.shared_parts)},
               {"tenant", state.tenant ? view(state.tenant->value) : std::string_view()},
               {"catalog", static_cast<std::int64_t>(state.routes->version().value)},
               {"time_left_ms", toMilliseconds(state.deadline - now)}});
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -153,6 +153,8 @@
     std::optional<RetryCharge> charge;         ///< what of the retry budget it was charged to
     bool with_credit = false;           ///< the leader granted it a credit under the replica's rate limit
     std::uint64_t reopening_round = 0;  ///< backoff round that the attempt probes; 0: none, or accepted
+    bool has_head = false;              ///< the head of the response has arrived
+    std::uint64_t events = 0;           ///< number of events that the replica has sent
     int measured_events = 0;            ///< number of events since measured_since
     TimePoint measured_since{};
   };
@@ -207,6 +209,9 @@
   struct ProbedCall {
     CallNumber number;
     wire::CallFingerprint fingerprint;
+    std::vector<std::string> shared_parts;
+    bool has_head = false;   ///< the head of the response had arrived
+    bool answering = false;  ///< events of the attempt had arrived
   };
 
   /// Looks up the call's route in the current catalog and starts processing the call.
@@ -291,7 +296,7 @@
   void sendLimitRequest(TimePoint now);
   // call_router_crashes.cc
   /// Starts a probe of the replica that broke off the call, unless one is pending.
-  void probe(Call& call, const ReplicaId& replica, const std::string& address, TimePoint now);
+  void probe(Call& call, const Attempt& attempt, const std::string& address, TimePoint now);
   /// Continues a probe whose outcome decides nothing yet: over another path. Returns false if the outcome is
   /// final.
   bool probeFurther(const ReplicaId& replica, ProbeOutcome outcome, TimePoint now);
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -135,7 +135,8 @@
   if (!call) {
     return finish(now);
   }
-  const Attempt& answered = *(*call)->second.attempt;
+  Attempt& answered = *(*call)->second.attempt;
+  answered.has_head = true;
   if (!notice.empty() || replicas_.limits().isLimited(answered.replica) ||
       replicas_.brittle().isBrittle(answered.replica)) {
     applyNotice(answered.replica, notice, answered.sent, now);
@@ -230,6 +231,7 @@
   }
   Call& state = (*call)->second;
   recordProgress(state, now);
+  ++state.attempt->events;
   onPromptPrefilled(*state.attempt);
   onAttemptAccepted(*state.attempt);
   const bool known = id && state.last_event && *id <= *state.last_event;
@@ -287,6 +289,7 @@
   recordProgress(state, now);
   startStream(*call, attempt, now);
   onAttemptAccepted(*state.attempt);
+  const std::uint64_t events = state.attempt->events;
   if (Replica* replica = release(state)) {
     replica->health.onSuccess(now);
   }
@@ -296,6 +299,7 @@
   log_.write(LogLevel::Info, "call.stream_finished",
              {{"request", view(state.request.id.value)},
               {"took_ms", toMilliseconds(now - state.arrived)},
+              {"events", static_cast<std::int64_t>(events)},
               {"longest_pause_ms", toMilliseconds(state.longest_gap)},
               {"attempts", static_cast<std::int64_t>(state.attempts)}});
   effects_.emplace_back(FinishStreamEffect{(*call)->first});
@@ -327,6 +331,8 @@
               {"replica", view(state.attempt->replica.value)},
               {"relay", state.attempt->relay ? view(state.attempt->relay->value) : std::string_view()},
               {"proved_unrun", not_run},
+              {"head", state.attempt->has_head},
+              {"events", static_cast<std::int64_t>(state.attempt->events)},
               {"reason", view(reason)},
               {"after_ms", toMilliseconds(now - state.attempt->sent)}});
   if (not_run && state.attempt->with_credit) {
@@ -350,7 +356,7 @@
     state.failure_reason = reason;
     state.last_failure = ResultCode::ReplicaFailed;
     if (!address.empty()) {
-      probe(state, replica_id, address, now);
+      probe(state, attempt_state, address, now);
     }
     if (state.probed_replica) {
       setTimer(*call);
--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -27,7 +27,8 @@
 /// A refused connection shows that a replica has terminated only if it isn't this router's own link that
 /// refuses it. A router without open connections to other replicas can't tell, so it has the replica probed
 /// by another router, at once: calls that crash replicas must be known soon.
-void CallRouter::probe(Call& call, const ReplicaId& replica, const std::string& address, TimePoint now) {
+void CallRouter::probe(Call& call, const Attempt& attempt, const std::string& address, TimePoint now) {
+  const ReplicaId& replica = attempt.replica;
   const auto [pending, inserted] = pending_probes_.try_emplace(replica);
   if (inserted) {
     const ServiceName& service = call.need.service;
@@ -39,7 +40,9 @@
     pending->second.asked_relay = relay.has_value();
     effects_.emplace_back(ProbeReplicaEffect{replica, address, relay});
   }
-  pending->second.calls.push_back({call.request.number, call.request.fingerprint});
+  pending->second.calls.push_back(
+      {call.request.number, call.request.fingerprint, call.request.shared_parts, attempt.has_head,
+       attempt.events > 0});
   if (isRepeatable(call)) {
     call.probed_replica = replica;
   }
@@ -92,8 +95,9 @@
                                     TimePoint now) {
   ++counts_.replica_crashes;
   std::vector<wire::CrashRecord> new_records;
-  for (const auto& [number, fingerprint] : calls) {
-    const CallPointer call = calls_.find(number);
+  for (const ProbedCall& probed : calls) {
+    const wire::CallFingerprint& fingerprint = probed.fingerprint;
+    const CallPointer call = calls_.find(probed.number);
     if (call != calls_.end()) {
       ++call->second.crashed_attempts;
     }
@@ -103,6 +107,9 @@
     new_records.push_back(crashes_.record(fingerprint, now));
     log_.write(LogLevel::Warning, "crash.replica_ended",
                {{"fingerprint", quarantine::toText(fingerprint)},
+                {"parts", joined(probed.shared_parts)},
+                {"head", probed.has_head},
+                {"answering", probed.answering},
                 {"replica", std::string_view(replica.value)},
                 {"calls_there", static_cast<std::int64_t>(calls.size())},
                 {"ends", static_cast<std::int64_t>(crashes_.ends(fingerprint))}});
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -46,6 +46,7 @@
   http::Request other = request();
   other.headers[6].value = "5c:800,91:410,ff:1";
   CHECK(kDialect.parse(other).request.affinity_key == call.request.affinity_key);
+  CHECK(call.request.shared_parts == std::vector<std::string>{"5c", "91"});
 }
 
 TEST_CASE("A header that isn't a number is refused as such") {
