--- a/tests/services/crashing_fleet.cc
+++ b/tests/services/crashing_fleet.cc
@@ -13,11 +13,14 @@
 constexpr Duration kCallerRetryDelay = 100ms;
 constexpr Duration kCallerTimeout = 5s;
 
-wire::ServiceCatalog plainCatalog(std::uint32_t max_attempts) {
+const std::string kCrashingPart = "crashing";
+
+wire::ServiceCatalog plainCatalog(const CrashingFleetSettings& settings) {
+  const bool streams = settings.until_first_event > Duration::zero();
   wire::ServiceCatalog catalog = makeCatalog(1);
   for (wire::CallRoute& route : catalog.routes) {
-    route.kind = wire::CallKind::Repeatable;
-    route.max_attempts = max_attempts;
+    route.kind = streams ? wire::CallKind::Streaming : wire::CallKind::Repeatable;
+    route.max_attempts = settings.max_attempts;
     route.timeout_ms = 5000;
     route.target_latency_ms = 600;
   }
@@ -34,7 +37,7 @@
   for (std::size_t i = 0; i < settings_.routers; ++i) {
     routers.push_back(&cluster.addCallRouter("edge-" + std::to_string(i)));
   }
-  cluster.replaceAcknowledged(plainCatalog(settings_.max_attempts));
+  cluster.replaceAcknowledged(plainCatalog(settings_));
   for (std::size_t i = 0; i < settings_.replicas; ++i) {
     auto replica = std::make_unique<Replica>();
     replica->address = "10.1.0." + std::to_string(i) + ":80";
@@ -63,18 +66,20 @@
   return found == replicas_.end() ? nullptr : found->get();
 }
 
-void CrashingFleet::submit(const wire::CallFingerprint& fingerprint, CallerRecord& caller,
-                           std::size_t tries_left) {
+void CrashingFleet::submit(const FleetCall& call, CallerRecord& caller, std::size_t tries_left) {
   RunningRouter& router = *routers[random_.below(routers.size())];
-  ++caller.submissions;
+  if (++caller.submissions == 1) {
+    caller.submitted = cluster.now();
+  }
   calls::CallRequest request;
   request.number = calls::CallNumber{++router.calls};
   request.id = RequestId("call-" + std::to_string(router.calls));
   request.host = "example";
   request.path = "/desk/x";
   request.time_limit = kCallerTimeout;
-  request.fingerprint = fingerprint;
-  open_[{router.node, request.number}] = {&caller, fingerprint, tries_left};
+  request.fingerprint = call.fingerprint;
+  request.shared_parts = call.parts;
+  open_[{router.node, request.number}] = {&caller, call, tries_left};
   cluster.actRouter(router, [request](calls::CallRouter& logic, TimePoint now) mutable {
     return logic.onCall(std::move(request), now);
   });
@@ -84,7 +89,7 @@
                                        Duration for_time) {
   crashing_calls_.insert(fingerprint);
   crashing_.push_back(std::make_unique<CallerRecord>());
-  submit(fingerprint, *crashing_.back(), 0);
+  submit({fingerprint, {}}, *crashing_.back(), 0);
   if (for_time > interval) {
     cluster.schedule(interval, [this, fingerprint, interval, for_time] {
       beginCrashingCalls(fingerprint, interval, for_time - interval);
@@ -94,7 +99,7 @@
 
 void CrashingFleet::beginBystanders(Duration interval, Duration for_time, std::size_t tries) {
   bystanders_.push_back(std::make_unique<CallerRecord>());
-  submit({7, next_bystander_++}, *bystanders_.back(), tries - 1);
+  submit({{7, next_bystander_++}, {}}, *bystanders_.back(), tries - 1);
   if (for_time > interval) {
     cluster.schedule(interval, [this, interval, for_time, tries] {
       beginBystanders(interval, for_time - interval, tries);
@@ -105,7 +110,7 @@
 void CrashingFleet::beginSameCalls(const wire::CallFingerprint& fingerprint, Duration interval,
                                    Duration for_time) {
   same_.push_back(std::make_unique<CallerRecord>());
-  submit(fingerprint, *same_.back(), 1);
+  submit({fingerprint, {}}, *same_.back(), 1);
   if (for_time > interval) {
     cluster.schedule(interval, [this, fingerprint, interval, for_time] {
       beginSameCalls(fingerprint, interval, for_time - interval);
@@ -113,6 +118,44 @@
   }
 }
 
+void CrashingFleet::beginCrashingPrompts(const PromptMix& mix, Duration for_time) {
+  const std::string sound = mix.crashing_first ? "further-" + std::to_string(random_.below(mix.further_parts))
+                                               : "first-0";
+  const std::vector<std::string> parts =
+      mix.crashing_first ? std::vector{kCrashingPart, sound} : std::vector{sound, kCrashingPart};
+  crashing_.push_back(std::make_unique<CallerRecord>());
+  submit({{8, next_prompt_++}, parts}, *crashing_.back(), 0);
+  if (for_time > mix.crashing_interval) {
+    cluster.schedule(mix.crashing_interval, [this, mix, for_time] {
+      beginCrashingPrompts(mix, for_time - mix.crashing_interval);
+    });
+  }
+}
+
+void CrashingFleet::beginSoundPrompts(const PromptMix& mix, Duration for_time) {
+  sound_prompts_.push_back(std::make_unique<CallerRecord>());
+  CallerRecord& caller = *sound_prompts_.back();
+  caller.first_part = "first-" + std::to_string(random_.below(mix.first_parts));
+  const std::string further = "further-" + std::to_string(random_.below(mix.further_parts));
+  submit({{9, next_prompt_++}, {caller.first_part, further}}, caller, 1);
+  if (for_time > mix.sound_interval) {
+    cluster.schedule(mix.sound_interval,
+                     [this, mix, for_time] { beginSoundPrompts(mix, for_time - mix.sound_interval); });
+  }
+}
+
+bool CrashingFleet::crashesReplicas(const FleetCall& call) const {
+  return crashing_calls_.contains(call.fingerprint) ||
+         (!crashing_part_mended_ &&
+          std::find(call.parts.begin(), call.parts.end(), kCrashingPart) != call.parts.end());
+}
+
+void CrashingFleet::onBegun(const CallKey& call) {
+  CallerRecord& caller = *open_.at(call).caller;
+  caller.began_at_first = caller.began_at_first || (!caller.answered && caller.submissions == 1);
+  caller.answered = true;
+}
+
 void CrashingFleet::onEffect(RunningRouter& router, const calls::Effect& effect) {
   if (const auto* send = std::get_if<calls::SendAttemptEffect>(&effect)) {
     onSend(router, *send);
@@ -121,8 +164,14 @@
   } else if (const auto* probe = std::get_if<calls::ProbeReplicaEffect>(&effect)) {
     onProbe(router, *probe);
   } else if (const auto* delivery = std::get_if<calls::DeliverAnswerEffect>(&effect)) {
-    open_.at({router.node, delivery->call}).caller->answered = true;
+    onBegun({router.node, delivery->call});
     open_.erase({router.node, delivery->call});
+  } else if (const auto* event = std::get_if<calls::PassEventEffect>(&effect)) {
+    onBegun({router.node, event->call});
+  } else if (const auto* finished = std::get_if<calls::FinishStreamEffect>(&effect)) {
+    open_.erase({router.node, finished->call});
+  } else if (const auto* broken = std::get_if<calls::BreakStreamEffect>(&effect)) {
+    open_.erase({router.node, broken->call});
   } else if (const auto* refusal = std::get_if<calls::RefuseCallEffect>(&effect)) {
     const OpenCall call = open_.at({router.node, refusal->call});
     open_.erase({router.node, refusal->call});
@@ -138,13 +187,12 @@
   caller.given_up = call.tries_left == 0;
   if (call.tries_left > 0) {
     cluster.schedule(refusal.retry_after.value_or(kCallerRetryDelay),
-                     [this, call] { submit(call.fingerprint, *call.caller, call.tries_left - 1); });
+                     [this, call] { submit(call.call, *call.caller, call.tries_left - 1); });
   }
 }
 
 void CrashingFleet::onSend(RunningRouter& router, const calls::SendAttemptEffect& send) {
-  const wire::CallFingerprint fingerprint = open_.at({router.node, send.call}).fingerprint;
-  const RunningCall call{&router, send.attempt, fingerprint};
+  const RunningCall call{&router, send.attempt, open_.at({router.node, send.call}).call};
   cluster.schedule(kNetworkDelay, [this, call, address = send.address, id = send.replica] {
     Replica* replica = replicaAt(address);
     if (replica == nullptr || !replica->up || replica->id != id) {
@@ -155,13 +203,20 @@
       });
       return;
     }
-    dispatches_[call.fingerprint].dispatches.push_back(cluster.now());
+    const bool is_crashing = crashesReplicas(call.call);
+    dispatches_[call.call.fingerprint].dispatches.push_back(cluster.now());
+    if (is_crashing && !call.call.parts.empty()) {
+      part_dispatches_.dispatches.push_back(cluster.now());
+    }
     replica->running.push_back(call);
-    const bool is_crashing = crashing_calls_.contains(call.fingerprint);
+    const std::uint64_t incarnation = replica->incarnation;
+    if (!is_crashing && settings_.until_first_event > Duration::zero()) {
+      cluster.schedule(settings_.until_first_event, [this, call, replica, incarnation] {
+        sendEvent(*replica, incarnation, call);
+      });
+    }
     cluster.schedule(is_crashing ? settings_.until_crash : settings_.work,
-                     [this, call, replica, expected_incarnation = replica->incarnation] {
-                       finishCall(*replica, expected_incarnation, call);
-                     });
+                     [this, call, replica, incarnation] { finishCall(*replica, incarnation, call); });
   });
 }
 
@@ -199,23 +254,57 @@
   }
 }
 
+std::vector<CrashingFleet::RunningCall>::iterator CrashingFleet::findRunning(
+    Replica& replica, std::uint64_t expected_incarnation, const RunningCall& call) {
+  if (replica.incarnation != expected_incarnation) {
+    return replica.running.end();
+  }
+  return std::find_if(replica.running.begin(), replica.running.end(), [&](const RunningCall& one) {
+    return one.router == call.router && one.attempt == call.attempt;
+  });
+}
+
+void CrashingFleet::sendHead(const RunningCall& call) {
+  cluster.schedule(kNetworkDelay, [this, call] {
+    cluster.actRouter(*call.router, [call](calls::CallRouter& logic, TimePoint now) {
+      return logic.onHead(call.attempt, {}, now);
+    });
+  });
+}
+
+void CrashingFleet::sendEvent(Replica& replica, std::uint64_t expected_incarnation, const RunningCall& call) {
+  if (findRunning(replica, expected_incarnation, call) == replica.running.end()) {
+    return;
+  }
+  sendHead(call);
+  cluster.schedule(kNetworkDelay, [this, call] {
+    cluster.actRouter(*call.router, [call](calls::CallRouter& logic, TimePoint now) {
+      return logic.onStreamEvent(call.attempt, 1, "id: 1\n\n", now);
+    });
+  });
+}
+
 void CrashingFleet::finishCall(Replica& replica, std::uint64_t expected_incarnation,
                                const RunningCall& call) {
-  const auto place = std::find_if(
-      replica.running.begin(), replica.running.end(),
-      [&](const RunningCall& one) { return one.router == call.router && one.attempt == call.attempt; });
-  if (replica.incarnation != expected_incarnation || place == replica.running.end()) {
+  const auto place = findRunning(replica, expected_incarnation, call);
+  if (place == replica.running.end()) {
     return;
   }
-  if (crashing_calls_.contains(call.fingerprint)) {
-    dispatches_[call.fingerprint].crashes.push_back(cluster.now());
+  if (crashesReplicas(call.call)) {
+    dispatches_[call.call.fingerprint].crashes.push_back(cluster.now());
+    if (!call.call.parts.empty()) {
+      part_dispatches_.crashes.push_back(cluster.now());
+      sendHead(call);
+    }
     crash(replica);
     return;
   }
   replica.running.erase(place);
-  cluster.schedule(kNetworkDelay, [this, call] {
-    cluster.actRouter(*call.router, [call](calls::CallRouter& logic, TimePoint now) {
-      return logic.onAnswer(call.attempt, {200, false}, now);
+  const bool streams = settings_.until_first_event > Duration::zero();
+  cluster.schedule(kNetworkDelay, [this, call, streams] {
+    cluster.actRouter(*call.router, [call, streams](calls::CallRouter& logic, TimePoint now) {
+      return streams ? logic.onStreamEnd(call.attempt, now)
+                     : logic.onAnswer(call.attempt, {200, false}, now);
     });
   });
 }
@@ -264,6 +353,29 @@
       std::count_if(dispatches.begin(), dispatches.end(), [from](TimePoint time) { return time > from; }));
 }
 
+std::size_t CrashingFleet::partDispatchesAfterFifthCrash(Duration after) const {
+  constexpr std::size_t kFifth = 5;
+  if (part_dispatches_.crashes.size() < kFifth) {
+    return 0;
+  }
+  const TimePoint from = part_dispatches_.crashes[kFifth - 1] + after;
+  return static_cast<std::size_t>(std::count_if(part_dispatches_.dispatches.begin(),
+                                                part_dispatches_.dispatches.end(),
+                                                [from](TimePoint time) { return time > from; }));
+}
+
+double CrashingFleet::beganShare(const std::string& first_part, TimePoint from) const {
+  std::size_t submitted = 0;
+  std::size_t began = 0;
+  for (const auto& caller : sound_prompts_) {
+    if (caller->first_part == first_part && caller->submitted >= from) {
+      ++submitted;
+      began += caller->began_at_first ? 1 : 0;
+    }
+  }
+  return static_cast<double>(began) / static_cast<double>(std::max<std::size_t>(1, submitted));
+}
+
 double CrashingFleet::servedShare() const {
   const auto served = std::count_if(bystanders_.begin(), bystanders_.end(),
                                     [](const auto& caller) { return caller->answered; });
--- a/tests/services/crashing_fleet.h
+++ b/tests/services/crashing_fleet.h
@@ -9,7 +9,8 @@
 
 #include "services/service_cluster.h"
 
-/// Simulates replicas that a call may crash, with routers and callers, under the cluster's virtual clock.
+/// Simulates replicas that a call or a part of its prompt may crash, with routers and callers, under the
+/// cluster's virtual clock.
 namespace ferryrock::services {
 
 struct CrashingFleetSettings {
@@ -24,6 +25,24 @@
   std::uint64_t seed = 1;
   /// Probes learn of a crash by a refused connection alone; otherwise they know it for certain.
   bool refuses_probes = false;
+  /// Time from the start of a call until the first event of its stream; zero: responses aren't streams.
+  Duration until_first_event{};
+};
+
+/// A call and the IDs of the prompt parts that it shares with others.
+struct FleetCall {
+  wire::CallFingerprint fingerprint;
+  std::vector<std::string> parts;
+};
+
+/// Calls that are never alike and share parts of their prompts. Sound calls hold one of the first parts, then
+/// one of the further ones; crashing calls hold the crashing part in second place, or in first place.
+struct PromptMix {
+  std::size_t first_parts = 2;
+  std::size_t further_parts = 20;
+  Duration sound_interval = std::chrono::milliseconds(140);
+  Duration crashing_interval = std::chrono::milliseconds(330);
+  bool crashing_first = false;
 };
 
 /// Outcome of the calls of one caller. After a refusal or a failure, the caller resends its call to a random
@@ -35,6 +54,9 @@
   std::vector<ResultCode> refusals;
   std::vector<bool> not_run;                         ///< one entry per refusal
   std::vector<std::optional<Duration>> retry_after;  ///< one entry per refusal
+  std::string first_part;                            ///< of the call's prompt
+  TimePoint submitted{};                             ///< time of the first submission
+  bool began_at_first = false;                       ///< the first submission brought an answer or an event
 };
 
 /// Executions of one call on replicas, over all submissions of the call.
@@ -54,6 +76,12 @@
   void beginBystanders(Duration interval, Duration for_time, std::size_t tries = 2);
   /// Starts callers that all send the same harmless call.
   void beginSameCalls(const wire::CallFingerprint& fingerprint, Duration interval, Duration for_time);
+  /// Starts callers of calls with the crashing part of the mix, each with a call of its own.
+  void beginCrashingPrompts(const PromptMix& mix, Duration for_time);
+  /// Starts callers of the sound calls of the mix, each with a call of its own.
+  void beginSoundPrompts(const PromptMix& mix, Duration for_time);
+  /// Ends the effect of the crashing part, as a new engine does.
+  void mendCrashingPart() { crashing_part_mended_ = true; }
   /// Crashes the replica with the most running calls, for a reason unrelated to them.
   void crashBusiest();
   /// Breaks the connections of running calls at this replica, which stays alive.
@@ -65,6 +93,13 @@
   const DispatchRecord& dispatchesOf(const wire::CallFingerprint& fingerprint) {
     return dispatches_[fingerprint];
   }
+  /// All calls with the crashing part together.
+  const DispatchRecord& dispatchesOfPart() const { return part_dispatches_; }
+  /// Number of calls with the crashing part that reached replicas later than `after` past their fifth crash.
+  std::size_t partDispatchesAfterFifthCrash(Duration after) const;
+  /// Share of the sound prompts with this first part, of those submitted from `from` on, that the first
+  /// submission brought an answer or an event.
+  double beganShare(const std::string& first_part, TimePoint from) const;
   /// Share of the bystanders that got an answer.
   double servedShare() const;
   const std::vector<std::unique_ptr<CallerRecord>>& bystanders() const { return bystanders_; }
@@ -80,7 +115,7 @@
   struct RunningCall {
     RunningRouter* router = nullptr;
     calls::AttemptNumber attempt;
-    wire::CallFingerprint fingerprint;
+    FleetCall call;
   };
   struct Replica {
     std::string address;
@@ -92,18 +127,25 @@
   };
   struct OpenCall {
     CallerRecord* caller = nullptr;
-    wire::CallFingerprint fingerprint;
+    FleetCall call;
     std::size_t tries_left = 0;
   };
   using CallKey = std::pair<NodeName, calls::CallNumber>;
 
-  void submit(const wire::CallFingerprint& fingerprint, CallerRecord& caller, std::size_t tries_left);
+  void submit(const FleetCall& call, CallerRecord& caller, std::size_t tries_left);
+  bool crashesReplicas(const FleetCall& call) const;
+  void onBegun(const CallKey& call);
   void onEffect(RunningRouter& router, const calls::Effect& effect);
   void onSend(RunningRouter& router, const calls::SendAttemptEffect& send);
   void onCancel(RunningRouter& router, calls::AttemptNumber attempt);
   void onProbe(RunningRouter& router, const calls::ProbeReplicaEffect& probe);
   calls::ProbeOutcome outcomeOf(const calls::ProbeReplicaEffect& probe, const Replica* replica) const;
   void onRefusal(const OpenCall& call, const calls::RefuseCallEffect& refusal);
+  /// Returns the call's place in Replica::running if the replica still runs it.
+  static std::vector<RunningCall>::iterator findRunning(Replica& replica, std::uint64_t expected_incarnation,
+                                                        const RunningCall& call);
+  void sendHead(const RunningCall& call);
+  void sendEvent(Replica& replica, std::uint64_t expected_incarnation, const RunningCall& call);
   void finishCall(Replica& replica, std::uint64_t expected_incarnation, const RunningCall& call);
   void crash(Replica& replica);
   void breakCalls(Replica& replica);
@@ -114,12 +156,16 @@
   Random random_;
   std::vector<std::unique_ptr<Replica>> replicas_;
   std::set<wire::CallFingerprint> crashing_calls_;
+  bool crashing_part_mended_ = false;
+  DispatchRecord part_dispatches_;
   std::map<wire::CallFingerprint, DispatchRecord> dispatches_;
   std::map<CallKey, OpenCall> open_;
   std::vector<std::unique_ptr<CallerRecord>> bystanders_;
   std::vector<std::unique_ptr<CallerRecord>> crashing_;
   std::vector<std::unique_ptr<CallerRecord>> same_;
+  std::vector<std::unique_ptr<CallerRecord>> sound_prompts_;
   std::uint64_t next_bystander_ = 1;
+  std::uint64_t next_prompt_ = 1;
 };
 
 }  // namespace ferryrock::services
