--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -56,6 +56,8 @@
 struct AnswerSummary {
   int status = 0;
   bool proven_not_run = false;  ///< the replica states that it didn't run the call
+  /// Nothing but the end of its connection ended the response, so it may have been cut.
+  bool ends_with_connection = false;
 };
 
 /// Statements about a replica itself in the headers of a response. They hold for this incarnation of the
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -116,8 +116,12 @@
 
 void CallRouter::beginCall(CallPointer call, TimePoint now) {
   Call& state = call->second;
-  if (crashes_.quarantineState(state.request.fingerprint) == quarantine::QuarantineState::Quarantined) {
-    refuseQuarantined(call, now);
+  state.traits =
+      quarantine::traitsOf({state.request.shared_parts, state.request.model.value, state.request.adapter});
+  const std::vector<quarantine::Suspect> suspects = quarantinedSuspects(state);
+  const quarantine::Suspect* tested = testedBy(suspects);
+  if (!suspects.empty() && (tested == nullptr || !mayRequestTrial(tested->fingerprint, now))) {
+    refuseQuarantined(call, suspects, now);
     return;
   }
   const wire::CallRoute* route = state.route;
@@ -165,8 +169,7 @@
   if (state.tenant && !revalidateTenant(call, now)) {
     return;
   }
-  if (crashes_.quarantineState(state.request.fingerprint) == quarantine::QuarantineState::Quarantined) {
-    refuseQuarantined(call, now);
+  if (!passQuarantine(call, now)) {
     return;
   }
   if (state.deadline - now < kMinTimeLeft) {
@@ -234,6 +237,7 @@
     logReopening(replica.routed.id, *reopening);
   }
   state.attempt = attempt;
+  spendTrialGrant(state);
   SendAttemptEffect effect;
   effect.call = call->first;
   effect.attempt = number;
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -23,6 +23,7 @@
 #include "calls/wait_policy.h"
 #include "common/event_log.h"
 #include "common/random.h"
+#include "quarantine/answered_traits.h"
 #include "quarantine/crash_ledger.h"
 #include "tenancy/quota_client.h"
 
@@ -53,24 +54,26 @@
   std::uint64_t origins_unknown = 0;  ///< refused: no one knows what began the stream that the call resumes
   std::uint64_t version_gone = 0;  ///< streams that no replica of the version that began them could continue
   std::uint64_t caller_gone = 0;
-  std::uint64_t unknown_keys = 0;     ///< refused: no key, or a key that belongs to no tenant
-  std::uint64_t unproved = 0;         ///< refused: the catalog isn't proven to be current
-  std::uint64_t quota_spent = 0;      ///< refused: the tenant's quota is used up
-  std::uint64_t quota_waits = 0;      ///< calls that waited for quota credit from the leader
-  std::uint64_t quota_undecided = 0;  ///< refused: no leader was available to decide on their credit
-  std::uint64_t replica_crashes = 0;  ///< replicas found terminated after they broke off a call
-  std::uint64_t quarantined = 0;      ///< refused: too many replicas crashed while running the call
-  std::uint64_t backoffs = 0;         ///< responses in which a replica requested a backoff
-  std::uint64_t leaving_notices = 0;  ///< responses in which a replica announced that it is draining
-  std::uint64_t backoff_waits = 0;    ///< calls that waited for the end of a backoff
-  std::uint64_t backoff_refused = 0;  ///< refused: all replicas that could run the call are in a backoff
-  std::uint64_t limit_changes = 0;    ///< number of times that a replica's rate limit was set or changed
-  std::uint64_t limit_waits = 0;      ///< calls that waited for credit under a replica's rate limit
-  std::uint64_t limit_refused = 0;    ///< refused: no replica has credit left under its rate limit
-  std::uint64_t brittle_changes = 0;  ///< number of times that a replica began to state that it is brittle
-  std::uint64_t partitions = 0;       ///< number of times that the router found itself partitioned
-  std::uint64_t relayed = 0;          ///< attempts sent through other routers
-  std::uint64_t relay_failures = 0;   ///< part of `relayed` that no relay sent to a replica
+  std::uint64_t unknown_keys = 0;        ///< refused: no key, or a key that belongs to no tenant
+  std::uint64_t unproved = 0;            ///< refused: the catalog isn't proven to be current
+  std::uint64_t quota_spent = 0;         ///< refused: the tenant's quota is used up
+  std::uint64_t quota_waits = 0;         ///< calls that waited for quota credit from the leader
+  std::uint64_t quota_undecided = 0;     ///< refused: no leader was available to decide on their credit
+  std::uint64_t replica_crashes = 0;     ///< replicas found terminated after they broke off a call
+  std::uint64_t quarantined = 0;         ///< refused: too many replicas crashed while running the call
+  std::uint64_t traits_quarantined = 0;  ///< part of `quarantined`: because of a trait of the call
+  std::uint64_t trials = 0;              ///< calls sent to test whether a quarantined trait still crashes
+  std::uint64_t backoffs = 0;            ///< responses in which a replica requested a backoff
+  std::uint64_t leaving_notices = 0;     ///< responses in which a replica announced that it is draining
+  std::uint64_t backoff_waits = 0;       ///< calls that waited for the end of a backoff
+  std::uint64_t backoff_refused = 0;     ///< refused: all replicas that could run the call are in a backoff
+  std::uint64_t limit_changes = 0;       ///< number of times that a replica's rate limit was set or changed
+  std::uint64_t limit_waits = 0;         ///< calls that waited for credit under a replica's rate limit
+  std::uint64_t limit_refused = 0;       ///< refused: no replica has credit left under its rate limit
+  std::uint64_t brittle_changes = 0;     ///< number of times that a replica began to state that it is brittle
+  std::uint64_t partitions = 0;          ///< number of times that the router found itself partitioned
+  std::uint64_t relayed = 0;             ///< attempts sent through other routers
+  std::uint64_t relay_failures = 0;      ///< part of `relayed` that no relay sent to a replica
   std::uint64_t unknown_notice_headers = 0;  ///< responses with a replica header that this build doesn't know
 };
 
@@ -88,7 +91,9 @@
   Effects onAnswer(AttemptNumber attempt, const AnswerSummary& answer, TimePoint now);
   Effects onStreamEvent(AttemptNumber attempt, std::optional<std::uint64_t> id, std::string bytes,
                         TimePoint now);
-  Effects onStreamEnd(AttemptNumber attempt, TimePoint now);
+  Effects onStreamEnd(AttemptNumber attempt, TimePoint now) { return onStreamEnd(attempt, false, now); }
+  /// ends_with_connection: see AnswerSummary.
+  Effects onStreamEnd(AttemptNumber attempt, bool ends_with_connection, TimePoint now);
   Effects onFailure(AttemptNumber attempt, AttemptFailure failure, const std::string& reason, TimePoint now);
 
   /// Handles the headers of the attempt's response. Must be called before the attempt's other events.
@@ -173,7 +178,10 @@
   };
   struct Call {
     CallRequest request;
-    std::shared_ptr<const RouteTable> routes;  ///< keeps `route` valid
+    std::vector<quarantine::Suspect> traits;
+    std::optional<wire::CallFingerprint> trial_of;  ///< quarantined trait that the call tests
+    std::optional<TimePoint> trial_deadline;        ///< limit of the wait for the grant of a trial
+    std::shared_ptr<const RouteTable> routes;       ///< keeps `route` valid
     const wire::CallRoute* route = nullptr;
     ReplicaNeed need;
     TimePoint arrived{};
@@ -205,13 +213,29 @@
     TimePoint timer{};  ///< current entry in timers_
   };
   using CallPointer = std::map<CallNumber, Call>::iterator;
-  /// A call that a replica broke off. It may have ended before the probe does.
+  /// A call that a replica broke off, or may have. It may have ended before the probe does.
   struct ProbedCall {
     CallNumber number;
     wire::CallFingerprint fingerprint;
-    std::vector<std::string> shared_parts;
+    std::vector<quarantine::Suspect> traits;
     bool has_head = false;   ///< the head of the response had arrived
     bool answering = false;  ///< events of the attempt had arrived
+    /// The replica didn't break the call off: it answered it, and the response ended with the connection.
+    bool answered = false;
+    RequestId id{};
+  };
+  /// A pending probe, with the calls that the replica broke off.
+  struct PendingProbe {
+    ServiceName service;
+    std::string address;
+    bool relayed = false;
+    bool asked_relay = false;
+    std::vector<ProbedCall> calls;
+  };
+  /// Grant of the leader to test a quarantined trait with one call.
+  struct TrialGrant {
+    TimePoint valid_until{};
+    std::optional<CallNumber> call;  ///< the call that is to use it
   };
 
   /// Looks up the call's route in the current catalog and starts processing the call.
@@ -301,15 +325,44 @@
   /// final.
   bool probeFurther(const ReplicaId& replica, ProbeOutcome outcome, TimePoint now);
   void recordReplicaCrash(const ReplicaId& replica, const std::vector<ProbedCall>& calls, TimePoint now);
-  /// Records that the call ran to completion, which clears it of suspicion.
-  void recordCompletedRun(const Call& call, TimePoint now);
+  /// Records the crash for the traits of calls that the replica hadn't begun to answer.
+  void recordTraitCrashes(const ReplicaId& replica, const std::vector<ProbedCall>& calls, TimePoint now,
+                          std::vector<wire::CrashRecord>& new_records);
+  /// Returns the probe of the replica, which is started unless it is pending.
+  PendingProbe& startProbe(const ServiceName& service, const ReplicaId& replica, const std::string& address,
+                           TimePoint now);
+  /// Records that the call ran to completion, which clears it and the given traits of suspicion. If the
+  /// response ended with its connection, the replica is probed first: a crash ends a connection too.
+  void recordAnswer(const Call& call, const std::vector<quarantine::Suspect>& traits, const Replica* replica,
+                    bool ends_with_connection, TimePoint now);
+  void recordCompletedRun(const wire::CallFingerprint& fingerprint, const RequestId& request, TimePoint now);
+  /// Records that a replica has begun to answer the call, which clears its traits of suspicion.
+  void recordBegunAnswer(const std::vector<quarantine::Suspect>& traits, const RequestId& request,
+                         TimePoint now);
+  bool isSuspected(const Call& call) const;
   void applyCrashRecords(const NodeName& from, const wire::CrashRecords& records, TimePoint now);
   /// Restricts a call that would be quarantined after one more crash to replicas of its own. Returns true if
   /// the call waits until all routers know the other suspected calls, with which it must not share a replica.
   bool waitForTrial(CallPointer call, TimePoint now);
   /// Ends the calls with this fingerprint, except streams that have delivered events.
   void enforceQuarantine(const wire::CallFingerprint& fingerprint, TimePoint now);
-  void refuseQuarantined(CallPointer call, TimePoint now);
+  /// The quarantined suspects among the call and its traits, without the trait that it tests.
+  std::vector<quarantine::Suspect> quarantinedSuspects(const Call& call) const;
+  /// suspects: not empty.
+  void refuseQuarantined(CallPointer call, const std::vector<quarantine::Suspect>& suspects, TimePoint now);
+  // call_router_trials.cc
+  /// Returns true if the call may run, as far as quarantines are concerned. Otherwise it was refused, or
+  /// waits for the grant of a trial.
+  bool passQuarantine(CallPointer call, TimePoint now);
+  /// Returns the trait that the call can test, which must be the only quarantined suspect of the call.
+  static const quarantine::Suspect* testedBy(const std::vector<quarantine::Suspect>& suspects);
+  /// Returns true if the call uses a grant, or asks for one and waits.
+  bool joinTrial(CallPointer call, const quarantine::Suspect& trait, TimePoint now);
+  /// True if the leader may grant a trial of the trait now.
+  bool mayRequestTrial(const wire::CallFingerprint& trait, TimePoint now) const;
+  void applyTrialGrants(const wire::CrashRecords& records, TimePoint now);
+  /// Spends the grant of the call that is sent.
+  void spendTrialGrant(Call& call);
   void sendCrashRecords(const std::vector<wire::CrashRecord>& records);
   /// sent: time at which the call that was answered was sent; nullopt: unknown.
   void applyNotice(const ReplicaId& replica, const ReplicaNotice& notice, std::optional<TimePoint> sent,
@@ -421,14 +474,9 @@
   std::uint64_t next_attempt_ = 1;
   std::map<RouteName, Duration> stream_durations_;  ///< moving average of the duration of a route's streams
   quarantine::CrashLedger crashes_;
-  /// A pending probe, with the calls that the replica broke off.
-  struct PendingProbe {
-    ServiceName service;
-    std::string address;
-    bool relayed = false;
-    bool asked_relay = false;
-    std::vector<ProbedCall> calls;
-  };
+  quarantine::AnsweredTraits answered_traits_;
+  std::map<wire::CallFingerprint, TrialGrant> trial_grants_;
+  std::map<wire::CallFingerprint, TimePoint> next_trial_request_;
   /// Records what a probe over a connection of this router shows about its path to the replica.
   void recordProbedPath(const ReplicaId& replica, const PendingProbe& probe, ProbeOutcome outcome,
                         TimePoint now);
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -70,6 +70,7 @@
     replicas_.notices().onNotAccepted(attempt.replica, attempt.reopening_round);
   }
   call.attempt.reset();
+  call.trial_of.reset();
   attempts_.erase(attempt.number);
   Replica* replica = replicas_.find(attempt.replica);
   if (replica == nullptr) {
@@ -107,8 +108,9 @@
     retryNotRun(*call, ResultCode::ReplicaRefused, kReachedReplica, now);
     return finish(now);
   }
-  recordCompletedRun(state, now);
   const bool failed = answer.status >= kFirstErrorStatus;
+  const std::vector<quarantine::Suspect> no_traits;
+  recordAnswer(state, failed ? no_traits : state.traits, replica, answer.ends_with_connection, now);
   const bool in_backoff =
       answer.status == kUnavailable && replicas_.notices().closedUntil(replica_id, now).has_value();
   if (replica != nullptr && failed && !in_backoff) {
@@ -231,7 +233,9 @@
   }
   Call& state = (*call)->second;
   recordProgress(state, now);
-  ++state.attempt->events;
+  if (++state.attempt->events == 1) {
+    recordBegunAnswer(state.traits, state.request.id, now);
+  }
   onPromptPrefilled(*state.attempt);
   onAttemptAccepted(*state.attempt);
   const bool known = id && state.last_event && *id <= *state.last_event;
@@ -280,7 +284,7 @@
   effects_.emplace_back(StartStreamEffect{call->first, attempt});
 }
 
-Effects CallRouter::onStreamEnd(AttemptNumber attempt, TimePoint now) {
+Effects CallRouter::onStreamEnd(AttemptNumber attempt, bool ends_with_connection, TimePoint now) {
   const auto call = findCall(attempt);
   if (!call) {
     return finish(now);
@@ -290,10 +294,11 @@
   startStream(*call, attempt, now);
   onAttemptAccepted(*state.attempt);
   const std::uint64_t events = state.attempt->events;
-  if (Replica* replica = release(state)) {
+  Replica* replica = release(state);
+  if (replica != nullptr) {
     replica->health.onSuccess(now);
   }
-  recordCompletedRun(state, now);
+  recordAnswer(state, {}, replica, ends_with_connection, now);
   recordStreamDuration(state, now);
   ++counts_.answered;
   log_.write(LogLevel::Info, "call.stream_finished",
@@ -339,12 +344,14 @@
     replicas_.limits().returnCredit(state.attempt->replica);
   }
   const Attempt attempt_state = *state.attempt;
+  const auto trial_of = state.trial_of;
   const ReplicaId replica_id = attempt_state.replica;
   const Replica* failed = replicas_.find(replica_id);
   const std::string address = failed == nullptr ? std::string() : failed->routed.address;
   release(state);
   recordPathFailure(attempt_state, failure, state.need.service, address, now);
   if (not_run) {
+    state.trial_of = trial_of;
     --state.arrivals;
     if (attempt_state.charge) {
       budget_.refund(state.need.service, *attempt_state.charge);
--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -4,9 +4,9 @@
 #include "calls/call_router.h"
 #include "quarantine/call_fingerprint.h"
 
-/// The part of CallRouter that keeps calls which crash replicas away from further ones. It has a replica
-/// probed that broke off a call, records the affected calls if the replica has terminated, and exchanges
-/// these records with the control members.
+/// The part of CallRouter that keeps calls, and traits of calls, which crash replicas away from further ones.
+/// It has a replica probed that broke off a call, records the affected calls if the replica has terminated,
+/// and exchanges these records with the control members.
 namespace ferryrock::calls {
 namespace {
 
@@ -16,6 +16,8 @@
 /// from router to member to router takes 2 to 6 ms on the network, and as much again in processes that get a
 /// tenth of a core; the rest allows for one further delay.
 constexpr Duration kTrialPropagationTime = std::chrono::milliseconds(50);
+/// Retry time of a caller whose call holds a trait that is being tested.
+constexpr Duration kMinTrialRetryTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -28,10 +30,18 @@
 /// refuses it. A router without open connections to other replicas can't tell, so it has the replica probed
 /// by another router, at once: calls that crash replicas must be known soon.
 void CallRouter::probe(Call& call, const Attempt& attempt, const std::string& address, TimePoint now) {
-  const ReplicaId& replica = attempt.replica;
+  startProbe(call.need.service, attempt.replica, address, now)
+      .calls.push_back({call.request.number, call.request.fingerprint, call.traits, attempt.has_head,
+                        attempt.events > 0, false, call.request.id});
+  if (isRepeatable(call)) {
+    call.probed_replica = attempt.replica;
+  }
+}
+
+CallRouter::PendingProbe& CallRouter::startProbe(const ServiceName& service, const ReplicaId& replica,
+                                                 const std::string& address, TimePoint now) {
   const auto [pending, inserted] = pending_probes_.try_emplace(replica);
   if (inserted) {
-    const ServiceName& service = call.need.service;
     const bool doubtful = isSuspect(service, now) || !hasOpenConnections(service, replica);
     const std::optional<Relay> relay = doubtful ? chooseRelay(service, now) : std::nullopt;
     pending->second.service = service;
@@ -40,12 +50,7 @@
     pending->second.asked_relay = relay.has_value();
     effects_.emplace_back(ProbeReplicaEffect{replica, address, relay});
   }
-  pending->second.calls.push_back(
-      {call.request.number, call.request.fingerprint, call.request.shared_parts, attempt.has_head,
-       attempt.events > 0});
-  if (isRepeatable(call)) {
-    call.probed_replica = replica;
-  }
+  return pending->second;
 }
 
 Effects CallRouter::onProbed(const ReplicaId& replica, ProbeOutcome outcome, TimePoint now) {
@@ -66,6 +71,10 @@
     recordReplicaCrash(replica, calls, now);
   }
   for (const ProbedCall& probed_call : calls) {
+    if (probed_call.answered && outcome == ProbeOutcome::Alive) {
+      recordCompletedRun(probed_call.fingerprint, probed_call.id, now);
+      recordBegunAnswer(probed_call.traits, probed_call.id, now);
+    }
     const CallPointer call = calls_.find(probed_call.number);
     if (call != calls_.end() && call->second.probed_replica == replica) {
       call->second.probed_replica.reset();
@@ -107,27 +116,85 @@
     new_records.push_back(crashes_.record(fingerprint, now));
     log_.write(LogLevel::Warning, "crash.replica_ended",
                {{"fingerprint", quarantine::toText(fingerprint)},
-                {"parts", joined(probed.shared_parts)},
+                {"traits", static_cast<std::int64_t>(probed.traits.size())},
                 {"head", probed.has_head},
                 {"answering", probed.answering},
                 {"replica", std::string_view(replica.value)},
                 {"calls_there", static_cast<std::int64_t>(calls.size())},
                 {"ends", static_cast<std::int64_t>(crashes_.ends(fingerprint))}});
   }
+  recordTraitCrashes(replica, calls, now, new_records);
   for (const wire::CrashRecord& record : new_records) {
     enforceQuarantine(record.call, now);
   }
   sendCrashRecords(new_records);
 }
 
-void CallRouter::recordCompletedRun(const Call& call, TimePoint now) {
-  const wire::CallFingerprint& fingerprint = call.request.fingerprint;
+/// A call that crashes its replica as this begins to answer has the head of a response and no event. So the
+/// traits of calls with events aren't the cause, and those of calls without a head are secondary evidence.
+void CallRouter::recordTraitCrashes(const ReplicaId& replica, const std::vector<ProbedCall>& calls,
+                                    TimePoint now, std::vector<wire::CrashRecord>& new_records) {
+  for (const ProbedCall& call : calls) {
+    for (const quarantine::Suspect& trait : call.traits) {
+      const bool secondary = !call.has_head || answered_traits_.contains(trait.fingerprint, now);
+      if (call.answering || !crashes_.recordCrash(trait, replica, secondary, now)) {
+        continue;
+      }
+      new_records.push_back(crashes_.record(trait.fingerprint, now));
+      log_.write(LogLevel::Warning, "crash.trait_suspected",
+                 {{"trait", quarantine::toText(trait)},
+                  {"fingerprint", quarantine::toText(trait.fingerprint)},
+                  {"replica", std::string_view(replica.value)},
+                  {"secondary", secondary},
+                  {"ends", static_cast<std::int64_t>(crashes_.ends(trait.fingerprint))}});
+    }
+  }
+}
+
+bool CallRouter::isSuspected(const Call& call) const {
+  return crashes_.ends(call.request.fingerprint) > 0 ||
+         std::any_of(call.traits.begin(), call.traits.end(), [this](const quarantine::Suspect& trait) {
+           return crashes_.ends(trait.fingerprint) > 0;
+         });
+}
+
+void CallRouter::recordAnswer(const Call& call, const std::vector<quarantine::Suspect>& traits,
+                              const Replica* replica, bool ends_with_connection, TimePoint now) {
+  if (!ends_with_connection) {
+    recordCompletedRun(call.request.fingerprint, call.request.id, now);
+    recordBegunAnswer(traits, call.request.id, now);
+  } else if (replica != nullptr && isSuspected(call)) {
+    startProbe(call.need.service, replica->routed.id, replica->routed.address, now)
+        .calls.push_back(
+            {call.request.number, call.request.fingerprint, traits, true, false, true, call.request.id});
+  }
+}
+
+void CallRouter::recordBegunAnswer(const std::vector<quarantine::Suspect>& traits, const RequestId& request,
+                                   TimePoint now) {
+  std::vector<wire::CrashRecord> refuted;
+  for (const quarantine::Suspect& trait : traits) {
+    answered_traits_.record(trait.fingerprint, now);
+    if (!crashes_.recordAnswer(trait.fingerprint)) {
+      continue;
+    }
+    refuted.push_back(crashes_.record(trait.fingerprint, now));
+    log_.write(LogLevel::Info, "crash.trait_refuted",
+               {{"trait", quarantine::toText(trait)},
+                {"fingerprint", quarantine::toText(trait.fingerprint)},
+                {"request", std::string_view(request.value)}});
+  }
+  sendCrashRecords(refuted);
+}
+
+void CallRouter::recordCompletedRun(const wire::CallFingerprint& fingerprint, const RequestId& request,
+                                    TimePoint now) {
   if (!crashes_.recordAnswer(fingerprint)) {
     return;
   }
-  log_.write(LogLevel::Info, "crash.refuted",
-             {{"fingerprint", quarantine::toText(fingerprint)},
-              {"request", std::string_view(call.request.id.value)}});
+  log_.write(
+      LogLevel::Info, "crash.refuted",
+      {{"fingerprint", quarantine::toText(fingerprint)}, {"request", std::string_view(request.value)}});
   sendCrashRecords({crashes_.record(fingerprint, now)});
 }
 
@@ -138,16 +205,21 @@
       continue;
     }
     const QuarantineState after = crashes_.quarantineState(record.call);
+    if (after != QuarantineState::Unsuspected) {
+      answered_traits_.forget(record.call);
+    }
     if (after != before) {
       log_.write(LogLevel::Warning,
                  after == QuarantineState::Quarantined ? "crash.quarantined" : "crash.suspicion_changed",
-                 {{"fingerprint", quarantine::toText(record.call)},
+                 {{"suspect", quarantine::toText({record.call, record.kind, record.name})},
+                  {"fingerprint", quarantine::toText(record.call)},
                   {"ends", static_cast<std::int64_t>(crashes_.ends(record.call))},
                   {"last_end_ms_ago", record.age_ms},
                   {"from", std::string_view(from.value)}});
     }
     enforceQuarantine(record.call, now);
   }
+  applyTrialGrants(records, now);
   if (records.shares_all && quarantine::CrashLedger::digestOf(records.records) != crashes_.digest()) {
     effects_.emplace_back(wire::SendEffect{from, wire::CrashRecords{crashes_.shared(now), false}});
   }
@@ -185,32 +257,67 @@
   }
   std::vector<CallNumber> concerned;
   for (const auto& [number, call] : calls_) {
-    if (call.request.fingerprint == fingerprint && call.route != nullptr && !call.started) {
+    if (call.route != nullptr && !call.started && !quarantinedSuspects(call).empty()) {
       concerned.push_back(number);
     }
   }
   for (const CallNumber number : concerned) {
     const CallPointer call = calls_.find(number);
+    const std::vector<quarantine::Suspect> suspects = quarantinedSuspects(call->second);
+    if (call->second.trial_deadline && testedBy(suspects) != nullptr) {
+      continue;
+    }
     if (call->second.attempt) {
       effects_.emplace_back(CancelAttemptEffect{call->second.attempt->number});
       recordPossibleRun(call->second);
       release(call->second);
     }
-    refuseQuarantined(call, now);
+    refuseQuarantined(call, suspects, now);
   }
 }
 
-void CallRouter::refuseQuarantined(CallPointer call, TimePoint now) {
-  const wire::CallFingerprint fingerprint = call->second.request.fingerprint;
+std::vector<quarantine::Suspect> CallRouter::quarantinedSuspects(const Call& call) const {
+  std::vector<quarantine::Suspect> suspects;
+  const auto& quarantined = crashes_.quarantined();
+  if (quarantined.empty()) {
+    return suspects;
+  }
+  if (quarantined.contains(call.request.fingerprint)) {
+    suspects.push_back({call.request.fingerprint, wire::SuspectKind::Call, {}});
+  }
+  for (const quarantine::Suspect& trait : call.traits) {
+    if (quarantined.contains(trait.fingerprint) && call.trial_of != trait.fingerprint) {
+      suspects.push_back(trait);
+    }
+  }
+  return suspects;
+}
+
+void CallRouter::refuseQuarantined(CallPointer call, const std::vector<quarantine::Suspect>& suspects,
+                                   TimePoint now) {
+  Duration retry_after = Duration::zero();
+  for (const quarantine::Suspect& suspect : suspects) {
+    const bool trait = suspect.kind != wire::SuspectKind::Call;
+    const Duration until_trial =
+        std::max(crashes_.trialOpensAt(suspect.fingerprint) - now, kMinTrialRetryTime);
+    const Duration left = crashes_.left(suspect.fingerprint, now);
+    retry_after = std::max(retry_after, trait ? std::min(left, until_trial) : left);
+  }
+  const quarantine::Suspect& first = suspects.front();
   ++counts_.quarantined;
+  counts_.traits_quarantined += first.kind == wire::SuspectKind::Call ? 0 : 1;
   log_.write(LogLevel::Warning, "call.quarantined",
              {{"request", std::string_view(call->second.request.id.value)},
-              {"fingerprint", quarantine::toText(fingerprint)},
+              {"suspect", quarantine::toText(first)},
+              {"fingerprint", quarantine::toText(first.fingerprint)},
               {"route", std::string_view(call->second.route->name.value)},
-              {"ends", static_cast<std::int64_t>(crashes_.ends(fingerprint))},
-              {"last_end_ms_ago", toMilliseconds(crashes_.age(fingerprint, now))}});
-  refuse(call, ResultCode::CallQuarantined, "call fingerprint: " + quarantine::toText(fingerprint),
-         crashes_.left(fingerprint, now), now);
+              {"ends", static_cast<std::int64_t>(crashes_.ends(first.fingerprint))},
+              {"last_end_ms_ago", toMilliseconds(crashes_.age(first.fingerprint, now))}});
+  const bool is_call = first.kind == wire::SuspectKind::Call;
+  refuse(call, ResultCode::CallQuarantined,
+         (is_call ? "" : quarantine::toText(first) + ", ") + "fingerprint " +
+             quarantine::toText(first.fingerprint),
+         retry_after, now);
 }
 
 /// Sends the records to all members: any of them may become leader, and the leader forwards them to the other
--- a/src/cli/quarantine_command.cc
+++ b/src/cli/quarantine_command.cc
@@ -12,7 +12,7 @@
 using nlohmann::ordered_json;
 
 void declareQuarantine(cxxopts::Options& options) {
-  options.add_options()("release", "Let the call of this fingerprint run again",
+  options.add_options()("release", "Let calls of this fingerprint run again",
                         cxxopts::value<std::string>()->default_value(""), "FINGERPRINT");
 }
 
@@ -26,7 +26,7 @@
     input.environment.out << answer.dump(2) << "\n";
     return ExitCode::Success;
   }
-  Table table{{"fingerprint", "state", "ends", "last end"}, {}};
+  Table table{{"fingerprint", "state", "ends", "last end", "suspect", "trials"}, {}};
   for (const ordered_json& call : answer.at("calls")) {
     std::string ends;
     for (const ordered_json& end : call.at("ends")) {
@@ -34,7 +34,9 @@
               (end.at("refuted").get<bool>() ? " (refuted)" : "");
     }
     table.rows.push_back({call.at("fingerprint").get<std::string>(), call.at("state").get<std::string>(),
-                          ends, std::to_string(call.at("last_end_ms_ago").get<std::int64_t>()) + " ms ago"});
+                          ends, std::to_string(call.at("last_end_ms_ago").get<std::int64_t>()) + " ms ago",
+                          call.value("kind", "call") + " " + call.value("name", ""),
+                          std::to_string(call.value("trials", 0))});
   }
   printTable(table, input.environment.out);
   return ExitCode::Success;
@@ -42,7 +44,7 @@
 
 constexpr CommandDefinition kCommands[] = {
     {"quarantine", CommandKind::Operator, "[--release FINGERPRINT]",
-     "Calls kept away from replicas, since several ended under them",
+     "Calls, prompt parts and adapters kept away from replicas, since several ended under them",
      "ferryrock quarantine --release 5f0c1f0a3c1e4b7e9a60c2d18f3b4a55", 0, 0, &declareQuarantine,
      &runQuarantine},
 };
--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -77,10 +77,11 @@
     {QuotaSpent, "QuotaSpent", 429, "The tenant's quota is used up.",
      "Come back after Retry-After, or ask the operator for a larger quota."},
     {CallQuarantined, "CallQuarantined", 503,
-     "Several replicas ended while they ran this very call, so it isn't sent to another; this sending hasn't "
-     "run.",
-     "Don't send the same call again before Retry-After; change it, or give its fingerprint to the "
-     "operator."},
+     "Several replicas ended while they ran this very call, or calls with the same prompt part or adapter, "
+     "so "
+     "it isn't sent to another; this sending hasn't run.",
+     "Don't send the same call, or the part or adapter named, again before Retry-After; change it, or give "
+     "the fingerprint to the operator."},
     {ReplicaBackoff, "ReplicaBackoff", 503,
      "The replicas that could run the call have asked for a time without calls.",
      "Come back after Retry-After, when the first of them takes calls again."},
--- a/src/control/hosted_services.cc
+++ b/src/control/hosted_services.cc
@@ -19,8 +19,13 @@
 
 namespace {
 
-/// Adds the ends that aren't known yet, and what was refuted since.
-void mergeEnds(wire::CrashRecord& known, const wire::CrashRecord& other) {
+/// Adds the ends that aren't known yet, what was refuted since, and the trials.
+void mergeRecord(wire::CrashRecord& known, const wire::CrashRecord& other) {
+  if (known.kind == wire::SuspectKind::Call) {
+    known.kind = other.kind;
+    known.name = other.name;
+  }
+  known.trials = std::max(known.trials, other.trials);
   for (const wire::ReplicaCrash& end : other.ended) {
     const auto place =
         std::find_if(known.ended.begin(), known.ended.end(),
@@ -64,7 +69,7 @@
   const wire::CallFingerprint call = command.record.call;
   const auto [place, fresh] = quarantined_.try_emplace(call, wire::CrashRecord{call, {}, 0});
   ++quarantine_changes_;
-  mergeEnds(place->second, command.record);
+  mergeRecord(place->second, command.record);
   if (fresh) {
     quarantine_order_.push_back(call);
   }
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -15,19 +15,22 @@
 }  // namespace
 
 std::size_t CrashLedger::countedCrashes(const Record& record) {
-  return static_cast<std::size_t>(
-      std::count_if(record.ends.begin(), record.ends.end(), [](const auto& end) { return !end.second; }));
+  return static_cast<std::size_t>(std::count_if(record.ends.begin(), record.ends.end(),
+                                                [](const auto& end) { return !end.second.refuted; }));
 }
 
 bool CrashLedger::recordCrash(const wire::CallFingerprint& call, const ReplicaId& replica, TimePoint now) {
-  Record& record = calls_[call];
-  const bool added = record.ends.size() < kMaxCrashes && record.ends.try_emplace(replica, false).second;
-  if (added) {
-    record.last_crash = now;
-    evictExcess(call);
-    updateDerivedState();
-  }
-  return added;
+  return recordCrash(Suspect{call, wire::SuspectKind::Call, {}}, replica, false, now);
+}
+
+bool CrashLedger::recordCrash(const Suspect& suspect, const ReplicaId& replica, bool secondary,
+                              TimePoint now) {
+  wire::CrashRecord record;
+  record.call = suspect.fingerprint;
+  record.ended.push_back({replica, false, secondary});
+  record.kind = suspect.kind;
+  record.name = suspect.name;
+  return merge(record, now);
 }
 
 bool CrashLedger::recordAnswer(const wire::CallFingerprint& call) {
@@ -36,8 +39,8 @@
     return false;
   }
   const bool counts = countedCrashes(found->second) > 0;
-  for (auto& [replica, refuted] : found->second.ends) {
-    refuted = true;
+  for (auto& [replica, end] : found->second.ends) {
+    end.refuted = true;
   }
   if (counts) {
     updateDerivedState();
@@ -47,18 +50,20 @@
 
 bool CrashLedger::merge(const wire::CrashRecord& record, TimePoint now) {
   Record& known = calls_[record.call];
-  bool modified = false;
+  const TimePoint last_crash = now - std::chrono::milliseconds(record.age_ms);
+  bool modified = mergeDescription(known, record, now);
   for (const wire::ReplicaCrash& end : record.ended) {
     const auto place = known.ends.find(end.replica);
     if (place == known.ends.end() && known.ends.size() < kMaxCrashes) {
-      known.ends.emplace(end.replica, end.refuted);
+      known.ends.emplace(end.replica, End{end.refuted, end.secondary});
+      known.last_crash = std::max(known.last_crash, last_crash);
+      explainCrash(known, end.replica);
       modified = true;
-    } else if (place != known.ends.end() && end.refuted && !place->second) {
-      place->second = true;
+    } else if (place != known.ends.end() && end.refuted && !place->second.refuted) {
+      place->second.refuted = true;
       modified = true;
     }
   }
-  known.last_crash = std::max(known.last_crash, now - std::chrono::milliseconds(record.age_ms));
   evictExcess(record.call);
   if (modified) {
     updateDerivedState();
@@ -66,6 +71,38 @@
   return modified;
 }
 
+/// A record that passed through a build without kinds lacks its description.
+bool CrashLedger::mergeDescription(Record& known, const wire::CrashRecord& record, TimePoint now) {
+  if (known.kind == wire::SuspectKind::Call && record.kind != wire::SuspectKind::Call) {
+    known.kind = record.kind;
+    known.name = record.name;
+  }
+  if (record.trials <= known.trials) {
+    return false;
+  }
+  known.trials = record.trials;
+  known.last_trial = now;
+  return true;
+}
+
+/// Primary evidence explains the crash even if it is refuted later: the outcome mustn't depend on the order
+/// in which records arrive.
+void CrashLedger::explainCrash(const Record& record, const ReplicaId& replica) {
+  if (record.kind == wire::SuspectKind::Call) {
+    return;
+  }
+  const bool primary = !record.ends.at(replica).secondary;
+  if (primary ? !explained_.insert(replica).second : !explained_.contains(replica)) {
+    return;
+  }
+  for (auto& [call, other] : calls_) {
+    const auto end = other.ends.find(replica);
+    if (end != other.ends.end() && end->second.secondary) {
+      end->second.refuted = true;
+    }
+  }
+}
+
 /// Evicts the call with the fewest counted crashes; of several, the one whose last crash is the oldest.
 void CrashLedger::evictExcess(const wire::CallFingerprint& newest) {
   if (calls_.size() <= settings_.max_calls) {
@@ -92,7 +129,7 @@
     const std::size_t ends = countedCrashes(record);
     if (ends >= settings_.crash_threshold) {
       quarantined_.insert(call);
-    } else if (ends > 0 && ends + 1 == settings_.crash_threshold) {
+    } else if (record.kind == wire::SuspectKind::Call && ends > 0 && ends + 1 == settings_.crash_threshold) {
       on_trial_.insert(call);
     }
   }
@@ -103,9 +140,18 @@
     const Duration kept = quarantined_.contains(item.first) ? settings_.quarantine : settings_.suspicion;
     return now - item.second.last_crash >= kept;
   });
-  if (erased > 0) {
-    updateDerivedState();
+  if (erased == 0) {
+    return;
+  }
+  explained_.clear();
+  for (const auto& [call, record] : calls_) {
+    for (const auto& [replica, end] : record.ends) {
+      if (record.kind != wire::SuspectKind::Call && !end.secondary) {
+        explained_.insert(replica);
+      }
+    }
   }
+  updateDerivedState();
 }
 
 std::size_t CrashLedger::ends(const wire::CallFingerprint& call) const {
@@ -127,6 +173,23 @@
   return std::max(Duration::zero(), calls_.at(call).last_crash + settings_.quarantine - now);
 }
 
+TimePoint CrashLedger::trialOpensAt(const wire::CallFingerprint& trait) const {
+  const auto found = calls_.find(trait);
+  if (found == calls_.end()) {
+    return TimePoint::max();
+  }
+  const Record& record = found->second;
+  Duration delay = settings_.prompt_trial_delay;
+  if (record.trials >= settings_.prompt_trials) {
+    delay = settings_.late_trial_delay;
+    for (std::uint32_t i = settings_.prompt_trials; i < record.trials && delay < settings_.quarantine; ++i) {
+      delay *= 2;
+    }
+    delay = std::min(delay, settings_.quarantine);
+  }
+  return std::max(record.last_crash, record.last_trial) + delay;
+}
+
 Duration CrashLedger::age(const wire::CallFingerprint& call, TimePoint now) const {
   const auto found = calls_.find(call);
   return found == calls_.end() ? Duration::zero() : now - found->second.last_crash;
@@ -136,10 +199,13 @@
                                         TimePoint now) const {
   wire::CrashRecord described;
   described.call = call;
-  for (const auto& [replica, refuted] : record.ends) {
-    described.ended.push_back({replica, refuted});
+  for (const auto& [replica, end] : record.ends) {
+    described.ended.push_back({replica, end.refuted, end.secondary});
   }
   described.age_ms = toMilliseconds(now - record.last_crash);
+  described.kind = record.kind;
+  described.name = record.name;
+  described.trials = record.trials;
   return described;
 }
 
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -293,7 +293,12 @@
       static_cast<double>(counts.replica_crashes));
   set("ferryrock_calls_refused_quarantined", "Calls refused since several replicas ended under them",
       static_cast<double>(counts.quarantined));
-  set("ferryrock_calls_quarantined", "Calls kept away from replicas, since several ended under them",
+  set("ferryrock_calls_refused_trait", "Of those, calls refused since they hold a quarantined trait",
+      static_cast<double>(counts.traits_quarantined));
+  set("ferryrock_quarantine_trials", "Calls sent to test whether a quarantined trait still ends replicas",
+      static_cast<double>(counts.trials));
+  set("ferryrock_calls_quarantined",
+      "Calls and traits kept away from replicas, since several ended under them",
       static_cast<double>(router_.crashLedger().quarantined().size()));
   set("ferryrock_replica_backoffs", "Times that a replica asked for a time without calls",
       static_cast<double>(counts.backoffs));
--- a/src/service_process/quarantine_api.cc
+++ b/src/service_process/quarantine_api.cc
@@ -6,6 +6,7 @@
 
 #include "common/error.h"
 #include "quarantine/call_fingerprint.h"
+#include "quarantine/suspect.h"
 
 namespace ferryrock::service_process {
 namespace {
@@ -22,6 +23,9 @@
     ends.push_back({{"replica", end.replica.value}, {"refuted", end.refuted}});
   }
   return {{"fingerprint", quarantine::toText(call.record.call)},
+          {"kind", std::string(quarantine::toText(call.record.kind))},
+          {"name", call.record.name},
+          {"trials", call.record.trials},
           {"state", call.quarantined ? "quarantined" : "suspected"},
           {"ends", std::move(ends)},
           {"last_end_ms_ago", call.record.age_ms}};
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -476,7 +476,10 @@
       view.quota.held);
   set("ferryrock_quota_routers_out_of_contact", "Routers out of contact whose use of quotas is kept",
       static_cast<double>(view.quota.routers_out_of_contact));
-  set("ferryrock_calls_quarantined", "Calls kept away from replicas, since several ended under them",
+  set("ferryrock_quarantine_trials_granted", "Trials of quarantined traits granted, since this process began",
+      static_cast<double>(view.trials_granted));
+  set("ferryrock_calls_quarantined",
+      "Calls and traits kept away from replicas, since several ended under them",
       static_cast<double>(view.quarantined_calls));
   set("ferryrock_calls_suspected", "Calls under which replicas ended, too few for a quarantine",
       static_cast<double>(view.suspected_calls));
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -193,6 +193,11 @@
     onStateChanged(evacuation->request_number, effect.result, now);
   } else if (const auto* leaving = std::get_if<LeavingProposal>(&purpose)) {
     leaving_proposed_.erase(leaving->replica);
+  } else if (const auto* trial = std::get_if<TrialProposal>(&purpose)) {
+    trials_proposed_.erase(trial->record.call);
+    if (effect.result.code == ResultCode::Ok) {
+      grantTrial(*trial, now);
+    }
   } else if (const auto* quarantine = std::get_if<QuarantineProposal>(&purpose)) {
     quarantines_proposed_.erase(quarantine->call);
     stored_crash_changes_ = 0;
@@ -422,6 +427,7 @@
   }
   leaving_proposed_.clear();
   quarantines_proposed_.clear();
+  trials_proposed_.clear();
 }
 
 Effects ServiceControlImpl::finish(TimePoint now) {
@@ -456,6 +462,7 @@
   view.evacuated_zones = node_->hosted().evacuated().size();
   view.quarantined_calls = crashes_.quarantined().size();
   view.suspected_calls = crashes_.size() - view.quarantined_calls;
+  view.trials_granted = trials_granted_;
   view.stream_origins = stream_origins_.size();
   view.origin_queries = stream_origins_.counts();
   if (leader_) {
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -76,6 +76,7 @@
   std::size_t evacuated_zones = 0;    ///< zones whose replicas get no new calls
   std::size_t quarantined_calls = 0;  ///< calls that aren't sent to replicas, since several crashed on them
   std::size_t suspected_calls = 0;    ///< calls on which replicas crashed, too few for a quarantine
+  std::uint64_t trials_granted = 0;   ///< trials of quarantined traits
   std::size_t stream_origins = 0;     ///< streams whose origin this member remembers
   StreamOriginCounts origin_queries;
 };
@@ -91,7 +92,7 @@
   friend bool operator==(const FleetView&, const FleetView&) = default;
 };
 
-/// A call on which replicas crashed.
+/// A call, or a trait of calls, on which replicas crashed.
 struct SuspectedCall {
   wire::CrashRecord record;
   bool quarantined = false;
--- a/src/services/service_control_crashes.cc
+++ b/src/services/service_control_crashes.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-void ServiceControlImpl::onMessage(const NodeName&, const wire::CrashRecords& records, TimePoint now) {
+void ServiceControlImpl::onMessage(const NodeName& from, const wire::CrashRecords& records, TimePoint now) {
   std::vector<wire::CrashRecord> changed_records;
   for (const wire::CrashRecord& record : records.records) {
     if (!crashes_.merge(record, now)) {
@@ -27,6 +27,30 @@
     }
   }
   notifyRouters(changed_records, now);
+  for (const wire::CallFingerprint& trait : records.trial_requests) {
+    onTrialRequest(from, trait, now);
+  }
+}
+
+/// A trial is numbered in the log before it is granted, so that none is granted twice after a change of
+/// leaders or a loss of power.
+void ServiceControlImpl::onTrialRequest(const NodeName& router, const wire::CallFingerprint& trait,
+                                        TimePoint now) {
+  const bool open = crashes_.quarantined().contains(trait) && crashes_.trialOpensAt(trait) <= now;
+  if (!leader_ || !open || !node_->log().hasLease(now) || !trials_proposed_.insert(trait).second) {
+    return;
+  }
+  wire::CrashRecord record = crashes_.record(trait, now);
+  ++record.trials;
+  propose(TrialProposal{record, router}, wire::QuarantineCallCommand{record}, now);
+}
+
+void ServiceControlImpl::grantTrial(const TrialProposal& trial, TimePoint now) {
+  crashes_.merge(trial.record, now);
+  ++trials_granted_;
+  const wire::CrashRecord merged = crashes_.record(trial.record.call, now);
+  send(trial.router, wire::CrashRecords{{merged}, false, {}, {merged.call}});
+  notifyRouters({merged}, now);
 }
 
 /// Sends records to all routers with recent contact. The leader does this; without a known leader, every
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -77,11 +77,16 @@
   struct QuarantineProposal {
     wire::CallFingerprint call;
   };
+  /// A trial that counts as spent before the router may use it.
+  struct TrialProposal {
+    wire::CrashRecord record;
+    NodeName router;
+  };
   struct EvacuationProposal {
     ControlRequestNumber request_number;
   };
   using ProposalPurpose = std::variant<CatalogProposal, LeavingProposal, MembershipProposal,
-                                       QuarantineProposal, EvacuationProposal>;
+                                       QuarantineProposal, TrialProposal, EvacuationProposal>;
   struct CatalogRead {
     ControlRequestNumber request_number;
   };
@@ -233,6 +238,10 @@
   /// Proposes log entries for quarantines and releases in the crash ledger, since only the log survives a
   /// crash of all members.
   void storeQuarantines(TimePoint now);
+  /// Decides on a router's request to test a quarantined trait. The leader alone grants trials.
+  void onTrialRequest(const NodeName& router, const wire::CallFingerprint& trait, TimePoint now);
+  /// Called when a trial is committed.
+  void grantTrial(const TrialProposal& trial, TimePoint now);
 
   // service_control_subscriptions.cc
   bool isLargeFleet() const;
@@ -301,6 +310,8 @@
   TimePoint committed_since_{};       ///< when this member learned of it
   std::map<std::uint64_t, ForwardedNotice> forwarded_;
   quarantine::CrashLedger crashes_;
+  std::set<wire::CallFingerprint> trials_proposed_;
+  std::uint64_t trials_granted_ = 0;
   std::uint64_t merged_quarantine_changes_ =
       0;                                    ///< HostedServices::quarantineChanges() merged into the ledger
   std::uint64_t stored_crash_changes_ = 0;  ///< CrashLedger::changes() processed by storeQuarantines()
--- a/tests/calls/call_fixture.h
+++ b/tests/calls/call_fixture.h
@@ -74,6 +74,7 @@
     request.model = ModelName(model);
     request.adapter = adapter;
     request.fingerprint = fingerprint;
+    request.shared_parts = parts;
     take(router_.onCall(request, now));
     return CallNumber{calls_};
   }
@@ -154,6 +155,7 @@
   TimePoint now{std::chrono::seconds(1000)};
   std::vector<Effect> all;
   wire::CallFingerprint fingerprint{1, 1};           ///< fingerprint of subsequent calls
+  std::vector<std::string> parts;                    ///< prompt parts of subsequent calls
   ProbeOutcome probe_outcome = ProbeOutcome::Alive;  ///< result of each probe
   CallRouter& router() { return router_; }
 
--- a/tests/quarantine/crash_ledger_test.cc
+++ b/tests/quarantine/crash_ledger_test.cc
@@ -125,5 +125,88 @@
   });
 }
 
+const Suspect kSound = traitOf(wire::SuspectKind::PromptPart, "sound");
+const Suspect kCrashing = traitOf(wire::SuspectKind::PromptPart, "crashing");
+constexpr bool kSecondary = true;
+
+/// Guards against the blame of a part that half of the calls share for the crashes of another part.
+TEST_CASE("A crash counts against an answered trait only if no trait without answers explains it") {
+  for (const bool sound_first : {true, false}) {
+    CrashLedger ledger;
+    for (std::size_t i = 1; i <= 3; ++i) {
+      if (sound_first) {
+        ledger.recordCrash(kSound, replica(i), kSecondary, kStart);
+      }
+      ledger.recordCrash(kCrashing, replica(i), !kSecondary, kStart);
+      ledger.recordCrash(kSound, replica(i), kSecondary, kStart);
+    }
+    CHECK(ledger.quarantined() == std::set{kCrashing.fingerprint});
+    CHECK(ledger.ends(kSound.fingerprint) == 0);
+  }
+  CrashLedger ledger;
+  for (std::size_t i = 1; i <= 3; ++i) {
+    ledger.recordCrash(kSound, replica(i), kSecondary, kStart);
+    ledger.recordCrash(kCall, replica(i), kStart);
+  }
+  CHECK(ledger.quarantined() == std::set{kCall, kSound.fingerprint});
+}
+
+TEST_CASE("Explained crashes lead to the same state in any order of arrival") {
+  rc::check([] {
+    std::vector<wire::CrashRecord> records;
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 18));
+    for (const int step : steps) {
+      const Suspect& suspect = step % 2 == 0 ? kSound : kCrashing;
+      wire::CrashRecord record;
+      record.call = suspect.fingerprint;
+      record.kind = suspect.kind;
+      record.ended.push_back({replica(static_cast<std::size_t>(step / 6)), false, step % 3 == 0});
+      records.push_back(record);
+    }
+    std::map<std::pair<wire::CallFingerprint, ReplicaId>, wire::CrashRecord> first;
+    for (const wire::CrashRecord& record : records) {
+      first.try_emplace({record.call, record.ended.front().replica}, record);
+    }
+    CrashLedger forward;
+    CrashLedger backward;
+    for (auto record = first.begin(); record != first.end(); ++record) {
+      forward.merge(record->second, kStart);
+    }
+    for (auto record = first.rbegin(); record != first.rend(); ++record) {
+      backward.merge(record->second, kStart);
+    }
+    RC_ASSERT(forward.digest() == backward.digest());
+    RC_ASSERT(forward.quarantined() == backward.quarantined());
+  });
+}
+
+TEST_CASE("Two trials of a quarantined trait follow soon, later ones at growing intervals") {
+  CrashLedger ledger;
+  const CrashLedgerSettings settings;
+  for (std::size_t i = 1; i <= settings.crash_threshold; ++i) {
+    ledger.recordCrash(kCrashing, replica(i), !kSecondary, kStart);
+  }
+  const std::vector<Duration> delays = {1s, 1s, 10min, 20min, 40min, 60min, 60min};
+  TimePoint now = kStart;
+  for (std::uint32_t trial = 0; trial < delays.size(); ++trial) {
+    CHECK(ledger.trialOpensAt(kCrashing.fingerprint) == now + delays[trial]);
+    now += delays[trial];
+    wire::CrashRecord granted = ledger.record(kCrashing.fingerprint, now);
+    granted.trials = trial + 1;
+    CHECK(ledger.merge(granted, now));
+    CHECK_FALSE(ledger.merge(granted, now + 1s));
+  }
+}
+
+TEST_CASE("A record that passed through a build without traits keeps its kind, name and trials") {
+  CrashLedger ledger;
+  ledger.recordCrash(kCrashing, replica(1), !kSecondary, kStart);
+  ledger.merge({kCrashing.fingerprint, {{replica(2), false}}, 0}, kStart);
+  const wire::CrashRecord record = ledger.record(kCrashing.fingerprint, kStart);
+  CHECK(record.kind == wire::SuspectKind::PromptPart);
+  CHECK(record.name == "crashing");
+  CHECK(record.ended.size() == 2);
+}
+
 }  // namespace
 }  // namespace ferryrock::quarantine
--- a/tests/services/crash_containment_test.cc
+++ b/tests/services/crash_containment_test.cc
@@ -6,7 +6,6 @@
 /// attempts, although one call caused all 28 crashes. Resends of a call share path, caller and body, which
 /// the calls of other callers never do; so a fingerprint of these identifies the call.
 #include <catch2/catch.hpp>
-#include <functional>
 #include <vector>
 
 #include "services/crashing_fleet.h"
@@ -37,36 +36,6 @@
   }
 }
 
-/// A fault injected while a call crashes one replica after the other.
-struct ContainmentFault {
-  const char* name;
-  std::function<void(CrashingFleet&)> begin;
-};
-
-const std::vector<ContainmentFault>& faults() {
-  static const std::vector<ContainmentFault> kFaults = {
-      {"the leader is killed", [](CrashingFleet& it) { it.cluster.kill(*it.cluster.leader()); }},
-      {"the leader is frozen", [](CrashingFleet& it) { it.cluster.freeze(*it.cluster.leader(), 4s); }},
-      {"a router's connection to the leader stops delivering messages",
-       [](CrashingFleet& it) { it.cluster.silence(it.routers[0]->node, it.cluster.leader()->node); }},
-      {"a router restarts", [](CrashingFleet& it) { it.cluster.restart(*it.routers[0]); }},
-      {"a router is frozen for 2 s", [](CrashingFleet& it) { it.cluster.freeze(*it.routers[0], 2s); }},
-      {"the leader loses its disk",
-       [](CrashingFleet& it) {
-         ServiceMember& leader = *it.cluster.leader();
-         it.cluster.wipe(leader);
-         it.cluster.schedule(1s, [&it, &leader] { it.cluster.start(leader); });
-       }},
-      {"all members lose power and restart", [](CrashingFleet& it) {
-         for (std::size_t i = 0; i < 3; ++i) {
-           ServiceMember& member = it.cluster.member(i);
-           it.cluster.powerOff(member);
-           it.cluster.schedule(500ms, [&it, &member] { it.cluster.start(member); });
-         }
-       }}};
-  return kFaults;
-}
-
 TEST_CASE("Crashing calls are contained if routers learn of the crashes by refused connections") {
   const auto seed = GENERATE(range(1, 9));
   CAPTURE(seed);
@@ -88,7 +57,7 @@
 }
 
 TEST_CASE("A crashing call is contained while members and routers fail") {
-  for (const ContainmentFault& fault : faults()) {
+  for (const ContainmentFault& fault : containmentFaults()) {
     for (const Duration before : {0ms, 100ms, 400ms, 900ms, 4000ms}) {
       INFO(fault.name << ", " << toMilliseconds(before) << " ms after the first arrival of the call");
       CrashingFleetSettings settings;
--- a/tests/services/crashing_fleet.cc
+++ b/tests/services/crashing_fleet.cc
@@ -46,6 +46,7 @@
     reportPeriodically(*replicas_.back());
   }
   cluster.runFor(2s);
+  ready_at = cluster.now();
 }
 
 void CrashingFleet::reportPeriodically(Replica& replica) {
@@ -119,16 +120,15 @@
 }
 
 void CrashingFleet::beginCrashingPrompts(const PromptMix& mix, Duration for_time) {
-  const std::string sound = mix.crashing_first ? "further-" + std::to_string(random_.below(mix.further_parts))
-                                               : "first-0";
+  const std::string sound =
+      mix.crashing_first ? "further-" + std::to_string(random_.below(mix.further_parts)) : "first-0";
   const std::vector<std::string> parts =
       mix.crashing_first ? std::vector{kCrashingPart, sound} : std::vector{sound, kCrashingPart};
   crashing_.push_back(std::make_unique<CallerRecord>());
   submit({{8, next_prompt_++}, parts}, *crashing_.back(), 0);
   if (for_time > mix.crashing_interval) {
-    cluster.schedule(mix.crashing_interval, [this, mix, for_time] {
-      beginCrashingPrompts(mix, for_time - mix.crashing_interval);
-    });
+    cluster.schedule(mix.crashing_interval,
+                     [this, mix, for_time] { beginCrashingPrompts(mix, for_time - mix.crashing_interval); });
   }
 }
 
@@ -211,9 +211,8 @@
     replica->running.push_back(call);
     const std::uint64_t incarnation = replica->incarnation;
     if (!is_crashing && settings_.until_first_event > Duration::zero()) {
-      cluster.schedule(settings_.until_first_event, [this, call, replica, incarnation] {
-        sendEvent(*replica, incarnation, call);
-      });
+      cluster.schedule(settings_.until_first_event,
+                       [this, call, replica, incarnation] { sendEvent(*replica, incarnation, call); });
     }
     cluster.schedule(is_crashing ? settings_.until_crash : settings_.work,
                      [this, call, replica, incarnation] { finishCall(*replica, incarnation, call); });
@@ -303,8 +302,7 @@
   const bool streams = settings_.until_first_event > Duration::zero();
   cluster.schedule(kNetworkDelay, [this, call, streams] {
     cluster.actRouter(*call.router, [call, streams](calls::CallRouter& logic, TimePoint now) {
-      return streams ? logic.onStreamEnd(call.attempt, now)
-                     : logic.onAnswer(call.attempt, {200, false}, now);
+      return streams ? logic.onStreamEnd(call.attempt, now) : logic.onAnswer(call.attempt, {200, false}, now);
     });
   });
 }
@@ -389,4 +387,28 @@
       }));
 }
 
+const std::vector<ContainmentFault>& containmentFaults() {
+  static const std::vector<ContainmentFault> kFaults = {
+      {"the leader is killed", [](CrashingFleet& it) { it.cluster.kill(*it.cluster.leader()); }},
+      {"the leader is frozen", [](CrashingFleet& it) { it.cluster.freeze(*it.cluster.leader(), 4s); }},
+      {"a router's connection to the leader stops delivering messages",
+       [](CrashingFleet& it) { it.cluster.silence(it.routers[0]->node, it.cluster.leader()->node); }},
+      {"a router restarts", [](CrashingFleet& it) { it.cluster.restart(*it.routers[0]); }},
+      {"a router is frozen for 2 s", [](CrashingFleet& it) { it.cluster.freeze(*it.routers[0], 2s); }},
+      {"the leader loses its disk",
+       [](CrashingFleet& it) {
+         ServiceMember& leader = *it.cluster.leader();
+         it.cluster.wipe(leader);
+         it.cluster.schedule(1s, [&it, &leader] { it.cluster.start(leader); });
+       }},
+      {"all members lose power and restart", [](CrashingFleet& it) {
+         for (std::size_t i = 0; i < 3; ++i) {
+           ServiceMember& member = it.cluster.member(i);
+           it.cluster.powerOff(member);
+           it.cluster.schedule(500ms, [&it, &member] { it.cluster.start(member); });
+         }
+       }}};
+  return kFaults;
+}
+
 }  // namespace ferryrock::services
--- a/tests/services/crashing_fleet.h
+++ b/tests/services/crashing_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -110,6 +111,7 @@
 
   ServiceCluster cluster;
   std::vector<RunningRouter*> routers;
+  TimePoint ready_at{};  ///< when the fleet stood
 
  private:
   struct RunningCall {
@@ -168,4 +170,11 @@
   std::uint64_t next_prompt_ = 1;
 };
 
+/// A fault injected while calls crash one replica after the other.
+struct ContainmentFault {
+  const char* name;
+  std::function<void(CrashingFleet&)> begin;
+};
+const std::vector<ContainmentFault>& containmentFaults();
+
 }  // namespace ferryrock::services
--- a/tests/services/crashing_prompt_test.cc
+++ b/tests/services/crashing_prompt_test.cc
@@ -68,7 +68,8 @@
   }
 }
 
-TEST_CASE("Sound calls that share their first part with crashing ones are served again after the fifth crash") {
+TEST_CASE(
+    "Sound calls that share their first part with crashing ones are served again after the fifth crash") {
   for (const PromptLoad& load : promptLoads()) {
     for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
       INFO(load.name << ", seed " << seed);
@@ -89,5 +90,88 @@
   }
 }
 
+TEST_CASE("A crashing prompt part is contained while members and routers fail") {
+  for (const ContainmentFault& fault : containmentFaults()) {
+    for (const Duration before : {0ms, 300ms, 1000ms, 3000ms}) {
+      INFO(fault.name << ", " << toMilliseconds(before) << " ms after the first call with the part");
+      CrashingFleet fleet(promptSettings(21 + static_cast<std::uint64_t>(toMilliseconds(before))));
+      const PromptMix mix;
+      fleet.beginSoundPrompts(mix, kPlayTime);
+      fleet.cluster.runFor(2s);
+      fleet.beginCrashingPrompts(mix, kPlayTime - 2s);
+      fleet.cluster.runFor(before);
+      fault.begin(fleet);
+      fleet.cluster.runFor(kPlayTime - before);
+      REQUIRE(fleet.dispatchesOfPart().crashes.size() >= 3);
+      CHECK(fleet.partDispatchesAfterFifthCrash(kContactTime) <= kMaxLateDispatches);
+      const TimePoint in_touch =
+          std::max(recoveredAt(fleet), fleet.ready_at + 2s + before + 2 * kContactTime);
+      for (const std::string first : {"first-0", "first-1"}) {
+        CHECK(fleet.beganShare(first, in_touch) >= 0.5);
+      }
+    }
+  }
+}
+
+TEST_CASE("A crashing prompt part is contained in a fleet of 92 routers") {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    CAPTURE(seed);
+    CrashingFleetSettings settings = promptSettings(seed);
+    settings.routers = 92;
+    settings.replicas = 40;
+    CrashingFleet fleet(settings);
+    PromptMix mix;
+    mix.sound_interval = 30ms;
+    mix.crashing_interval = 125ms;
+    fleet.beginSoundPrompts(mix, kPlayTime);
+    fleet.cluster.runFor(2s);
+    fleet.beginCrashingPrompts(mix, kPlayTime - 2s);
+    fleet.cluster.runFor(kPlayTime);
+    REQUIRE(fleet.dispatchesOfPart().crashes.size() >= 3);
+    CHECK(fleet.partDispatchesAfterFifthCrash(kContactTime) <= kMaxLateDispatches);
+    for (const std::string first : {"first-0", "first-1"}) {
+      CHECK(fleet.beganShare(first, recoveredAt(fleet)) >= 0.5);
+    }
+  }
+}
+
+TEST_CASE("Trials of a crashing prompt part aren't granted anew when all members and routers restart") {
+  CrashingFleet fleet(promptSettings(5));
+  const PromptMix mix;
+  fleet.beginSoundPrompts(mix, kPlayTime);
+  fleet.cluster.runFor(2s);
+  fleet.beginCrashingPrompts(mix, kPlayTime);
+  for (int restarts = 0; restarts < 3; ++restarts) {
+    fleet.cluster.runFor(8s);
+    for (std::size_t i = 0; i < 3; ++i) {
+      fleet.cluster.powerOff(fleet.cluster.member(i));
+    }
+    for (RunningRouter* router : fleet.routers) {
+      fleet.cluster.restart(*router);
+    }
+    for (std::size_t i = 0; i < 3; ++i) {
+      fleet.cluster.start(fleet.cluster.member(i));
+    }
+  }
+  fleet.cluster.runFor(8s);
+  REQUIRE(fleet.dispatchesOfPart().crashes.size() >= 3);
+  constexpr std::size_t kAcceptedCrashes = 5;
+  CHECK(fleet.dispatchesOfPart().dispatches.size() <= kAcceptedCrashes + kMaxLateDispatches);
+}
+
+TEST_CASE("A prompt part that no longer crashes replicas is released by a trial") {
+  CrashingFleet fleet(promptSettings(6));
+  const PromptMix mix;
+  fleet.beginSoundPrompts(mix, 20min);
+  fleet.beginCrashingPrompts(mix, 20min);
+  fleet.cluster.runFor(10s);
+  REQUIRE(fleet.dispatchesOfPart().crashes.size() >= 3);
+  fleet.mendCrashingPart();
+  fleet.cluster.runFor(15min);
+  for (RunningRouter* router : fleet.routers) {
+    CHECK(router->logic->crashLedger().quarantined().empty());
+  }
+}
+
 }  // namespace
 }  // namespace ferryrock::services
--- a/tests/wire/recorded_messages.h
+++ b/tests/wire/recorded_messages.h
@@ -47,4 +47,12 @@
 inline constexpr std::string_view kQuotaAnswer = "9201b192a6656467652d3192159207919309c300";
 }  // namespace with_loads
 
+/// Recorded by the last build without traits of calls: crash records know calls alone.
+namespace without_traits {
+inline constexpr std::string_view kCrashRecords =
+    "9201d92392a6656467652d3192169291939201029392a27231c292a27232c392a27233c2ccfac3";
+/// A command of the log, not an envelope.
+inline constexpr std::string_view kQuarantineCommand = "920d91939201029392a27231c292a27232c392a27233c2ccfa";
+}  // namespace without_traits
+
 }  // namespace ferryrock::wire::recorded
--- a/tests/wire/recorded_messages_test.cc
+++ b/tests/wire/recorded_messages_test.cc
@@ -167,5 +167,48 @@
   CHECK(read<ServiceUpdate>(recorded::with_loads::kServiceUpdate).table == 0);
 }
 
+TEST_CASE("Crash records and quarantines of the build without traits are decoded as those of calls") {
+  const auto records = read<CrashRecords>(recorded::without_traits::kCrashRecords);
+  CHECK(records.shares_all);
+  CHECK(records.trial_requests.empty());
+  CHECK(records.trial_grants.empty());
+  const Command command = decodeCommand(recorded::bytes(recorded::without_traits::kQuarantineCommand));
+  for (const CrashRecord& record : {records.records.at(0), std::get<QuarantineCallCommand>(command).record}) {
+    CHECK(record.call == CallFingerprint{1, 2});
+    CHECK(record.ended == std::vector<ReplicaCrash>{{ReplicaId("r1"), false, false},
+                                                    {ReplicaId("r2"), true, false},
+                                                    {ReplicaId("r3"), false, false}});
+    CHECK(record.age_ms == 250);
+    CHECK(record.kind == SuspectKind::Call);
+    CHECK(record.trials == 0);
+  }
+}
+
+/// Crash records as known to the build without traits.
+struct LegacyReplicaCrash {
+  ReplicaId replica;
+  bool refuted = false;
+  FERRYROCK_FIELDS(LegacyReplicaCrash, replica, refuted)
+};
+struct LegacyCrashRecord {
+  CallFingerprint call;
+  std::vector<LegacyReplicaCrash> ended;
+  std::int64_t age_ms = 0;
+  FERRYROCK_FIELDS(LegacyCrashRecord, call, ended, age_ms)
+};
+struct LegacyCrashRecords {
+  std::vector<LegacyCrashRecord> records;
+  bool shares_all = false;
+  FERRYROCK_FIELDS(LegacyCrashRecords, records, shares_all)
+};
+
+TEST_CASE("The build without traits decodes the crash records of traits as records") {
+  CrashRecord record{{1, 2}, {{ReplicaId("r1"), true, true}}, 250, SuspectKind::PromptPart, "a1", 2};
+  const auto legacy = decode<LegacyCrashRecords>(encode(CrashRecords{{record}, true, {{1, 2}}, {{3, 4}}}));
+  REQUIRE(legacy.records.size() == 1);
+  CHECK(legacy.shares_all);
+  CHECK(legacy.records[0] == LegacyCrashRecord{{1, 2}, {{ReplicaId("r1"), true}}, 250});
+}
+
 }  // namespace
 }  // namespace ferryrock::wire
