Bound what routers keep of a response, and search each byte of an event once

What callers saw: a replica that sends bytes without end stops its router: the router gathers an answer's body and an event without a bound, and searched an event from its start with each piece. Cause: ReplicaClient and EventSplitter had no limits; probes, orders and reports read bodies of any size; libcurl bounds a line of a head. Change: an answer may have 8 MB, an event 1 MB, all heads of a response 256 kB, and other responses 8 MB unless their reader sets a limit of its own. A longer one fails as one that may have run. EventSplitter remembers how far it has searched. Why it works: the router closes the connection at the limit, so that memory and time are bounded for each attempt; a relay passes the bytes on with back pressure and ends with its sender. The http test of a paused call sets "no limit", since its body has 64 MB; it checks what it did before.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -16,6 +16,8 @@
 /// Two connections per engine of a cell with 4,000 engines; beyond this bound each further call would open a
 /// new connection.
 constexpr long kMaxIdleConnections = 8192;
+/// Limit on the heads of a response, interim ones and trailers included. libcurl bounds a single line.
+constexpr std::size_t kMaxHeadBytes = std::size_t{256} << 10;
 
 class CurlClient;
 
@@ -35,6 +37,9 @@
   bool paused = false;
   bool queued_for_delivery = false;
   bool ended = false;
+  std::size_t head_bytes = 0;  ///< received, over all heads and trailers
+  std::size_t body_bytes = 0;  ///< received
+  bool too_long = false;       ///< the response exceeded a limit and was given up
   CURLcode result = CURLE_OK;
 };
 using CallPtr = std::shared_ptr<CallState>;
@@ -264,6 +269,11 @@
 
 std::size_t CurlClient::onHeader(char* bytes, std::size_t size, std::size_t count, void* context) {
   CallState& call = *static_cast<CallState*>(context);
+  call.head_bytes += size * count;
+  if (call.head_bytes > kMaxHeadBytes) {
+    call.too_long = true;
+    return 0;  // aborts the transfer
+  }
   if (call.headers_complete) {
     return size * count;  // a trailer
   }
@@ -285,6 +295,12 @@
   if (call.paused) {
     return CURL_WRITEFUNC_PAUSE;
   }
+  call.body_bytes += size * count;
+  const std::size_t limit = call.transfer.maxBodyBytes();
+  if (limit > 0 && call.body_bytes > limit) {
+    call.too_long = true;
+    return 0;  // aborts the transfer
+  }
   call.data.append(bytes, size * count);
   call.client->queueForDelivery(call.shared_from_this());
   return size * count;
@@ -315,9 +331,13 @@
   const ClientCallbacks callbacks = std::exchange(call->callbacks, {});
   const SendProgress progress = call->transfer.progress();
   const bool refused = call->transfer.wasRefused(call->result);
-  const std::string reason = call->headers_complete || call->result != CURLE_OK
-                                 ? call->transfer.failureReason(call->result)
-                                 : "the connection was closed within the response headers";
+  std::string reason = call->headers_complete || call->result != CURLE_OK
+                           ? call->transfer.failureReason(call->result)
+                           : "the connection was closed within the response headers";
+  if (call->too_long) {
+    reason = "the response is longer than allowed: " + std::to_string(call->head_bytes) +
+             " bytes of headers, " + std::to_string(call->body_bytes) + " bytes of body";
+  }
   call->client->cancel(call);
   // libcurl reports success if a connection ends within the headers.
   if (call->result == CURLE_OK && call->headers_complete) {
--- a/src/http/curl_request.h
+++ b/src/http/curl_request.h
@@ -29,6 +29,7 @@
   /// Status of the response; 0 before the status line is received.
   long status() const;
   /// Returns true if the peer's machine refused the last connection attempt.
+  std::size_t maxBodyBytes() const { return request_.max_body_bytes; }
   bool wasRefused(CURLcode result) const;
   /// Returns how much of the exchange has taken place so far.
   SendProgress progress() const;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -94,6 +94,9 @@
 std::unique_ptr<Server> createServer(event::Dispatcher& dispatcher, const ServerSettings& settings,
                                      RequestHandler handler);
 
+/// Default limit of a response's body.
+inline constexpr std::size_t kMaxResponseBytes = std::size_t{8} << 20;
+
 /// Progress of a client's request at its failure; determines whether the peer may have run it.
 enum class SendProgress {
   NotSent,          ///< no byte of the request was sent: the peer hasn't run it
@@ -113,7 +116,9 @@
   /// Maximum idle time of a pooled connection that may be reused; zero: the library's default.
   Duration idle_limit = Duration::zero();
   bool fresh_connection = false;  ///< never uses a pooled connection, for non-idempotent requests
-  std::string ca_file;            ///< CA certificates for the peer's certificate; empty: the system's
+  /// A response with a longer body fails; zero: no limit, for callers that bound what they keep.
+  std::size_t max_body_bytes = kMaxResponseBytes;
+  std::string ca_file;  ///< CA certificates for the peer's certificate; empty: the system's
 };
 
 struct ClientCallbacks {
--- a/src/load/caller.cc
+++ b/src/load/caller.cc
@@ -63,6 +63,7 @@
 http::ClientRequest Caller::buildRequest(const PlannedOperation& planned) const {
   http::ClientRequest request;
   request.method = "POST";
+  request.max_body_bytes = 0;  // a stream
   request.url = record_.router + (planned.chat ? "/v1/chat/completions" : "/v1/completions");
   request.headers = {{"Content-Type", "application/json"},
                      {"X-Request-Timeout-Ms", std::to_string(record_.deadline_ms - record_.sent_ms)}};
--- a/src/router_process/attempt_request.cc
+++ b/src/router_process/attempt_request.cc
@@ -47,6 +47,7 @@
   request.method = "POST";
   request.url = effect.replica.url + effect.path;
   request.connect_timeout = kConnectTimeout;
+  request.max_body_bytes = 0;  // a stream
   request.fresh_connection = effect.fresh_connection;
   request.body = attemptBody(effect);
   request.headers = {{"Content-Type", "application/json"},
@@ -66,6 +67,7 @@
   http::ClientRequest request;
   request.url = streamUrl(effect.replica, effect.attempt) + "?from=" + std::to_string(effect.from_chunk);
   request.connect_timeout = kConnectTimeout;
+  request.max_body_bytes = 0;  // a stream
   return request;
 }
 
--- a/src/service_process/event_splitter.cc
+++ b/src/service_process/event_splitter.cc
@@ -2,27 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace ferryrock::service_process {
 namespace {
 
-/// Length of the first event including the empty line that terminates it; npos if the event is incomplete.
-std::size_t eventLength(std::string_view bytes) {
-  std::size_t line = 0;
-  while (line < bytes.size()) {
-    const std::size_t end = bytes.find('\n', line);
-    if (end == std::string_view::npos) {
-      return std::string_view::npos;
-    }
-    const std::string_view text = bytes.substr(line, end - line);
-    if (text.empty() || text == "\r") {
-      return end + 1;
-    }
-    line = end + 1;
-  }
-  return std::string_view::npos;
-}
-
 std::optional<std::uint64_t> eventId(std::string_view event) {
   constexpr std::string_view kField = "id:";
   std::size_t line = 0;
@@ -46,16 +30,29 @@
 }  // namespace
 
 std::optional<StreamEvent> EventSplitter::next() {
-  const std::string_view rest = std::string_view(buffer_).substr(position_);
-  const std::size_t length = eventLength(rest);
-  if (length == std::string_view::npos) {
-    buffer_.erase(0, position_);
-    position_ = 0;
-    return std::nullopt;
+  while (true) {
+    const std::size_t end = buffer_.find('\n', searched_);
+    if (end == std::string::npos) {
+      discardReturned();
+      searched_ = buffer_.size();
+      return std::nullopt;
+    }
+    const std::string_view line = std::string_view(buffer_).substr(line_, end - line_);
+    const bool ends_event = line.empty() || line == "\r";
+    line_ = searched_ = end + 1;
+    if (ends_event) {
+      std::string bytes = buffer_.substr(position_, line_ - position_);
+      position_ = line_;
+      const std::optional<std::uint64_t> id = eventId(bytes);
+      return StreamEvent{id, std::move(bytes)};
+    }
   }
-  StreamEvent event{eventId(rest.substr(0, length)), std::string(rest.substr(0, length))};
-  position_ += length;
-  return event;
+}
+
+void EventSplitter::discardReturned() {
+  buffer_.erase(0, position_);
+  line_ -= position_;
+  position_ = 0;
 }
 
 }  // namespace ferryrock::service_process
--- a/src/service_process/event_splitter.h
+++ b/src/service_process/event_splitter.h
@@ -13,7 +13,8 @@
   std::string bytes;
 };
 
-/// Splits a byte stream into complete events. Used by one thread.
+/// Splits a byte stream into complete events. Searches each byte once, however small the pieces are that it
+/// arrives in. Used by one thread.
 class EventSplitter {
  public:
   void add(std::string_view bytes) { buffer_.append(bytes); }
@@ -23,8 +24,12 @@
   std::size_t unfinishedBytes() const { return buffer_.size() - position_; }
 
  private:
+  void discardReturned();
+
   std::string buffer_;
   std::size_t position_ = 0;  ///< offset of the first byte that next() hasn't returned
+  std::size_t line_ = 0;      ///< offset of the first line that isn't known to be complete
+  std::size_t searched_ = 0;  ///< offset up to which that line was searched for its end
 };
 
 }  // namespace ferryrock::service_process
--- a/src/service_process/relay_server.cc
+++ b/src/service_process/relay_server.cc
@@ -82,6 +82,7 @@
   forwarded.headers = endToEndHeaders(request.headers);
   forwarded.body = std::move(request.body);
   forwarded.exact_headers = true;
+  forwarded.max_body_bytes = 0;
   forwarded.connect_timeout = kConnectTimeout;
   if (target.limit) {
     forwarded.total_timeout = *target.limit + kLimitMargin;
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -17,6 +17,9 @@
 /// Maximum idle time of a connection to a relay.
 constexpr Duration kRelayIdleTime = std::chrono::seconds(30);
 constexpr int kStatusOk = 200;
+/// Limits on what is kept of a response: a replica in trouble may send without end.
+constexpr std::size_t kMaxAnswerBytes = http::kMaxResponseBytes;
+constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
 
 bool isEventStream(int status, const http::Headers& headers) {
   const auto type = http::findHeader(headers, "Content-Type");
@@ -43,6 +46,7 @@
   http::ClientRequest request = dialect_.attempt(effect, content);
   request.connect_timeout = kConnectTimeout;
   request.exact_headers = true;
+  request.max_body_bytes = 0;
   attempt->relayed = effect.relay.has_value();
   if (effect.relay) {
     sendThroughRelay(request, effect.relay->address, {effect.address, effect.time_left});
@@ -125,6 +129,10 @@
   const AttemptPtr attempt = found->second;
   if (!attempt->streaming) {
     attempt->answer.body.append(bytes);
+    if (attempt->answer.body.size() > kMaxAnswerBytes) {
+      fail(number, AttemptFailure::OutcomeUnknown,
+           "the answer is longer than " + std::to_string(kMaxAnswerBytes) + " bytes");
+    }
     return;
   }
   attempt->events.add(bytes);
@@ -135,6 +143,10 @@
       return;
     }
   }
+  if (attempt->events.unfinishedBytes() > kMaxEventBytes) {
+    fail(number, AttemptFailure::OutcomeUnknown,
+         "an event of the stream is longer than " + std::to_string(kMaxEventBytes) + " bytes");
+  }
 }
 
 void ReplicaClient::onComplete(AttemptNumber number) {
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -28,8 +28,8 @@
 };
 
 /// Sends calls to replicas over HTTP. Responses are buffered until they are complete; streams are split into
-/// events. A response that is truncated, carries another call's id or isn't valid HTTP is a failure. Used by
-/// one thread.
+/// events. A response that is truncated, carries another call's id or isn't valid HTTP is a failure; so is
+/// one of which more would have to be kept than a limit allows. Used by one thread.
 class ReplicaClient {
  public:
   ReplicaClient(event::Dispatcher& dispatcher, http::Client& client, const CallDialect& dialect,
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -338,7 +338,9 @@
       loop.dispatcher(), {}, [&](const Request&, ResponseWriterPtr given) { writer = std::move(given); });
   const auto client = createClient(loop.dispatcher());
   CallRecord record;
-  const auto call = client->send(makeRequest("GET", urlOf(server->port(), "/")), recordInto(record));
+  ClientRequest request = makeRequest("GET", urlOf(server->port(), "/"));
+  request.max_body_bytes = 0;
+  const auto call = client->send(std::move(request), recordInto(record));
   REQUIRE(loop.runUntil([&] { return writer != nullptr; }));
   writer->start(200, {});
   writer->write("begin");
--- a/tests/http/raw_peer.cc
+++ b/tests/http/raw_peer.cc
@@ -65,6 +65,16 @@
   }
 }
 
+std::size_t RawConnection::writeUntilClosed(std::string_view piece, std::size_t limit) {
+  std::size_t written = 0;
+  while (written < limit && !ended_) {
+    write(piece);
+    written += piece.size();
+    unread_ += readAvailable();
+  }
+  return written;
+}
+
 bool RawConnection::readMore(std::string& into, int flags) {
   std::array<char, kReadBytes> buffer{};
   const ssize_t count = ::recv(descriptor_, buffer.data(), buffer.size(), flags);
--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -23,6 +23,9 @@
   static RawConnection connect(std::uint16_t port, int receive_buffer_bytes = 0);
 
   void write(std::string_view bytes);
+  /// Writes the piece again and again until the peer closes the connection or `limit` bytes are written.
+  /// Returns the number of bytes.
+  std::size_t writeUntilClosed(std::string_view piece, std::size_t limit);
   /// Reads until the text is received and returns all bytes read. Stops early at the end of the connection.
   std::string readUntil(std::string_view text);
   /// Reads one request: the headers and a body of the announced length. Returns an empty string at the end of
--- a/tests/service_process/relay_test.cc
+++ b/tests/service_process/relay_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
@@ -6,6 +7,7 @@
 
 #include "common/error.h"
 #include "http/fixture.h"
+#include "http/raw_peer.h"
 #include "service_process/relay_server.h"
 #include "service_process/replica_client.h"
 #include "service_process/replica_prober.h"
@@ -197,6 +199,27 @@
   CHECK(fixture.run(replica->port()).failure == calls::AttemptFailure::OutcomeUnknown);
 }
 
+/// Guards against a replica that sends without end and so stops both routers.
+TEST_CASE("A relayed response without end fails after a bounded number of bytes at both routers") {
+  constexpr std::size_t kSocketBuffers = std::size_t{32} << 20;
+  constexpr std::size_t kMaxBytes = http::kMaxResponseBytes + kSocketBuffers;
+  const std::string piece(std::size_t{16} << 10, 'x');
+  for (const std::string type : {"text/plain", "text/event-stream"}) {
+    INFO(type);
+    std::atomic<std::size_t> written = 0;
+    http::ScriptedServer replica([&](http::RawConnection& connection, int) {
+      connection.readRequest();
+      connection.write("HTTP/1.1 200 OK\r\nCall-Id: c1\r\nContent-Type: " + type + "\r\n\r\n");
+      written = connection.writeUntilClosed(piece, 4 * kMaxBytes);
+    });
+    RelayFixture fixture;
+    CHECK(fixture.run(replica.port()).failure == calls::AttemptFailure::OutcomeUnknown);
+    REQUIRE(fixture.loop.runUntil([&] { return written > 0; }));
+    CHECK(written < kMaxBytes);
+    CHECK(fixture.relay->openAttempts() == 0);
+  }
+}
+
 TEST_CASE("A relayed call counts as not run only if no byte of it was sent to a replica") {
   RelayFixture fixture;
   const std::uint16_t closed = fixture.closedPort();
--- a/tests/service_process/replica_client_test.cc
+++ b/tests/service_process/replica_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <map>
 
 #include "common/error.h"
@@ -91,13 +92,17 @@
     replicas = std::make_unique<ReplicaClient>(loop.dispatcher(), *client, dialect, callbacks);
   }
   Record& run(std::uint16_t port, const std::string& target = "/x?y=%20z") {
+    Record& record = begin(port, target);
+    REQUIRE(loop.runUntil([&] { return record.ended(); }));
+    return record;
+  }
+  Record& begin(std::uint16_t port, const std::string& target = "/x?y=%20z") {
     const calls::AttemptNumber number{++next};
     calls::SendAttemptEffect effect;
     effect.attempt = number;
     effect.replica = ReplicaId("r" + std::to_string(next));
     effect.address = "127.0.0.1:" + std::to_string(port);
     replicas->send(effect, {RequestId("c1"), "POST", target, {{"Call-Id", "c1"}, {"Odd", "a  b"}}, "body"});
-    REQUIRE(loop.runUntil([&] { return records[number].ended(); }));
     return records[number];
   }
   http::Loop loop;
@@ -279,6 +284,77 @@
   }
 }
 
+struct EndlessCase {
+  const char* name;
+  std::string begin;
+  std::string piece;
+};
+
+/// Guards against a replica that sends without end and so stops its router, which kept all it sent.
+TEST_CASE(
+    "A response without end fails after a bounded number of bytes, and other calls are served meanwhile") {
+  constexpr std::size_t kPiece = std::size_t{16} << 10;
+  constexpr std::size_t kSocketBuffers = std::size_t{16} << 20;
+  constexpr std::size_t kMaxBytes = http::kMaxResponseBytes + kSocketBuffers;
+  const std::string bytes(kPiece, 'x');
+  const std::string chunk = "4000\r\n" + bytes + "\r\n";
+  const std::vector<EndlessCase> cases = {
+      {"a header", "HTTP/1.1 200 OK\r\nLong: ", bytes},
+      {"headers", "HTTP/1.1 200 OK\r\n", "Name: " + bytes + "\r\n"},
+      {"interim responses", "", "HTTP/1.1 102 Processing\r\nName: value\r\n\r\n"},
+      {"bytes that aren't HTTP", "", bytes},
+      {"a body", answerText("", ""), bytes},
+      {"a body in chunks", answerText("Transfer-Encoding: chunked\r\n", ""), chunk},
+      {"trailers", answerText("Transfer-Encoding: chunked\r\n", "0\r\n"), "Name: " + bytes + "\r\n"},
+      {"an event", answerText("Content-Type: text/event-stream\r\n", ""), bytes},
+      {"lines of an event", answerText("Content-Type: text/event-stream\r\n", ""), "data: x\n"},
+  };
+  ScriptedServer sound([](RawConnection& connection, int) {
+    while (!connection.readRequest().empty()) {
+      connection.write(answerText("Content-Length: 2\r\n", "ok"));
+    }
+  });
+  for (const EndlessCase& given : cases) {
+    INFO(given.name);
+    std::atomic<std::size_t> written = 0;
+    ScriptedServer server([&](RawConnection& connection, int) {
+      connection.readRequest();
+      connection.write(given.begin);
+      written = connection.writeUntilClosed(given.piece, 4 * kMaxBytes);
+    });
+    Fixture fixture;
+    const Record& endless = fixture.begin(server.port());
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(fixture.run(sound.port()).body == "ok");
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(1));
+    REQUIRE(fixture.loop.runUntil([&] { return endless.ended(); }));
+    CHECK(endless.failure == calls::AttemptFailure::OutcomeUnknown);
+    REQUIRE(fixture.loop.runUntil([&] { return written > 0; }));
+    CHECK(written < kMaxBytes);
+  }
+}
+
+/// Guards against a search from the start of an event at each of its pieces.
+TEST_CASE("The time to split an event doesn't depend on the size of its pieces") {
+  constexpr std::size_t kLines = std::size_t{1} << 17;
+  std::string event = "id: 1\n";
+  for (std::size_t i = 0; i < kLines; ++i) {
+    event += "data: x\n";
+  }
+  event += "\n";
+  EventSplitter splitter;
+  const auto begun = std::chrono::steady_clock::now();
+  std::size_t events = 0;
+  for (std::size_t place = 0; place < event.size(); place += 16) {
+    splitter.add(std::string_view(event).substr(place, 16));
+    while (splitter.next()) {
+      ++events;
+    }
+  }
+  CHECK(events == 1);
+  CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(1));
+}
+
 TEST_CASE("Hop-by-hop headers and headers listed in Connection aren't forwarded") {
   const http::Headers headers = {{"Connection", "close, X-Hop"},  {"x-hop", "1"}, {"Keep-Alive", "timeout=3"},
                                  {"Content-Length", "4"},         {"X-End", "2"}, {"Host", "h"},
