Take a response that its connection cut for a failure where its bytes show it

What callers saw: a replica that ends after the head of a response without length or chunks gives a whole empty answer or stream. Cause: the end of the connection was taken for the end of such a response, whatever had come; it also cleared the call of suspicion. A relay frames the response anew, so that the sending router couldn't tell. Change: a 2xx response that ends with its connection fails if it has no event, no body, or a JSON body that isn't complete; a relay marks such responses. Not told apart: a stream cut between two events, and a body that isn't JSON, if the peer closes in an orderly way.

--- a/src/http/headers.cc
+++ b/src/http/headers.cc
@@ -14,4 +14,8 @@
   return found == headers.end() ? std::nullopt : std::optional<std::string>(found->value);
 }
 
+bool endsWithConnection(const Headers& headers) {
+  return !findHeader(headers, "Content-Length") && !findHeader(headers, "Transfer-Encoding");
+}
+
 }  // namespace ferryrock::http
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -20,6 +20,9 @@
 
 /// Returns the value of the first header with the name, compared case-insensitively.
 std::optional<std::string> findHeader(const Headers& headers, std::string_view name);
+/// True if only the end of the connection ends a response with these headers: it has neither a length nor
+/// chunks.
+bool endsWithConnection(const Headers& headers);
 
 struct Request {
   std::string method;
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -130,8 +130,8 @@
   callbacks.on_stream_event = [this](calls::AttemptNumber attempt, StreamEvent event) {
     carryOut(router_.onStreamEvent(attempt, event.id, std::move(event.bytes), now()));
   };
-  callbacks.on_stream_end = [this](calls::AttemptNumber attempt) {
-    carryOut(router_.onStreamEnd(attempt, now()));
+  callbacks.on_stream_end = [this](calls::AttemptNumber attempt, bool ends_with_connection) {
+    carryOut(router_.onStreamEnd(attempt, ends_with_connection, now()));
   };
   callbacks.on_failure = [this](calls::AttemptNumber attempt, calls::AttemptFailure failure,
                                 const std::string& reason) {
--- a/src/service_process/relay_protocol.cc
+++ b/src/service_process/relay_protocol.cc
@@ -18,6 +18,7 @@
 constexpr const char* kLimitMs = "Ferryrock-Relay-Limit-Ms";
 constexpr const char* kProbe = "Ferryrock-Relay-Probe";
 constexpr const char* kOutcome = "Ferryrock-Relay-Outcome";
+constexpr const char* kEndsWithConnection = "Ferryrock-Relay-Ends-With-Connection";
 constexpr std::string_view kScheme = "http://";
 
 struct OutcomeName {
@@ -85,6 +86,14 @@
   headers.push_back({kOutcome, named->name});
 }
 
+void setEndsWithReplicaConnection(http::Headers& headers) {
+  headers.push_back({kEndsWithConnection, "1"});
+}
+
+bool endsWithReplicaConnection(const http::Headers& headers) {
+  return http::findHeader(headers, kEndsWithConnection).has_value();
+}
+
 std::optional<RelayOutcome> takeRelayOutcome(http::Headers& headers) {
   const auto text = http::findHeader(headers, kOutcome);
   removeRelayHeaders(headers);
--- a/src/service_process/relay_protocol.h
+++ b/src/service_process/relay_protocol.h
@@ -36,7 +36,10 @@
 
 /// Marks the response to a relayed attempt.
 void setRelayOutcome(http::Headers& headers, RelayOutcome outcome);
-/// Reads and removes the outcome; nullopt: the response isn't one of a relay.
+/// Marks a response that ended with the replica's connection. The relay frames it anew.
+void setEndsWithReplicaConnection(http::Headers& headers);
+bool endsWithReplicaConnection(const http::Headers& headers);
+/// Reads and removes the outcome, and all other relay headers; nullopt: the response isn't one of a relay.
 std::optional<RelayOutcome> takeRelayOutcome(http::Headers& headers);
 
 /// The outcome of an attempt for the router that sent it, unless it was forwarded.
--- a/src/service_process/relay_server.cc
+++ b/src/service_process/relay_server.cc
@@ -117,6 +117,9 @@
   keep_alive_.record(attempt->target.address, headers);
   http::Headers forwarded = endToEndHeaders(headers);
   setRelayOutcome(forwarded, RelayOutcome::Forwarded);
+  if (http::endsWithConnection(headers)) {
+    setEndsWithReplicaConnection(forwarded);
+  }
   attempt->started = true;
   ++counts_.forwarded;
   attempt->response->start(status, std::move(forwarded));
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -1,6 +1,7 @@
 #include "service_process/replica_client.h"
 
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "service_process/relay_protocol.h"
@@ -17,10 +18,17 @@
 /// Maximum idle time of a connection to a relay.
 constexpr Duration kRelayIdleTime = std::chrono::seconds(30);
 constexpr int kStatusOk = 200;
+constexpr int kStatusNoContent = 204;
+constexpr int kFirstRedirect = 300;
 /// Limits on what is kept of a response: a replica in trouble may send without end.
 constexpr std::size_t kMaxAnswerBytes = http::kMaxResponseBytes;
 constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
 
+bool isJson(const http::Headers& headers) {
+  const auto type = http::findHeader(headers, "Content-Type");
+  return type && type->starts_with("application/json");
+}
+
 bool isEventStream(int status, const http::Headers& headers) {
   const auto type = http::findHeader(headers, "Content-Type");
   return status == kStatusOk && type && type->starts_with("text/event-stream");
@@ -42,6 +50,7 @@
   attempt->id = content.id;
   attempt->replica = effect.replica;
   attempt->address = effect.address;
+  attempt->head_request = content.method == "HEAD";
   attempts_[number] = attempt;
   http::ClientRequest request = dialect_.attempt(effect, content);
   request.connect_timeout = kConnectTimeout;
@@ -96,7 +105,9 @@
   const AttemptPtr kept = found->second;
   Attempt& attempt = *kept;
   http::Headers headers = received;
+  attempt.ends_with_connection = http::endsWithConnection(headers);
   if (attempt.relayed) {
+    attempt.ends_with_connection = endsWithReplicaConnection(headers);
     const std::optional<RelayOutcome> outcome = takeRelayOutcome(headers);
     if (outcome != RelayOutcome::Forwarded) {
       fail(number, outcome ? attemptFailure(*outcome) : AttemptFailure::OutcomeUnknown,
@@ -138,6 +149,7 @@
   attempt->events.add(bytes);
   const std::shared_ptr<bool> alive = alive_;
   while (auto event = attempt->events.next()) {
+    attempt->has_events = true;
     callbacks_.on_stream_event(number, std::move(*event));
     if (!*alive || !attempts_.contains(number)) {
       return;
@@ -155,17 +167,42 @@
     return;
   }
   const Attempt& attempt = *found->second;
-  if (attempt.streaming && attempt.events.unfinishedBytes() > 0) {
-    fail(number, AttemptFailure::OutcomeUnknown, "event stream ended in the middle of an event");
+  const std::string truncation = truncationOf(attempt);
+  if (!truncation.empty()) {
+    fail(number, AttemptFailure::OutcomeUnknown, truncation);
   } else if (attempt.streaming) {
-    callbacks_.on_stream_end(number);
+    callbacks_.on_stream_end(number, attempt.ends_with_connection);
     take(number);
   } else {
-    callbacks_.on_answer(number, dialect_.summarize(attempt.answer.status, attempt.answer.headers));
+    calls::AnswerSummary answer = dialect_.summarize(attempt.answer.status, attempt.answer.headers);
+    answer.ends_with_connection = attempt.ends_with_connection;
+    callbacks_.on_answer(number, answer);
     take(number);
   }
 }
 
+/// A replica that crashes ends its connections as one does that has finished a response without a length.
+/// What can be told from a whole response is one without any of the bytes that its head announces.
+std::string ReplicaClient::truncationOf(const Attempt& attempt) {
+  if (attempt.streaming && attempt.events.unfinishedBytes() > 0) {
+    return "event stream ended in the middle of an event";
+  }
+  const bool announces_body = !attempt.head_request && attempt.answer.status >= kStatusOk &&
+                              attempt.answer.status < kFirstRedirect &&
+                              attempt.answer.status != kStatusNoContent;
+  if (!attempt.ends_with_connection || !announces_body) {
+    return "";
+  }
+  if (attempt.streaming) {
+    return attempt.has_events ? "" : "the connection ended before the first event";
+  }
+  if (attempt.answer.body.empty()) {
+    return "the connection ended before the body";
+  }
+  const bool cut = isJson(attempt.answer.headers) && !nlohmann::json::accept(attempt.answer.body);
+  return cut ? "the connection ended within the JSON body" : "";
+}
+
 void ReplicaClient::fail(AttemptNumber number, AttemptFailure failure, const std::string& reason) {
   if (take(number)) {
     callbacks_.on_failure(number, failure, reason);
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -23,7 +23,8 @@
   std::function<void(const ReplicaId&, const calls::ReplicaNotice&)> on_notice;
   std::function<void(calls::AttemptNumber, const calls::AnswerSummary&)> on_answer;
   std::function<void(calls::AttemptNumber, StreamEvent)> on_stream_event;
-  std::function<void(calls::AttemptNumber)> on_stream_end;
+  /// ends_with_connection: see calls::AnswerSummary.
+  std::function<void(calls::AttemptNumber, bool ends_with_connection)> on_stream_end;
   std::function<void(calls::AttemptNumber, calls::AttemptFailure, const std::string& reason)> on_failure;
 };
 
@@ -52,7 +53,10 @@
     std::string address;
     bool relayed = false;
     HttpResponse answer;
+    bool head_request = false;  ///< the response has no body
     bool streaming = false;
+    bool ends_with_connection = false;
+    bool has_events = false;
     EventSplitter events;
     std::unique_ptr<http::ClientCall> call;
   };
@@ -61,6 +65,8 @@
   void onHeaders(calls::AttemptNumber number, int status, const http::Headers& headers);
   void onData(calls::AttemptNumber number, std::string_view bytes);
   void onComplete(calls::AttemptNumber number);
+  /// Returns why the response is known to be cut although its connection ended normally; empty: it isn't.
+  static std::string truncationOf(const Attempt& attempt);
   void fail(calls::AttemptNumber number, calls::AttemptFailure failure, const std::string& reason);
   /// Removes the attempt. Its client call is destroyed after the running callback returns.
   AttemptPtr take(calls::AttemptNumber number);
--- a/tests/service_process/relay_test.cc
+++ b/tests/service_process/relay_test.cc
@@ -74,7 +74,9 @@
     callbacks.on_stream_event = [this](calls::AttemptNumber number, const StreamEvent& event) {
       records[number].events.push_back(event.bytes);
     };
-    callbacks.on_stream_end = [this](calls::AttemptNumber number) { records[number].stream_ended = true; };
+    callbacks.on_stream_end = [this](calls::AttemptNumber number, bool) {
+      records[number].stream_ended = true;
+    };
     callbacks.on_failure = [this](calls::AttemptNumber number, calls::AttemptFailure failure,
                                   const std::string&) { records[number].failure = failure; };
     sender = std::make_unique<ReplicaClient>(loop.dispatcher(), *sender_client, dialect, callbacks);
@@ -199,6 +201,29 @@
   CHECK(fixture.run(replica->port()).failure == calls::AttemptFailure::OutcomeUnknown);
 }
 
+/// Guards against a crash after the head that was taken for a whole empty answer, behind a relay.
+TEST_CASE("A relayed response that ends with the replica's connection is whole unless it was visibly cut") {
+  const std::string head = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\n";
+  const std::string stream = head + "Content-Type: text/event-stream\r\n\r\n";
+  const std::vector<std::pair<std::string, bool>> cases = {
+      {stream + "id: 1\n\n", true},
+      {stream + "id: 1\n\nid: 2\nda", false},
+      {stream, false},
+      {head + "\r\nwhole", true},
+      {head + "\r\n", false},
+  };
+  for (const auto& [text, whole] : cases) {
+    INFO(text);
+    http::ScriptedServer replica([&text = text](http::RawConnection& connection, int) {
+      connection.readRequest();
+      connection.write(text);
+      connection.close();
+    });
+    RelayFixture fixture;
+    CHECK(fixture.run(replica.port()).failure.has_value() != whole);
+  }
+}
+
 /// Guards against a replica that sends without end and so stops both routers.
 TEST_CASE("A relayed response without end fails after a bounded number of bytes at both routers") {
   constexpr std::size_t kSocketBuffers = std::size_t{32} << 20;
--- a/tests/service_process/replica_client_test.cc
+++ b/tests/service_process/replica_client_test.cc
@@ -86,7 +86,9 @@
     callbacks.on_stream_event = [this](calls::AttemptNumber number, StreamEvent event) {
       records[number].events.push_back(std::move(event));
     };
-    callbacks.on_stream_end = [this](calls::AttemptNumber number) { records[number].stream_ended = true; };
+    callbacks.on_stream_end = [this](calls::AttemptNumber number, bool) {
+      records[number].stream_ended = true;
+    };
     callbacks.on_failure = [this](calls::AttemptNumber number, calls::AttemptFailure failure,
                                   const std::string&) { records[number].failure = failure; };
     replicas = std::make_unique<ReplicaClient>(loop.dispatcher(), *client, dialect, callbacks);
@@ -284,6 +286,43 @@
   }
 }
 
+struct UnframedCase {
+  const char* name;
+  std::string text;  ///< sent by the replica before it closes the connection
+  std::size_t events;
+  bool whole;
+};
+
+/// Guards against a crash after the head that was taken for a whole empty answer.
+TEST_CASE("A response that ends with its connection is whole unless its bytes show that it was cut") {
+  const std::string stream = "Content-Type: text/event-stream\r\n";
+  const std::string json = "Content-Type: application/json\r\n";
+  const std::vector<UnframedCase> cases = {
+      {"a stream of whole events", answerText(stream, "id: 1\n\nid: 2\n\n"), 2, true},
+      {"a stream cut within an event", answerText(stream, "id: 1\n\nid: 2\nda"), 1, false},
+      {"a stream cut after its head", answerText(stream, ""), 0, false},
+      {"an answer", answerText("", "whole"), 0, true},
+      {"an answer cut after its head", answerText("", ""), 0, false},
+      {"a JSON answer", answerText(json, "{\"a\":[1]}"), 0, true},
+      {"a JSON answer cut within its body", answerText(json, "{\"a\":["), 0, false},
+      {"an answer that has no body", "HTTP/1.1 204 No Content\r\nCall-Id: c1\r\n\r\n", 0, true},
+      {"a refusal without a body", "HTTP/1.1 503 Full\r\nCall-Id: c1\r\nNot-Run: 1\r\n\r\n", 0, true},
+  };
+  for (const UnframedCase& given : cases) {
+    INFO(given.name);
+    ScriptedServer server([&given](RawConnection& connection, int) {
+      connection.readRequest();
+      connection.write(given.text);
+      connection.close();
+    });
+    Fixture fixture;
+    const Record& record = fixture.run(server.port());
+    CHECK(record.events.size() == given.events);
+    CHECK(record.failure.has_value() != given.whole);
+    CHECK((record.answer || record.stream_ended) == given.whole);
+  }
+}
+
 struct EndlessCase {
   const char* name;
   std::string begin;
