Test a quarantined trait again soon if its trials brought no verdict

Cause: the two early trials ran on routers whose links were cut, so that they ended at their deadlines without a verdict, and the next one was ten minutes off. The sound part was quarantined in place of the crashing one because the soak's replicas send the heads of responses at once, but crash before one: the head of a response counted as evidence. Change: ten minutes and more follow only a trial since which a replica crashed; else the next trials follow after 5 s, 10 s and so on. Evidence is secondary only if the router has seen the trait answered lately, whatever heads have come. Why it works: a sound part needs one trial with a verdict; a crashing one gets its verdict with the first that runs, and then waits long.

--- a/src/calls/call_router_crashes.cc
+++ b/src/calls/call_router_crashes.cc
@@ -130,13 +130,13 @@
   sendCrashRecords(new_records);
 }
 
-/// A call that crashes its replica as this begins to answer has the head of a response and no event. So the
-/// traits of calls with events aren't the cause, and those of calls without a head are secondary evidence.
+/// A call that crashes its replica does so before the first event, so the traits of calls with events aren't
+/// the cause.
 void CallRouter::recordTraitCrashes(const ReplicaId& replica, const std::vector<ProbedCall>& calls,
                                     TimePoint now, std::vector<wire::CrashRecord>& new_records) {
   for (const ProbedCall& call : calls) {
     for (const quarantine::Suspect& trait : call.traits) {
-      const bool secondary = !call.has_head || answered_traits_.contains(trait.fingerprint, now);
+      const bool secondary = answered_traits_.contains(trait.fingerprint, now);
       if (call.answering || !crashes_.recordCrash(trait, replica, secondary, now)) {
         continue;
       }
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -57,6 +57,7 @@
     if (place == known.ends.end() && known.ends.size() < kMaxCrashes) {
       known.ends.emplace(end.replica, End{end.refuted, end.secondary});
       known.last_crash = std::max(known.last_crash, last_crash);
+      known.crashed_since_trial = true;
       explainCrash(known, end.replica);
       modified = true;
     } else if (place != known.ends.end() && end.refuted && !place->second.refuted) {
@@ -82,6 +83,7 @@
   }
   known.trials = record.trials;
   known.last_trial = now;
+  known.crashed_since_trial = false;
   return true;
 }
 
@@ -181,7 +183,7 @@
   const Record& record = found->second;
   Duration delay = settings_.prompt_trial_delay;
   if (record.trials >= settings_.prompt_trials) {
-    delay = settings_.late_trial_delay;
+    delay = record.crashed_since_trial ? settings_.late_trial_delay : settings_.repeated_trial_delay;
     for (std::uint32_t i = settings_.prompt_trials; i < record.trials && delay < settings_.quarantine; ++i) {
       delay *= 2;
     }
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -30,8 +30,10 @@
   /// Time from the last crash or trial to each of these trials. Calls under way at the quarantine end within
   /// it.
   Duration prompt_trial_delay = std::chrono::seconds(1);
-  /// Time to the trial after these. It doubles from trial to trial, up to `quarantine`: each trial costs a
-  /// replica while the cause persists.
+  /// Time to the trial after these if no replica crashed since the last one, which then brought no verdict.
+  /// It doubles from trial to trial, up to `quarantine`.
+  Duration repeated_trial_delay = std::chrono::seconds(5);
+  /// The same if a replica crashed since: each trial costs a replica while the cause persists.
   Duration late_trial_delay = std::chrono::minutes(10);
 };
 
@@ -107,6 +109,7 @@
     std::string name;
     std::uint32_t trials = 0;
     TimePoint last_trial{};
+    bool crashed_since_trial = false;
   };
 
   static std::size_t countedCrashes(const Record& record);
--- a/src/wire/service_types.h
+++ b/src/wire/service_types.h
@@ -174,8 +174,8 @@
   ReplicaId replica;
   /// A call of the suspect was answered since, so that the crash doesn't count against it.
   bool refuted = false;
-  /// Calls with this trait had been answered shortly before, or the replica hadn't begun to answer them, so
-  /// that another trait explains the crash better.
+  /// Calls with this trait had been answered shortly before, so that a trait without answers explains the
+  /// crash better.
   bool secondary = false;
   FERRYROCK_FIELDS(ReplicaCrash, replica, refuted, secondary)
 };
