Let prompt parts of the soak's streams crash replicas, and judge what follows

Cause: the soak's callers shared nothing, and its replicas never ended under a call. Change: streams name prompt parts; one in fifty holds a part that ends its replica, which another one follows within 2 s. Judged in the quiet end: calls with the part that still reach replicas, and sound streams of its first part beside others.

--- a/tests/platform/soak/soak_links.cc
+++ b/tests/platform/soak/soak_links.cc
@@ -11,6 +11,10 @@
   return routes_.back().port();
 }
 
+void SoakLinks::remove(std::uint16_t port) {
+  routes_.remove_if([port](const emulator::RelayRoute& route) { return route.port() == port; });
+}
+
 void SoakLinks::partition(const std::string& process) {
   cuts_.cut(emulator::ProcessName(process), emulator::CutDirection::Both);
   update();
--- a/tests/platform/soak/soak_links.h
+++ b/tests/platform/soak/soak_links.h
@@ -17,6 +17,8 @@
 
   /// Returns the port at which the replica that listens at target_port is reached.
   std::uint16_t add(const std::string& replica, std::uint16_t target_port);
+  /// Ends the connections through the port, and refuses new ones.
+  void remove(std::uint16_t port);
   /// Partitions the process from all replicas.
   void partition(const std::string& process);
   void heal(const std::string& process);
--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -24,6 +24,8 @@
 /// Every third client keeps its router.
 constexpr int kKeepsRouter = 3;
 constexpr Duration kReplacedEvery = 5s;
+/// A crashed replica is followed by another one after up to this time.
+constexpr Duration kRestoredEvery = 2s;
 /// Served calls a second at the end for each client, below which service hasn't recovered; a client sends
 /// about eight.
 constexpr double kLeastServedPerSecond = 40.0 / 24;
@@ -37,9 +39,20 @@
     }
     timer_ = context.dispatcher.createTimer([this] { replaceOldest(); });
     timer_->enable(kReplacedEvery);
+    restore_timer_ = context.dispatcher.createTimer([this] { restore(); });
+    restore_timer_->enable(kRestoredEvery);
   }
 
  private:
+  void restore() {
+    const auto up = std::count_if(replicas_.begin(), replicas_.end(),
+                                  [](const auto& item) { return item.first && item.second->staysUp(); });
+    for (auto i = up; i < kModelReplicas; ++i) {
+      constexpr bool kWithModels = true;
+      add(kWithModels);
+    }
+    restore_timer_->enable(kRestoredEvery);
+  }
   void add(bool with_models) {
     const std::string id = (with_models ? "llm-" : "desk-") + std::to_string(++count_);
     replicas_.emplace_back(with_models, std::make_unique<SoakReplica>(context_, id, with_models));
@@ -47,6 +60,10 @@
   void replaceOldest() {
     std::erase_if(replicas_, [](const auto& item) { return item.second->ended(); });
     const std::size_t position = context_.random.below(replicas_.size());
+    if (!replicas_[position].second->staysUp()) {
+      timer_->enable(kReplacedEvery);
+      return;
+    }
     const bool with_models = replicas_[position].first;
     replicas_[position].second->leave();
     add(with_models);
@@ -56,6 +73,7 @@
   SoakContext& context_;
   std::vector<std::pair<bool, std::unique_ptr<SoakReplica>>> replicas_;
   std::unique_ptr<event::Timer> timer_;
+  std::unique_ptr<event::Timer> restore_timer_;
   int count_ = 0;
 };
 
@@ -172,6 +190,7 @@
   SoakReachJudge reach(oracle);
   SoakRetryJudge retries(oracle);
   SoakStreamJudge streams(oracle);
+  SoakPartJudge parts(oracle);
   SoakLinks links(*dispatcher, given["processes"].as<std::string>());
   Random random(given["seed"].as<std::uint64_t>());
   SoakContext context{
@@ -184,6 +203,7 @@
       reach,
       retries,
       streams,
+      parts,
       links,
       random,
       {given["control"].as<std::vector<std::string>>(), given["directory"].as<std::vector<std::string>>()}};
@@ -234,10 +254,12 @@
   reach.judge();
   retries.judge();
   streams.judge();
+  parts.judge(start + whole - std::chrono::seconds(given["quiet"].as<int>()));
   std::cout << "streams taken up " << streams.takenUp() << ", went on " << streams.wentOn()
             << ", with two versions " << streams.mixed() << "\n";
   std::cout << "worst use of a retry budget " << retries.worstUse() << "\n";
   std::cout << "partitions judged " << reach.judged() << "\n";
+  std::cout << "crashes by the prompt part " << parts.crashes() << "\n";
   std::cout << "limits named " << limits.named() << "\n";
   return report(oracle, served_per_second);
 }
--- a/tests/platform/soak/soak_world.cc
+++ b/tests/platform/soak/soak_world.cc
@@ -42,6 +42,13 @@
 /// Bytes of a stream after which such a client closes its connection.
 constexpr std::size_t kDropAfter = 120;
 constexpr int kMaxTries = 3;
+/// Of the streams, those with a prompt part that crashes replicas.
+constexpr double kCrashingPrompts = 0.02;
+constexpr const char* kCrashingPart = "bad";
+constexpr std::uint64_t kFirstParts = 2;
+constexpr std::uint64_t kFurtherParts = 12;
+/// Time until nothing of a crashed replica is under way.
+constexpr Duration kCrashEnd = 1s;
 
 std::int64_t unixMilliseconds() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -151,14 +158,17 @@
 }
 
 void SoakReplica::handle(const http::Request& request, const http::ResponseWriterPtr& response) {
-  if (request.target == "/v1/report") {
+  if (!crashed_ && request.target == "/v1/report") {
     response->respond(200, {}, reportBody());
     return;
   }
-  if (request.target == "/v1/order") {
+  if (!crashed_ && request.target == "/v1/order") {
     response->respond(takeOrder(request.body), {}, "");
     return;
   }
+  if (crashed_) {
+    return;
+  }
   const std::string id = header(request, "X-Attempt-Id");
   const std::string model = header(request, "X-Model");
   const bool other = header(request, "X-Expect-Instance") != id_;
@@ -170,6 +180,10 @@
     context_.limits.onArrived(id_, context_.notices.routerOf(id), context_.now());
     context_.retries.onArrived(service(), id, context_.now());
   }
+  const bool crashes = header(request, "X-Prompt-Prefix").find(kCrashingPart) != std::string::npos;
+  if (crashes && !held_up) {
+    context_.parts.onArrived(context_.now());
+  }
   if (other || lacking) {
     response->respond(421, headersFor(id, !kSealed), "");
   } else if (shed(response, id)) {
@@ -181,7 +195,7 @@
   } else {
     context_.oracle.onRun(id, id_, context_.now(), held_up);
     context_.losses.onRun(id);
-    run(request, response, id);
+    crashes ? crash(response) : run(request, response, id);
   }
 }
 
@@ -261,6 +275,18 @@
   (*timer)->enable(kEventInterval);
 }
 
+/// The response is kept until its connection has ended: it would answer an error otherwise.
+void SoakReplica::crash(const http::ResponseWriterPtr& response) {
+  context_.parts.onCrash(context_.now());
+  crashed_ = true;
+  stopServing();
+  context_.dispatcher.post([this, response] {
+    context_.links.remove(port_);
+    server_.reset();
+  });
+  end_timer_->enable(kCrashEnd);
+}
+
 /// Checks the count of orders as the platform's replicas do; one model is loaded at a time.
 int SoakReplica::takeOrder(const std::string& body) {
   const Json order = Json::parse(body);
@@ -300,7 +326,7 @@
 }
 
 void SoakReplica::beat() {
-  if (ended_) {
+  if (ended_ || crashed_) {
     return;
   }
   beat_timer_->enable(kBeatInterval);
@@ -393,10 +419,11 @@
   request.headers = {{"Host", "shop.example"}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "2500"}};
   if (kind == SoakKind::Stream) {
     if (!resumes_) {
-      stream_ = SoakStream{id, "m" + std::to_string(context_.random.below(kModels))};
+      stream_ = drawStream(id);
     }
     ++stream_->tries;
     request.headers.push_back({"X-Model", stream_->model});
+    request.headers.push_back({"X-Prompt-Prefix", stream_->prompt});
   }
   judged_ = resumes_ && context_.streams.mayGoOn(stream_->first_id);
   if (resumes_) {
@@ -417,6 +444,19 @@
       drops_ ? kDropAfter : 0);
 }
 
+SoakStream SoakClient::drawStream(const std::string& id) {
+  Random& random = context_.random;
+  SoakStream stream;
+  stream.first_id = id;
+  stream.model = "m" + std::to_string(random.below(kModels));
+  stream.crashes = random.chance(kCrashingPrompts);
+  stream.first_part = stream.crashes ? SoakPartJudge::kSharedFirstPart : random.below(kFirstParts);
+  const std::string second =
+      stream.crashes ? kCrashingPart : "further" + std::to_string(random.below(kFurtherParts));
+  stream.prompt = "first" + std::to_string(stream.first_part) + ":100," + second + ":50," + id + ":20";
+  return stream;
+}
+
 void SoakClient::readEvents(const std::string& id, const SoakCall::Result& result, SoakOutcome& outcome) {
   outcome.last_event = stream_->last_event;
   std::size_t place = 0;
@@ -436,7 +476,8 @@
     delivered = true;
   }
   const bool is_new = stream_->tries == 1;
-  if (is_new) {
+  if (is_new && !stream_->crashes) {
+    context_.parts.onSound(stream_->first_part, delivered, context_.now());
     context_.streams.onNew(delivered);
   } else if (judged_) {
     context_.streams.onTakenUp(delivered);
@@ -463,7 +504,8 @@
   }
   context_.oracle.onOutcome(id, outcome, context_.now());
   const bool dropped = drops_ && !result.whole;
-  if (!resumes_ && !dropped) {
+  const bool crashes = kind == SoakKind::Stream && stream_->crashes;
+  if (!resumes_ && !dropped && !crashes) {
     context_.reach.onOutcome(context_.notices.routerOf(id), sent_at_, result.status == 200 && result.whole);
   }
   if (takes_up_) {
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -15,6 +15,7 @@
 #include "platform/soak/soak_loss_judge.h"
 #include "platform/soak/soak_notice_oracle.h"
 #include "platform/soak/soak_oracle.h"
+#include "platform/soak/soak_part_judge.h"
 #include "platform/soak/soak_reach_judge.h"
 #include "platform/soak/soak_retry_judge.h"
 #include "platform/soak/soak_stream_judge.h"
@@ -37,6 +38,7 @@
   SoakReachJudge& reach;
   SoakRetryJudge& retries;
   SoakStreamJudge& streams;
+  SoakPartJudge& parts;
   SoakLinks& links;
   Random& random;
   SoakAddresses addresses;
@@ -79,7 +81,8 @@
 };
 
 /// A replica of the service "desk" or, with models, of "llm". It answers calls, fails a part of them in
-/// various ways, takes orders, reports itself, and leaves when it is told to.
+/// various ways, takes orders, reports itself, and leaves when it is told to. With models, a prompt with the
+/// crashing part ends it.
 class SoakReplica {
  public:
   SoakReplica(SoakContext& context, std::string id, bool with_models);
@@ -93,6 +96,8 @@
     stopServing();
   }
   bool ended() const { return ended_; }
+  /// True as long as it isn't about to end.
+  bool staysUp() const { return serving_; }
 
  private:
   void handle(const http::Request& request, const http::ResponseWriterPtr& response);
@@ -102,6 +107,8 @@
   http::Headers headersFor(const std::string& id, bool sealed) const;
   void run(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   void stream(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
+  /// Ends its connections and answers no more.
+  void crash(const http::ResponseWriterPtr& response);
   int takeOrder(const std::string& body);
   void stopServing();
   /// Begins, changes or ends its limit now and then.
@@ -130,6 +137,7 @@
   std::optional<std::string> loading_;
   TimePoint sheds_until_{};
   std::optional<double> limit_;
+  bool crashed_ = false;
   bool leaving_ = false;
   bool leave_acknowledged_ = false;
   bool ended_ = false;
@@ -139,6 +147,9 @@
 struct SoakStream {
   std::string first_id;  ///< of the call that brought the first event
   std::string model;
+  std::string prompt;  ///< its parts
+  std::uint64_t first_part = 0;
+  bool crashes = false;  ///< one of the parts crashes replicas
   std::uint64_t last_event = 0;
   int tries = 0;
 };
@@ -154,6 +165,7 @@
   void next();
   void resolve();
   void sendCall();
+  SoakStream drawStream(const std::string& id);
   void onAnswer(const std::string& id, SoakKind kind, const SoakCall::Result& result);
   /// Reads the events of a stream's answer, which begin after the stream's last one.
   void readEvents(const std::string& id, const SoakCall::Result& result, SoakOutcome& outcome);
