Compare whole legacy crash records in their test

Cause: the equality of the test's list of records was unused, which lint refuses. Change: the decoded list is compared as a whole with what the build before would have, in place of its members one by one.

--- a/tests/wire/recorded_messages_test.cc
+++ b/tests/wire/recorded_messages_test.cc
@@ -205,9 +205,8 @@
 TEST_CASE("The build without traits decodes the crash records of traits as records") {
   CrashRecord record{{1, 2}, {{ReplicaId("r1"), true, true}}, 250, SuspectKind::PromptPart, "a1", 2};
   const auto legacy = decode<LegacyCrashRecords>(encode(CrashRecords{{record}, true, {{1, 2}}, {{3, 4}}}));
-  REQUIRE(legacy.records.size() == 1);
-  CHECK(legacy.shares_all);
-  CHECK(legacy.records[0] == LegacyCrashRecord{{1, 2}, {{ReplicaId("r1"), true}}, 250});
+  const LegacyCrashRecord expected{{1, 2}, {{ReplicaId("r1"), true}}, 250};
+  CHECK(legacy == LegacyCrashRecords{{expected}, true});
 }
 
 }  // namespace
