--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -58,6 +58,8 @@
   bool proven_not_run = false;  ///< the replica states that it didn't run the call
   /// Nothing but the end of its connection ended the response, so it may have been cut.
   bool ends_with_connection = false;
+  /// The status tells a caller that the call hasn't run and never will, whether that is proven or not.
+  bool claims_not_run = false;
 };
 
 /// Statements about a replica itself in the headers of a response. They hold for this incarnation of the
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -214,6 +214,7 @@
   Attempt attempt;
   attempt.number = number;
   attempt.replica = replica.routed.id;
+  attempt.repeated = !state.addresses.insert(replica.routed.address).second;
   attempt.sent = now;
   attempt.charge = charge;
   ++state.arrivals;
@@ -260,6 +261,7 @@
        {"replica", view(replica.routed.id.value)},
        {"version", replica.routed.version ? view(*replica.routed.version) : std::string_view("unknown")},
        {"relay", relay ? view(relay->router.value) : std::string_view()},
+       {"repeated", attempt.repeated},
        {"outstanding", static_cast<std::int64_t>(replica.outstanding)},
        {"waited_ms", toMilliseconds(now - state.arrived)},
        {"charged_to", chargeName(charge)},
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -46,6 +46,11 @@
   std::uint64_t broken = 0;  ///< streams aborted by the router
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
+  /// Refusals by a replica that the call had been sent to before; an answer to the earlier sending may be
+  /// among them.
+  std::uint64_t repeated_refusals = 0;
+  /// Responses of replicas whose status says that the call didn't run, without a proof.
+  std::uint64_t unproven_refusals = 0;
   std::uint64_t retry_budget_refused = 0;  ///< retries that the retry budget didn't allow
   std::uint64_t retry_credit_waits = 0;    ///< retries that waited for a credit of the retry budget
   std::uint64_t resumed = 0;
@@ -153,6 +158,7 @@
     AttemptNumber number;
     ReplicaId replica;
     std::optional<NodeName> relay;  ///< router that sends it to the replica; nullopt: this one
+    bool repeated = false;          ///< the call was sent to the replica's address before
     TimePoint sent{};
     std::uint64_t pending_prefill_tokens = 0;  ///< in the replica's prefill backlog until the first progress
     std::optional<RetryCharge> charge;         ///< what of the retry budget it was charged to
@@ -189,6 +195,7 @@
     TimePoint wait_deadline{};          ///< limit of the wait for a replica
     std::optional<TimePoint> retry_at;  ///< next time at which a replica is looked for
     std::optional<Attempt> attempt;
+    std::set<std::string> addresses;            ///< of replicas that the call was sent to
     CreditSearch credit;                        ///< credit under replica rate limits
     std::optional<TenantName> tenant;           ///< owner of the call's key
     std::int64_t charged = 0;                   ///< amount charged to the tenant's quota
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -88,6 +88,7 @@
   }
   Call& state = (*call)->second;
   const ReplicaId replica_id = state.attempt->replica;
+  const bool repeated = state.attempt->repeated;
   if (!answer.proven_not_run) {
     onAttemptAccepted(*state.attempt);
   }
@@ -100,14 +101,24 @@
       replica->refused_until = now + kRefusalBackoff;
       replicas_.brittle().onRefused(replica_id, replica->outstanding, now);
     }
+    counts_.repeated_refusals += repeated ? 1 : 0;
     log_.write(LogLevel::Info, "call.refused_by_replica",
                {{"request", view(state.request.id.value)},
                 {"replica", view(replica_id.value)},
+                {"repeated", repeated},
                 {"status", static_cast<std::int64_t>(answer.status)}});
     constexpr bool kReachedReplica = true;
     retryNotRun(*call, ResultCode::ReplicaRefused, kReachedReplica, now);
     return finish(now);
   }
+  if (answer.claims_not_run) {
+    ++counts_.unproven_refusals;
+    log_.write(LogLevel::Warning, "call.refusal_unproven",
+               {{"request", view(state.request.id.value)},
+                {"replica", view(replica_id.value)},
+                {"repeated", repeated},
+                {"status", static_cast<std::int64_t>(answer.status)}});
+  }
   const bool failed = answer.status >= kFirstErrorStatus;
   const std::vector<quarantine::Suspect> no_traits;
   recordAnswer(state, failed ? no_traits : state.traits, replica, answer.ends_with_connection, now);
--- a/src/http/curl_request.h
+++ b/src/http/curl_request.h
@@ -34,6 +34,8 @@
   /// Returns how much of the exchange has taken place so far.
   SendProgress progress() const;
   std::string failureReason(CURLcode result) const;
+  /// True if libcurl has begun to send the request.
+  bool sendBegun() const { return sends_ > 0; }
 
  private:
   struct HandleDeleter {
--- a/src/service_process/call_dialect.h
+++ b/src/service_process/call_dialect.h
@@ -48,6 +48,8 @@
                                       const CallContent& content) const = 0;
   /// True if the response head belongs to this call and was written by a replica.
   virtual bool answersCall(const RequestId& id, int status, const http::Headers& headers) const = 0;
+  /// The id of the call that the response head names; empty: none. For logs.
+  virtual RequestId callIdOf(const http::Headers& headers) const = 0;
   virtual calls::AnswerSummary summarize(int status, const http::Headers& headers) const = 0;
   /// The notice on the replica's own state in a response head; empty for most responses.
   virtual calls::ReplicaNotice notice(int status, const http::Headers& headers) const = 0;
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -251,6 +251,11 @@
   set("ferryrock_calls_open", "Calls without a final answer", static_cast<double>(router_.openCalls()));
   set("ferryrock_call_attempts", "Sendings to replicas", static_cast<double>(counts.attempts));
   set("ferryrock_call_retries", "Sendings beyond the first", static_cast<double>(counts.retries));
+  set("ferryrock_call_refusals_repeated", "Refusals by a replica that the call had been sent to before",
+      static_cast<double>(counts.repeated_refusals));
+  set("ferryrock_call_refusals_unproven",
+      "Answers of replicas whose status says that the call didn't run, without a proof",
+      static_cast<double>(counts.unproven_refusals));
   set("ferryrock_call_retries_refused", "Retries that the retry budget didn't allow",
       static_cast<double>(counts.retry_budget_refused));
   set("ferryrock_call_retries_asked", "Retries that waited for a credit of the retry budget",
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -120,7 +120,9 @@
     if (!notice.empty()) {
       callbacks_.on_notice(attempt.replica, notice);
     }
-    fail(number, AttemptFailure::ForeignResponse, "response does not carry the id of this call");
+    fail(number, AttemptFailure::ForeignResponse,
+         "response " + std::to_string(status) + " does not carry the id of this call but '" +
+             dialect_.callIdOf(headers).value + "'");
     return;
   }
   callbacks_.on_head(number, notice);
--- a/tests/service_process/relay_test.cc
+++ b/tests/service_process/relay_test.cc
@@ -38,6 +38,9 @@
   bool answersCall(const RequestId& id, int, const http::Headers& headers) const override {
     return http::findHeader(headers, "Call-Id") == id.value;
   }
+  RequestId callIdOf(const http::Headers& headers) const override {
+    return RequestId(http::findHeader(headers, "Call-Id").value_or(""));
+  }
   calls::AnswerSummary summarize(int status, const http::Headers&) const override { return {status, false}; }
   calls::ReplicaNotice notice(int, const http::Headers&) const override { return {}; }
   http::ClientRequest probe(const calls::ProbeReplicaEffect& effect) const override {
