Give up a pooled connection that its peer has written to or closed

Callers saw answers lost: a surplus answer that comes on an idle connection was taken for the next request's. If it carries another id that request ends with a 502 although it ran; if it is a refusal of the same call it is believed.

Cause: libcurl takes an idle connection with unread bytes for alive.

The client now keeps the sockets of its connections (ConnectionTable) and looks at the one that libcurl has chosen before the first byte is sent. With unread bytes or an end there the send is stopped, the connection closed and the request sent on a new one: nothing of it had left. TLS connections aren't looked at, since their peers may send on their own. Cost: one recv(MSG_PEEK) a request.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -24,8 +24,8 @@
 /// State of one request. libcurl's callbacks only collect data here; the client invokes the user callbacks
 /// after libcurl has returned, so that these may start, pause and destroy calls.
 struct CallState : std::enable_shared_from_this<CallState> {
-  CallState(ClientRequest client_request, ClientCallbacks client_callbacks)
-      : transfer(std::move(client_request)), callbacks(std::move(client_callbacks)) {}
+  CallState(ClientRequest client_request, ClientCallbacks client_callbacks, ConnectionTable& connections)
+      : transfer(std::move(client_request), &connections), callbacks(std::move(client_callbacks)) {}
 
   CurlRequest transfer;
   ClientCallbacks callbacks;
@@ -164,12 +164,23 @@
       char* context = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &context);
       CallState& call = *reinterpret_cast<CallState*>(context);
+      if (call.transfer.needsFreshConnection()) {
+        sendOnFreshConnection(call);
+        continue;
+      }
       call.ended = true;
       call.result = result;
       queueForDelivery(call.shared_from_this());
     }
   }
 
+  void sendOnFreshConnection(CallState& call) {
+    CURL* handle = call.transfer.handle();
+    curl_multi_remove_handle(multi_, handle);
+    call.transfer.useFreshConnection();
+    curl_multi_add_handle(multi_, handle);
+  }
+
   void queueForDelivery(const CallPtr& call) {
     if (!call->queued_for_delivery) {
       call->queued_for_delivery = true;
@@ -214,6 +225,7 @@
   static void deliverEnd(const CallPtr& call);
 
   event::Dispatcher& dispatcher_;
+  ConnectionTable connections_;
   CURLM* multi_;
   std::unique_ptr<event::Timer> timer_;
   std::unordered_map<curl_socket_t, std::unique_ptr<event::FileWatch>> sockets_;
@@ -250,7 +262,7 @@
 };
 
 std::unique_ptr<ClientCall> CurlClient::send(ClientRequest request, ClientCallbacks callbacks) {
-  const auto call = std::make_shared<CallState>(std::move(request), std::move(callbacks));
+  const auto call = std::make_shared<CallState>(std::move(request), std::move(callbacks), connections_);
   call->client = this;
   CURL* handle = call->transfer.handle();
   curl_easy_setopt(handle, CURLOPT_PRIVATE, call.get());
--- a/src/http/curl_request.cc
+++ b/src/http/curl_request.cc
@@ -43,7 +43,8 @@
   return false;
 }
 
-CurlRequest::CurlRequest(ClientRequest request) : request_(std::move(request)), handle_(curl_easy_init()) {
+CurlRequest::CurlRequest(ClientRequest request, ConnectionTable* connections)
+    : request_(std::move(request)), handle_(curl_easy_init()), connections_(connections) {
   if (!handle_) {
     throw Error(ResultCode::Internal, "curl_easy_init failed");
   }
@@ -73,18 +74,55 @@
     curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, static_cast<long>(seconds));
   }
   if (request_.fresh_connection) {
-    curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+    useFreshConnection();
     curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
   }
+  setConnectionTable();
   setMethod();
   setHeaders();
 }
 
+void CurlRequest::useFreshConnection() {
+  curl_easy_setopt(handle_.get(), CURLOPT_FRESH_CONNECT, 1L);
+  fresh_ = true;
+  unusable_ = false;
+}
+
+/// A peer may send on an idle TLS connection, such as session tickets, so only plain ones are checked.
+void CurlRequest::setConnectionTable() {
+  if (connections_ == nullptr || !request_.url.starts_with("http://")) {
+    connections_ = nullptr;
+    return;
+  }
+  CURL* curl = handle_.get();
+  curl_easy_setopt(curl, CURLOPT_OPENSOCKETFUNCTION, &openSocket);
+  curl_easy_setopt(curl, CURLOPT_OPENSOCKETDATA, connections_);
+  curl_easy_setopt(curl, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
+  curl_easy_setopt(curl, CURLOPT_CLOSESOCKETDATA, connections_);
+}
+
+curl_socket_t CurlRequest::openSocket(void* table, curlsocktype /*purpose*/, curl_sockaddr* address) {
+  return static_cast<ConnectionTable*>(table)->open(address->family, address->socktype, address->protocol);
+}
+
+int CurlRequest::closeSocket(void* table, curl_socket_t socket) {
+  return static_cast<ConnectionTable*>(table)->close(socket);
+}
+
 /// libcurl resends a request automatically if a reused connection breaks before the response. It calls this
-/// function before each send, which aborts the second one.
-int CurlRequest::beforeSend(void* self, char* /*primary_ip*/, char* /*local_ip*/, int /*primary_port*/,
-                            int /*local_port*/) {
+/// function before each send, which aborts the second one, and any on a connection that can't be used: bytes
+/// that wait there belong to no request.
+int CurlRequest::beforeSend(void* self, char* primary_ip, char* local_ip, int primary_port, int local_port) {
   auto& request = *static_cast<CurlRequest*>(self);
+  const bool first = request.sends_ == 0;
+  if (first && request.connections_ != nullptr) {
+    const ConnectionState state =
+        request.connections_->stateOf({local_ip, local_port, primary_ip, primary_port});
+    request.unusable_ = state != ConnectionState::Usable;
+    if (request.unusable_) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+  }
   ++request.sends_;
   if (request.sends_ > 1) {
     request.resend_stopped_ = true;
@@ -161,6 +199,9 @@
 }
 
 std::string CurlRequest::failureReason(CURLcode result) const {
+  if (unusable_) {
+    return "the peer closed the connection, or wrote to it, before the request was sent";
+  }
   if (resend_stopped_) {
     return "the reused connection was closed before the response";
   }
--- a/src/http/curl_request.h
+++ b/src/http/curl_request.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "http/connection_table.h"
 #include "http/http.h"
 
 namespace ferryrock::http {
@@ -20,8 +21,9 @@
 /// One request bound to an easy handle. It is sent at most once, without proxies, redirects or signals.
 class CurlRequest {
  public:
-  /// Throws Error Internal.
-  explicit CurlRequest(ClientRequest request);
+  /// connections: holds the sockets of the request's connections and outlives them; nullptr: libcurl does,
+  /// and a connection isn't checked before the request is sent. Throws Error Internal.
+  explicit CurlRequest(ClientRequest request, ConnectionTable* connections = nullptr);
   CurlRequest(const CurlRequest&) = delete;
   CurlRequest& operator=(const CurlRequest&) = delete;
 
@@ -36,6 +38,10 @@
   std::string failureReason(CURLcode result) const;
   /// True if libcurl has begun to send the request.
   bool sendBegun() const { return sends_ > 0; }
+  /// True if the request wasn't sent because the pooled connection chosen for it can't be used any more.
+  bool needsFreshConnection() const { return unusable_ && !fresh_; }
+  /// Has the request, which was not sent, use a new connection.
+  void useFreshConnection();
 
  private:
   struct HandleDeleter {
@@ -46,6 +52,9 @@
   };
 
   static int beforeSend(void* self, char* primary_ip, char* local_ip, int primary_port, int local_port);
+  static curl_socket_t openSocket(void* table, curlsocktype purpose, curl_sockaddr* address);
+  static int closeSocket(void* table, curl_socket_t socket);
+  void setConnectionTable();
   void setMethod();
   void setHeaders();
 
@@ -54,6 +63,9 @@
   std::unique_ptr<curl_slist, ListDeleter> header_list_;
   int sends_ = 0;  ///< number of times that libcurl has started to send the request
   bool resend_stopped_ = false;
+  ConnectionTable* connections_;
+  bool fresh_ = false;     ///< the request uses a new connection
+  bool unusable_ = false;  ///< the last send was stopped, since its connection can't be used
   char error_text_[CURL_ERROR_SIZE] = {};
 };
 
