Report a request as not sent only if its send hasn't begun

Callers got a promise (503) for a call that ran, or the router sent a call that must run once to a second replica.

Cause: libcurl's CURLINFO_REQUEST_SIZE counts what the first write of a request took. If that finds no room (a full send buffer, no memory for sockets), libcurl sends all of it later and the count stays 0; SendProgress::NotSent was read from it.

Fix: libcurl says when it begins to send (CURLOPT_PREREQFUNCTION); only a request for which it hasn't is not sent. What is given up as proof: a first write that fails at once. Most of these are known before, since the connection is looked at right before the send.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -350,9 +350,6 @@
     reason = "the response is longer than allowed: " + std::to_string(call->head_bytes) +
              " bytes of headers, " + std::to_string(call->body_bytes) + " bytes of body";
   }
-  if (progress == SendProgress::NotSent && call->transfer.sendBegun()) {
-    reason += " (after the send had begun)";
-  }
   call->client->cancel(call);
   // libcurl reports success if a connection ends within the headers.
   if (call->result == CURLE_OK && call->headers_complete) {
--- a/src/http/curl_request.cc
+++ b/src/http/curl_request.cc
@@ -187,15 +187,12 @@
   return result == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
 }
 
-/// libcurl counts the request's bytes as the socket accepts them; an aborted resend implies an earlier send.
+/// libcurl's count of sent bytes is no proof: it leaves out those that follow a first write without room.
 SendProgress CurlRequest::progress() const {
   if (status() != 0) {
     return SendProgress::ResponseStarted;
   }
-  long sent_bytes = 0;
-  curl_easy_getinfo(handle_.get(), CURLINFO_REQUEST_SIZE, &sent_bytes);
-  const bool nothing_sent = sends_ == 0 || (sent_bytes == 0 && !resend_stopped_);
-  return nothing_sent ? SendProgress::NotSent : SendProgress::MaybeSent;
+  return sends_ == 0 ? SendProgress::NotSent : SendProgress::MaybeSent;
 }
 
 std::string CurlRequest::failureReason(CURLcode result) const {
--- a/src/http/curl_request.h
+++ b/src/http/curl_request.h
@@ -36,8 +36,6 @@
   /// Returns how much of the exchange has taken place so far.
   SendProgress progress() const;
   std::string failureReason(CURLcode result) const;
-  /// True if libcurl has begun to send the request.
-  bool sendBegun() const { return sends_ > 0; }
   /// True if the request wasn't sent because the pooled connection chosen for it can't be used any more.
   bool needsFreshConnection() const { return unusable_ && !fresh_; }
   /// Has the request, which was not sent, use a new connection.
