Close a connection whose response belongs to another call

Cause: a response that is read whole leaves its connection in libcurl's pool before the client sees whose it is. With a surplus answer before it, the connection stays one answer out of step, and each later call reads the answer of the one before.

A request now names whether a head belongs to it (accepts_head), while libcurl still reads; a foreign head fails the transfer, and libcurl closes the connection. The relay compares the ids of request and response for its own connections.

Tests: 'A connection that gave another call's response isn't used again', and the same for a relay's; both failed with accepts_head switched off (trial in the working tree). test_service_process and test_http pass.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -39,6 +39,7 @@
   bool ended = false;
   std::size_t head_bytes = 0;  ///< received, over all heads and trailers
   std::size_t body_bytes = 0;  ///< received
+  bool foreign = false;        ///< the response doesn't belong to the request and was given up
   bool too_long = false;       ///< the response exceeded a limit and was given up
   CURLcode result = CURLE_OK;
 };
@@ -299,7 +300,8 @@
   }
   call.headers_complete = true;
   call.client->queueForDelivery(call.shared_from_this());
-  return size * count;
+  call.foreign = !call.transfer.acceptsHead(call.headers);
+  return call.foreign ? 0 : size * count;
 }
 
 std::size_t CurlClient::onBody(char* bytes, std::size_t size, std::size_t count, void* context) {
@@ -350,6 +352,9 @@
     reason = "the response is longer than allowed: " + std::to_string(call->head_bytes) +
              " bytes of headers, " + std::to_string(call->body_bytes) + " bytes of body";
   }
+  if (call->foreign) {
+    reason = "the response doesn't belong to the request";
+  }
   call->client->cancel(call);
   // libcurl reports success if a connection ends within the headers.
   if (call->result == CURLE_OK && call->headers_complete) {
--- a/src/http/curl_request.cc
+++ b/src/http/curl_request.cc
@@ -181,6 +181,10 @@
   return status;
 }
 
+bool CurlRequest::acceptsHead(const Headers& headers) const {
+  return !request_.accepts_head || request_.accepts_head(static_cast<int>(status()), headers);
+}
+
 bool CurlRequest::wasRefused(CURLcode result) const {
   long system_error = 0;
   curl_easy_getinfo(handle_.get(), CURLINFO_OS_ERRNO, &system_error);
--- a/src/http/curl_request.h
+++ b/src/http/curl_request.h
@@ -33,6 +33,8 @@
   /// Returns true if the peer's machine refused the last connection attempt.
   std::size_t maxBodyBytes() const { return request_.max_body_bytes; }
   bool wasRefused(CURLcode result) const;
+  /// True if a response with this head belongs to the request.
+  bool acceptsHead(const Headers& headers) const;
   /// Returns how much of the exchange has taken place so far.
   SendProgress progress() const;
   std::string failureReason(CURLcode result) const;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -121,6 +121,9 @@
   bool fresh_connection = false;  ///< never uses a pooled connection, for non-idempotent requests
   /// A response with a longer body fails; zero: no limit, for callers that bound what they keep.
   std::size_t max_body_bytes = kMaxResponseBytes;
+  /// Tells from the head of the response whether it belongs to this request; none: it does. A connection with
+  /// another one's is closed, and the call fails once on_headers was called. Must have no effects.
+  std::function<bool(int status, const Headers&)> accepts_head;
   std::string ca_file;  ///< CA certificates for the peer's certificate; empty: the system's
 };
 
--- a/src/service_process/call_dialect.h
+++ b/src/service_process/call_dialect.h
@@ -48,7 +48,7 @@
                                       const CallContent& content) const = 0;
   /// True if the response head belongs to this call and was written by a replica.
   virtual bool answersCall(const RequestId& id, int status, const http::Headers& headers) const = 0;
-  /// The id of the call that the response head names; empty: none. For logs.
+  /// The id of the call that the head of a request or response names; empty: none.
   virtual RequestId callIdOf(const http::Headers& headers) const = 0;
   virtual calls::AnswerSummary summarize(int status, const http::Headers& headers) const = 0;
   /// The notice on the replica's own state in a response head; empty for most responses.
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -85,7 +85,7 @@
       });
   const http::ServerSettings relay = relaySettings(settings_);
   relay_server_ = std::make_unique<RelayServer>(dispatcher_, relay, *http_client_, client_->keepAliveLimits(),
-                                                relayCallbacks(), log_);
+                                                relayCallbacks(dialect), log_);
   router_.setRelayAddress(relay.address + ":" + std::to_string(relay_server_->server().port()));
   server_ = std::make_unique<CallServer>(dispatcher_, serverSettings(settings_), dialect, callerCallbacks());
   carryOut(router_.tick(now()));
@@ -98,8 +98,11 @@
           [this](calls::CallNumber call) { carryOut(router_.onCallerGone(call, now())); }};
 }
 
-RelayCallbacks CallRouterShell::relayCallbacks() {
+RelayCallbacks CallRouterShell::relayCallbacks(const CallDialect& dialect) {
   RelayCallbacks callbacks;
+  callbacks.same_call = [&dialect](const http::Headers& request, const http::Headers& response) {
+    return dialect.callIdOf(request) == dialect.callIdOf(response);
+  };
   callbacks.accepts = [this] { return router_.relaysAttempts(); };
   callbacks.reaches = [this](const std::string& replica_address) {
     return router_.reachesReplicaAt(replica_address, now());
--- a/src/service_process/call_router_shell.h
+++ b/src/service_process/call_router_shell.h
@@ -50,7 +50,7 @@
   void carryOut(const calls::BreakStreamEffect& effect) { server_->breakOff(effect.call); }
   void carryOut(const calls::RefuseCallEffect& effect) { server_->refuse(effect); }
   CallerCallbacks callerCallbacks();
-  RelayCallbacks relayCallbacks();
+  RelayCallbacks relayCallbacks(const CallDialect& dialect);
   ReplicaCallbacks replicaCallbacks();
   void connectControl();
   void armTimer();
--- a/src/service_process/relay_server.cc
+++ b/src/service_process/relay_server.cc
@@ -91,6 +91,10 @@
     forwarded.fresh_connection = true;
   } else {
     keep_alive_.apply(target.address, forwarded);
+    forwarded.accepts_head = [this, headers = forwarded.headers](int /*status*/,
+                                                                 const http::Headers& response) {
+      return callbacks_.same_call(headers, response);
+    };
   }
   http::ClientCallbacks callbacks;
   callbacks.on_headers = [this, number](int status, const http::Headers& headers) {
--- a/src/service_process/relay_server.h
+++ b/src/service_process/relay_server.h
@@ -29,6 +29,8 @@
   std::function<bool(const std::string& replica_address)> reaches;
   /// Whether a refused connection to this address shows that the replica has terminated.
   std::function<bool(const std::string& replica_address)> trusts_refusal;
+  /// Whether a response with these headers belongs to the call of a request with those headers.
+  std::function<bool(const http::Headers& request, const http::Headers& response)> same_call;
   /// A relayed attempt has reached the replica at this address, or couldn't connect to it.
   std::function<void(const std::string& replica_address)> on_reached;
   std::function<void(const std::string& replica_address)> on_unreachable;
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -63,6 +63,9 @@
     request.idle_limit = kRelayIdleTime;
   } else {
     keep_alive_.apply(effect.address, request);
+    request.accepts_head = [this, id = content.id](int status, const http::Headers& headers) {
+      return dialect_.answersCall(id, status, headers);
+    };
   }
   http::ClientCallbacks callbacks;
   callbacks.on_headers = [this, number](int status, const http::Headers& headers) {
--- a/tests/service_process/relay_test.cc
+++ b/tests/service_process/relay_test.cc
@@ -62,6 +62,10 @@
   bool ended() const { return answer || stream_ended || failure; }
 };
 
+std::string responseTo(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nCall-Id: " + id + "\r\nContent-Length: 5\r\n\r\nof " + id;
+}
+
 class RelayFixture {
  public:
   RelayFixture()
@@ -87,6 +91,9 @@
     relay_callbacks.accepts = [this] { return accepts; };
     relay_callbacks.reaches = [](const std::string&) { return true; };
     relay_callbacks.trusts_refusal = [this](const std::string&) { return trusts_refusal; };
+    relay_callbacks.same_call = [this](const http::Headers& request, const http::Headers& response) {
+      return dialect.callIdOf(request) == dialect.callIdOf(response);
+    };
     relay_callbacks.on_reached = [this](const std::string&) { ++reached; };
     relay_callbacks.on_unreachable = [this](const std::string&) { ++unreachable; };
     relay = std::make_unique<RelayServer>(loop.dispatcher(), http::ServerSettings{}, *relay_client,
@@ -328,5 +335,20 @@
   fixture.relay.reset();
 }
 
+TEST_CASE("A relay's connection that gave another call's response isn't used again") {
+  http::ScriptedServer replica([](http::RawConnection& connection, int number) {
+    connection.readRequest();
+    connection.write(responseTo(number == 1 ? "c0" : "c1"));
+    if (!connection.readRequest().empty()) {
+      connection.write(responseTo("c0"));
+    }
+  });
+  RelayFixture fixture;
+  CHECK(fixture.run(replica.port()).failure == calls::AttemptFailure::ForeignResponse);
+  const RelayedCall& next = fixture.run(replica.port());
+  REQUIRE(next.answer);
+  CHECK(next.response.body == "of c1");
+}
+
 }  // namespace
 }  // namespace ferryrock::service_process
--- a/tests/service_process/replica_client_test.cc
+++ b/tests/service_process/replica_client_test.cc
@@ -407,5 +407,19 @@
   CHECK(kept[1].name == "Host");
 }
 
+TEST_CASE("A connection that gave another call's response isn't used again") {
+  ScriptedServer server([](RawConnection& connection, int number) {
+    connection.readRequest();
+    connection.write(number == 1 ? "HTTP/1.1 200 OK\r\nCall-Id: c0\r\nContent-Length: 2\r\n\r\nno"
+                                 : answerText("Content-Length: 2\r\n", "ok"));
+    if (!connection.readRequest().empty()) {
+      connection.write("HTTP/1.1 200 OK\r\nCall-Id: c0\r\nContent-Length: 2\r\n\r\nno");
+    }
+  });
+  Fixture fixture;
+  CHECK(fixture.run(server.port()).failure == calls::AttemptFailure::ForeignResponse);
+  CHECK(fixture.run(server.port()).body == "ok");
+}
+
 }  // namespace
 }  // namespace ferryrock::service_process
