Send a call that comes back to a replica over a new connection

Callers got 503 for calls that ran, and calls that must run once ran twice.

Cause: a replica's refusal proved something of the call, matched by X-Attempt-Id, and not of the sending it answered. A refused call comes back to the same replica where no other is left, with the same id, over the pooled connection. A second copy of the refusal that arrives late counted as the answer to the second sending, which ran.

A sending to an address that the call was sent to before now has a connection of its own, on which no answer to an earlier sending can arrive; the address counts, so also a later life of the replica there. A relay is asked for the same and confirms it; from a relay of an older build, which doesn't, a refusal of a second sending proves nothing. Cost: one new connection for each such sending.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -112,6 +112,9 @@
   std::optional<TenantName> tenant;  ///< tenant that owns the caller's key
   bool withhold_key = false;         ///< the caller's key isn't forwarded to the replica
   std::optional<Relay> relay;        ///< nullopt: over this router's own connections
+  /// Send over a new connection. Set if the call was sent to this address before: on a connection that
+  /// carried an earlier sending, a late answer to that one can't be told from the answer to this one.
+  bool fresh_connection = false;
 };
 
 /// Result of probing a replica that broke off a call.
--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -245,6 +245,7 @@
   effect.replica = replica.routed.id;
   effect.address = replica.routed.address;
   effect.relay = relay;
+  effect.fresh_connection = attempt.repeated;
   effect.time_left = state.deadline - now;
   effect.streaming = state.route->kind == wire::CallKind::Streaming;
   effect.priority = state.priority;
--- a/src/service_process/relay_protocol.cc
+++ b/src/service_process/relay_protocol.cc
@@ -17,6 +17,7 @@
 constexpr const char* kTarget = "Ferryrock-Relay-Target";
 constexpr const char* kLimitMs = "Ferryrock-Relay-Limit-Ms";
 constexpr const char* kProbe = "Ferryrock-Relay-Probe";
+constexpr const char* kFreshConnection = "Ferryrock-Relay-Fresh-Connection";
 constexpr const char* kOutcome = "Ferryrock-Relay-Outcome";
 constexpr const char* kEndsWithConnection = "Ferryrock-Relay-Ends-With-Connection";
 constexpr std::string_view kScheme = "http://";
@@ -63,6 +64,9 @@
   if (target.probe) {
     request.headers.push_back({kProbe, "1"});
   }
+  if (target.fresh_connection) {
+    request.headers.push_back({kFreshConnection, "1"});
+  }
 }
 
 RelayTarget takeRelayTarget(http::Headers& headers) {
@@ -75,6 +79,7 @@
     target.limit = readLimit(*limit);
   }
   target.probe = http::findHeader(headers, kProbe).has_value();
+  target.fresh_connection = http::findHeader(headers, kFreshConnection).has_value();
   removeRelayHeaders(headers);
   return target;
 }
@@ -94,6 +99,14 @@
   return http::findHeader(headers, kEndsWithConnection).has_value();
 }
 
+void setFreshConnection(http::Headers& headers) {
+  headers.push_back({kFreshConnection, "1"});
+}
+
+bool usedFreshConnection(const http::Headers& headers) {
+  return http::findHeader(headers, kFreshConnection).has_value();
+}
+
 std::optional<RelayOutcome> takeRelayOutcome(http::Headers& headers) {
   const auto text = http::findHeader(headers, kOutcome);
   removeRelayHeaders(headers);
--- a/src/service_process/relay_protocol.h
+++ b/src/service_process/relay_protocol.h
@@ -26,6 +26,7 @@
   std::string address;            ///< address of the replica, "host:port"
   std::optional<Duration> limit;  ///< time after which the attempt is cancelled
   bool probe = false;             ///< a health probe, sent over a new connection
+  bool fresh_connection = false;  ///< the attempt must be sent over a new connection
 };
 
 /// Redirects a request that is addressed to a replica to the relay.
@@ -39,6 +40,9 @@
 /// Marks a response that ended with the replica's connection. The relay frames it anew.
 void setEndsWithReplicaConnection(http::Headers& headers);
 bool endsWithReplicaConnection(const http::Headers& headers);
+/// Confirms that the attempt was sent over a new connection, as its sender asked. Older relays don't.
+void setFreshConnection(http::Headers& headers);
+bool usedFreshConnection(const http::Headers& headers);
 /// Reads and removes the outcome, and all other relay headers; nullopt: the response isn't one of a relay.
 std::optional<RelayOutcome> takeRelayOutcome(http::Headers& headers);
 
--- a/src/service_process/relay_server.cc
+++ b/src/service_process/relay_server.cc
@@ -91,6 +91,7 @@
     forwarded.fresh_connection = true;
   } else {
     keep_alive_.apply(target.address, forwarded);
+    forwarded.fresh_connection = forwarded.fresh_connection || target.fresh_connection;
     forwarded.accepts_head = [this, headers = forwarded.headers](int /*status*/,
                                                                  const http::Headers& response) {
       return callbacks_.same_call(headers, response);
@@ -124,6 +125,9 @@
   if (http::endsWithConnection(headers)) {
     setEndsWithReplicaConnection(forwarded);
   }
+  if (attempt->target.fresh_connection) {
+    setFreshConnection(forwarded);
+  }
   attempt->started = true;
   ++counts_.forwarded;
   attempt->response->start(status, std::move(forwarded));
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -58,11 +58,15 @@
   request.max_body_bytes = 0;
   attempt->relayed = effect.relay.has_value();
   if (effect.relay) {
-    sendThroughRelay(request, effect.relay->address, {effect.address, effect.time_left});
+    constexpr bool kProbe = false;
+    sendThroughRelay(request, effect.relay->address,
+                     {effect.address, effect.time_left, kProbe, effect.fresh_connection});
+    attempt->proves_this_sending = !effect.fresh_connection;
     request.connect_timeout = kRelayConnectTimeout;
     request.idle_limit = kRelayIdleTime;
   } else {
     keep_alive_.apply(effect.address, request);
+    request.fresh_connection = request.fresh_connection || effect.fresh_connection;
     request.accepts_head = [this, id = content.id](int status, const http::Headers& headers) {
       return dialect_.answersCall(id, status, headers);
     };
@@ -111,6 +115,7 @@
   attempt.ends_with_connection = http::endsWithConnection(headers);
   if (attempt.relayed) {
     attempt.ends_with_connection = endsWithReplicaConnection(headers);
+    attempt.proves_this_sending = attempt.proves_this_sending || usedFreshConnection(headers);
     const std::optional<RelayOutcome> outcome = takeRelayOutcome(headers);
     if (outcome != RelayOutcome::Forwarded) {
       fail(number, outcome ? attemptFailure(*outcome) : AttemptFailure::OutcomeUnknown,
@@ -181,6 +186,7 @@
   } else {
     calls::AnswerSummary answer = dialect_.summarize(attempt.answer.status, attempt.answer.headers);
     answer.ends_with_connection = attempt.ends_with_connection;
+    answer.proven_not_run = answer.proven_not_run && attempt.proves_this_sending;
     callbacks_.on_answer(number, answer);
     take(number);
   }
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -57,6 +57,8 @@
     bool streaming = false;
     bool ends_with_connection = false;
     bool has_events = false;
+    /// False: the response may be one to an earlier sending of the call, so it proves nothing of this one.
+    bool proves_this_sending = true;
     EventSplitter events;
     std::unique_ptr<http::ClientCall> call;
   };
--- a/tests/service_process/relay_test.cc
+++ b/tests/service_process/relay_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
+#include <thread>
 #include <utility>
 
 #include "common/error.h"
@@ -41,7 +42,9 @@
   RequestId callIdOf(const http::Headers& headers) const override {
     return RequestId(http::findHeader(headers, "Call-Id").value_or(""));
   }
-  calls::AnswerSummary summarize(int status, const http::Headers&) const override { return {status, false}; }
+  calls::AnswerSummary summarize(int status, const http::Headers& headers) const override {
+    return {status, http::findHeader(headers, "Not-Run").has_value()};
+  }
   calls::ReplicaNotice notice(int, const http::Headers&) const override { return {}; }
   http::ClientRequest probe(const calls::ProbeReplicaEffect& effect) const override {
     http::ClientRequest request;
@@ -103,7 +106,7 @@
   calls::Relay relayAddress() const {
     return {NodeName("edge-2"), "127.0.0.1:" + std::to_string(relay->server().port())};
   }
-  RelayedCall& start(std::uint16_t replica_port, http::Headers headers = {}) {
+  RelayedCall& start(std::uint16_t replica_port, http::Headers headers = {}, bool fresh_connection = false) {
     const calls::AttemptNumber number{++next};
     calls::SendAttemptEffect effect;
     effect.attempt = number;
@@ -111,10 +114,24 @@
     effect.address = "127.0.0.1:" + std::to_string(replica_port);
     effect.time_left = 2s;
     effect.relay = relayAddress();
+    effect.fresh_connection = fresh_connection;
     headers.push_back({"Call-Id", "c1"});
     sender->send(effect, {RequestId("c1"), "POST", "/x?y=%20z", std::move(headers), "body"});
     return records[number];
   }
+  /// Sends a call through the relay at this port.
+  RelayedCall& startThrough(std::uint16_t relay_port, bool fresh_connection) {
+    const calls::AttemptNumber number{++next};
+    calls::SendAttemptEffect effect;
+    effect.attempt = number;
+    effect.replica = ReplicaId("r1");
+    effect.address = "127.0.0.1:1";
+    effect.time_left = 2s;
+    effect.relay = calls::Relay{NodeName("edge-3"), "127.0.0.1:" + std::to_string(relay_port)};
+    effect.fresh_connection = fresh_connection;
+    sender->send(effect, {RequestId("c1"), "POST", "/x", {{"Call-Id", "c1"}}, "body"});
+    return records[number];
+  }
   RelayedCall& run(std::uint16_t replica_port, http::Headers headers = {}) {
     RelayedCall& call = start(replica_port, std::move(headers));
     REQUIRE(loop.runUntil([&] { return call.ended(); }));
@@ -350,5 +367,47 @@
   CHECK(next.response.body == "of c1");
 }
 
+TEST_CASE("A relay sends a call that comes back to a replica over a connection without its earlier answers") {
+  constexpr const char* kRefusal =
+      "HTTP/1.1 503 Full\r\nCall-Id: c1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  http::ScriptedServer replica([&](http::RawConnection& connection, int number) {
+    connection.readRequest();
+    connection.write(number == 1 ? kRefusal : responseTo("c1"));
+    constexpr int kTries = 100;
+    for (int i = 0; number == 1 && i < kTries && !connection.ended(); ++i) {
+      std::this_thread::sleep_for(1ms);
+      if (!connection.readAvailable().empty()) {
+        connection.write(kRefusal);
+      }
+    }
+  });
+  RelayFixture fixture;
+  const RelayedCall& refused = fixture.run(replica.port());
+  REQUIRE(refused.answer);
+  CHECK(refused.answer->proven_not_run);
+  constexpr bool kFreshConnection = true;
+  const RelayedCall& again = fixture.start(replica.port(), {}, kFreshConnection);
+  REQUIRE(fixture.loop.runUntil([&] { return again.ended(); }));
+  REQUIRE(again.answer);
+  CHECK(again.response.body == "of c1");
+}
+
+TEST_CASE(
+    "A refusal through a relay that doesn't confirm a new connection proves nothing of a second sending") {
+  RelayFixture fixture;
+  const auto relay_of_older_build =
+      fixture.replica([](const http::Request&, const http::ResponseWriterPtr& response) {
+        http::Headers headers = {{"Call-Id", "c1"}, {"Not-Run", "1"}};
+        setRelayOutcome(headers, RelayOutcome::Forwarded);
+        response->respond(503, headers, "");
+      });
+  for (const bool repeated : {false, true}) {
+    const RelayedCall& call = fixture.startThrough(relay_of_older_build->port(), repeated);
+    REQUIRE(fixture.loop.runUntil([&] { return call.ended(); }));
+    REQUIRE(call.answer);
+    CHECK(call.answer->proven_not_run == !repeated);
+  }
+}
+
 }  // namespace
 }  // namespace ferryrock::service_process
