Give callers no status that promises more than the replica has

Callers got a replica's own 503, 429 or 408, which promise that the call hasn't run and never will, although the replica hadn't said so and may have run it.

Cause: the router passed any final answer of a replica on as it was; only refusals that carry the proof were taken for refusals.

Such an answer now ends the call as one whose outcome is unknown (2021, 502, without the replica's seal), or it is sent elsewhere if it may be repeated. Another status with the seal would break the rule on failures that bear it. Retry-After follows the replica's, if it asked for a time without calls.

--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -422,6 +422,8 @@
   void refuseUncoveredRetry(CallPointer call, TimePoint now);
   /// Logs how much of the retry budget this router has used, while it uses or lacks any.
   void logRetryBudget(const ServiceName& service, TimePoint now);
+  /// Ends a call whose replica gave a status that promises too much.
+  void refuseUnproven(CallPointer call, const ReplicaId& replica, int status, TimePoint now);
   void deliver(CallPointer call, AttemptNumber attempt, int status, TimePoint now);
   void refuse(CallPointer call, ResultCode code, const std::string& detail,
               std::optional<Duration> retry_after, TimePoint now);
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -130,19 +130,30 @@
     replica->health.onSuccess(now);
   }
   // The replica's answer can't be kept while the call waits for a credit.
-  const bool again = failed && mayRetry(state) && state.deadline - now > kMinTimeLeft &&
-                     budget_.covers(state.need.service, now);
+  const bool again = (failed || answer.claims_not_run) && mayRetry(state) &&
+                     state.deadline - now > kMinTimeLeft && budget_.covers(state.need.service, now);
   if (again) {
     ++counts_.retries;
     state.failure_reason = "the replica answered with an error";
     recordPossibleRun(state);
     dispatch(*call, now);
+  } else if (answer.claims_not_run) {
+    refuseUnproven(*call, replica_id, answer.status, now);
   } else {
     deliver(*call, attempt, answer.status, now);
   }
   return finish(now);
 }
 
+/// To a caller the status would be a promise that the call hasn't run, which the replica hasn't made.
+void CallRouter::refuseUnproven(CallPointer call, const ReplicaId& replica, int status, TimePoint now) {
+  recordPossibleRun(call->second);
+  const auto closed_until = replicas_.notices().closedUntil(replica, now);
+  refuse(call, ResultCode::ReplicaFailed,
+         "the replica answered " + std::to_string(status) + " without stating that it didn't run the call",
+         closed_until ? std::optional(*closed_until - now) : std::nullopt, now);
+}
+
 Effects CallRouter::onHead(AttemptNumber attempt, const ReplicaNotice& notice, TimePoint now) {
   const auto call = findCall(attempt);
   if (!call) {
--- a/tests/calls/sending_proof_test.cc
+++ b/tests/calls/sending_proof_test.cc
@@ -39,5 +39,43 @@
   CHECK(fixture.last<SendAttemptEffect>()->fresh_connection);
 }
 
+/// An answer whose status says that the call didn't run, without a proof.
+AnswerSummary unproven(int status) {
+  AnswerSummary answer;
+  answer.status = status;
+  answer.claims_not_run = true;
+  return answer;
+}
+
+TEST_CASE(
+    "A status that promises a call hasn't run isn't delivered without a proof, and nothing is promised") {
+  for (const int status : {408, 429, 503}) {
+    for (const char* path : {"/once/x", "/single/x"}) {
+      INFO(status << " " << path);
+      CallFixture fixture;
+      fixture.begin();
+      fixture.addReplicas({CallFixture::replica("d1"), CallFixture::replica("d2")});
+      fixture.call(path);
+      fixture.take(fixture.router().onAnswer(fixture.attempt(), unproven(status), fixture.now));
+      CHECK(fixture.count<SendAttemptEffect>() == 1);
+      CHECK(fixture.count<DeliverAnswerEffect>() == 0);
+      REQUIRE(fixture.count<RefuseCallEffect>() == 1);
+      CHECK_FALSE(fixture.last<RefuseCallEffect>()->not_run);
+      CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::ReplicaFailed);
+    }
+  }
+}
+
+TEST_CASE("A call that may be repeated is sent elsewhere after a refusal without a proof") {
+  CallFixture fixture;
+  fixture.begin();
+  fixture.addReplicas({CallFixture::replica("d1"), CallFixture::replica("d2")});
+  fixture.call("/safe/x");
+  fixture.take(fixture.router().onAnswer(fixture.attempt(), unproven(429), fixture.now));
+  CHECK(fixture.count<SendAttemptEffect>() == 2);
+  fixture.answer(200);
+  CHECK(fixture.count<DeliverAnswerEffect>() == 1);
+}
+
 }  // namespace
 }  // namespace ferryrock::calls
