Take a refusal for proven although it breaks off after its head

Callers got 502 for calls that had certainly not run, and didn't come back: a proof was thrown away.

Cause: a response that failed after its head counted as an unknown outcome whatever the head said, while nothing of a refusal's body is ever used.

A failure after a head that proves the refusal of this sending now counts as that refusal. Without the proof it stays unknown. The test fails without the change (the answer with the proof was a failure).

--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -184,14 +184,18 @@
     callbacks_.on_stream_end(number, attempt.ends_with_connection);
     take(number);
   } else {
-    calls::AnswerSummary answer = dialect_.summarize(attempt.answer.status, attempt.answer.headers);
-    answer.ends_with_connection = attempt.ends_with_connection;
-    answer.proven_not_run = answer.proven_not_run && attempt.proves_this_sending;
-    callbacks_.on_answer(number, answer);
+    callbacks_.on_answer(number, summarize(attempt));
     take(number);
   }
 }
 
+calls::AnswerSummary ReplicaClient::summarize(const Attempt& attempt) const {
+  calls::AnswerSummary answer = dialect_.summarize(attempt.answer.status, attempt.answer.headers);
+  answer.ends_with_connection = attempt.ends_with_connection;
+  answer.proven_not_run = answer.proven_not_run && attempt.proves_this_sending;
+  return answer;
+}
+
 /// A replica that crashes ends its connections as one does that has finished a response without a length.
 /// What can be told from a whole response is one without any of the bytes that its head announces.
 std::string ReplicaClient::truncationOf(const Attempt& attempt) {
@@ -214,8 +218,19 @@
   return cut ? "the connection ended within the JSON body" : "";
 }
 
+/// The head of a refusal proves that the call didn't run, whatever becomes of its body.
 void ReplicaClient::fail(AttemptNumber number, AttemptFailure failure, const std::string& reason) {
-  if (take(number)) {
+  const auto found = attempts_.find(number);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const AttemptPtr attempt = found->second;
+  const bool has_head = attempt->answer.status != 0;
+  const calls::AnswerSummary answer = has_head ? summarize(*attempt) : calls::AnswerSummary{};
+  if (answer.proven_not_run && !attempt->streaming) {
+    callbacks_.on_answer(number, answer);
+    take(number);
+  } else if (take(number)) {
     callbacks_.on_failure(number, failure, reason);
   }
 }
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -69,6 +69,7 @@
   void onComplete(calls::AttemptNumber number);
   /// Returns why the response is known to be cut although its connection ended normally; empty: it isn't.
   static std::string truncationOf(const Attempt& attempt);
+  calls::AnswerSummary summarize(const Attempt& attempt) const;
   void fail(calls::AttemptNumber number, calls::AttemptFailure failure, const std::string& reason);
   /// Removes the attempt. Its client call is destroyed after the running callback returns.
   AttemptPtr take(calls::AttemptNumber number);
--- a/tests/service_process/replica_client_test.cc
+++ b/tests/service_process/replica_client_test.cc
@@ -421,5 +421,17 @@
   CHECK(fixture.run(server.port()).body == "ok");
 }
 
+TEST_CASE("A refusal that breaks off after its head still proves that the call didn't run") {
+  const std::string proof = GENERATE("Not-Run: 1\r\n", "");
+  ScriptedServer server([&proof](RawConnection& connection, int) {
+    connection.readRequest();
+    connection.write("HTTP/1.1 503 Full\r\nCall-Id: c1\r\n" + proof + "Content-Length: 9\r\n\r\nhalf");
+  });
+  Fixture fixture;
+  const Record& record = fixture.run(server.port());
+  CHECK((record.answer && record.answer->proven_not_run) == !proof.empty());
+  CHECK(record.failure.has_value() == proof.empty());
+}
+
 }  // namespace
 }  // namespace ferryrock::service_process
