Let only a record of proven sendings promise that a call hasn't run

By reading, each of the eight places that refuse a call noted the possible run first; nothing enforced it.

A refusal's promise is now a NotRunProof, which only a SendingRecord makes: a call's sendings are open from when they are sent until they are proven not to have run or end without that. A refusal while a sending is open promises nothing, cancels it and is logged as an error (call.refused_while_running).

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -238,6 +238,7 @@
     logReopening(replica.routed.id, *reopening);
   }
   state.attempt = attempt;
+  state.sendings.onSent();
   spendTrialGrant(state);
   SendAttemptEffect effect;
   effect.call = call->first;
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -211,7 +211,7 @@
     std::uint32_t arrivals = 0;  ///< attempts that may have arrived at a replica, including the running one
     std::optional<TimePoint> credit_deadline;  ///< limit of the wait for a credit of the retry budget
     bool demand_expedited = false;
-    bool may_have_run = false;
+    SendingRecord sendings;
     bool started = false;  ///< the headers of the stream were forwarded to the caller
     std::optional<std::uint64_t> last_event;
     TimePoint last_event_at{};
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -95,6 +95,7 @@
   recordProgress(state, now);
   Replica* replica = release(state);
   if (answer.proven_not_run) {
+    state.sendings.onProvenNotRun();
     if (replica != nullptr && answer.status == kMisdirected && !state.need.model.empty()) {
       replica->recordMissing(state.need.model, state.need.adapter, now);
     } else if (replica != nullptr && !replicas_.notices().closedUntil(replica_id, now)) {
@@ -111,6 +112,7 @@
     retryNotRun(*call, ResultCode::ReplicaRefused, kReachedReplica, now);
     return finish(now);
   }
+  recordPossibleRun(state);
   if (answer.claims_not_run) {
     ++counts_.unproven_refusals;
     log_.write(LogLevel::Warning, "call.refusal_unproven",
@@ -135,7 +137,6 @@
   if (again) {
     ++counts_.retries;
     state.failure_reason = "the replica answered with an error";
-    recordPossibleRun(state);
     dispatch(*call, now);
   } else if (answer.claims_not_run) {
     refuseUnproven(*call, replica_id, answer.status, now);
@@ -147,7 +148,6 @@
 
 /// To a caller the status would be a promise that the call hasn't run, which the replica hasn't made.
 void CallRouter::refuseUnproven(CallPointer call, const ReplicaId& replica, int status, TimePoint now) {
-  recordPossibleRun(call->second);
   const auto closed_until = replicas_.notices().closedUntil(replica, now);
   refuse(call, ResultCode::ReplicaFailed,
          "the replica answered " + std::to_string(status) + " without stating that it didn't run the call",
@@ -373,6 +373,7 @@
   release(state);
   recordPathFailure(attempt_state, failure, state.need.service, address, now);
   if (not_run) {
+    state.sendings.onProvenNotRun();
     state.trial_of = trial_of;
     --state.arrivals;
     if (attempt_state.charge) {
@@ -461,6 +462,11 @@
     breakStream(call, detail, now);
     return;
   }
+  if (state.attempt) {
+    log_.write(LogLevel::Error, "call.refused_while_running",
+               {{"request", view(state.request.id.value)}, {"replica", view(state.attempt->replica.value)}});
+    effects_.emplace_back(CancelAttemptEffect{state.attempt->number});
+  }
   ++counts_.refused;
   counts_.backoff_refused += code == ResultCode::ReplicaBackoff ? 1 : 0;
   counts_.limit_refused += code == ResultCode::ReplicaLimited ? 1 : 0;
@@ -469,13 +475,13 @@
               {"code", static_cast<std::int64_t>(code)},
               {"name", resultCodeInfo(code).name},
               {"tenant", state.tenant ? view(state.tenant->value) : std::string_view()},
-              {"not_run", !state.may_have_run},
+              {"not_run", !state.sendings.mayHaveRun()},
               {"detail", view(detail)},
               {"retry_after_ms", retry_after ? toMilliseconds(*retry_after) : -1},
               {"took_ms", toMilliseconds(now - state.arrived)},
               {"attempts", static_cast<std::int64_t>(state.attempts)}});
   returnCredit(state, now);
-  effects_.emplace_back(RefuseCallEffect{call->first, code, !state.may_have_run, retry_after, detail});
+  effects_.emplace_back(RefuseCallEffect{call->first, code, state.sendings.proof(), retry_after, detail});
   erase(call);
 }
 
--- a/src/calls/call_router_paths.cc
+++ b/src/calls/call_router_paths.cc
@@ -185,7 +185,7 @@
   const bool elsewhere =
       choice.failure == ChoiceFailure::NotHeld || choice.failure == ChoiceFailure::NoReplica;
   if (!choice.unreachable || !elsewhere || !relays_.known() || !isSuspect(state.need.service, now) ||
-      state.may_have_run || state.started) {
+      state.sendings.mayHaveRun() || state.started) {
     return false;
   }
   refuse(call, ResultCode::RouterPartitioned,
--- a/src/calls/call_router_retries.cc
+++ b/src/calls/call_router_retries.cc
@@ -97,7 +97,7 @@
 
 void CallRouter::refuseUncoveredRetry(CallPointer call, TimePoint now) {
   const Call& state = call->second;
-  if (state.may_have_run) {
+  if (state.sendings.mayHaveRun()) {
     refuse(call, ResultCode::ReplicaFailed, state.failure_reason, std::nullopt, now);
   } else {
     refuse(call, ResultCode::RetryBudgetSpent, "replicas refused the call before running it",
--- a/src/calls/call_router_tenants.cc
+++ b/src/calls/call_router_tenants.cc
@@ -142,7 +142,7 @@
 }
 
 void CallRouter::recordPossibleRun(Call& call) {
-  call.may_have_run = true;
+  call.sendings.onPossibleRun();
   call.charged_attempt_may_have_run = true;
 }
 
@@ -155,7 +155,7 @@
 
 void CallRouter::returnCredit(Call& call, TimePoint now) {
   const std::int64_t charged = std::exchange(call.charged, 0);
-  if (charged == 0 || call.may_have_run || call.attempt || call.started) {
+  if (charged == 0 || call.sendings.mayHaveRun() || call.started) {
     return;
   }
   if (awaiting_credit_.contains(call.request.number)) {
--- a/src/calls/call_router_waiting.cc
+++ b/src/calls/call_router_waiting.cc
@@ -68,7 +68,7 @@
   if (call.route->caller_idle_timeout_ms > 0) {
     waiting.caller_idle_timeout = std::chrono::milliseconds(call.route->caller_idle_timeout_ms);
   }
-  waiting.not_started = !call.started && !call.may_have_run;
+  waiting.not_started = !call.started && !call.sendings.mayHaveRun();
   return waiting;
 }
 
--- a/src/service_process/call_server.cc
+++ b/src/service_process/call_server.cc
@@ -98,7 +98,7 @@
     return;
   }
   HttpResponse refusal =
-      dialect_.refusal(content->id, effect.code, effect.not_run, effect.retry_after, effect.detail);
+      dialect_.refusal(content->id, effect.code, effect.not_run.has_value(), effect.retry_after, effect.detail);
   take(effect.call)->respond(refusal.status, std::move(refusal.headers), std::move(refusal.body));
 }
 
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -99,7 +99,7 @@
     }
     CHECK(fixture.count<SendAttemptEffect>() == given.sent);
     CHECK(fixture.last<RefuseCallEffect>()->code == given.code);
-    CHECK(fixture.last<RefuseCallEffect>()->not_run == given.not_run);
+    CHECK(fixture.last<RefuseCallEffect>()->not_run.has_value() == given.not_run);
   }
 }
 
--- a/tests/calls/sending_proof_test.cc
+++ b/tests/calls/sending_proof_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <vector>
 
 #include "calls/call_fixture.h"
 
@@ -77,5 +78,42 @@
   CHECK(fixture.count<DeliverAnswerEffect>() == 1);
 }
 
+TEST_CASE("A call is promised not to have run only if each of its sendings was proven not to have run") {
+  enum class Step { Sent, Proven, Possible };
+  struct Row {
+    std::vector<Step> steps;
+    bool promised;
+  };
+  const std::vector<Row> rows = {
+      {{}, true},
+      {{Step::Sent}, false},
+      {{Step::Sent, Step::Proven}, true},
+      {{Step::Sent, Step::Possible}, false},
+      {{Step::Sent, Step::Proven, Step::Sent}, false},
+      {{Step::Sent, Step::Proven, Step::Sent, Step::Proven}, true},
+      {{Step::Sent, Step::Possible, Step::Sent, Step::Proven}, false},
+      {{Step::Sent, Step::Proven, Step::Sent, Step::Possible}, false},
+  };
+  for (const Row& row : rows) {
+    SendingRecord sendings;
+    for (const Step step : row.steps) {
+      switch (step) {
+        case Step::Sent:
+          sendings.onSent();
+          break;
+        case Step::Proven:
+          sendings.onProvenNotRun();
+          break;
+        case Step::Possible:
+          sendings.onPossibleRun();
+          break;
+      }
+    }
+    INFO(row.steps.size() << " steps");
+    CHECK(sendings.proof().has_value() == row.promised);
+    CHECK(sendings.mayHaveRun() == !row.promised);
+  }
+}
+
 }  // namespace
 }  // namespace ferryrock::calls
--- a/tests/services/crashing_fleet.cc
+++ b/tests/services/crashing_fleet.cc
@@ -182,7 +182,7 @@
 void CrashingFleet::onRefusal(const OpenCall& call, const calls::RefuseCallEffect& refusal) {
   CallerRecord& caller = *call.caller;
   caller.refusals.push_back(refusal.code);
-  caller.not_run.push_back(refusal.not_run);
+  caller.not_run.push_back(refusal.not_run.has_value());
   caller.retry_after.push_back(refusal.retry_after);
   caller.given_up = call.tries_left == 0;
   if (call.tries_left > 0) {
