Let the soak's replicas refuse twice, promise falsely, lose answers and hang

The judge has REFUSED and TWICE, but no replica of the soak did what could break them beyond a 500, an answer to another call and a cut one.

Replicas now draw, for 6 in 100 calls, a refusal that arrives a second time 40 ms later (the link between repeats it), and for another 6 in 100 one of: a 408, 429 or 503 without the proof after a run, with the seal or without; a lost answer; a close or a hang without a run; a hang after one; an answer after a pause. Half of the calls must run at most once now, streams that can't be resumed among them, with 1.5 s to come back, before two replicas of the plain service in place of three.

The judge's rules are as they were; streams that run once are judged by the rule for calls that run once.

--- a/src/emulator/link/link_settings.h
+++ b/src/emulator/link/link_settings.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "common/settings_reader.h"
+#include "common/time.h"
 #include "emulator/link/process_name.h"
 #include "emulator/link/socket_address.h"
 
@@ -14,6 +15,10 @@
   ProcessName name;
   SocketAddress listen;
   SocketAddress target;
+  /// Bytes from the target with this text pass a second time after the delay, as those of a peer that answers
+  /// twice; empty: none do.
+  std::string repeated_text{};
+  Duration repeat_delay{};
 };
 
 struct LinkSettings {
--- a/src/emulator/link/relay_buffer.cc
+++ b/src/emulator/link/relay_buffer.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace ferryrock::emulator {
@@ -27,6 +28,12 @@
   return RelayProgress::Moved;
 }
 
+void RelayBuffer::fill(std::string_view bytes) {
+  begin_ = 0;
+  end_ = std::min(bytes.size(), bytes_.size());
+  std::copy_n(bytes.begin(), end_, bytes_.begin());
+}
+
 RelayProgress RelayBuffer::writeTo(int descriptor) {
   const ssize_t length = ::send(descriptor, bytes_.data() + begin_, end_ - begin_, MSG_NOSIGNAL);
   if (length < 0) {
--- a/src/emulator/link/relay_buffer.h
+++ b/src/emulator/link/relay_buffer.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstddef>
+#include <string_view>
 
 namespace ferryrock::emulator {
 
@@ -18,6 +19,10 @@
   /// Reads into the empty buffer. Ended: the sender has closed its side.
   RelayProgress readFrom(int descriptor);
   RelayProgress writeTo(int descriptor);
+  /// Bytes that are still to be written.
+  std::string_view unwritten() const { return {bytes_.data() + begin_, end_ - begin_}; }
+  /// Puts bytes, at most kCapacity, into the empty buffer.
+  void fill(std::string_view bytes);
 
  private:
   std::array<char, kCapacity> bytes_;
--- a/src/emulator/link/relay_connection.cc
+++ b/src/emulator/link/relay_connection.cc
@@ -126,6 +126,9 @@
     if (read == RelayProgress::Broken) {
       return false;
     }
+    if (read == RelayProgress::Moved && &way == &to_caller_) {
+      noteRepeated();
+    }
   }
   if (!way.buffer.empty() && way.buffer.writeTo(to.descriptor()) == RelayProgress::Broken) {
     return false;
@@ -137,6 +140,27 @@
   return true;
 }
 
+void RelayConnection::repeat(std::string text, Duration delay) {
+  repeated_text_ = std::move(text);
+  repeat_delay_ = delay;
+  repeat_timer_ = dispatcher_.createTimer([this] { sendRepeated(); });
+}
+
+void RelayConnection::noteRepeated() {
+  const std::string_view bytes = to_caller_.buffer.unwritten();
+  if (!repeated_text_.empty() && bytes.find(repeated_text_) != std::string_view::npos) {
+    repeated_ = bytes;
+    repeat_timer_->enable(repeat_delay_);
+  }
+}
+
+void RelayConnection::sendRepeated() {
+  if (phase_ == Phase::Open && !to_caller_.forwarded && !toCallerStalled() && to_caller_.buffer.empty()) {
+    to_caller_.buffer.fill(std::exchange(repeated_, {}));
+    onReady();
+  }
+}
+
 void RelayConnection::breakOff() {
   phase_ = Phase::Broken;
   watch();
--- a/src/emulator/link/relay_connection.h
+++ b/src/emulator/link/relay_connection.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "emulator/link/connection_owners.h"
 #include "emulator/link/link_cuts.h"
@@ -43,6 +44,8 @@
   void onEnd(EndCallback callback) { on_end_ = std::move(callback); }
   /// Who holds the calling side. Known only while a cut makes it matter.
   void findCaller(const ConnectionOwners& owners, const SocketAddress& listen);
+  /// Bytes from the target with this text pass a second time after the delay.
+  void repeat(std::string text, Duration delay);
   /// Applies the cuts that are in force now.
   void update();
 
@@ -63,6 +66,9 @@
   void onReady();
   /// False if a side is broken.
   bool move(Way& way, const RelaySocket& from, const RelaySocket& to, bool stalled);
+  /// Keeps the bytes to the caller that pass a second time.
+  void noteRepeated();
+  void sendRepeated();
   void breakOff();
   void watch();
   void scheduleEnd(RelayEnd how);
@@ -83,6 +89,10 @@
   std::unique_ptr<event::FileWatch> caller_watch_;
   std::unique_ptr<event::FileWatch> target_watch_;
   std::unique_ptr<event::Timer> end_timer_;
+  std::string repeated_text_;  ///< empty: nothing passes twice
+  Duration repeat_delay_{};
+  std::string repeated_;  ///< bytes that pass a second time when the timer expires
+  std::unique_ptr<event::Timer> repeat_timer_;
 };
 
 }  // namespace ferryrock::emulator
--- a/src/emulator/link/relay_route.cc
+++ b/src/emulator/link/relay_route.cc
@@ -76,6 +76,9 @@
       probe_timer_->enable(kProbeInterval);
     }
   });
+  if (!settings_.repeated_text.empty()) {
+    place->repeat(settings_.repeated_text, settings_.repeat_delay);
+  }
   if (cuts_.any()) {
     place->findCaller(owners_, settings_.listen);
   }
--- a/tests/platform/soak/soak_links.cc
+++ b/tests/platform/soak/soak_links.cc
@@ -7,6 +7,8 @@
   settings.name = emulator::ProcessName(replica);
   settings.listen = {"127.0.0.1", 0};
   settings.target = {"127.0.0.1", target_port};
+  settings.repeated_text = kRepeatedText;
+  settings.repeat_delay = kRepeatDelay;
   routes_.emplace_back(dispatcher_, cuts_, owners_, settings);
   return routes_.back().port();
 }
--- a/tests/platform/soak/soak_links.h
+++ b/tests/platform/soak/soak_links.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <list>
 #include <string>
 
@@ -11,6 +12,10 @@
 /// relay that can stall the bytes of one process. A connection still opens then, but passes nothing.
 class SoakLinks {
  public:
+  /// A response with this text in its head arrives a second time, after the delay.
+  static constexpr const char* kRepeatedText = "X-Repeated: 1";
+  static constexpr Duration kRepeatDelay = std::chrono::milliseconds(40);
+
   /// process_folder: holds a file NAME.pid for each process.
   SoakLinks(event::Dispatcher& dispatcher, const std::string& process_folder)
       : dispatcher_(dispatcher), owners_(process_folder) {}
--- a/tests/platform/soak/soak_main.cc
+++ b/tests/platform/soak/soak_main.cc
@@ -19,7 +19,7 @@
 using namespace ferryrock::platform;
 using namespace std::chrono_literals;
 
-constexpr int kDeskReplicas = 3;
+constexpr int kDeskReplicas = 2;
 constexpr int kModelReplicas = 4;
 /// Every third client keeps its router.
 constexpr int kKeepsRouter = 3;
--- a/tests/platform/soak/soak_oracle.cc
+++ b/tests/platform/soak/soak_oracle.cc
@@ -34,7 +34,8 @@
   }
   Call& call = found->second;
   ++call.runs;
-  if (call.kind == SoakKind::AtMostOnce && call.runs > 1) {
+  const bool at_most_once = call.kind == SoakKind::AtMostOnce || call.kind == SoakKind::StreamOnce;
+  if (at_most_once && call.runs > 1) {
     breakRule("TWICE", id + " ran again, at " + replica);
   }
   if (call.promised_unrun) {
@@ -60,7 +61,7 @@
     }
   } else if (!isSuccess(outcome.status)) {
     ++unclear_;
-  } else if (call.kind == SoakKind::Stream) {
+  } else if (isStream(call.kind)) {
     ++served_;
     if (!outcome.events_in_order || outcome.last_event != kStreamEvents) {
       breakRule("ORDER", id + " ended as complete at event " + std::to_string(outcome.last_event));
--- a/tests/platform/soak/soak_oracle.h
+++ b/tests/platform/soak/soak_oracle.h
@@ -10,7 +10,11 @@
 namespace ferryrock::platform {
 
 /// How often one call may run.
-enum class SoakKind : std::uint8_t { Repeatable, AtMostOnce, Stream };
+enum class SoakKind : std::uint8_t { Repeatable, AtMostOnce, Stream, StreamOnce };
+
+inline bool isStream(SoakKind kind) {
+  return kind == SoakKind::Stream || kind == SoakKind::StreamOnce;
+}
 
 /// What a client was told in the end.
 struct SoakOutcome {
--- a/tests/platform/soak/soak_world.cc
+++ b/tests/platform/soak/soak_world.cc
@@ -18,6 +18,8 @@
 constexpr Duration kResolveEvery = 1s;
 constexpr Duration kCallTime = 3s;
 constexpr Duration kControlTime = 1s;
+/// Leaves a call that was refused the time to come back to the same replica.
+constexpr int kPatientTargetMs = 1500;
 constexpr std::size_t kModelsHeld = 2;
 constexpr std::uint64_t kModels = 6;
 /// Of the replicas, those that tell when they started.
@@ -35,6 +37,8 @@
 constexpr std::array kLimits = {0.0, 0.4, 1.0, 1.2, 3.0, 12.0};
 /// Of the configurations, those that the next one follows at once.
 constexpr double kFollowsAtOnce = 0.4;
+/// Longest pause of a replica between reading a call and answering it.
+constexpr Duration kLongestPause = 700ms;
 constexpr double kFaulty = 0.01;  ///< of the calls, for each kind of fault
 /// Of the streams, those that their replica breaks off, and those in which the client closes its connection.
 constexpr double kBreaksStream = 0.04;
@@ -42,6 +46,10 @@
 /// Bytes of a stream after which such a client closes its connection.
 constexpr std::size_t kDropAfter = 120;
 constexpr int kMaxTries = 3;
+/// Kinds of calls, drawn evenly: half of them must run at most once.
+constexpr std::array kKinds = {SoakKind::Repeatable, SoakKind::AtMostOnce, SoakKind::AtMostOnce,
+                               SoakKind::Stream,     SoakKind::Stream,     SoakKind::StreamOnce,
+                               SoakKind::AtMostOnce, SoakKind::Repeatable};
 /// Of the streams, those with a prompt part that crashes replicas.
 constexpr double kCrashingPrompts = 0.02;
 constexpr const char* kCrashingPart = "bad";
@@ -59,6 +67,20 @@
   return http::findHeader(request.headers, name).value_or("");
 }
 
+const char* pathOf(SoakKind kind) {
+  switch (kind) {
+    case SoakKind::Repeatable:
+      return "/safe/x";
+    case SoakKind::AtMostOnce:
+      return "/once/x";
+    case SoakKind::Stream:
+      return "/stream/x";
+    case SoakKind::StreamOnce:
+      break;
+  }
+  return "/single/x";
+}
+
 std::string eventText(std::uint64_t number, const std::string& id, const std::string& version) {
   return "id: " + std::to_string(number) + "\ndata: " + id + " " + version + "\n\n";
 }
@@ -188,15 +210,76 @@
     response->respond(421, headersFor(id, !kSealed), "");
   } else if (shed(response, id)) {
     return;
-  } else if (context_.random.chance(kFaulty)) {
-    http::Headers headers = headersFor(id, !kSealed);
-    headers.push_back({"X-Not-Executed", "1"});
-    response->respond(503, std::move(headers), "");
-  } else {
-    context_.oracle.onRun(id, id_, context_.now(), held_up);
-    context_.losses.onRun(id);
-    crashes ? crash(response) : run(request, response, id);
-  }
+  } else if (crashes) {
+    recordRun(id, held_up);
+    crash(response);
+  } else if (!suffer(drawTrouble(context_.random), request, response, id, held_up)) {
+    recordRun(id, held_up);
+    run(request, response, id);
+  }
+}
+
+void SoakReplica::recordRun(const std::string& id, bool held_up) {
+  context_.oracle.onRun(id, id_, context_.now(), held_up);
+  context_.losses.onRun(id);
+}
+
+bool SoakReplica::suffer(SoakTrouble trouble, const http::Request& request,
+                         const http::ResponseWriterPtr& response, const std::string& id, bool held_up) {
+  const bool runs = trouble == SoakTrouble::UnprovenPromise || trouble == SoakTrouble::LosesAnswer ||
+                    trouble == SoakTrouble::HangsRun || trouble == SoakTrouble::AnswersLate;
+  if (runs) {
+    recordRun(id, held_up);
+  }
+  switch (trouble) {
+    case SoakTrouble::None:
+      return false;
+    case SoakTrouble::RefusesTwice: {
+      constexpr bool kSealed = true;
+      http::Headers headers = headersFor(id, !kSealed);
+      headers.push_back({"X-Not-Executed", "1"});
+      headers.push_back({"X-Repeated", "1"});
+      response->respond(503, std::move(headers), "");
+      return true;
+    }
+    case SoakTrouble::UnprovenPromise:
+      response->respond(drawPromise(context_.random), headersFor(id, context_.random.chance(0.5)), "promise");
+      return true;
+    case SoakTrouble::LosesAnswer:
+    case SoakTrouble::ClosesUnrun:
+      response->abort();
+      return true;
+    case SoakTrouble::HangsRun:
+    case SoakTrouble::HangsUnrun:
+      hang(response, id);
+      return true;
+    case SoakTrouble::AnswersLate:
+      answerLate(request, response, id);
+      return true;
+  }
+  return false;
+}
+
+void SoakReplica::hang(const http::ResponseWriterPtr& response, const std::string& id) {
+  hung_[id] = response;
+  response->onClosed([this, id, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      hung_.erase(id);
+    }
+  });
+}
+
+void SoakReplica::answerLate(const http::Request& request, const http::ResponseWriterPtr& response,
+                             const std::string& id) {
+  auto timer = std::make_shared<std::unique_ptr<event::Timer>>();
+  *timer = context_.dispatcher.createTimer(
+      [this, request, response, id, timer, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired() && !crashed_) {
+          run(request, response, id);
+        }
+        context_.dispatcher.post([timer] { timer->reset(); });
+      });
+  (*timer)->enable(Duration(context_.random.below(kLongestPause.count())));
 }
 
 bool SoakReplica::shed(const http::ResponseWriterPtr& response, const std::string& id) {
@@ -403,21 +486,17 @@
 }
 
 void SoakClient::sendCall() {
-  constexpr std::uint64_t kKinds = 3;
   resumes_ = std::exchange(takes_up_, false);
-  const auto kind = resumes_ ? SoakKind::Stream : static_cast<SoakKind>(context_.random.below(kKinds));
+  const SoakKind kind = resumes_ ? SoakKind::Stream : kKinds.at(context_.random.below(kKinds.size()));
   const std::string id = name_ + "-" + std::to_string(++calls_);
-  const char* path = kind == SoakKind::Repeatable   ? "/safe/x"
-                     : kind == SoakKind::AtMostOnce ? "/once/x"
-                                                    : "/stream/x";
   http::ClientRequest request;
   request.method = "POST";
   if (!keeps_router_ || router_.empty()) {
     router_ = addresses_[context_.random.below(addresses_.size())];
   }
-  request.url = "http://" + router_ + path;
+  request.url = "http://" + router_ + pathOf(kind);
   request.headers = {{"Host", "shop.example"}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "2500"}};
-  if (kind == SoakKind::Stream) {
+  if (isStream(kind)) {
     if (!resumes_) {
       stream_ = drawStream(id);
     }
@@ -430,12 +509,12 @@
     request.headers.push_back({"Last-Event-Id", std::to_string(stream_->last_event)});
     request.headers.push_back({"Resumes", stream_->first_id});
   }
-  drops_ = kind == SoakKind::Stream && context_.random.chance(kDropsStream);
+  drops_ = isStream(kind) && context_.random.chance(kDropsStream);
   request.body = "body of " + id;
   request.total_timeout = kCallTime;
   request.fresh_connection = !keeps_router_ && context_.random.chance(0.5);
   context_.oracle.onSent(id, kind);
-  context_.retries.onSent(kind == SoakKind::Stream ? "llm" : "desk", context_.now());
+  context_.retries.onSent(isStream(kind) ? "llm" : "desk", context_.now());
   context_.notices.onSent(id, router_, context_.now());
   context_.losses.onSent(id, router_, context_.now());
   sent_at_ = context_.now();
@@ -493,8 +572,9 @@
   outcome.status = result.status;
   outcome.whole = result.whole;
   outcome.body = result.body;
-  if (kind == SoakKind::Stream) {
+  if (isStream(kind)) {
     readEvents(id, result, outcome);
+    takes_up_ = takes_up_ && kind == SoakKind::Stream;
   }
   if (!result.leaving_replica.empty()) {
     context_.notices.onLeavingHeard(id, result.leaving_replica, context_.now());
@@ -504,7 +584,7 @@
   }
   context_.oracle.onOutcome(id, outcome, context_.now());
   const bool dropped = drops_ && !result.whole;
-  const bool crashes = kind == SoakKind::Stream && stream_->crashes;
+  const bool crashes = isStream(kind) && stream_->crashes;
   if (!resumes_ && !dropped && !crashes) {
     context_.reach.onOutcome(context_.notices.routerOf(id), sent_at_, result.status == 200 && result.whole);
   }
@@ -557,9 +637,11 @@
                        {"adapterSlots", 2}, {"loadsPerS", 10.0},  {"models", models}};
   Json once = route("once", "unsafe", "desk", false);
   once["maxAttempts"] = 1;
+  once["targetLatencyMs"] = kPatientTargetMs;
   return Json{{"generation", version},
               {"routes",
                {route("safe", "safe", "desk", false), once, route("stream", "streaming", "llm", true),
+                route("single", "streaming", "llm", false),
                 route("idle-" + std::to_string(version), "safe", "desk", false)}},
               {"services",
                {{{"name", "desk"}, {"healthPath", "/health"}, {"maxConns", 90}},
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -19,6 +20,7 @@
 #include "platform/soak/soak_reach_judge.h"
 #include "platform/soak/soak_retry_judge.h"
 #include "platform/soak/soak_stream_judge.h"
+#include "platform/soak/soak_trouble.h"
 
 namespace ferryrock::platform {
 
@@ -105,6 +107,14 @@
   bool shed(const http::ResponseWriterPtr& response, const std::string& id);
   /// Headers of an answer, with what a leaving replica says in each.
   http::Headers headersFor(const std::string& id, bool sealed) const;
+  /// Does what the trouble says; false: none, the call is to be run.
+  bool suffer(SoakTrouble trouble, const http::Request& request, const http::ResponseWriterPtr& response,
+              const std::string& id, bool held_up);
+  /// Keeps the call without an answer until its connection is closed.
+  void hang(const http::ResponseWriterPtr& response, const std::string& id);
+  void answerLate(const http::Request& request, const http::ResponseWriterPtr& response,
+                  const std::string& id);
+  void recordRun(const std::string& id, bool held_up);
   void run(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   void stream(const http::Request& request, const http::ResponseWriterPtr& response, const std::string& id);
   /// Ends its connections and answers no more.
@@ -136,7 +146,9 @@
   std::set<std::string> models_;
   std::optional<std::string> loading_;
   TimePoint sheds_until_{};
+  std::map<std::string, http::ResponseWriterPtr> hung_;  ///< by call
   std::optional<double> limit_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool crashed_ = false;
   bool leaving_ = false;
   bool leave_acknowledged_ = false;
