--- a/tests/services/crash_containment_test.cc
+++ b/tests/services/crash_containment_test.cc
@@ -109,6 +109,30 @@
   CHECK(fleet.dispatchesOf(kCrashing).crashes.size() == crashes);
 }
 
+TEST_CASE("A quarantine survives one lost disk while all other machines lose power") {
+  const auto lost = GENERATE(range<std::size_t>(0, 3));
+  INFO("the disk of member " << lost);
+  CrashingFleet fleet({});
+  fleet.beginCrashingCalls(kCrashing, 300ms, 2s);
+  fleet.cluster.runFor(8s);
+  const std::size_t crashes = fleet.dispatchesOf(kCrashing).crashes.size();
+  REQUIRE(crashes >= 3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet.cluster.powerOff(fleet.cluster.member(i));
+  }
+  fleet.cluster.wipe(fleet.cluster.member(lost));
+  for (RunningRouter* router : fleet.routers) {
+    fleet.cluster.restart(*router);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet.cluster.start(fleet.cluster.member(i));
+  }
+  fleet.cluster.runFor(3s);
+  fleet.beginCrashingCalls(kCrashing, 300ms, 5s);
+  fleet.cluster.runFor(8s);
+  CHECK(fleet.dispatchesOf(kCrashing).crashes.size() == crashes);
+}
+
 TEST_CASE("A call that an operator releases at any member runs again, also after a power loss") {
   CrashingFleet fleet({});
   fleet.beginCrashingCalls(kCrashing, 300ms, 2s);
