--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -179,7 +179,11 @@
     CURL* handle = call.transfer.handle();
     curl_multi_remove_handle(multi_, handle);
     call.transfer.useFreshConnection();
-    curl_multi_add_handle(multi_, handle);
+    if (curl_multi_add_handle(multi_, handle) != CURLM_OK) {
+      call.ended = true;
+      call.result = CURLE_OUT_OF_MEMORY;
+      queueForDelivery(call.shared_from_this());
+    }
   }
 
   void queueForDelivery(const CallPtr& call) {
--- a/src/http/curl_request.h
+++ b/src/http/curl_request.h
@@ -30,8 +30,8 @@
   CURL* handle() const { return handle_.get(); }
   /// Status of the response; 0 before the status line is received.
   long status() const;
-  /// Returns true if the peer's machine refused the last connection attempt.
   std::size_t maxBodyBytes() const { return request_.max_body_bytes; }
+  /// Returns true if the peer's machine refused the last connection attempt.
   bool wasRefused(CURLcode result) const;
   /// True if a response with this head belongs to the request.
   bool acceptsHead(const Headers& headers) const;
