--- a/src/service_process/call_server.cc
+++ b/src/service_process/call_server.cc
@@ -97,8 +97,8 @@
   if (content == nullptr) {
     return;
   }
-  HttpResponse refusal =
-      dialect_.refusal(content->id, effect.code, effect.not_run.has_value(), effect.retry_after, effect.detail);
+  HttpResponse refusal = dialect_.refusal(content->id, effect.code, effect.not_run.has_value(),
+                                          effect.retry_after, effect.detail);
   take(effect.call)->respond(refusal.status, std::move(refusal.headers), std::move(refusal.body));
 }
 
