Repeat a ZeroMQ operation that a signal has interrupted

A router that was told to stop ended at once instead, and cut off the calls that it had read (LOST); any signal can do that to any process.

Cause: ZeroMQ's operations fail with EINTR if a signal arrives while they look at their mailbox, and the transport threw that like a fault.

Sending, receiving, connecting, binding and asking for events are repeated; an interrupted operation has had no effect.

--- a/src/transport/zap_authenticator.cc
+++ b/src/transport/zap_authenticator.cc
@@ -5,6 +5,8 @@
 #include <vector>
 #include <zmq.hpp>
 
+#include "transport/uninterrupted.h"
+
 namespace ferryrock::transport {
 namespace {
 
@@ -18,7 +20,7 @@
   std::vector<zmq::message_t> frames;
   do {
     zmq::message_t frame;
-    if (!socket.recv(frame, zmq::recv_flags::dontwait)) {
+    if (!uninterrupted([&] { return socket.recv(frame, zmq::recv_flags::dontwait); })) {
       break;
     }
     frames.push_back(std::move(frame));
@@ -44,7 +46,7 @@
       node,  ""};
   for (std::size_t i = 0; i < reply.size(); ++i) {
     const auto flags = i + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
-    socket.send(zmq::buffer(reply[i]), flags | zmq::send_flags::dontwait);
+    uninterrupted([&] { return socket.send(zmq::buffer(reply[i]), flags | zmq::send_flags::dontwait); });
   }
 }
 
@@ -65,7 +67,8 @@
 }
 
 void ZapAuthenticator::answerRequests() {
-  while ((socket_->get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+  const auto events = [this] { return socket_->get(zmq::sockopt::events); };
+  while ((uninterrupted(events) & ZMQ_POLLIN) != 0) {
     const std::vector<zmq::message_t> request = receiveFrames(*socket_);
     const auto found = node_by_key_.find(keyOf(request));
     const std::string node = found == node_by_key_.end() ? std::string() : found->second;
--- a/src/transport/zeromq_transport.cc
+++ b/src/transport/zeromq_transport.cc
@@ -9,6 +9,7 @@
 #include "common/error.h"
 #include "common/logging.h"
 #include "transport/transport.h"
+#include "transport/uninterrupted.h"
 #include "transport/zap_authenticator.h"
 
 /// Each process with a listen address binds one ROUTER socket, which identifies peers by their node name, and
@@ -176,7 +177,7 @@
       socket.set(zmq::sockopt::curve_secretkey, settings_.secret_key);
     }
     try {
-      socket.bind("tcp://" + settings_.listen_address);
+      uninterrupted([&] { socket.bind("tcp://" + settings_.listen_address); });
     } catch (const zmq::error_t& fault) {
       throw Error(ResultCode::AddressInUse,
                   "the internal listen address can't be bound: " + std::string(fault.what()),
@@ -200,7 +201,7 @@
       socket.set(zmq::sockopt::curve_secretkey, settings_.secret_key);
     }
     const std::string source = settings_.bind_address.empty() ? "" : settings_.bind_address + ":0;";
-    socket.connect("tcp://" + source + key.address);
+    uninterrupted([&] { socket.connect("tcp://" + source + key.address); });
     connection->watch = watch(socket, [this, key] { drainConnection(key); });
     connections_.emplace(key, std::move(connection));
   }
@@ -214,7 +215,7 @@
     for (auto item = connections_.lower_bound({to, "", ""});
          item != connections_.end() && item->first.node == to; ++item) {
       zmq::socket_t& socket = item->second->socket;
-      const bool queued = socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+      const bool queued = sendFrame(socket, bytes, zmq::send_flags::none);
       if (hasInput(socket)) {
         postDrain(item->first, *item->second);
       }
@@ -232,9 +233,8 @@
     zmq::socket_t& socket = listener_->socket;
     bool queued = false;
     try {
-      queued = socket.send(zmq::buffer(to.value), zmq::send_flags::sndmore | zmq::send_flags::dontwait)
-                   .has_value() &&
-               socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+      queued = sendFrame(socket, to.value, zmq::send_flags::sndmore) &&
+               sendFrame(socket, bytes, zmq::send_flags::none);
     } catch (const zmq::error_t& fault) {
       if (fault.num() != EHOSTUNREACH) {
         throw;
@@ -247,7 +247,20 @@
   }
 
   /// ZeroMQ's descriptor is edge-triggered, so the pending events are checked after each send and receive.
-  static bool hasInput(zmq::socket_t& socket) { return (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0; }
+  static bool hasInput(zmq::socket_t& socket) {
+    return (uninterrupted([&socket] { return socket.get(zmq::sockopt::events); }) & ZMQ_POLLIN) != 0;
+  }
+
+  /// Returns false if the peer's queue is full.
+  static bool sendFrame(zmq::socket_t& socket, const std::string& bytes, zmq::send_flags flags) {
+    return uninterrupted([&] { return socket.send(zmq::buffer(bytes), flags | zmq::send_flags::dontwait); })
+        .has_value();
+  }
+
+  /// Returns false if no frame is there.
+  static bool receiveFrame(zmq::socket_t& socket, zmq::message_t& frame) {
+    return uninterrupted([&] { return socket.recv(frame, zmq::recv_flags::dontwait); }).has_value();
+  }
 
   void postIfAlive(event::Callback callback) {
     dispatcher_.post([alive = alive_, callback = std::move(callback)] {
@@ -292,10 +305,10 @@
       }
       zmq::message_t identity;
       zmq::message_t body;
-      if (!listener_->socket.recv(identity, zmq::recv_flags::dontwait)) {
+      if (!receiveFrame(listener_->socket, identity)) {
         return;
       }
-      if (!identity.more() || !listener_->socket.recv(body, zmq::recv_flags::dontwait)) {
+      if (!identity.more() || !receiveFrame(listener_->socket, body)) {
         ++counts_.malformed;
         continue;
       }
@@ -318,7 +331,7 @@
         return;
       }
       zmq::message_t body;
-      if (!found->second->socket.recv(body, zmq::recv_flags::dontwait)) {
+      if (!receiveFrame(found->second->socket, body)) {
         return;
       }
       const bool single_frame = !discardFurtherFrames(found->second->socket, body);
@@ -341,7 +354,7 @@
     const bool any = more;
     while (more) {
       zmq::message_t extra;
-      more = socket.recv(extra, zmq::recv_flags::dontwait).has_value() && extra.more();
+      more = receiveFrame(socket, extra) && extra.more();
     }
     return any;
   }
--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -1,5 +1,8 @@
 #include "transport/transport.h"
 
+#include <signal.h>
+#include <sys/time.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
@@ -410,5 +413,44 @@
   sender.transport->renew(NodeName{"unknown"});
 }
 
+/// Sends signals to this process, without SA_RESTART, at short intervals.
+class SignalStorm {
+ public:
+  SignalStorm() {
+    struct sigaction action {};
+    action.sa_handler = [](int) {};
+    ::sigaction(SIGALRM, &action, &previous_);
+    constexpr itimerval kInterval{{0, 20}, {0, 20}};
+    ::setitimer(ITIMER_REAL, &kInterval, nullptr);
+  }
+  ~SignalStorm() {
+    constexpr itimerval kNone{};
+    ::setitimer(ITIMER_REAL, &kNone, nullptr);
+    ::sigaction(SIGALRM, &previous_, nullptr);
+  }
+  SignalStorm(const SignalStorm&) = delete;
+  SignalStorm& operator=(const SignalStorm&) = delete;
+
+ private:
+  struct sigaction previous_ {};
+};
+
+TEST_CASE("A signal doesn't break off sending and receiving") {
+  constexpr std::uint64_t kMessages = 20'000;
+  const auto dispatcher = event::createAceDispatcher();
+  Node listener(*dispatcher, "listener", "127.0.0.1:0");
+  Node sender(*dispatcher, "sender", "");
+  sender.transport->setPeers({{NodeName{"listener"}, listener.transport->boundAddress(), ""}});
+  std::uint64_t sent = 0;
+  const SignalStorm storm;
+  CHECK(runUntil(*dispatcher, [&] {
+    constexpr int kBurst = 100;
+    for (int i = 0; i < kBurst; ++i) {
+      sender.transport->send(NodeName{"listener"}, demand(++sent));
+    }
+    return listener.received.size() >= kMessages;
+  }));
+}
+
 }  // namespace
 }  // namespace ferryrock::transport
