--- a/tests/platform/soak/soak_world.cc
+++ b/tests/platform/soak/soak_world.cc
@@ -272,13 +272,13 @@
 void SoakReplica::answerLate(const http::Request& request, const http::ResponseWriterPtr& response,
                              const std::string& id) {
   auto timer = std::make_shared<std::unique_ptr<event::Timer>>();
-  *timer = context_.dispatcher.createTimer(
-      [this, request, response, id, timer, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired() && !crashed_) {
-          run(request, response, id);
-        }
-        context_.dispatcher.post([timer] { timer->reset(); });
-      });
+  *timer = context_.dispatcher.createTimer([this, &dispatcher = context_.dispatcher, request, response, id,
+                                            timer, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired() && !crashed_) {
+      run(request, response, id);
+    }
+    dispatcher.post([timer] { timer->reset(); });
+  });
   (*timer)->enable(Duration(context_.random.below(kLongestPause.count())));
 }
 
@@ -345,11 +345,16 @@
   auto timer = std::make_shared<std::unique_ptr<event::Timer>>();
   auto gone = std::make_shared<bool>(false);
   response->onClosed([gone] { *gone = true; });
-  *timer = context_.dispatcher.createTimer([this, response, id, sent, breaks, timer, gone] {
+  *timer = context_.dispatcher.createTimer([this, &dispatcher = context_.dispatcher, response, id, sent,
+                                            breaks, timer, gone, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired()) {
+      dispatcher.post([timer] { timer->reset(); });
+      return;
+    }
     const bool cut = breaks && *sent == SoakOracle::kStreamEvents / 2;
     if (*gone || cut || *sent == SoakOracle::kStreamEvents) {
       cut ? response->abort() : response->finish();
-      context_.dispatcher.post([timer] { timer->reset(); });
+      dispatcher.post([timer] { timer->reset(); });
       return;
     }
     response->write(eventText(++*sent, id, version_));
