--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace ferryrock::http {
 
@@ -13,7 +14,11 @@
   std::string peer_address;
   int peer_port = 0;
 
-  auto operator<=>(const ConnectionEndpoints&) const = default;
+  bool operator==(const ConnectionEndpoints&) const = default;
+  bool operator<(const ConnectionEndpoints& other) const {
+    return std::tie(local_address, local_port, peer_address, peer_port) <
+           std::tie(other.local_address, other.local_port, other.peer_address, other.peer_port);
+  }
 };
 
 /// What a connection can be used for when a request is about to be sent on it.
