Share the power loss of the quarantine's tests, and judge streams that run once

Read again before the landing: two tests lost power in the same lines, one member's disk aside; they share them now and check what they did.

--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -46,11 +46,8 @@
   std::uint64_t broken = 0;  ///< streams aborted by the router
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
-  /// Refusals by a replica that the call had been sent to before; an answer to the earlier sending may be
-  /// among them.
-  std::uint64_t repeated_refusals = 0;
-  /// Responses of replicas whose status says that the call didn't run, without a proof.
-  std::uint64_t unproven_refusals = 0;
+  std::uint64_t repeated_refusals = 0;  ///< refusals by a replica that the call had been sent to before
+  std::uint64_t unproven_refusals = 0;  ///< responses whose status says, unproven, that the call didn't run
   std::uint64_t retry_budget_refused = 0;  ///< retries that the retry budget didn't allow
   std::uint64_t retry_credit_waits = 0;    ///< retries that waited for a credit of the retry budget
   std::uint64_t resumed = 0;
--- a/tests/platform/soak/soak_oracle_test.cc
+++ b/tests/platform/soak/soak_oracle_test.cc
@@ -26,6 +26,22 @@
   CHECK(broken(oracle, "TWICE"));
 }
 
+TEST_CASE("soak: a stream that can't be resumed and runs twice breaks TWICE, and its order is judged") {
+  SoakOracle oracle;
+  oracle.onSent("a", SoakKind::StreamOnce);
+  oracle.onRun("a", "r1", kStart);
+  oracle.onRun("a", "r2", kStart);
+  CHECK(broken(oracle, "TWICE"));
+  SoakOracle order;
+  order.onSent("b", SoakKind::StreamOnce);
+  SoakOutcome cut;
+  cut.status = 200;
+  cut.whole = true;
+  cut.last_event = SoakOracle::kStreamEvents - 1;
+  order.onOutcome("b", cut, kStart);
+  CHECK(broken(order, "ORDER"));
+}
+
 TEST_CASE("soak: a promise breaks REFUSED if the call had run, or runs later") {
   SoakOracle before;
   before.onSent("a", SoakKind::AtMostOnce);
--- a/tests/services/crash_containment_test.cc
+++ b/tests/services/crash_containment_test.cc
@@ -6,6 +6,7 @@
 /// attempts, although one call caused all 28 crashes. Resends of a call share path, caller and body, which
 /// the calls of other callers never do; so a fingerprint of these identifies the call.
 #include <catch2/catch.hpp>
+#include <optional>
 #include <vector>
 
 #include "services/crashing_fleet.h"
@@ -88,22 +89,31 @@
   CHECK(fleet.dispatchesOf(kCrashing).crashes.size() == crashes);
 }
 
-TEST_CASE("A quarantine survives a power loss of all members and a restart of all routers") {
-  CrashingFleet fleet({});
-  fleet.beginCrashingCalls(kCrashing, 300ms, 2s);
-  fleet.cluster.runFor(8s);
-  const std::size_t crashes = fleet.dispatchesOf(kCrashing).crashes.size();
-  REQUIRE(crashes >= 3);
-  for (std::size_t i = 0; i < 3; ++i) {
+/// All members and routers lose power and start again, one member without what was on its disk.
+void losePower(CrashingFleet& fleet, std::optional<std::size_t> lost_disk) {
+  constexpr std::size_t kMembers = 3;
+  for (std::size_t i = 0; i < kMembers; ++i) {
     fleet.cluster.powerOff(fleet.cluster.member(i));
   }
+  if (lost_disk) {
+    fleet.cluster.wipe(fleet.cluster.member(*lost_disk));
+  }
   for (RunningRouter* router : fleet.routers) {
     fleet.cluster.restart(*router);
   }
-  for (std::size_t i = 0; i < 3; ++i) {
+  for (std::size_t i = 0; i < kMembers; ++i) {
     fleet.cluster.start(fleet.cluster.member(i));
   }
   fleet.cluster.runFor(3s);
+}
+
+TEST_CASE("A quarantine survives a power loss of all members and a restart of all routers") {
+  CrashingFleet fleet({});
+  fleet.beginCrashingCalls(kCrashing, 300ms, 2s);
+  fleet.cluster.runFor(8s);
+  const std::size_t crashes = fleet.dispatchesOf(kCrashing).crashes.size();
+  REQUIRE(crashes >= 3);
+  losePower(fleet, std::nullopt);
   fleet.beginCrashingCalls(kCrashing, 300ms, 5s);
   fleet.cluster.runFor(8s);
   CHECK(fleet.dispatchesOf(kCrashing).crashes.size() == crashes);
@@ -117,17 +127,7 @@
   fleet.cluster.runFor(8s);
   const std::size_t crashes = fleet.dispatchesOf(kCrashing).crashes.size();
   REQUIRE(crashes >= 3);
-  for (std::size_t i = 0; i < 3; ++i) {
-    fleet.cluster.powerOff(fleet.cluster.member(i));
-  }
-  fleet.cluster.wipe(fleet.cluster.member(lost));
-  for (RunningRouter* router : fleet.routers) {
-    fleet.cluster.restart(*router);
-  }
-  for (std::size_t i = 0; i < 3; ++i) {
-    fleet.cluster.start(fleet.cluster.member(i));
-  }
-  fleet.cluster.runFor(3s);
+  losePower(fleet, lost);
   fleet.beginCrashingCalls(kCrashing, 300ms, 5s);
   fleet.cluster.runFor(8s);
   CHECK(fleet.dispatchesOf(kCrashing).crashes.size() == crashes);
