--- a/review/stand-ins/harness.h
+++ b/review/stand-ins/harness.h
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -464,6 +465,7 @@
   void start() {
     pid_ = ::fork();
     if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with the script, however that ends
       const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
       ::dup2(log, 1);
       ::dup2(log, 2);
