--- a/review/stand-ins/harness.h
+++ b/review/stand-ins/harness.h
@@ -551,13 +551,14 @@
       std::printf("kept: %s\n", folder_.c_str());
     }
   }
-  void start() {
+  /// `later`: the last ones of the core, which aren't started yet.
+  void start(std::size_t later = 0) {
     if (::access(program_.c_str(), X_OK) != 0) {
       std::printf("%s isn't there: build the deploy file first\n", program_.c_str());
       std::exit(kCouldNotRun);
     }
-    for (const auto& process : members) {
-      process->start();
+    for (std::size_t i = 0; i + later < members.size(); ++i) {
+      members[i]->start();
     }
     for (const auto& process : routers) {
       process->start();
@@ -569,6 +570,11 @@
       writeControl(static_cast<int>(i), false);
     }
   }
+  /// The next start of this member finds an empty disk.
+  void loseDisk(std::size_t i) {
+    ++disks_[static_cast<int>(i)];
+    writeControl(static_cast<int>(i), false);
+  }
   /// Sends the order to one node after the other until it is acknowledged or refused for good; status of the last
   /// answer.
   int order(const std::string& path, const std::string& body, double for_ms) {
@@ -664,7 +670,9 @@
            "\"\nretry_share: 0.2\nretry_slack: 52\nretry_window: 10s\nlog:\n  format: json\n";
   }
   void writeControl(int i, bool bootstrap) const {
-    const std::string data = folder_ + "/data-" + std::to_string(i + 1);
+    const auto disk = disks_.find(i);
+    const std::string data = folder_ + "/data-" + std::to_string(i + 1) + "-" +
+                             std::to_string(disk == disks_.end() ? 1 : disk->second + 1);
     std::filesystem::create_directories(data);
     std::ofstream out(file("control", i, "yaml"));
     out << common("control", i, control[static_cast<std::size_t>(i)].ip) << "listen_control: \""
@@ -684,6 +692,7 @@
   std::string program_;
   std::string folder_;
   int port_ = 0;
+  std::map<int, int> disks_;  // how often a member lost its disk
 };
 
 /// Sends a replica's reports: to beatAddr if one was named, to the next node after a failure.
