--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
-// Every process of the core is killed at the same moment and is back within a second. One replica begins its planned
-// end meanwhile: where it would have reported next, it sends `deregister`, until that is acknowledged. Judges the
-// requests that reach it later than drainMs after the acknowledgement.
+// A machine of the core is replaced as planned: the new one first, then SIGTERM for the old one. When the replaced machine
+// no longer counts as lost, two others lose their disks, as many as may be lost at once. Judges whether the acknowledged
+// configuration can be read back. MODE=three: no disk is lost; three machines are replaced as planned, one every GAP_MS.
 
 #include "../stand-ins/harness.h"
 
@@ -9,127 +9,19 @@
 using namespace review;
 
 constexpr int kCores = 5;
-constexpr int kEdges = 2;
-constexpr int kReplicas = 3;
-constexpr int kClients = 12;
-constexpr double kWorkMs = 100;
-constexpr double kDownMs = 700;     // of the core
-constexpr double kFirstPauseMs = 200;
-constexpr double kLingerMs = 600;   // a replica serves on for drainMs and this long after the acknowledgement
+constexpr double kCatchUpMs = 4000;
+constexpr double kRecoveryMs = 12'000;
+constexpr double kAskedForMs = 40'000;  // after the machines are back; far beyond recoveryS and contactMs
+constexpr double kDownMs = 500;
+constexpr std::size_t kReplaced = 3;  // with MODE=three
 
-struct Arrival {
-  std::string id;
-  double at;
-};
-
-/// A replica of the service "desk".
-class Replica {
- public:
-  Replica(Record& record, const Fleet& fleet, int number)
-      : record_(record),
-        reporter_(fleet, static_cast<std::size_t>(number)),
-        zone_(std::string("hall-") + static_cast<char>('a' + number)),
-        id_("i-desk" + std::to_string(number + 1)),
-        server_(std::make_unique<Server>(Address{"127.0.3." + std::to_string(number + 1), 0},
-                                         [this](int socket, const Request& request) { return serve(socket, request); })),
-        beats_([this] { report(); }) {}
-  ~Replica() {
-    stopping_ = true;
-    beats_.join();
-    server_->stop();
-  }
-  const std::string& id() const { return id_; }
-  /// The next report is a `deregister`, at once.
-  void leave() { leaving_ = true; }
-  double acknowledgedAt() const { return acknowledged_at_; }
-  bool ended() const { return ended_; }
-  std::vector<Arrival> arrivals() {
-    const std::lock_guard lock(mutex_);
-    return arrivals_;
-  }
-
- private:
-  bool serve(int socket, const Request& request) {
-    const std::string id = request.header("X-Attempt-Id");
-    Headers headers{{"X-Attempt-Id", id}};
-    if (request.header("X-Expect-Instance") != id_) {
-      headers.push_back({"X-Not-Executed", "1"});
-      return sendAll(socket, responseText(421, headers, ""));
-    }
-    if (request.target == "/v1/report" || request.target == "/health") {
-      return sendAll(socket, responseText(200, {{"X-Instance-Id", id_}}, "{}"));
-    }
-    {
-      const std::lock_guard lock(mutex_);
-      arrivals_.push_back({id, nowMs()});
-    }
-    record_.line("run %s at %s", id.c_str(), id_.c_str());
-    sleepMs(kWorkMs);
-    headers.push_back({"X-Server-Seal", "seal." + id});
-    const bool closes = leaving_;
-    if (closes) {
-      headers.push_back({"Connection", "close"});
-    }
-    return sendAll(socket, responseText(200, headers, "answer of " + id)) && !closes;
-  }
-  void report() {
-    double next = nowMs();
-    while (!stopping_ && !ended_) {
-      if (leaving_ && acknowledged_at_ < 0) {
-        // The pause before each move to another node grows.
-        sleepMs(std::exchange(pause_, pause_ == 0 ? kFirstPauseMs : 2 * pause_));
-        const int status = reporter_.post("/v1/instances/" + id_ + "/deregister", "");
-        record_.line("%s: deregister to %s: %d", id_.c_str(), reporter_.last().c_str(), status);
-        if (status / 100 == 2) {
-          acknowledged_at_ = nowMs();
-        }
-      } else if (leaving_ && nowMs() > acknowledged_at_ + kDrainMs + kLingerMs) {
-        server_->stop();
-        ended_ = true;
-        record_.line("%s has ended", id_.c_str());
-      } else if (!leaving_ && nowMs() >= next) {
-        next += kHeartbeatMs;
-        const std::string body = "{\"service\":\"desk\",\"address\":\"" + server_->address().text() + "\",\"zone\":\"" + zone_ +
-                                 "\",\"generation\":\"v1\",\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0,\"seqNo\":" +
-                                 std::to_string(++sequence_) + "}";
-        const int status = reporter_.post("/v1/instances/" + id_ + "/heartbeat", body);
-        record_.line("%s: heartbeat %d to %s: %d", id_.c_str(), sequence_, reporter_.last().c_str(), status);
-        if (status / 100 != 2) {
-          next = nowMs() + 200;
-        }
-      } else {
-        sleepMs(5);
-      }
-    }
-  }
-
-  Record& record_;
-  Reporter reporter_;
-  std::string zone_;
-  std::string id_;
-  std::mutex mutex_;
-  std::vector<Arrival> arrivals_;
-  int sequence_ = 0;
-  double pause_ = 0;
-  std::atomic<bool> leaving_{false};
-  std::atomic<bool> stopping_{false};
-  std::atomic<bool> ended_{false};
-  std::atomic<double> acknowledged_at_{-1};
-  std::unique_ptr<Server> server_;
-  std::thread beats_;
-};
-
-struct Outcome {
-  double sent;
-  double ended;
-  int status;
-};
-
-const char* const kConfig =
-    R"({"generation":1,"routes":[{"name":"r-desk","host":"desk.example","pathPrefix":"/desk/","kind":"unsafe",)"
-    R"("timeoutMs":1000,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":1,"sticky":false,)"
-    R"("resumable":false}],"services":[{"name":"desk","healthPath":"/health","maxConns":96,"protocol":"h1","tls":false}],)"
-    R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+std::string config(int version) {
+  return "{\"generation\":" + std::to_string(version) +
+         R"(,"routes":[{"name":"r-desk","host":"desk.example","pathPrefix":"/desk/","kind":"unsafe","timeoutMs":1000,)"
+         R"("targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":1,"sticky":false,"resumable":false}],)"
+         R"("services":[{"name":"desk","healthPath":"/health","maxConns":96,"protocol":"h1","tls":false}],)"
+         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+}
 
 }  // namespace
 
@@ -137,113 +29,119 @@
   signal(SIGPIPE, SIG_IGN);
   Record record(arguments[1]);
   record.say("trouble: %s", withTrouble() ? "yes" : "no");
-  Fleet fleet(record, kCores, kEdges);
-  fleet.start();
-  std::vector<std::unique_ptr<Replica>> replicas;
-  for (int i = 0; i < kReplicas; ++i) {
-    replicas.push_back(std::make_unique<Replica>(record, fleet, i));
-  }
-  if (fleet.order("/v1/config/replace", kConfig, 20'000) != 200) {
+  const bool three = std::getenv("MODE") != nullptr && std::string(std::getenv("MODE")) == "three";
+  Fleet fleet(record, kCores + kReplaced, 1);
+  fleet.start(kReplaced);
+  const std::size_t added = kCores;
+  if (fleet.order("/v1/config/replace", config(1), 20'000) != 200) {
     record.say("the configuration wasn't taken");
     return kCouldNotRun;
   }
+  record.say("configuration 1 acknowledged");
   fleet.endBootstrap();
+  sleepMs(8000);
 
-  std::mutex mutex;
-  std::map<std::string, Outcome> outcomes;
-  std::atomic<bool> stopping{false};
-  std::vector<std::thread> clients;
-  for (int number = 0; number < kClients; ++number) {
-    clients.emplace_back([&, number] {
-      Connection connection(fleet.front[static_cast<std::size_t>(number) % fleet.front.size()]);
-      for (int count = 0; !stopping; ++count) {
-        const std::string id = "c" + std::to_string(number) + "-" + std::to_string(count);
-        const double sent = nowMs();
-        const Answer answer = connection.call(
-            "POST", "/desk/order", {{"Host", "desk.example"}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "1000"}}, "order", 1500);
-        const int status = answer.complete ? answer.status : 0;
-        record.line("answer %s %d %s", id.c_str(), status, answer.why.c_str());
-        {
-          const std::lock_guard lock(mutex);
-          outcomes[id] = {sent, nowMs(), status};
-        }
-        sleepMs(80);
-      }
-    });
+  const int leader = fleet.leader();
+  if (leader < 0) {
+    record.say("no leader");
+    return kCouldNotRun;
   }
-  // Until all is steady: the leader has heard of everyone for longer than any time-out.
-  sleepMs(12'000);
-
-  Replica& leaver = *replicas.front();
-  double core_back = -1e9;
-  if (withTrouble()) {
-    for (const auto& member : fleet.members) {
-      member->signal(SIGKILL);
+  // The old machine doesn't lead, and isn't a seed, so that nothing else changes.
+  const std::size_t old = leader == 4 ? 3 : 4;
+  const std::size_t first = leader == 0 ? 1 : 0;
+  const std::size_t second = leader == 2 ? 1 : 2;
+  std::vector<std::size_t> gone{old};
+  fleet.members[added]->start();
+  if (three) {
+    for (std::size_t i = 1; i < kReplaced; ++i) {
+      fleet.members[added + i]->start();
     }
-    const double killed = nowMs();
-    for (const auto& member : fleet.members) {
-      member->end(SIGKILL);
+    gone.clear();
+    for (std::size_t i = kCores; i-- > 0 && gone.size() < kReplaced;) {
+      if (static_cast<int>(i) != leader) {
+        gone.push_back(i);
+      }
+    }
+  }
+  const double added_at = nowMs();
+  record.say("%d machines of the core added, empty", three ? static_cast<int>(kReplaced) : 1);
+  sleepMs(kCatchUpMs + 300);
+  // Without the trouble there is time for each replacement to be finished.
+  const char* gap = std::getenv("GAP_MS");
+  const double gap_ms = !withTrouble() ? 8000 : gap == nullptr ? 2000 : std::atof(gap);
+  for (const std::size_t i : gone) {
+    if (i != gone.front()) {
+      sleepMs(gap_ms);
     }
-    record.say("killed every process of the core");
-    leaver.leave();
-    sleepMs(killed + kDownMs - nowMs());
-    for (const auto& member : fleet.members) {
-      member->start();
+    if (three && i == gone.back() && fleet.order("/v1/config/replace", config(2), 5000) == 200) {
+      record.say("configuration 2 acknowledged");
     }
-    core_back = nowMs();
-    record.say("started them again after %.0f ms", core_back - killed);
-  } else {
-    leaver.leave();
+    fleet.members[i]->end(SIGTERM);
+    record.say("machine %zu has ended after SIGTERM and is gone for good, %.0f ms after its successor's start", i + 1,
+               nowMs() - added_at);
+  }
+  // The replacement stays half done for 4.5 to 5 s; AFTER_MS tries other times than this one.
+  const char* after = std::getenv("AFTER_MS");
+  sleepMs(after == nullptr ? 1000 : std::atof(after));
+  if (!three && fleet.order("/v1/config/replace", config(2), 5000) != 200) {
+    record.say("configuration 2 wasn't taken");
+    return kCouldNotRun;
   }
-  for (const double until = nowMs() + 15'000; nowMs() < until && !leaver.ended();) {
-    sleepMs(20);
+  if (!three) {
+    record.say("configuration 2 acknowledged");
   }
-  sleepMs(1000);
-  stopping = true;
-  for (std::thread& client : clients) {
-    client.join();
+  if (withTrouble() && !three) {
+    for (const std::size_t lost : {first, second}) {
+      fleet.members[lost]->signal(SIGKILL);
+    }
+    for (const std::size_t lost : {first, second}) {
+      fleet.members[lost]->end(SIGKILL);
+      fleet.loseDisk(lost);
+    }
+    record.say("machines %zu and %zu lost their disks (the leader is %d)", first + 1, second + 1, leader + 1);
+    sleepMs(kDownMs);
+    fleet.members[first]->start();
+    fleet.members[second]->start();
   }
-  for (const auto* group : {&fleet.members, &fleet.routers}) {
-    for (const auto& process : *group) {
-      if (process->hasEnded()) {
-        record.say("a process of the product ended by itself, status %d", process->status());
-        return kCouldNotRun;
-      }
+  const double back = nowMs();
+  std::vector<std::size_t> running;
+  for (std::size_t i = 0; i < fleet.members.size(); ++i) {
+    const bool runs = std::find(gone.begin(), gone.end(), i) == gone.end() && i < kCores + (three ? kReplaced : 1);
+    if (runs) {
+      running.push_back(i);
     }
   }
-
-  const double acknowledged = leaver.acknowledgedAt();
-  if (acknowledged < 0) {
-    record.say("the deregister wasn't acknowledged");
-    return kCouldNotRun;
+  int asked = 0;
+  std::map<int, int> statuses;
+  double read_at = -1;
+  bool newest = false;
+  while (nowMs() < back + kAskedForMs && read_at < 0) {
+    const Address& node = fleet.control[running[static_cast<std::size_t>(asked) % running.size()]];
+    const Answer answer = Fleet::ask(node, "GET", "/v1/config/get", "", 1000);
+    ++asked;
+    ++statuses[answer.complete ? answer.status : 0];
+    record.line("read at %s: %d %s", node.text().c_str(), answer.complete ? answer.status : 0, answer.why.c_str());
+    if (answer.complete && answer.status == 200) {
+      read_at = nowMs();
+      newest = answer.body == config(2);
+    }
+    sleepMs(250);
   }
-  // Routers are in touch from contactMs after the last start of a core process on.
-  const double from = std::max(acknowledged + kDrainMs, core_back + kContactMs);
-  int late = 0;
-  int lost = 0;
-  double last = 0;
-  for (const Arrival& arrival : leaver.arrivals()) {
-    if (arrival.at > from) {
-      ++late;
-      last = arrival.at;
-      const auto outcome = outcomes.find(arrival.id);
-      if (outcome == outcomes.end() || outcome->second.status != 200) {
-        ++lost;
-        record.line("late and without its answer: %s, status %d", arrival.id.c_str(),
-                    outcome == outcomes.end() ? 0 : outcome->second.status);
-      }
+  for (const std::size_t i : running) {
+    if (fleet.members[i]->hasEnded()) {
+      record.say("machine %zu ended by itself, status %d", i + 1, fleet.members[i]->status());
     }
   }
-  const auto good = std::count_if(outcomes.begin(), outcomes.end(), [](const auto& item) { return item.second.status == 200; });
-  record.say("requests %zu, of these answered with 200: %ld", outcomes.size(), static_cast<long>(good));
-  if (withTrouble()) {
-    record.say("%s: deregister acknowledged %.0f ms after the core was back, by a machine %s", leaver.id().c_str(),
-               acknowledged - core_back, acknowledged - core_back > kContactMs ? "in touch" : "not yet in touch");
+  for (const auto& [status, count] : statuses) {
+    record.say("reads answered with %d: %d", status, count);
   }
-  record.say("requests that reached it later than drainMs after that, by routers in touch: %d", late);
-  if (late > 0) {
-    record.say("the last one %.0f ms after the acknowledgement; unsafe ones of these that ran and got no answer of it: %d",
-               last - acknowledged, lost);
+  if (read_at >= 0) {
+    record.say("configuration read back %.0f ms after the machines were back, %s", read_at - back,
+               newest ? "the newest" : "NOT the newest");
+    return newest && read_at - back < kRecoveryMs ? kHeld : kBroken;
   }
-  return late > 0 ? kBroken : kHeld;
+  const int status = fleet.order("/v1/config/replace", config(3), 5000);
+  record.say("the configuration didn't come for %.0f s although all %zu machines run; a new one: %d", kAskedForMs / 1000,
+             running.size(), status);
+  return kBroken;
 }
