Move the vote of a member that leaves before its process ends

Cause: a member that is told to stop handed over its leadership but not its vote. The leader gave the vote to the learner after 5 s without a hello, measured anew by each leader. So the replaced machine was still one of five votes, and the two disks that the cell tolerates made three.

Change: a process that stops says so in its hellos (a new last member of MemberHello) and ends when the leader has told it that its removal is committed, or when nobody can take its vote, after 3 s at the latest. A leader that wakes from a pause measures silence anew.

The number of voters never falls below the target for it.

--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -431,7 +431,7 @@
 }
 
 void ServiceControlShell::continueStop() {
-  const bool handed_over = !control_->view(now()).leads && pending_requests_.empty();
+  const bool handed_over = control_->mayStop(now()) && pending_requests_.empty();
   if (handed_over || now() - *stop_began_ >= kStopLimit) {
     if (on_stopped_) {
       std::exchange(on_stopped_, nullptr)();
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -47,8 +47,8 @@
   const ServiceControlProcessSettings& settings() const { return settings_; }
   std::string metricsText();
   void applySeeds(const ServiceControlProcessSettings& fresh);
-  /// Hands leadership over and answers pending requests, then calls on_stopped once; after a time limit in
-  /// any case.
+  /// Hands leadership and, if possible, the vote over and answers pending requests, then calls on_stopped
+  /// once; after a time limit in any case.
   void beginStop(event::Callback on_stopped);
 
  private:
--- a/src/services/cell_membership_manager.cc
+++ b/src/services/cell_membership_manager.cc
@@ -37,10 +37,32 @@
   return addresses;
 }
 
-Duration CellMembershipManager::silence(const wire::Member& member, TimePoint now) const {
+const CellMembershipManager::Contact* CellMembershipManager::contactOf(const wire::Member& member) const {
   const auto contact = contacts_.find(member.node);
   const bool received = contact != contacts_.end() && contact->second.hello.id == member.id;
-  return now - (received ? std::max(contact->second.last_contact, observing_since_) : observing_since_);
+  return received ? &contact->second : nullptr;
+}
+
+Duration CellMembershipManager::silence(const wire::Member& member, TimePoint now) const {
+  const Contact* contact = contactOf(member);
+  return now - (contact != nullptr ? std::max(contact->last_contact, observing_since_) : observing_since_);
+}
+
+bool CellMembershipManager::isLeaving(const wire::Member& member) const {
+  const Contact* contact = contactOf(member);
+  return contact != nullptr && contact->hello.leaving;
+}
+
+bool CellMembershipManager::canReplace(const wire::Membership& membership, MemberId voter,
+                                       TimePoint now) const {
+  return consensus::voterCount(membership) > settings_.target_voters ||
+         std::any_of(contacts_.begin(), contacts_.end(), [&](const auto& item) {
+           const Contact& contact = item.second;
+           const wire::Member* member = consensus::findMember(membership, contact.hello.id);
+           const bool votes = member != nullptr && member->voter;
+           return !votes && contact.hello.id != voter && !contact.hello.leaving &&
+                  now - contact.last_contact < kHelloTtl;
+         });
 }
 
 std::optional<control::MembershipChange> CellMembershipManager::nextChange(const wire::Membership& membership,
@@ -76,7 +98,7 @@
     const wire::Membership& membership, TimePoint now) const {
   for (const auto& [node, contact] : contacts_) {
     const bool known = consensus::findMember(membership, contact.hello.id) != nullptr;
-    if (!known && now - contact.last_contact < kHelloTtl) {
+    if (!known && !contact.hello.leaving && now - contact.last_contact < kHelloTtl) {
       wire::Member member;
       member.id = contact.hello.id;
       member.node = node;
@@ -88,25 +110,31 @@
   return std::nullopt;
 }
 
-/// Promotes a learner before the silent voter that it replaces is removed: promotion requires that the
-/// learner has caught up, so a voter is only removed once a replacement holds the log.
+/// Promotes a learner before the voter that it replaces is removed: promotion requires that the learner has
+/// caught up, so a voter is only removed once a replacement holds the log. The leader itself hands over its
+/// leadership before it leaves.
 std::optional<control::MembershipChange> CellMembershipManager::adjustVoters(
     const wire::Membership& membership, MemberId self, TimePoint now) const {
   const wire::Member* learner = nullptr;
-  const wire::Member* silent_voter = nullptr;
+  const wire::Member* departing_voter = nullptr;
+  Duration longest_silence = Duration::min();
   for (const wire::Member& member : membership.members) {
     const Duration silent_for = silence(member, now);
-    if (!member.voter && silent_for < kHelloTtl) {
+    const bool leaving = isLeaving(member);
+    const bool departs =
+        member.voter && member.id != self && (leaving || silent_for > settings_.voter_timeout);
+    if (!member.voter && silent_for < kHelloTtl && !leaving) {
       learner = &member;
-    } else if (member.voter && member.id != self && silent_for > settings_.voter_timeout) {
-      silent_voter = &member;
+    } else if (departs && silent_for > longest_silence) {
+      departing_voter = &member;
+      longest_silence = silent_for;
     }
   }
   const std::size_t voters = consensus::voterCount(membership);
-  if (silent_voter != nullptr && voters > settings_.target_voters) {
-    return change(control::MembershipAction::Remove, *silent_voter);
+  if (departing_voter != nullptr && voters > settings_.target_voters) {
+    return change(control::MembershipAction::Remove, *departing_voter);
   }
-  const bool vacancy = voters < settings_.target_voters || silent_voter != nullptr;
+  const bool vacancy = voters < settings_.target_voters || departing_voter != nullptr;
   if (learner != nullptr && vacancy) {
     return change(control::MembershipAction::Promote, *learner);
   }
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -11,6 +11,8 @@
 
 constexpr Duration kMemberHelloInterval = std::chrono::milliseconds(500);
 constexpr Duration kJoiningHelloInterval = std::chrono::milliseconds(200);
+/// A process that stops waits for the answer to its hellos.
+constexpr Duration kLeavingHelloInterval = std::chrono::milliseconds(100);
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
 /// A leader with a disk write that takes longer than this transfers its leadership.
 constexpr Duration kSlowWrite = std::chrono::seconds(1);
@@ -65,13 +67,19 @@
   membership_manager_.onHello(hello, now);
   applyContacts(from, hello, now);
   known_nodes_.insert(hello.node);
-  if (consensus::findMember(node_->log().membership(), hello.id) == nullptr) {
+  const bool known = consensus::findMember(node_->log().membership(), hello.id) != nullptr;
+  // A process that leaves ends on this answer, so that its removal has to be committed.
+  const bool removal_open =
+      hello.leaving && leader_ && (leader_->membership_change_open || !node_->log().hasLease(now));
+  if (!known && !removal_open) {
     send(from, wire::MemberList{memberNodes(), node_->log().leader()});
   }
 }
 
-void ServiceControlImpl::onMessage(const NodeName&, const wire::MemberList& list, TimePoint) {
+void ServiceControlImpl::onMessage(const NodeName& from, const wire::MemberList& list, TimePoint) {
   known_nodes_.insert(list.nodes.begin(), list.nodes.end());
+  const bool listed = std::find(list.nodes.begin(), list.nodes.end(), self_) != list.nodes.end();
+  replaced_ = replaced_ || (stopping_ && from == list.leader && !listed);
 }
 
 void ServiceControlImpl::onMessage(const NodeName&, const wire::ReplicaReports& reports, TimePoint now) {
@@ -240,17 +248,25 @@
   return consensus::findMember(node_->log().membership(), settings_.control.log.id) != nullptr;
 }
 
+Duration ServiceControlImpl::helloInterval() const {
+  if (stopping_) {
+    return kLeavingHelloInterval;
+  }
+  return isMember() ? kMemberHelloInterval : kJoiningHelloInterval;
+}
+
 void ServiceControlImpl::sendHello(TimePoint now) {
   if (now < next_hello_) {
     return;
   }
-  next_hello_ = now + (isMember() ? kMemberHelloInterval : kJoiningHelloInterval);
+  next_hello_ = now + helloInterval();
   wire::MemberHello hello;
   hello.id = settings_.control.log.id;
   hello.node = self_;
   hello.address = self_.value;
   hello.http = settings_.http;
   hello.has_leader = hasLeaderContact();
+  hello.leaving = stopping_;
   std::vector<wire::RouterContact> contacts;
   if (leader_ && memberStatusInterval() > Duration::zero()) {
     contacts = directory_.contacts(now);
@@ -328,7 +344,9 @@
   }
   expireForwarded(now);
   sendHello(now);
-  if (node_->leads()) {
+  if (node_->leads() && stopping_) {
+    applyEffects(node_->beginStop(now), now);
+  } else if (node_->leads()) {
     transferLeadershipIfDiskIsSlow(now);
   }
   return finish(now);
@@ -391,10 +409,21 @@
 }
 
 Effects ServiceControlImpl::beginStop(TimePoint now) {
+  stopping_ = true;
   applyEffects(node_->beginStop(now), now);
+  next_hello_ = now;
+  sendHello(now);
   return finish(now);
 }
 
+bool ServiceControlImpl::mayStop(TimePoint now) const {
+  const wire::Membership& membership = node_->log().membership();
+  const wire::Member* member = consensus::findMember(membership, settings_.control.log.id);
+  const bool votes = member != nullptr && member->voter;
+  return !node_->leads() &&
+         (!votes || replaced_ || !membership_manager_.canReplace(membership, settings_.control.log.id, now));
+}
+
 void ServiceControlImpl::updateLeadership(TimePoint now) {
   const Term term = node_->log().term();
   const bool same = leader_ && node_->leads() && leader_->term == term;
@@ -412,7 +441,7 @@
                     settings_.router_contact_timeout, now);
     registry_.clearLimits();
     leader_->push_to_all = isLargeFleet();  // announces the new leader to the routers at once
-    membership_manager_.onLeadership(now);
+    membership_manager_.observeFrom(now);
   }
 }
 
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -139,8 +139,12 @@
   virtual Effects releaseCall(const wire::CallFingerprint& call, TimePoint now) = 0;
   /// Adds nodes to contact to those that are known already.
   virtual void addSeeds(const std::vector<NodeName>& seeds) = 0;
-  /// Begins a planned stop: a leader transfers its leadership to another member.
+  /// Begins a planned stop: a leader transfers its leadership to another member, and the leader replaces this
+  /// member as a voter if another process can take over its vote.
   virtual Effects beginStop(TimePoint now) = 0;
+  /// True once this process may end after beginStop() without weakening the cell: it neither leads nor has a
+  /// vote that another process could take over.
+  virtual bool mayStop(TimePoint now) const = 0;
 
   /// Router addresses for callers of a zone, at most `limit`.
   virtual std::vector<std::string> routerAddresses(const ZoneName& zone, std::size_t limit,
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -58,6 +58,7 @@
   Effects releaseCall(const wire::CallFingerprint& call, TimePoint now) override;
   void addSeeds(const std::vector<NodeName>& seeds) override;
   Effects beginStop(TimePoint now) override;
+  bool mayStop(TimePoint now) const override;
   std::vector<std::string> routerAddresses(const ZoneName& zone, std::size_t limit,
                                            TimePoint now) const override;
   std::vector<NodeName> peers() const override;
@@ -158,6 +159,7 @@
     TimePoint last_plan{};  ///< time of the last plan
     bool membership_change_open = false;
     TimePoint next_membership_change{};
+    TimePoint last_membership_check{};
   };
 
   // service_control.cc
@@ -185,6 +187,7 @@
   template <class EngineEffect>
   void applyEffect(const EngineEffect&, TimePoint) {}
   void send(const NodeName& to, wire::Message message);
+  Duration helloInterval() const;
   void sendHello(TimePoint now);
   bool isMember() const;
   bool hasLeaderContact() const { return node_->leads() || !node_->log().leader().empty(); }
@@ -324,6 +327,8 @@
   TimePoint next_hello_;
   TimePoint next_expiry_;
   TimePoint started_at_;               ///< start of this process
+  bool stopping_ = false;              ///< beginStop() was called
+  bool replaced_ = false;              ///< the leader confirmed that this process isn't a member any more
   std::deque<OpenWrite> open_writes_;  ///< oldest first
   TimePoint next_leadership_transfer_{};
   std::uint64_t next_id_ = 1;
--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -13,6 +13,8 @@
 /// second.
 constexpr double kReplicasPlannedPerSecond = 100'000;
 constexpr Duration kMembershipChangeInterval = std::chrono::milliseconds(100);
+/// After a longer pause of this process, hellos may wait to be read, so that their senders seem silent.
+constexpr Duration kMaxMembershipCheckGap = std::chrono::seconds(1);
 /// Interval at which quotas are updated with the routers that are out of contact.
 constexpr Duration kQuotaContactInterval = std::chrono::milliseconds(100);
 /// Maximum number of addresses in the directory that routers receive.
@@ -146,6 +148,9 @@
 }
 
 void ServiceControlImpl::repairMembership(TimePoint now) {
+  if (now - std::exchange(leader_->last_membership_check, now) > kMaxMembershipCheckGap) {
+    membership_manager_.observeFrom(now);
+  }
   if (leader_->membership_change_open || now < leader_->next_membership_change) {
     return;
   }
--- a/src/wire/service_messages.h
+++ b/src/wire/service_messages.h
@@ -40,7 +40,9 @@
   std::uint64_t contacts_digest = 0;
   /// Sent by a leader with many routers to a member whose contacts_digest differs.
   std::optional<std::vector<RouterContact>> contacts;
-  FERRYROCK_FIELDS(MemberHello, id, node, address, http, has_leader, contacts_digest, contacts)
+  /// The process is stopping and waits until another member has its vote.
+  bool leaving = false;
+  FERRYROCK_FIELDS(MemberHello, id, node, address, http, has_leader, contacts_digest, contacts, leaving)
 
   /// Number of members that the sender's build encodes; 0: not decoded from bytes.
   std::uint32_t encoded_member_count = 0;
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -17,6 +17,9 @@
 /// Time until a new connection replaces a silent one.
 constexpr Duration kReconnectDelay = 200ms;
 constexpr Duration kRouterInterval = 250ms;
+/// Interval at which a member that stops checks whether it may end, and the limit of a planned stop.
+constexpr Duration kStopPollInterval = 50ms;
+constexpr Duration kStopLimit = 3s;
 
 NodeName nodeAt(std::size_t number) {
   return NodeName("10.0.0." + std::to_string(number + 1) + ":7000");
@@ -97,6 +100,22 @@
   member.unsynced.clear();
 }
 
+void ServiceCluster::stop(ServiceMember& member) {
+  act(member, [](ServiceControl& control, TimePoint now) { return control.beginStop(now); });
+  continueStop(member, member.starts, time_ + kStopLimit);
+}
+
+void ServiceCluster::continueStop(ServiceMember& member, std::uint64_t starts, TimePoint deadline) {
+  if (member.starts != starts || !member.control) {
+    return;
+  }
+  if (time_ >= deadline || (time_ >= member.frozen_until && member.control->mayStop(time_))) {
+    kill(member);
+    return;
+  }
+  after(kStopPollInterval, [this, &member, starts, deadline] { continueStop(member, starts, deadline); });
+}
+
 void ServiceCluster::powerOff(ServiceMember& member) {
   kill(member);
   member.disk->crash();
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -79,7 +79,11 @@
   /// Starts another process that requests to join the cell. If the address is a member's, the process takes
   /// over that address.
   ServiceMember& addMember(const std::string& address);
+  /// Sets the nodes that members which are added or started later contact first.
+  void setSeeds(std::vector<NodeName> seeds) { seeds_ = std::move(seeds); }
   void kill(ServiceMember& member);
+  /// Stops the member as planned: its process ends once it may, at the latest after the production limit.
+  void stop(ServiceMember& member);
   /// Stops the member and discards its unsynced writes, as a power loss does.
   void powerOff(ServiceMember& member);
   /// Starts the member; after wipe(), under a new identity.
@@ -169,6 +173,7 @@
   void after(Duration delay, std::function<void()> action);
   bool step(TimePoint limit);
   void sync(ServiceMember& member, std::uint64_t starts);
+  void continueStop(ServiceMember& member, std::uint64_t starts, TimePoint deadline);
   void deliver(const NodeName& from, const NodeName& to, const wire::Message& message);
   void sendStatusPeriodically(ScriptedRouter& router);
   void applyUpdate(ScriptedRouter& router, const wire::ServiceUpdate& update);
--- a/tests/wire/recorded_messages_test.cc
+++ b/tests/wire/recorded_messages_test.cc
@@ -149,7 +149,7 @@
 };
 
 TEST_CASE("The earlier build decodes messages of members without the new fields") {
-  MemberHello hello{MemberId{3}, NodeName("c:1"), "c:1", "c:2", true, 9, {}};
+  MemberHello hello{MemberId{3}, NodeName("c:1"), "c:1", "c:2", true, 9, {}, true};
   hello.contacts = {{NodeName("edge-1"), ZoneName("z"), "edge-1:80", 5, true}};
   const auto read_hello = decode<LegacyHello>(encode(hello));
   CHECK(read_hello == LegacyHello{MemberId{3}, NodeName("c:1"), "c:1", "c:2", true});
@@ -162,6 +162,7 @@
       decode<MemberHello>(encode(LegacyHello{MemberId{3}, NodeName("c:1"), "c:1", "c:2", true}));
   CHECK(hello.http == "c:2");
   CHECK_FALSE(hello.supportsContacts());
+  CHECK_FALSE(hello.leaving);
   CHECK(decode<MemberList>(encode(LegacyMemberList{{}, NodeName("c:1")})).status_interval_ms == 0);
   CHECK_FALSE(read<CallRouterStatus>(recorded::with_loads::kRouterStatus).subscribes);
   CHECK(read<ServiceUpdate>(recorded::with_loads::kServiceUpdate).table == 0);
