Bind a leave notice only where routers closed the replica, known to the leader or not

The replica ends as announced, and unsafe requests that ran there got no answer of it.

Cause: replicas are known in memory only. A notice of a replica without a record was tied to the revision of the present table, which doesn't name the replica; a new leader's table isn't complete for 6 s, and routers keep what an incomplete table doesn't list. So routers proved to hold a table that said nothing of the replica.

Change: such a replica is closed by name: it is listed as removed, in deltas and in each full table until tables are complete, and the notice binds with that revision. Routers resolve a name without a start time to the incarnation that they know. Members apply committed notices to their registries, and a new leader closes the latest of them, so that a router that was out of contact hears of what an earlier leader acknowledged. Tables of subscribed routers keep closed replicas until they are complete.

Why it works: what is acknowledged is now the routers' own state. A record that appears later is marked as leaving from the log before any table lists it.

--- a/src/calls/replica_table.cc
+++ b/src/calls/replica_table.cc
@@ -131,7 +131,9 @@
     }
   }
   for (const ReplicaId& id : gone) {
-    unlist(id);
+    // A leader that doesn't know the replica may name it without the start time of its incarnation.
+    const auto incarnation = incarnations_.find(id.value);
+    unlist(incarnation == incarnations_.end() ? id : ReplicaId(incarnation->second));
   }
 }
 
--- a/src/control/hosted_services.cc
+++ b/src/control/hosted_services.cc
@@ -57,6 +57,7 @@
   if (!leaving_.insert(command.replica).second) {
     return {};
   }
+  ++leaving_changes_;
   leaving_order_.push_back(command.replica);
   if (leaving_order_.size() > kRememberedLeaving) {
     leaving_.erase(leaving_order_.front());
@@ -121,6 +122,7 @@
   source_ = std::move(stored.source);
   leaving_order_.assign(stored.leaving.begin(), stored.leaving.end());
   leaving_ = {stored.leaving.begin(), stored.leaving.end()};
+  leaving_changes_ += leaving_.size();
   quarantine_order_.clear();
   quarantined_.clear();
   for (const wire::CrashRecord& record : stored.quarantined) {
--- a/src/control/hosted_services.h
+++ b/src/control/hosted_services.h
@@ -29,6 +29,10 @@
   bool leaving(const ReplicaId& replica) const { return leaving_.contains(replica); }
   /// Replicas that have said that they leave, the latest kRememberedLeaving of them.
   const std::set<ReplicaId>& leaving() const { return leaving_; }
+  /// The same, the earliest first.
+  const std::deque<ReplicaId>& leavingByAge() const { return leaving_order_; }
+  /// Rises with each replica added to leaving().
+  std::uint64_t leavingChanges() const { return leaving_changes_; }
 
   /// Calls under which too many replicas ended, the latest kRememberedQuarantines of them. Their ages aren't
   /// kept: a process that starts again takes them for new.
@@ -53,6 +57,7 @@
   std::string source_;
   std::deque<ReplicaId> leaving_order_;  ///< oldest first
   std::set<ReplicaId> leaving_;
+  std::uint64_t leaving_changes_ = 0;
   std::deque<wire::CallFingerprint> quarantine_order_;  ///< oldest first
   std::map<wire::CallFingerprint, wire::CrashRecord> quarantined_;
   std::uint64_t quarantine_changes_ = 0;
--- a/src/services/replica_index.cc
+++ b/src/services/replica_index.cc
@@ -16,7 +16,8 @@
     const auto known = replicas_.find(id);
     const bool took_calls = known != replicas_.end() && known->second.routed.accepting;
     const bool takes_calls = record != nullptr && registry.acceptsCalls(*record);
-    if (took_calls && !takes_calls) {
+    const bool closed_unknown = record == nullptr && registry.closedUnknown().contains(id);
+    if ((took_calls && !takes_calls) || closed_unknown) {
       changes.closed.push_back(id);
     }
     const std::vector<ModelKey> former =
--- a/src/services/replica_registry.cc
+++ b/src/services/replica_registry.cc
@@ -93,6 +93,8 @@
 
 ReportOutcome ReplicaRegistry::addReplica(const wire::ReplicaReport& report, TimePoint now) {
   removed_at_.erase(report.id);
+  closed_unknown_.erase(report.id);
+  closed_unknown_.erase(ReplicaId(wire::replicaName(report.id)));
   removeOthersAt(report.address, report.id, now);
   recordIncarnation(report.id, now);
   ReplicaRecord& record = replicas_[report.id];
@@ -198,6 +200,19 @@
   }
 }
 
+void ReplicaRegistry::closeUnknown(const ReplicaId& id) {
+  const bool known = replicas_.contains(currentIncarnation(id));
+  if (known || !closed_unknown_.emplace(id, changes_ + 1).second) {
+    return;
+  }
+  recordRemoval(id);
+  if (closed_unknown_.size() > kMaxRetainedRemovals) {
+    closed_unknown_.erase(
+        std::min_element(closed_unknown_.begin(), closed_unknown_.end(),
+                         [](const auto& left, const auto& right) { return left.second < right.second; }));
+  }
+}
+
 void ReplicaRegistry::setLimit(const ReplicaId& id, std::optional<double> calls_per_second) {
   ReplicaRecord* record = findMutable(id);
   if (record != nullptr && record->calls_per_second != calls_per_second) {
@@ -296,6 +311,7 @@
 
 void ReplicaRegistry::forceFullUpdates() {
   ++changes_;
+  closed_unknown_.clear();
   removals_.clear();
   removals_complete_from_ = changes_;
 }
@@ -324,10 +340,14 @@
 
 void ReplicaRegistry::remove(std::map<ReplicaId, ReplicaRecord>::iterator replica, TimePoint now) {
   removed_at_[replica->first] = now;
-  changed_ids_.insert(replica->first);
-  removals_.push_back({++changes_, replica->first});
+  recordRemoval(replica->first);
   removeFromAddressIndex(replica->second);
   replicas_.erase(replica);
+}
+
+void ReplicaRegistry::recordRemoval(const ReplicaId& id) {
+  changed_ids_.insert(id);
+  removals_.push_back({++changes_, id});
   if (removals_.size() > kMaxRetainedRemovals) {
     removals_complete_from_ = removals_.front().change;
     removals_.pop_front();
--- a/src/services/replica_registry.h
+++ b/src/services/replica_registry.h
@@ -56,6 +56,12 @@
   void recordHeartbeat(const wire::UnchangedReport& alive, TimePoint now);
   /// Marks a known replica as leaving until its incarnation ends; unknown replicas are ignored.
   void markLeaving(const ReplicaId& id);
+  /// Records that routers must not use a replica without a record here: a router may know it from an earlier
+  /// leader. Known replicas are ignored. The id may be a name without a start time.
+  void closeUnknown(const ReplicaId& id);
+  /// Replicas recorded by closeUnknown() that have no record, with the change count of each. They are listed
+  /// as removed in tables that don't list all replicas.
+  const std::map<ReplicaId, std::uint64_t>& closedUnknown() const { return closed_unknown_; }
   /// Sets the limit of a known replica over all routers; nullopt: the limit has ended. Unknown replicas are
   /// ignored.
   void setLimit(const ReplicaId& id, std::optional<double> calls_per_second);
@@ -102,6 +108,7 @@
   };
 
   void remove(std::map<ReplicaId, ReplicaRecord>::iterator replica, TimePoint now);
+  void recordRemoval(const ReplicaId& id);
   ReportOutcome addReplica(const wire::ReplicaReport& report, TimePoint now);
   /// Returns true for a delayed report: its sender was removed, and its address belongs to another replica
   /// that is alive.
@@ -121,7 +128,8 @@
   std::map<ReplicaId, TimePoint> removed_at_;  ///< removed replicas with the time of removal; kept for 5 min
   std::map<std::string, Incarnation> incarnations_;  ///< by the replica's name
   std::deque<Removal> removals_;                     ///< oldest first
-  std::uint64_t removals_complete_from_ = 0;         ///< removals_ is complete for changes after this count
+  std::map<ReplicaId, std::uint64_t> closed_unknown_;
+  std::uint64_t removals_complete_from_ = 0;  ///< removals_ is complete for changes after this count
   std::uint64_t changes_ = 0;
   std::set<ReplicaId> changed_ids_;
 };
--- a/src/services/router_tables.cc
+++ b/src/services/router_tables.cc
@@ -90,7 +90,7 @@
   state.awaited_models = std::move(awaited_models);
 }
 
-void RouterTables::applyChanges(const ReplicaIndex::Changes& changes) {
+void RouterTables::applyChanges(const ReplicaIndex::Changes& changes, bool complete) {
   for (const ModelKey& key : changes.grown) {
     const auto waiting = waiting_.find(key);
     if (waiting != waiting_.end()) {
@@ -101,12 +101,12 @@
     return;
   }
   ++closings_;
-  if (unsettled_.empty()) {
+  if (complete && unsettled_.empty()) {
     closed_.clear();
   }
   std::set<NodeName> affected = unsettled_;
   for (const ReplicaId& replica : changes.closed) {
-    if (!unsettled_.empty()) {
+    if (!complete || !unsettled_.empty()) {
       closed_.insert(replica);
     }
     const auto users = users_.find(replica);
--- a/src/services/router_tables.h
+++ b/src/services/router_tables.h
@@ -39,8 +39,9 @@
   /// Applies a router's status: the table that it holds, and the models that its calls wait for.
   void accept(const wire::CallRouterStatus& status, TimePoint now);
   /// Applies changes of the index. Routers become due whose calls wait for a model with new replicas, or that
-  /// may use a replica that was closed.
-  void applyChanges(const ReplicaIndex::Changes& changes);
+  /// may use a replica that was closed. Until the tables are `complete`, closed replicas are remembered for
+  /// routers that the leader doesn't know yet.
+  void applyChanges(const ReplicaIndex::Changes& changes, bool complete);
   /// Makes all routers due whose calls wait for a model.
   void queueWaitingRouters();
   /// Returns and clears the routers that are due for an update at once.
@@ -103,7 +104,8 @@
   std::set<NodeName> due_;
   std::uint64_t closings_ = 0;
   std::uint64_t confirmations_ = 0;
-  std::set<ReplicaId> closed_;  ///< closed while a router was unsettled; listed in incomplete tables
+  std::set<ReplicaId>
+      closed_;  ///< closed while a router was unsettled or unknown; listed in incomplete tables
 };
 
 }  // namespace ferryrock::services
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -440,6 +440,7 @@
     leader_.emplace(term, placer, registry_, index_, settings_.quota_tolerance, newRetryLedger(now),
                     settings_.router_contact_timeout, now);
     registry_.clearLimits();
+    closeLatestLeavers();
     leader_->push_to_all = isLargeFleet();  // announces the new leader to the routers at once
     membership_manager_.observeFrom(now);
   }
@@ -463,6 +464,7 @@
   updateLeadership(now);
   mergeStoredQuarantines(now);
   applyEvacuations();
+  applyLeaveNotices();
   applyReplicaChanges();
   sendReportsToNewLeader(now);
   const CatalogVersion version = node_->hosted().catalog().version;
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -220,6 +220,10 @@
   bool isConfigured(const ServiceName& service) const;
   ReportOutcome acceptReport(const wire::ReplicaReport& report, TimePoint now);
   std::string nextReportAddress(const ReplicaId& replica, TimePoint now) const;
+  void applyLeaveNotices();
+  void closeLatestLeavers();
+  /// Closes the replicas of the latest `count` committed leave notices.
+  void closeLeavers(std::uint64_t count);
   void flushRelay(TimePoint now);
   void sendReportsToNewLeader(TimePoint now);
   void beginNotice(NoticeOrigin origin, const wire::ReplicaReport& report, TimePoint now);
@@ -308,6 +312,7 @@
   std::map<std::uint64_t, ProposalPurpose> proposals_;
   std::map<std::uint64_t, ReadPurpose> reads_;
   std::set<ReplicaId> leaving_proposed_;
+  std::uint64_t applied_leaving_changes_ = 0;  ///< HostedServices::leavingChanges() applied to the registry
   std::vector<PendingAcknowledgement> pending_acknowledgements_;
   CatalogVersion committed_version_;  ///< newest catalog version that is known to be committed
   TimePoint committed_since_{};       ///< when this member learned of it
--- a/src/services/service_control_replicas.cc
+++ b/src/services/service_control_replicas.cc
@@ -89,6 +89,30 @@
   return outcome;
 }
 
+/// Applies committed leave notices to the registry. Every member does this, so that a new leader doesn't open
+/// a replica again whose notice an earlier leader acknowledged.
+void ServiceControlImpl::applyLeaveNotices() {
+  const std::uint64_t changes = node_->hosted().leavingChanges();
+  closeLeavers(changes - std::exchange(applied_leaving_changes_, changes));
+}
+
+/// A router that was out of contact may still use a replica whose notice an earlier leader acknowledged.
+void ServiceControlImpl::closeLatestLeavers() {
+  constexpr std::uint64_t kClosedByNewLeader = 256;
+  closeLeavers(kClosedByNewLeader);
+}
+
+void ServiceControlImpl::closeLeavers(std::uint64_t count) {
+  const std::deque<ReplicaId>& leaving = node_->hosted().leavingByAge();
+  const auto taken = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(count, leaving.size()));
+  for (auto id = leaving.end() - taken; id != leaving.end(); ++id) {
+    registry_.markLeaving(*id);
+    if (leader_) {
+      registry_.closeUnknown(*id);
+    }
+  }
+}
+
 void ServiceControlImpl::flushRelay(TimePoint now) {
   const ReportRelay::Batches batches = relay_.take(now);
   const auto hasContent = [](const wire::ReplicaReports& reports) {
@@ -176,12 +200,20 @@
   }
 }
 
+/// Routers may know a replica that this leader has no record of from an earlier leader, and keep it until the
+/// first complete table. The notice then binds with the update that lists the replica as removed.
 void ServiceControlImpl::closeForNotice(LeaveNotice& notice) {
+  const bool became_known = registry_.currentIncarnation(notice.replica) != notice.replica;
+  if (became_known) {
+    return;  // the notice that is sent again names the incarnation
+  }
   registry_.markLeaving(notice.replica);
+  registry_.closeUnknown(notice.replica);
   applyReplicaChanges();
   const ReplicaRecord* record = registry_.find(notice.replica);
-  notice.revision =
-      record == nullptr ? leader_->feed.revision() : leader_->feed.revisionAt(record->leaving_change);
+  const std::uint64_t change =
+      record == nullptr ? registry_.closedUnknown().at(notice.replica) : record->leaving_change;
+  notice.revision = leader_->feed.revisionAt(change);
   notice.closing_count = leader_->tables.closings();
   leader_->push_to_all = leader_->push_to_all || !leader_->has_subscriptions;
 }
--- a/src/services/service_control_subscriptions.cc
+++ b/src/services/service_control_subscriptions.cc
@@ -85,7 +85,7 @@
   if (!leader_->has_subscriptions && registry_.replicas().size() > kMaxReplicasInFullTables) {
     beginSubscriptions();
   }
-  leader_->tables.applyChanges(changes);
+  leader_->tables.applyChanges(changes, leader_->complete);
 }
 
 /// Returns true if a call waits for a model that needs placement. For a subscribed router, a model that some
--- a/src/services/table_feed.cc
+++ b/src/services/table_feed.cc
@@ -108,6 +108,11 @@
       update.replicas.push_back(replicaForRouters(record, registry_.acceptsCalls(record)));
     }
   }
+  if (known == 0 && !update.complete) {
+    for (const auto& [id, change] : registry_.closedUnknown()) {
+      update.removed.push_back(id);
+    }
+  }
   if (!status.supportsIncarnationIds()) {
     useReplicaNames(update);
   }
