Keep the origins of streams on the members' disks

The streams of the killed router are never taken up again: 24 of 24 calls with `Last-Event-Id` and `Resumes` get 503 (StreamOriginUnknown), also in touch, while 24 of 24 new streams begin.

Cause: what began a stream was known to its router and to three members, all of them in memory only.

Nothing waits for it, and a member goes on without what it can't write or read.

Why it works: an origin is a fact that never changes, so that a copy on disk is as good as the memory that was lost, at any member, with or without a leader, and with several versions side by side.

--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -8,6 +8,7 @@
 #include "quarantine/call_fingerprint.h"
 #include "service_process/member_identity.h"
 #include "storage/log_storage.h"
+#include "wire/codec.h"
 #include "wire/message_kind.h"
 
 namespace ferryrock::service_process {
@@ -34,6 +35,8 @@
 constexpr std::size_t kRetainedEntries = 50;
 /// Interval between attempts to write to a disk that is full or faulty.
 constexpr Duration kStorageRetry = 250ms;
+/// Origins of streams that are reported within this time share one write and sync.
+constexpr Duration kOriginStoreInterval = 200ms;
 constexpr std::uint64_t kSegmentBytes = std::uint64_t{4} << 20;
 
 services::ServiceControlSettings controlSettings(const ServiceControlProcessSettings& settings,
@@ -94,6 +97,7 @@
   orders_ = std::make_unique<OrderClient>(dispatcher_, *http_client_, dialect, std::move(callbacks));
   const auto identity_files = storage::createPosixFileSystem(settings_.data_folder + "/identity");
   openControl(*identity_files);
+  openStreamOrigins();
   transport::TransportSettings transport;
   transport.node = self_;
   transport.listen_address = self_.value;
@@ -145,6 +149,49 @@
       kStorageRetry);
 }
 
+/// The origins are copies, so that the process runs without those that it can't read or write.
+void ServiceControlShell::openStreamOrigins() {
+  origin_timer_ = dispatcher_.createTimer([this] { storeStreamOrigins(); });
+  const auto on_failed = [this](const std::string& reason) {
+    log_.write(LogLevel::Warning, "origins.not_stored", {{"reason", std::string_view(reason)}});
+  };
+  try {
+    auto journal = std::make_unique<storage::RecordJournal>(
+        storage::createPosixFileSystem(settings_.data_folder + "/origins"));
+    std::size_t recovered = 0;
+    for (const std::string& record : journal->recover()) {
+      const auto stored = wire::decode<wire::StreamOrigins>(record);
+      recovered += stored.origins.size();
+      control_->restoreStreamOrigins(stored, now());
+    }
+    log_.write(LogLevel::Info, "origins.recovered", {{"streams", static_cast<std::int64_t>(recovered)}});
+    origin_period_began_ = now();
+    origin_writer_ =
+        std::make_unique<control_process::JournalWriter>(dispatcher_, std::move(journal), on_failed);
+  } catch (const Error& fault) {
+    on_failed(fault.what());
+  }
+}
+
+void ServiceControlShell::carryOut(const services::StoreStreamOriginsEffect& effect) {
+  if (origin_writer_ == nullptr) {
+    return;
+  }
+  std::vector<wire::StreamOrigin>& unstored = unstored_origins_.origins;
+  if (unstored.empty()) {
+    origin_timer_->enable(kOriginStoreInterval);
+  }
+  unstored.insert(unstored.end(), effect.origins.origins.begin(), effect.origins.origins.end());
+}
+
+void ServiceControlShell::storeStreamOrigins() {
+  if (now() - origin_period_began_ >= services::StreamOriginStore::kRetention) {
+    origin_period_began_ = now();
+    origin_writer_->rotate();
+  }
+  origin_writer_->append(wire::encode(std::exchange(unstored_origins_, {})));
+}
+
 services::ControlRequestNumber ServiceControlShell::registerCallback(AnswerCallback callback) {
   const services::ControlRequestNumber number{next_request_number_++};
   pending_requests_.emplace(number, std::move(callback));
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -10,6 +10,7 @@
 #include "common/error.h"
 #include "common/event_log.h"
 #include "common/metrics.h"
+#include "control_process/journal_writer.h"
 #include "control_process/storage_writer.h"
 #include "event/dispatcher.h"
 #include "service_process/order_client.h"
@@ -60,8 +61,11 @@
   void carryOut(const services::ModelUnplacedEffect& effect);
   void carryOut(const services::AnswerEffect& effect);
   void carryOut(const services::CatalogRolloutEffect& effect);
+  void carryOut(const services::StoreStreamOriginsEffect& effect);
   services::ControlRequestNumber registerCallback(AnswerCallback callback);
   void openControl(storage::FileSystem& files);
+  void openStreamOrigins();
+  void storeStreamOrigins();
   void updatePeers();
   void logViewChanges();
   void logFleetChanges();
@@ -80,6 +84,10 @@
   MetricsRegistry metrics_;
   std::unique_ptr<services::ServiceControl> control_;
   std::unique_ptr<control_process::StorageWriter> writer_;
+  std::unique_ptr<control_process::JournalWriter> origin_writer_;
+  wire::StreamOrigins unstored_origins_;
+  TimePoint origin_period_began_{};
+  std::unique_ptr<event::Timer> origin_timer_;
   std::unique_ptr<transport::Transport> transport_;
   std::unique_ptr<http::Client> http_client_;
   std::unique_ptr<OrderClient> orders_;
--- a/src/services/service_control.cc
+++ b/src/services/service_control.cc
@@ -165,7 +165,10 @@
 }
 
 void ServiceControlImpl::onMessage(const NodeName&, const wire::StreamOrigins& origins, TimePoint now) {
-  stream_origins_.accept(origins, now);
+  wire::StreamOrigins to_store = stream_origins_.accept(origins, now);
+  if (!to_store.origins.empty()) {
+    effects_.emplace_back(StoreStreamOriginsEffect{std::move(to_store)});
+  }
 }
 
 /// Any member answers, whether it leads or not: an origin never changes.
--- a/src/services/service_control.h
+++ b/src/services/service_control.h
@@ -58,8 +58,14 @@
   std::string next_report_address;
 };
 
-using Effect = std::variant<wire::SendEffect, consensus::PersistEffect, OrderReplicaEffect,
-                            InspectReplicaEffect, ModelUnplacedEffect, AnswerEffect, CatalogRolloutEffect>;
+/// Effect: store the origins on disk for StreamOriginStore::kRetention. Nothing waits for it.
+struct StoreStreamOriginsEffect {
+  wire::StreamOrigins origins;
+};
+
+using Effect =
+    std::variant<wire::SendEffect, consensus::PersistEffect, OrderReplicaEffect, InspectReplicaEffect,
+                 ModelUnplacedEffect, AnswerEffect, CatalogRolloutEffect, StoreStreamOriginsEffect>;
 using Effects = std::vector<Effect>;
 
 /// State of a member for metrics and status pages.
@@ -137,6 +143,8 @@
   /// Releases a call from quarantine on an operator's request: the crashes so far no longer count, at this
   /// member at once and at the other nodes soon after.
   virtual Effects releaseCall(const wire::CallFingerprint& call, TimePoint now) = 0;
+  /// Adds origins of streams that an earlier run of this process stored.
+  virtual void restoreStreamOrigins(const wire::StreamOrigins& stored, TimePoint now) = 0;
   /// Adds nodes to contact to those that are known already.
   virtual void addSeeds(const std::vector<NodeName>& seeds) = 0;
   /// Begins a planned stop: a leader transfers its leadership to another member, and the leader replaces this
--- a/src/services/service_control_impl.h
+++ b/src/services/service_control_impl.h
@@ -56,6 +56,9 @@
   Effects onInspected(OrderNumber number, const std::optional<ReplicaState>& state, TimePoint now) override;
   std::vector<SuspectedCall> suspectedCalls(TimePoint now) const override;
   Effects releaseCall(const wire::CallFingerprint& call, TimePoint now) override;
+  void restoreStreamOrigins(const wire::StreamOrigins& stored, TimePoint now) override {
+    stream_origins_.restore(stored, now);
+  }
   void addSeeds(const std::vector<NodeName>& seeds) override;
   Effects beginStop(TimePoint now) override;
   bool mayStop(TimePoint now) const override;
--- a/src/services/stream_origin_store.cc
+++ b/src/services/stream_origin_store.cc
@@ -2,18 +2,35 @@
 
 namespace ferryrock::services {
 
-void StreamOriginStore::accept(const wire::StreamOrigins& reported, TimePoint now) {
+wire::StreamOrigins StreamOriginStore::accept(const wire::StreamOrigins& reported, TimePoint now) {
+  wire::StreamOrigins to_store;
   for (const wire::StreamOrigin& origin : reported.origins) {
     if (origin.stream.empty()) {
       continue;
     }
-    origins_[origin.stream.value] = {origin, now};
-    reports_.emplace_back(now, origin.stream.value);
+    const auto known = origins_.find(origin.stream.value);
+    const bool stored = known != origins_.end() && now - known->second.stored_at < kRetention / 2;
+    if (!stored) {
+      to_store.origins.push_back(origin);
+    }
+    record(origin, now, stored ? known->second.stored_at : now);
+  }
+  expire(now);
+  return to_store;
+}
+
+void StreamOriginStore::restore(const wire::StreamOrigins& stored, TimePoint now) {
+  for (const wire::StreamOrigin& origin : stored.origins) {
+    record(origin, now, now);
   }
+}
+
+void StreamOriginStore::record(const wire::StreamOrigin& origin, TimePoint now, TimePoint stored_at) {
+  origins_[origin.stream.value] = {origin, now, stored_at};
+  reports_.emplace_back(now, origin.stream.value);
   while (origins_.size() > kMaxStreams) {
     removeOldest();
   }
-  expire(now);
 }
 
 wire::StreamOriginReply StreamOriginStore::answer(const wire::StreamOriginQuery& query) {
--- a/src/services/stream_origin_store.h
+++ b/src/services/stream_origin_store.h
@@ -18,11 +18,15 @@
 };
 
 /// Origins of the resumable streams that routers report to this member. They are facts that never change, so
-/// that members needn't agree on them: the answer of any one member is right. Kept in memory only. Used by
-/// one thread.
+/// that members needn't agree on them: the answer of any one member is right. Kept in memory; the owner
+/// stores what accept() returns on disk, so that the origins survive a crash of all members. Used by one
+/// thread.
 class StreamOriginStore {
  public:
-  void accept(const wire::StreamOrigins& reported, TimePoint now);
+  /// Returns the origins to be stored: those that aren't on disk yet, or will not be there for long.
+  wire::StreamOrigins accept(const wire::StreamOrigins& reported, TimePoint now);
+  /// Adds origins that an earlier run of the process stored.
+  void restore(const wire::StreamOrigins& stored, TimePoint now);
   wire::StreamOriginReply answer(const wire::StreamOriginQuery& query);
   /// Removes streams that haven't been reported for longer than the retention.
   void expire(TimePoint now);
@@ -40,7 +44,9 @@
   struct Entry {
     wire::StreamOrigin origin;
     TimePoint reported_at{};
+    TimePoint stored_at{};
   };
+  void record(const wire::StreamOrigin& origin, TimePoint now, TimePoint stored_at);
   void removeOldest();
 
   std::unordered_map<std::string, Entry> origins_;
--- a/tests/services/service_cluster.cc
+++ b/tests/services/service_cluster.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "wire/codec.h"
+
 namespace ferryrock::services {
 namespace {
 
@@ -13,6 +15,8 @@
 constexpr Duration kConfirmDelay = std::chrono::milliseconds(10);
 constexpr Duration kMessageDelay = 2ms;
 constexpr Duration kSyncDelay = 1ms;
+/// Origins of streams are stored together, at this interval in production.
+constexpr Duration kOriginStoreDelay = 200ms;
 constexpr Duration kTickDelay = 10ms;
 /// Time until a new connection replaces a silent one.
 constexpr Duration kReconnectDelay = 200ms;
@@ -46,6 +50,7 @@
     member->id = founder.id;
     member->founder = true;
     member->disk = std::make_unique<storage::MemoryDisk>(random_.next());
+    member->origin_disk = std::make_unique<storage::MemoryDisk>(member->id.value);
     members_.push_back(std::move(member));
   }
   for (const auto& member : members_) {
@@ -58,6 +63,7 @@
   member->node = NodeName(address);
   member->id = MemberId{random_.next() >> 2};
   member->disk = std::make_unique<storage::MemoryDisk>(random_.next());
+  member->origin_disk = std::make_unique<storage::MemoryDisk>(member->id.value);
   members_.push_back(std::move(member));
   start(*members_.back());
   return *members_.back();
@@ -79,6 +85,10 @@
   settings.publishes_loads = publishes_loads;
   settings.retries = retries_;
   member.control = createServiceControl(settings, member.storage->recover(), Random(random_.next()), clock_);
+  member.origin_journal = std::make_unique<storage::RecordJournal>(member.origin_disk->open());
+  for (const std::string& record : member.origin_journal->recover()) {
+    member.control->restoreStreamOrigins(wire::decode<wire::StreamOrigins>(record), time_);
+  }
   act(member, [](ServiceControl& control, TimePoint now) { return control.tick(now); });
   const std::uint64_t starts = member.starts;
   const auto tick = std::make_shared<std::function<void()>>();
@@ -97,6 +107,7 @@
   ++member.starts;
   member.control.reset();
   member.storage.reset();
+  member.origin_journal.reset();
   member.unsynced.clear();
 }
 
@@ -119,6 +130,7 @@
 void ServiceCluster::powerOff(ServiceMember& member) {
   kill(member);
   member.disk->crash();
+  member.origin_disk->crash();
 }
 
 void ServiceCluster::wipe(ServiceMember& member) {
@@ -126,6 +138,7 @@
     kill(member);
   }
   member.disk->wipe();
+  member.origin_disk->wipe();
   member.founder = false;
   member.id = MemberId{random_.next() >> 2};
 }
@@ -327,6 +340,12 @@
           return control.onOrderDone(number, OrderOutcome::Accepted, now);
         });
       });
+    } else if (const auto* store = std::get_if<StoreStreamOriginsEffect>(&effect)) {
+      after(kOriginStoreDelay, [&member, starts = member.starts, record = wire::encode(store->origins)] {
+        if (member.starts == starts) {
+          member.origin_journal->append(record);
+        }
+      });
     } else if (const auto* inspection = std::get_if<InspectReplicaEffect>(&effect)) {
       after(kMessageDelay, [this, &member, number = inspection->number] {
         act(member, [number](ServiceControl& control, TimePoint now) {
--- a/tests/services/service_cluster.h
+++ b/tests/services/service_cluster.h
@@ -17,6 +17,7 @@
 #include "services/service_control.h"
 #include "storage/log_storage.h"
 #include "storage/memory_file_system.h"
+#include "storage/record_journal.h"
 
 /// A cell of service control members under a virtual clock, with a network that delays and drops messages,
 /// disks that lose unsynced writes on a power loss, and simulated routers and replicas.
@@ -28,6 +29,8 @@
   bool founder = false;
   std::unique_ptr<storage::MemoryDisk> disk;
   std::unique_ptr<storage::LogStorage> storage;
+  std::unique_ptr<storage::MemoryDisk> origin_disk;  ///< lost together with the other one
+  std::unique_ptr<storage::RecordJournal> origin_journal;
   std::unique_ptr<ServiceControl> control;  ///< null while the member is stopped
   std::uint64_t starts = 0;
   std::vector<consensus::PersistEffect> unsynced;
--- a/tests/services/stream_fleet.cc
+++ b/tests/services/stream_fleet.cc
@@ -134,6 +134,14 @@
   }
 }
 
+void StreamFleet::powerOffAllMembers(Duration down) {
+  for (std::size_t i = 0; i < kMembers; ++i) {
+    ServiceMember& member = cluster.member(i);
+    cluster.powerOff(member);
+    cluster.schedule(down, [this, &member] { cluster.start(member); });
+  }
+}
+
 void StreamFleet::cutRouterOff(std::size_t number, Duration duration) {
   cluster.isolate(routers[number]->node);
   cluster.schedule(duration, [this] { cluster.heal(); });
@@ -299,7 +307,7 @@
 }
 
 void StreamFleet::takeUpLater(const std::shared_ptr<Stream>& stream) {
-  const Duration pause = std::chrono::milliseconds(20 + random.below(300));
+  const Duration pause = take_up_delay + std::chrono::milliseconds(20 + random.below(300));
   cluster.schedule(pause, [this, stream] { call(*routers[random.below(routers.size())], stream); });
 }
 
--- a/tests/services/stream_fleet.h
+++ b/tests/services/stream_fleet.h
@@ -45,10 +45,15 @@
   void restartRouter(std::size_t number);
   void killMember(std::size_t number, Duration down);
   void killAllMembers(Duration down);
+  /// All members lose power at once, and what their disks haven't synced.
+  void powerOffAllMembers(Duration down);
   void cutRouterOff(std::size_t number, Duration duration);
   /// Runs the cell with new streams at this rate over all routers together.
   void streamFor(Duration time, double per_second, const std::string& path = "/llm/x");
 
+  /// Callers wait this long before they take a stream up, in addition to their own pauses.
+  Duration take_up_delay{};
+
   std::size_t replicaCount() const { return replicas_.size(); }
   std::vector<std::size_t> running(const std::string& service) const;
 
--- a/tests/services/stream_version_test.cc
+++ b/tests/services/stream_version_test.cc
@@ -140,6 +140,39 @@
   }
 }
 
+void killCoreAndRouters(StreamFleet& fleet) {
+  fleet.killAllMembers(700ms);
+  for (std::size_t i = 0; i < fleet.routers.size() / 2; ++i) {
+    fleet.restartRouter(i);
+  }
+}
+void losePowerEverywhere(StreamFleet& fleet) {
+  fleet.powerOffAllMembers(700ms);
+  for (std::size_t i = 0; i < fleet.routers.size(); ++i) {
+    fleet.restartRouter(i);
+  }
+}
+
+TEST_CASE("Streams whose router was lost together with all members go on once the members are back") {
+  const auto event =
+      GENERATE(StreamEvent{"all members and half of the routers are killed", true, killCoreAndRouters},
+               StreamEvent{"everything loses power", true, losePowerEverywhere});
+  const auto seed = GENERATE(range(1, 5));
+  INFO(event.name << ", seed " << seed);
+  StreamFleet fleet(6, static_cast<std::uint64_t>(seed));
+  addVersions(fleet, "llm");
+  fleet.take_up_delay = 4s;
+  fleet.cluster.schedule(4s, [&] { event.trigger(fleet); });
+  fleet.streamFor(11s, kStreamsPerSecond);
+  fleet.cluster.runFor(8s);
+  const StreamCounts& counts = fleet.counts;
+  CAPTURE(counts.begun, counts.served, counts.servable, counts.servable_went_on);
+  REQUIRE(counts.servable >= 12);
+  const double new_share = static_cast<double>(counts.served) / static_cast<double>(counts.begun);
+  CHECK(static_cast<double>(counts.servable_went_on) >= static_cast<double>(counts.servable) * new_share / 2);
+  CHECK(counts.of_versions == 0);
+}
+
 TEST_CASE("A stream that is taken up again stays with the service that began it") {
   const auto seed = GENERATE(range(1, 4));
   INFO("seed " << seed);
