Send queries for stream origins at a rate that send queues take

Cause: each call sent a query to every member at once. A router's send queue to a member takes 16 messages, and the transport drops what exceeds it: members had received 18 to 21 of 24 queries (`process.traffic`).

Change: at most 8 queries to each member leave at once, further ones each 5 ms; a member that hasn't answered after 80 ms is asked once more. The time limit of a query counts from its sending.

Why it works: a batch fits into half of the queue, which empties within a millisecond; a query that is lost all the same is repeated well inside its limit.

--- a/src/calls/stream_origin_client.cc
+++ b/src/calls/stream_origin_client.cc
@@ -11,6 +11,11 @@
 
 /// A member answers within some 10 ms; one that doesn't within this time is busy or gone.
 constexpr Duration kReplyTimeout = 250ms;
+/// A member that hasn't answered within this time is asked once more: the query may have been dropped.
+constexpr Duration kRepeatAfter = 80ms;
+/// Maximum number of queries to each member in an interval, half of the transport's send queue.
+constexpr std::size_t kQueriesPerBatch = 8;
+constexpr Duration kBatchInterval = 5ms;
 /// Interval at which running streams are reported again, to members that have started since.
 constexpr Duration kRepetitionInterval = 2s;
 /// Time for which this router itself remembers streams, and their maximum number.
@@ -78,14 +83,33 @@
   if (stream.empty() || members_.empty()) {
     return false;
   }
-  if (queries_.try_emplace(stream, Query{now, members_}).second) {
-    for (const NodeName& member : members_) {
-      messages_.push_back({member, wire::StreamOriginQuery{stream}});
-    }
+  if (queries_.try_emplace(stream, Query{std::nullopt, false, members_}).second) {
+    to_send_.push_back(stream);
+    sendQueries(now);
   }
   return true;
 }
 
+void StreamOriginClient::sendQueries(TimePoint now) {
+  if (now - batch_began_ >= kBatchInterval) {
+    batch_began_ = now;
+    sent_in_batch_ = 0;
+  }
+  while (!to_send_.empty() && sent_in_batch_ < kQueriesPerBatch) {
+    const auto query = queries_.find(to_send_.front());
+    to_send_.pop_front();
+    if (query == queries_.end()) {
+      continue;
+    }
+    ++sent_in_batch_;
+    query->second.repeated = query->second.sent_at.has_value();
+    query->second.sent_at = query->second.sent_at.value_or(now);
+    for (const NodeName& member : query->second.unanswered) {
+      messages_.push_back({member, wire::StreamOriginQuery{query->first}});
+    }
+  }
+}
+
 std::optional<StreamOriginAnswer> StreamOriginClient::accept(const NodeName& from,
                                                              const wire::StreamOriginReply& reply,
                                                              TimePoint now) {
@@ -106,14 +130,20 @@
 
 std::vector<StreamOriginAnswer> StreamOriginClient::tick(TimePoint now) {
   std::vector<StreamOriginAnswer> answers;
-  for (auto query = queries_.begin(); query != queries_.end();) {
-    if (now - query->second.since >= kReplyTimeout) {
-      answers.push_back({query->first, std::nullopt, false});
-      query = queries_.erase(query);
-    } else {
-      ++query;
+  for (auto item = queries_.begin(); item != queries_.end();) {
+    Query& query = item->second;
+    const Duration waited = query.sent_at ? now - *query.sent_at : Duration::zero();
+    if (waited >= kReplyTimeout) {
+      answers.push_back({item->first, std::nullopt, false});
+      item = queries_.erase(item);
+      continue;
+    }
+    if (waited >= kRepeatAfter && !std::exchange(query.repeated, true)) {
+      to_send_.push_back(item->first);
     }
+    ++item;
   }
+  sendQueries(now);
   if (now >= next_repetition_) {
     for (const RequestId& stream : running_) {
       report(known_.at(stream));
@@ -132,8 +162,13 @@
 
 TimePoint StreamOriginClient::nextDeadline() const {
   TimePoint deadline = next_repetition_;
+  if (!to_send_.empty()) {
+    deadline = std::min(deadline, batch_began_ + kBatchInterval);
+  }
   for (const auto& [stream, query] : queries_) {
-    deadline = std::min(deadline, query.since + kReplyTimeout);
+    if (query.sent_at) {
+      deadline = std::min(deadline, *query.sent_at + (query.repeated ? kReplyTimeout : kRepeatAfter));
+    }
   }
   return deadline;
 }
--- a/src/calls/stream_origin_client.h
+++ b/src/calls/stream_origin_client.h
@@ -27,7 +27,8 @@
 /// Router side of the origins of streams; the members' side is services::StreamOriginStore. Each resumable
 /// stream that begins here is reported to a few members, chosen by the stream's ID, so that its origin
 /// survives this router and some members. A stream that began elsewhere is looked up at all members, of which
-/// one that knows it suffices. Not thread-safe; used by one thread.
+/// one that knows it suffices. The callers of a lost router return at once, so that queries are sent at a
+/// limited rate: a member's send queue drops what exceeds it. Not thread-safe; used by one thread.
 class StreamOriginClient {
  public:
   /// Records whether the member keeps origins; builds before don't.
@@ -54,13 +55,16 @@
 
  private:
   struct Query {
-    TimePoint since{};
+    std::optional<TimePoint> sent_at;  ///< nullopt: not sent yet
+    bool repeated = false;
     std::set<NodeName> unanswered;
   };
 
   void remember(const wire::StreamOrigin& origin, TimePoint now);
   void forgetOld(TimePoint now);
   void report(const wire::StreamOrigin& origin);
+  /// Sends the queries that wait, as far as the rate allows.
+  void sendQueries(TimePoint now);
 
   std::set<NodeName> members_;
   std::map<RequestId, wire::StreamOrigin> known_;
@@ -68,6 +72,9 @@
   std::set<RequestId> running_;
   TimePoint next_repetition_ = TimePoint::max();
   std::map<RequestId, Query> queries_;
+  std::deque<RequestId> to_send_;  ///< queries to send or repeat, in order; some may be answered by now
+  TimePoint batch_began_{};        ///< start of the current batch of queries
+  std::size_t sent_in_batch_ = 0;
   std::map<NodeName, wire::StreamOrigins> reports_;  ///< not sent yet
   std::vector<wire::SendEffect> messages_;
 };
--- a/tests/calls/stream_origin_client_test.cc
+++ b/tests/calls/stream_origin_client_test.cc
@@ -1,6 +1,10 @@
 #include "calls/stream_origin_client.h"
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
 
 namespace ferryrock::calls {
 namespace {
@@ -87,5 +91,55 @@
   CHECK_FALSE(client(1).ask(RequestId(), kStart));
 }
 
+/// Runs the client for the time; returns the number of queries sent to each member in each step of 5 ms.
+std::vector<std::map<NodeName, std::size_t>> queriesInSteps(StreamOriginClient& it, TimePoint from,
+                                                            Duration time) {
+  std::vector<std::map<NodeName, std::size_t>> steps;
+  for (TimePoint now = from; now < from + time; now += 5ms) {
+    it.tick(now);
+    auto& sent = steps.emplace_back();
+    for (const wire::SendEffect& send : it.takeMessages()) {
+      sent[send.to] += std::holds_alternative<wire::StreamOriginQuery>(send.message) ? 1 : 0;
+    }
+  }
+  return steps;
+}
+
+TEST_CASE("Many callers that return at once are all asked for, without overflowing a member's send queue") {
+  constexpr std::size_t kCallers = 100;
+  constexpr std::size_t kSendQueue = 16;
+  StreamOriginClient it = client(3);
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    REQUIRE(it.ask(RequestId("stream-" + std::to_string(i)), kStart));
+  }
+  std::map<NodeName, std::size_t> total;
+  for (const auto& step : queriesInSteps(it, kStart, 75ms)) {
+    for (const auto& [member, queries] : step) {
+      CHECK(queries <= kSendQueue);
+      total[member] += queries;
+    }
+  }
+  CHECK(total == std::map<NodeName, std::size_t>{{NodeName("control-0"), kCallers},
+                                                 {NodeName("control-1"), kCallers},
+                                                 {NodeName("control-2"), kCallers}});
+}
+
+TEST_CASE("A member that doesn't answer is asked once more before the query ends") {
+  StreamOriginClient it = client(2);
+  REQUIRE(it.ask(kStream, kStart));
+  it.takeMessages();
+  it.accept(NodeName("control-0"), {kStream, std::nullopt}, kStart);
+  std::map<NodeName, std::size_t> repeated;
+  for (const auto& step : queriesInSteps(it, kStart, 200ms)) {
+    for (const auto& [member, queries] : step) {
+      repeated[member] += queries;
+    }
+  }
+  CHECK(repeated == std::map<NodeName, std::size_t>{{NodeName("control-1"), 1}});
+  const auto answer = it.accept(NodeName("control-1"), {kStream, origin("stream-1")}, kStart + 200ms);
+  REQUIRE(answer);
+  CHECK(answer->origin == origin("stream-1"));
+}
+
 }  // namespace
 }  // namespace ferryrock::calls
