Let a leader whose transfer ended in vain stand for election again

Cause: with TimeoutNow a leader gives its lease up for the rest of the term. If the target doesn't stand for election, the transfer is abandoned, but neither the lease came back nor did the leadership end.

Change: a leader that abandons a transfer after TimeoutNow stands for election in the next term.

Why it works: setting the lease back wouldn't be sound, since the TimeoutNow may still arrive. In a later term it is void, and a lease counts from that term's own heartbeats.

--- a/src/consensus/leadership.h
+++ b/src/consensus/leadership.h
@@ -41,7 +41,9 @@
   std::deque<HeartbeatRound> rounds;  ///< the most recent rounds, oldest first
   std::deque<PendingRead> reads;      ///< ordered by round
   std::optional<LeadershipTransfer> transfer;
-  bool lease_forfeited = false;  ///< TimeoutNow was sent in this term: the target's election ignores leases
+  /// TimeoutNow was sent in this term: the target's election ignores leases. Stays set until the leadership
+  /// ends.
+  bool lease_forfeited = false;
 
   /// Send time of the round; nullopt if the round is no longer retained or was never sent.
   std::optional<TimePoint> roundSentAt(std::uint64_t number) const;
--- a/src/consensus/quorum_log_impl.h
+++ b/src/consensus/quorum_log_impl.h
@@ -138,6 +138,7 @@
   std::optional<MemberId> mostAdvancedVoter() const;
   void beginTransfer();
   void progressTransfer();
+  void abandonTransfer();
   void onMembershipCommitted();
 
   QuorumLogSettings settings_;
--- a/src/consensus/quorum_log_leader.cc
+++ b/src/consensus/quorum_log_leader.cc
@@ -300,7 +300,10 @@
     return;
   }
   if (leadership_->transfer && now_ >= leadership_->transfer->deadline) {
-    leadership_->transfer.reset();
+    abandonTransfer();
+    if (!leadership_) {
+      return;
+    }
   }
   broadcastHeartbeat();
   replicate();
--- a/src/consensus/quorum_log_members.cc
+++ b/src/consensus/quorum_log_members.cc
@@ -139,6 +139,20 @@
   }
 }
 
+/// Once TimeoutNow was sent, the target may still be elected in the next term despite this leader's lease, so
+/// there is no lease in this term any more. The leader then stands for election in the next term itself,
+/// which makes a late TimeoutNow void.
+void QuorumLogImpl::abandonTransfer() {
+  const bool timeout_sent = leadership_->transfer->timeout_sent;
+  leadership_->transfer.reset();
+  if (timeout_sent) {
+    constexpr bool kRealVote = false;
+    constexpr bool kTransfer = true;
+    becomeFollower(hard_state_.term, NodeName{});
+    beginElection(kRealVote, kTransfer);
+  }
+}
+
 void QuorumLogImpl::onMembershipCommitted() {
   if (!leadership_ || isVoter()) {
     return;
--- a/tests/consensus/member_defect_test.cc
+++ b/tests/consensus/member_defect_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// Entries that replace synced ones are acknowledged only after they are synced themselves.
 bool acknowledgesOnlySynced(const Defects& defects) {
@@ -94,6 +95,39 @@
   }
 }
 
+/// Member 2 follows the leader for the time, and votes for it when it stands for election.
+void follow(SingleMember& member, Duration time) {
+  constexpr Duration kStep = milliseconds(10);
+  for (Duration passed{}; passed < time; passed += kStep) {
+    member.wait(kStep);
+    member.sync();
+    const Term term = member.log().term();
+    const LogIndex last = member.log().lastIndex();
+    for (const wire::AppendRequest& request : member.takeSent<wire::AppendRequest>()) {
+      member.receive(2, wire::AppendResponse{term, MemberId{2}, true, last, request.read_sequence,
+                                             SingleMember::diskOf(2)});
+    }
+    if (member.log().role() == Role::Candidate) {
+      member.receive(2, wire::VoteResponse{term, MemberId{2}, true, false, SingleMember::diskOf(2)});
+    }
+  }
+}
+
+TEST_CASE("a leader whose transfer ended in vain leads with a lease again, in a later term") {
+  SingleMember member(Defects{}, {1});
+  member.becomeLeader();
+  follow(member, milliseconds(500));
+  REQUIRE(member.log().hasLease(member.now()));
+  const Term first = member.log().term();
+  member.handle(member.log().transferLeadership(member.now()));
+  REQUIRE(member.takeSent<wire::TimeoutNow>().size() == 1);
+  CHECK_FALSE(member.log().hasLease(member.now()));
+  follow(member, seconds(5));
+  CHECK(member.log().role() == Role::Leader);
+  CHECK(member.log().term() > first);
+  CHECK(member.log().hasLease(member.now()));
+}
+
 /// A batch in reply to every rejection would multiply duplicated messages.
 TEST_CASE("a repeated rejection does not trigger another batch") {
   SingleMember member(Defects{}, {1, 1, 1});
