Plan models at intervals while there is no lease

Cause: without a lease the planner returned before it set its next time, which the member's timer waits for.

Change: without a lease the planner looks again after its usual 100 ms.

--- a/src/services/service_control_leader.cc
+++ b/src/services/service_control_leader.cc
@@ -132,7 +132,11 @@
 }
 
 void ServiceControlImpl::planModels(TimePoint now) {
-  if (now < leader_->next_plan || !node_->log().hasLease(now)) {
+  if (now < leader_->next_plan) {
+    return;
+  }
+  if (!node_->log().hasLease(now)) {
+    leader_->next_plan = now + kPlanInterval;
     return;
   }
   leader_->next_plan = now + std::max(kPlanInterval, minPlanInterval());
