Replace two members for good in each soak

A planned replacement was in no test of real processes: the soak stopped, killed and emptied members, but none left for good while another took its place. The test of the plan asks for them.

--- a/tests/platform/soak/plan_test.sh
+++ b/tests/platform/soak/plan_test.sh
@@ -12,7 +12,7 @@
 first=$("$soak" --plan --seconds 600 --seed 7)
 [[ $first == "$("$soak" --plan --seconds 600 --seed 7)" ]] || fail "two plans of one seed differ"
 [[ $first != "$("$soak" --plan --seconds 600 --seed 8)" ]] || fail "two seeds have one plan"
-for kind in kill freeze stop wipe hup; do
+for kind in kill freeze stop wipe hup replace; do
   grep -q " $kind " <<< "$first" || fail "no $kind in ten minutes"
 done
 awk '$1 < 50 || $1 >= 5800 {exit 1}' <<< "$first" || fail "a fault in the quiet at an end"
