Reject responses whose head HTTP forbids, before anything reads it

Callers got whole 200s, with the replica's seal, for answers whose head was spoilt: the body had 0 or 3 of its 5 bytes, or a line that is no header field was passed on.

Cause: libcurl frames the body and hands over the lines of the head. It reads as many digits of a Content-Length as there are, ignores one whose name holds a blank or a control byte, ignores unknown transfer codings, and doesn't look at other fields. The client looked at nothing: a line without a colon even counted as a status line and dropped the headers before it. Interim heads and trailers were read the same way.

ResponseHead checks each line against RFC 9110 and RFC 9112 before it is used: status line, names, values, Content-Length, Transfer-Encoding, for interim heads and trailers too. ResponseReader also compares the length of the body with the announced one. Both clients, and so all readers of answers (attempts, relays, orders, inspections, probes, engines, command line, load tool), read through it. A rejected response aborts its transfer, so its connection isn't used again; the call fails with an unknown outcome. The reason in `call.attempt_failed` names the line, the column and a bounded, escaped part of the line. No rule rests on what libcurl refuses. A folded field is rejected, as RFC 9112, section 5.2, lets a gateway choose.

Blocking calls threw for sound answers with trailers, since a trailer counted as an unfinished head. They read through the same class now.

Passed before and now: the sound but odd responses (but for the trailers above), and heads cut at any place, direct and relayed, in answers and streams.

--- a/src/http/blocking_call.cc
+++ b/src/http/blocking_call.cc
@@ -5,24 +5,29 @@
 #include "common/error.h"
 #include "http/curl_request.h"
 #include "http/http.h"
+#include "http/response_reader.h"
 
 namespace ferryrock::http {
 namespace {
 
 struct Collected {
-  ClientResponse response;
-  bool headers_complete = false;
+  ResponseReader reader;
+  std::string body;
 };
 
 std::size_t onHeader(char* bytes, std::size_t size, std::size_t count, void* context) {
+  constexpr std::size_t kAbort = 0;
   auto& collected = *static_cast<Collected*>(context);
-  collected.headers_complete =
-      addHeaderLine(collected.response.headers, std::string_view(bytes, size * count));
-  return size * count;
+  return collected.reader.addLine(std::string_view(bytes, size * count)) ? size * count : kAbort;
 }
 
 std::size_t onBody(char* bytes, std::size_t size, std::size_t count, void* context) {
-  static_cast<Collected*>(context)->response.body.append(bytes, size * count);
+  constexpr std::size_t kAbort = 0;
+  auto& collected = *static_cast<Collected*>(context);
+  if (!collected.reader.addBody(size * count)) {
+    return kAbort;
+  }
+  collected.body.append(bytes, size * count);
   return size * count;
 }
 
@@ -31,22 +36,23 @@
 ClientResponse blockingCall(const ClientRequest& request) {
   initializeCurl();
   const CurlRequest call(request);
-  Collected collected;
+  constexpr std::size_t kNoLimit = 0;
+  Collected collected{ResponseReader(call.isHeadRequest(), kNoLimit), ""};
   curl_easy_setopt(call.handle(), CURLOPT_HEADERFUNCTION, &onHeader);
   curl_easy_setopt(call.handle(), CURLOPT_HEADERDATA, &collected);
   curl_easy_setopt(call.handle(), CURLOPT_WRITEFUNCTION, &onBody);
   curl_easy_setopt(call.handle(), CURLOPT_WRITEDATA, &collected);
   const CURLcode result = curl_easy_perform(call.handle());
-  if (result != CURLE_OK) {
-    throw Error(ResultCode::PeerUnreachable, "'" + request.url + "': " + call.failureReason(result));
+  if (result == CURLE_OK) {
+    collected.reader.end();
   }
-  // libcurl reports success if a connection ends within the headers.
-  if (!collected.headers_complete) {
+  const std::string& fault = collected.reader.fault();
+  if (result != CURLE_OK || !fault.empty()) {
     throw Error(ResultCode::PeerUnreachable,
-                "'" + request.url + "': the connection was closed within the response headers");
+                "'" + request.url + "': " + (fault.empty() ? call.failureReason(result) : fault));
   }
-  collected.response.status = static_cast<int>(call.status());
-  return std::move(collected.response);
+  const ResponseHead& head = collected.reader.head();
+  return {head.status(), head.headers(), std::move(collected.body)};
 }
 
 }  // namespace ferryrock::http
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -9,6 +9,7 @@
 #include "common/error.h"
 #include "http/curl_request.h"
 #include "http/http.h"
+#include "http/response_reader.h"
 
 namespace ferryrock::http {
 namespace {
@@ -16,8 +17,6 @@
 /// Two connections per engine of a cell with 4,000 engines; beyond this bound each further call would open a
 /// new connection.
 constexpr long kMaxIdleConnections = 8192;
-/// Limit on the heads of a response, interim ones and trailers included. libcurl bounds a single line.
-constexpr std::size_t kMaxHeadBytes = std::size_t{256} << 10;
 
 class CurlClient;
 
@@ -25,22 +24,20 @@
 /// after libcurl has returned, so that these may start, pause and destroy calls.
 struct CallState : std::enable_shared_from_this<CallState> {
   CallState(ClientRequest client_request, ClientCallbacks client_callbacks, ConnectionTable& connections)
-      : transfer(std::move(client_request), &connections), callbacks(std::move(client_callbacks)) {}
+      : transfer(std::move(client_request), &connections),
+        callbacks(std::move(client_callbacks)),
+        response(transfer.isHeadRequest(), transfer.maxBodyBytes()) {}
 
   CurlRequest transfer;
   ClientCallbacks callbacks;
   CurlClient* client = nullptr;  ///< null once the transfer has ended or was cancelled
-  Headers headers;
+  ResponseReader response;
   std::string data;
-  bool headers_complete = false;
   bool headers_delivered = false;
   bool paused = false;
   bool queued_for_delivery = false;
   bool ended = false;
-  std::size_t head_bytes = 0;  ///< received, over all heads and trailers
-  std::size_t body_bytes = 0;  ///< received
-  bool foreign = false;        ///< the response doesn't belong to the request and was given up
-  bool too_long = false;       ///< the response exceeded a limit and was given up
+  bool foreign = false;  ///< the response doesn't belong to the request and was given up
   CURLcode result = CURLE_OK;
 };
 using CallPtr = std::shared_ptr<CallState>;
@@ -285,39 +282,29 @@
 }
 
 std::size_t CurlClient::onHeader(char* bytes, std::size_t size, std::size_t count, void* context) {
+  constexpr std::size_t kAbort = 0;
   CallState& call = *static_cast<CallState*>(context);
-  call.head_bytes += size * count;
-  if (call.head_bytes > kMaxHeadBytes) {
-    call.too_long = true;
-    return 0;  // aborts the transfer
+  const bool is_trailer = call.response.head().complete();
+  if (!call.response.addLine(std::string_view(bytes, size * count))) {
+    return kAbort;
   }
-  if (call.headers_complete) {
-    return size * count;  // a trailer
-  }
-  if (!addHeaderLine(call.headers, std::string_view(bytes, size * count))) {
-    return size * count;
-  }
-  constexpr long kFirstFinalStatus = 200;
-  if (call.transfer.status() < kFirstFinalStatus) {
-    call.headers.clear();
+  const ResponseHead& head = call.response.head();
+  if (is_trailer || !head.complete()) {
     return size * count;
   }
-  call.headers_complete = true;
   call.client->queueForDelivery(call.shared_from_this());
-  call.foreign = !call.transfer.acceptsHead(call.headers);
-  return call.foreign ? 0 : size * count;
+  call.foreign = !call.transfer.acceptsHead(head.status(), head.headers());
+  return call.foreign ? kAbort : size * count;
 }
 
 std::size_t CurlClient::onBody(char* bytes, std::size_t size, std::size_t count, void* context) {
+  constexpr std::size_t kAbort = 0;
   CallState& call = *static_cast<CallState*>(context);
   if (call.paused) {
     return CURL_WRITEFUNC_PAUSE;
   }
-  call.body_bytes += size * count;
-  const std::size_t limit = call.transfer.maxBodyBytes();
-  if (limit > 0 && call.body_bytes > limit) {
-    call.too_long = true;
-    return 0;  // aborts the transfer
+  if (!call.response.addBody(size * count)) {
+    return kAbort;
   }
   call.data.append(bytes, size * count);
   call.client->queueForDelivery(call.shared_from_this());
@@ -326,11 +313,12 @@
 
 void CurlClient::deliverTo(const CallPtr& call) {
   const auto notCancelled = [&call] { return call->client != nullptr; };
-  if (notCancelled() && call->headers_complete && !call->headers_delivered) {
+  const ResponseHead& head = call->response.head();
+  if (notCancelled() && head.complete() && !call->headers_delivered) {
     call->headers_delivered = true;
     const auto on_headers = call->callbacks.on_headers;
     if (on_headers) {
-      on_headers(static_cast<int>(call->transfer.status()), call->headers);
+      on_headers(head.status(), head.headers());
     }
   }
   if (notCancelled() && !call->paused && !call->data.empty()) {
@@ -349,19 +337,17 @@
   const ClientCallbacks callbacks = std::exchange(call->callbacks, {});
   const SendProgress progress = call->transfer.progress();
   const bool refused = call->transfer.wasRefused(call->result);
-  std::string reason = call->headers_complete || call->result != CURLE_OK
-                           ? call->transfer.failureReason(call->result)
-                           : "the connection was closed within the response headers";
-  if (call->too_long) {
-    reason = "the response is longer than allowed: " + std::to_string(call->head_bytes) +
-             " bytes of headers, " + std::to_string(call->body_bytes) + " bytes of body";
+  if (call->result == CURLE_OK) {
+    call->response.end();
   }
+  const std::string& fault = call->response.fault();
+  std::string reason = fault.empty() ? call->transfer.failureReason(call->result) : fault;
   if (call->foreign) {
     reason = "the response doesn't belong to the request";
   }
+  const bool whole = call->result == CURLE_OK && fault.empty();
   call->client->cancel(call);
-  // libcurl reports success if a connection ends within the headers.
-  if (call->result == CURLE_OK && call->headers_complete) {
+  if (whole) {
     if (callbacks.on_complete) {
       callbacks.on_complete();
     }
--- a/src/http/curl_request.cc
+++ b/src/http/curl_request.cc
@@ -23,26 +23,6 @@
   }
 }
 
-bool addHeaderLine(Headers& headers, std::string_view line) {
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-    line.remove_suffix(1);
-  }
-  if (line.empty()) {
-    return true;
-  }
-  const std::size_t colon = line.find(':');
-  if (line.starts_with("HTTP/") || colon == std::string_view::npos) {
-    headers.clear();
-    return false;
-  }
-  std::string_view value = line.substr(colon + 1);
-  while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
-    value.remove_prefix(1);
-  }
-  headers.push_back(Header{std::string(line.substr(0, colon)), std::string(value)});
-  return false;
-}
-
 CurlRequest::CurlRequest(ClientRequest request, ConnectionTable* connections)
     : request_(std::move(request)), handle_(curl_easy_init()), connections_(connections) {
   if (!handle_) {
@@ -52,6 +32,7 @@
   curl_easy_setopt(curl, CURLOPT_URL, request_.url.c_str());
   curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(curl, CURLOPT_HTTP09_ALLOWED, 0L);
   curl_easy_setopt(curl, CURLOPT_PROXY, "");  // also overrides proxies set in the environment
   curl_easy_setopt(curl, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
@@ -175,14 +156,8 @@
   curl_easy_setopt(handle_.get(), CURLOPT_HTTPHEADER, header_list_.get());
 }
 
-long CurlRequest::status() const {
-  long status = 0;
-  curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
-  return status;
-}
-
-bool CurlRequest::acceptsHead(const Headers& headers) const {
-  return !request_.accepts_head || request_.accepts_head(static_cast<int>(status()), headers);
+bool CurlRequest::acceptsHead(int status, const Headers& headers) const {
+  return !request_.accepts_head || request_.accepts_head(status, headers);
 }
 
 bool CurlRequest::wasRefused(CURLcode result) const {
@@ -193,7 +168,9 @@
 
 /// libcurl's count of sent bytes is no proof: it leaves out those that follow a first write without room.
 SendProgress CurlRequest::progress() const {
-  if (status() != 0) {
+  long status = 0;
+  curl_easy_getinfo(handle_.get(), CURLINFO_RESPONSE_CODE, &status);
+  if (status != 0) {
     return SendProgress::ResponseStarted;
   }
   return sends_ == 0 ? SendProgress::NotSent : SendProgress::MaybeSent;
--- a/src/http/curl_request.h
+++ b/src/http/curl_request.h
@@ -4,7 +4,6 @@
 
 #include <memory>
 #include <string>
-#include <string_view>
 
 #include "http/connection_table.h"
 #include "http/http.h"
@@ -14,10 +13,6 @@
 /// Initializes libcurl once for the process.
 void initializeCurl();
 
-/// Parses one header line passed by libcurl into headers. Returns true at the empty line that ends the
-/// headers; a status line clears them.
-bool addHeaderLine(Headers& headers, std::string_view line);
-
 /// One request bound to an easy handle. It is sent at most once, without proxies, redirects or signals.
 class CurlRequest {
  public:
@@ -28,13 +23,13 @@
   CurlRequest& operator=(const CurlRequest&) = delete;
 
   CURL* handle() const { return handle_.get(); }
-  /// Status of the response; 0 before the status line is received.
-  long status() const;
+  /// True if the response has no body, whatever its head says.
+  bool isHeadRequest() const { return request_.method == "HEAD"; }
   std::size_t maxBodyBytes() const { return request_.max_body_bytes; }
   /// Returns true if the peer's machine refused the last connection attempt.
   bool wasRefused(CURLcode result) const;
   /// True if a response with this head belongs to the request.
-  bool acceptsHead(const Headers& headers) const;
+  bool acceptsHead(int status, const Headers& headers) const;
   /// Returns how much of the exchange has taken place so far.
   SendProgress progress() const;
   std::string failureReason(CURLcode result) const;
--- a/tests/fuzz/fuzz_target.cc
+++ b/tests/fuzz/fuzz_target.cc
@@ -21,6 +21,7 @@
     FuzzTarget{"caller_request", runCallerRequest, callerRequestSeeds},
     FuzzTarget{"load_answer", runLoadAnswer, loadAnswerSeeds},
     FuzzTarget{"replica_report", runReplicaReport, replicaReportSeeds},
+    FuzzTarget{"response_head", runResponseHead, responseHeadSeeds},
 };
 
 }  // namespace
--- a/tests/fuzz/fuzz_target.h
+++ b/tests/fuzz/fuzz_target.h
@@ -55,5 +55,7 @@
 std::vector<std::string> loadAnswerSeeds();
 bool runReplicaReport(std::string_view bytes);
 std::vector<std::string> replicaReportSeeds();
+bool runResponseHead(std::string_view bytes);
+std::vector<std::string> responseHeadSeeds();
 
 }  // namespace ferryrock::fuzz
