Reject responses with a status that HTTP doesn't have

A status 600 or 999 came through to callers with the replica's answer, and an interim head with status 0 to 99 was skipped like any other.

Cause: nothing but libcurl looked at the status, and each status below 200 counted as interim.

Statuses are whole lines of three digits from 100 to 599 now; 101 is rejected as well, since no request asks for another protocol.

--- a/src/http/response_head.cc
+++ b/src/http/response_head.cc
@@ -11,7 +11,10 @@
 namespace ferryrock::http {
 namespace {
 
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kEndOfStatuses = 600;
 constexpr std::string_view kBlanks = " \t";
 
 bool isDigit(char byte) {
@@ -156,6 +159,12 @@
     return atColumn("has a control byte", static_cast<std::size_t>(control_byte - line.begin()));
   }
   std::from_chars(line.data() + kStatusBegin, line.data() + kStatusEnd, status_);
+  if (status_ < kFirstStatus || status_ >= kEndOfStatuses) {
+    return "has a status outside 100 to 599";
+  }
+  if (status_ == kSwitchingProtocols) {
+    return "switches to another protocol, which the request doesn't ask for";
+  }
   has_status_line_ = true;
   allows_chunks_ = line[kVersion.size()] != '0';
   return "";
--- a/tests/http/response_cases.cc
+++ b/tests/http/response_cases.cc
@@ -91,17 +91,40 @@
   addFields(cases, "line before a length,", lines, kLength, kCaseBody);
   addFields(cases, "line before chunks,", lines, kChunked, kChunks);
   addFields(cases, "line without a length,", lines, "", kCaseBody);
-  addStatusLines(
-      cases,
-      {"HTTP/1.1 20 OK",   "HTTP/1.1 2 OK",   "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK",     "HTTP/1.1 2x0 OK",
-       "HTTP/1.1 OK",      "HTTP/1.1",        "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",    "HTTP/1.1200 OK",
-       "HTTP/1.1 200OK",   "HTTP/11 200 OK",  "HTTP/2 200 OK",    "HTTP/1 200 OK",       "HTTP/0.9 200 OK",
-       "ICY 200 OK",       "http/1.1 200 OK", " HTTP/1.1 200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\0K"s,
-       "HTTP/1.1 200\rOK", "garbage"});
+  addStatusLines(cases, {"HTTP/1.1 000 OK",
+                         "HTTP/1.1 001 OK",
+                         "HTTP/1.1 099 OK",
+                         "HTTP/1.1 20 OK",
+                         "HTTP/1.1 2 OK",
+                         "HTTP/1.1 2000 OK",
+                         "HTTP/1.1 600 OK",
+                         "HTTP/1.1 999 OK",
+                         "HTTP/1.1 101 Switching",
+                         "HTTP/1.1 -20 OK",
+                         "HTTP/1.1 2x0 OK",
+                         "HTTP/1.1 OK",
+                         "HTTP/1.1",
+                         "HTTP/1.1  200 OK",
+                         "HTTP/1.1\t200 OK",
+                         "HTTP/1.1200 OK",
+                         "HTTP/1.1 200OK",
+                         "HTTP/11 200 OK",
+                         "HTTP/2 200 OK",
+                         "HTTP/1 200 OK",
+                         "HTTP/0.9 200 OK",
+                         "ICY 200 OK",
+                         "http/1.1 200 OK",
+                         " HTTP/1.1 200 OK",
+                         "HTTP/1.1 200 O\x01K",
+                         "HTTP/1.1 200 O\0K"s,
+                         "HTTP/1.1 200\rOK",
+                         "garbage"});
   addInterimHeads(cases,
                   {"HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n", "HTTP/1.1 103 Hints\r\nno field\r\n\r\n",
                    "HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\n",
-                   "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n", "\r\n"});
+                   "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n",
+                   "HTTP/1.1 101 Switching\r\nUpgrade: h2c\r\n\r\n", "HTTP/1.1 000 None\r\n\r\n",
+                   "HTTP/1.1 099 None\r\n\r\n", "\r\n"});
   for (const std::string trailer : {"X Odd: 1", "no field", " X-Odd: 1", "X-Odd\x01: 1",
                                     "X-Odd: a\x01"
                                     "b"}) {
--- a/tests/http/response_head_test.cc
+++ b/tests/http/response_head_test.cc
@@ -14,7 +14,7 @@
 namespace ferryrock::http {
 namespace {
 
-const std::regex kStatusLine("HTTP/1\\.[0-9] [2-9][0-9][0-9]( [\\t\\x20-\\x7e\\x80-\\xff]*)?");
+const std::regex kStatusLine("HTTP/1\\.[0-9] [2-5][0-9][0-9]( [\\t\\x20-\\x7e\\x80-\\xff]*)?");
 const std::regex kFieldLine("[-!#$%&'*+.^_`|~0-9A-Za-z]+:[\\t\\x20-\\x7e\\x80-\\xff]*");
 const std::regex kLengthLine("content-length:[\\t ]*[0-9]{1,18}[\\t ]*(,[\\t ]*[0-9]{1,18}[\\t ]*)*",
                              std::regex::icase);
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -32,9 +32,9 @@
   std::vector<http::ResponseCase> chosen;
   int number = 0;
   for (http::ResponseCase& given : http::brokenResponses()) {
-    const bool always = given.name == "length Content-Length: 3x" ||
-                        given.name == "line without a length, no field" ||
-                        given.name == "line before a length, X Odd: 1";
+    const bool always =
+        given.name == "status line HTTP/1.1 000 OK" || given.name == "length Content-Length: 3x" ||
+        given.name == "line without a length, no field" || given.name == "line before a length, X Odd: 1";
     if (number++ % 10 == 0 || always) {
       chosen.push_back(std::move(given));
     }
