Bound the body that a blocking call keeps

A command line program kept all bytes that a faulty server sent, without a limit: ClientRequest::max_body_bytes was asked by the other client only. Heads had no limit there either; they have one since ResponseReader counts them.

Failed before, on: the test's server wrote all of its 64 MB to a call with a limit of 1 MB, and the call returned the body as whole.

--- a/src/http/blocking_call.cc
+++ b/src/http/blocking_call.cc
@@ -36,8 +36,7 @@
 ClientResponse blockingCall(const ClientRequest& request) {
   initializeCurl();
   const CurlRequest call(request);
-  constexpr std::size_t kNoLimit = 0;
-  Collected collected{ResponseReader(call.isHeadRequest(), kNoLimit), ""};
+  Collected collected{ResponseReader(call.isHeadRequest(), call.maxBodyBytes()), ""};
   curl_easy_setopt(call.handle(), CURLOPT_HEADERFUNCTION, &onHeader);
   curl_easy_setopt(call.handle(), CURLOPT_HEADERDATA, &collected);
   curl_easy_setopt(call.handle(), CURLOPT_WRITEFUNCTION, &onBody);
--- a/tests/http/broken_response_test.cc
+++ b/tests/http/broken_response_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
@@ -113,5 +114,31 @@
   }
 }
 
+TEST_CASE("a blocking call gives up a response without end") {
+  constexpr std::size_t kLimit = std::size_t{1} << 20;
+  constexpr std::size_t kSocketBuffers = std::size_t{16} << 20;
+  const std::string piece =
+      GENERATE(as<std::string>{}, "HTTP/1.1 102 Processing\r\nName: value\r\n\r\n", "Name: v\r\n", "x");
+  const std::string begin = piece == "x"                ? "HTTP/1.1 200 OK\r\n\r\n"
+                            : piece.starts_with("HTTP") ? ""
+                                                        : "HTTP/1.1 200 OK\r\n";
+  std::string bytes;
+  while (bytes.size() < 16'384) {
+    bytes += piece;
+  }
+  std::atomic<std::size_t> written = 0;
+  {
+    const ScriptedServer peer([&](RawConnection& connection, int) {
+      connection.readRequest();
+      connection.write(begin);
+      written = connection.writeUntilClosed(bytes, 4 * kSocketBuffers);
+    });
+    ClientRequest request = makeRequest("GET", urlOf(peer.port(), "/"));
+    request.max_body_bytes = kLimit;
+    CHECK_THROWS_AS(blockingCall(request), Error);
+  }
+  CHECK(written < kLimit + kSocketBuffers);
+}
+
 }  // namespace
 }  // namespace ferryrock::http
