Show that a connection with unannounced bytes isn't used again

A length that is a sound number but shorter than the body cuts the body short: libcurl passes on the announced part and drops the rest of what it read. Whether that rest belongs to the body or is a second response isn't visible to the client, and the first of two responses that a replica writes at once is passed on. What holds, and is shown: the connection is given up, whether the rest comes at once or later.

--- a/tests/http/broken_response_test.cc
+++ b/tests/http/broken_response_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
+#include <thread>
 
 #include "common/error.h"
 #include "http/fixture.h"
@@ -53,6 +54,23 @@
   }
 }
 
+TEST_CASE("a connection that holds more bytes than the response announces isn't used again") {
+  const bool at_once = GENERATE(true, false);
+  const ScriptedServer peer([at_once](RawConnection& connection, int) {
+    connection.readRequest();
+    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc" + std::string(at_once ? "de" : ""));
+    std::this_thread::sleep_for(20ms);
+    connection.write(at_once ? "" : "de");
+    connection.readUntil("never");
+  });
+  Loop loop;
+  const auto client = createClient(loop.dispatcher());
+  CHECK(ask(loop, *client, peer.port()).body == "abc");
+  loop.runFor(50ms);
+  ask(loop, *client, peer.port());
+  CHECK(peer.connections() == 2);
+}
+
 TEST_CASE("a blocking call throws for a response that HTTP forbids") {
   for (const ResponseCase& given : brokenResponses()) {
     INFO(given.name);
