Bound what a router keeps of all answers together

Faulty replicas that send without end could take the memory of a router: each answer was bounded at 8 MB and the calls at 5,000, their product by nothing. What ended, too, kept its bytes until the dispatcher's next round.

All answers that are being received keep 256 MB at most. Beyond that the longest one fails with an unknown outcome, so that others go on: an answer without end is longer than the others sooner or later. An attempt that ends frees its bytes at once. Bodies are kept in blocks, since strings double their memory and leave gaps in the heap.

Not bounded together: heads (256 kB each) and answers that wait for callers who read slowly.

--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -1,5 +1,6 @@
 #include "service_process/replica_client.h"
 
+#include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -100,6 +101,9 @@
   }
   AttemptPtr attempt = std::move(found->second);
   attempts_.erase(found);
+  kept_bytes_ -= std::exchange(attempt->kept_bytes, 0);
+  attempt->body = {};
+  attempt->events = {};
   dispatcher_.post([attempt] { attempt->call.reset(); });
   return attempt;
 }
@@ -149,11 +153,13 @@
   }
   const AttemptPtr attempt = found->second;
   if (!attempt->streaming) {
-    attempt->answer.body.append(bytes);
-    if (attempt->answer.body.size() > kMaxAnswerBytes) {
+    attempt->body.append(bytes);
+    if (attempt->body.size() > kMaxAnswerBytes) {
       fail(number, AttemptFailure::OutcomeUnknown,
            "the answer is longer than " + std::to_string(kMaxAnswerBytes) + " bytes");
+      return;
     }
+    recordKeptBytes(*attempt);
     return;
   }
   attempt->events.add(bytes);
@@ -168,6 +174,25 @@
   if (attempt->events.unfinishedBytes() > kMaxEventBytes) {
     fail(number, AttemptFailure::OutcomeUnknown,
          "an event of the stream is longer than " + std::to_string(kMaxEventBytes) + " bytes");
+    return;
+  }
+  recordKeptBytes(*attempt);
+}
+
+void ReplicaClient::recordKeptBytes(Attempt& attempt) {
+  const std::size_t kept = attempt.streaming ? attempt.events.unfinishedBytes() : attempt.body.size();
+  kept_bytes_ += kept - attempt.kept_bytes;
+  attempt.kept_bytes = kept;
+  const std::shared_ptr<bool> alive = alive_;
+  while (*alive && kept_bytes_ > kMaxKeptBytes) {
+    const auto longest =
+        std::max_element(attempts_.begin(), attempts_.end(), [](const auto& left, const auto& right) {
+          return left.second->kept_bytes < right.second->kept_bytes;
+        });
+    fail(longest->first, AttemptFailure::OutcomeUnknown,
+         "all answers that are being received have " + std::to_string(kept_bytes_) +
+             " bytes, more than allowed, and this one the most: " +
+             std::to_string(longest->second->kept_bytes));
   }
 }
 
@@ -176,7 +201,8 @@
   if (found == attempts_.end()) {
     return;
   }
-  const Attempt& attempt = *found->second;
+  Attempt& attempt = *found->second;
+  attempt.answer.body = attempt.body.take();
   const std::string truncation = truncationOf(attempt);
   if (!truncation.empty()) {
     fail(number, AttemptFailure::OutcomeUnknown, truncation);
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -7,12 +8,17 @@
 #include <string>
 
 #include "event/dispatcher.h"
+#include "service_process/body_buffer.h"
 #include "service_process/call_dialect.h"
 #include "service_process/event_splitter.h"
 #include "service_process/keep_alive_limits.h"
 
 namespace ferryrock::service_process {
 
+/// Limit on what the responses that are being received keep together, in bytes: many replicas in trouble may
+/// send without end.
+inline constexpr std::size_t kMaxKeptBytes = std::size_t{256} << 20;
+
 /// Events of attempts. An attempt ends with on_answer, on_stream_end, on_failure or cancel().
 struct ReplicaCallbacks {
   /// The notice in the head of the attempt's response, possibly empty. Called before the attempt's other
@@ -30,7 +36,8 @@
 
 /// Sends calls to replicas over HTTP. Responses are buffered until they are complete; streams are split into
 /// events. A response that is truncated, carries another call's id or isn't valid HTTP is a failure; so is
-/// one of which more would have to be kept than a limit allows. Used by one thread.
+/// one of which more would have to be kept than a limit allows, and the longest ones while all together keep
+/// more than kMaxKeptBytes. Used by one thread.
 class ReplicaClient {
  public:
   ReplicaClient(event::Dispatcher& dispatcher, http::Client& client, const CallDialect& dialect,
@@ -40,8 +47,9 @@
   void send(const calls::SendAttemptEffect& effect, const CallContent& content);
   /// Ends the attempt without a callback and closes its connection.
   void cancel(calls::AttemptNumber attempt);
-  /// The response of an attempt: valid within its on_answer callback, or as the head alone within the
-  /// callbacks for the events of a stream. nullptr if the attempt has ended.
+  /// The response of an attempt: valid within its on_answer callback, without the body of a refusal that
+  /// broke off, or as the head alone within the callbacks for the events of a stream. nullptr if the attempt
+  /// has ended.
   const HttpResponse* answerOf(calls::AttemptNumber attempt) const;
   std::size_t running() const { return attempts_.size(); }
   KeepAliveLimits& keepAliveLimits() { return keep_alive_; }
@@ -52,11 +60,13 @@
     ReplicaId replica;
     std::string address;
     bool relayed = false;
-    HttpResponse answer;
+    HttpResponse answer;  ///< its body only once it is whole
+    BodyBuffer body;
     bool head_request = false;  ///< the response has no body
     bool streaming = false;
     bool ends_with_connection = false;
     bool has_events = false;
+    std::size_t kept_bytes = 0;  ///< of the body or of an event that isn't complete
     /// False: the response may be one to an earlier sending of the call, so it proves nothing of this one.
     bool proves_this_sending = true;
     EventSplitter events;
@@ -66,6 +76,8 @@
 
   void onHeaders(calls::AttemptNumber number, int status, const http::Headers& headers);
   void onData(calls::AttemptNumber number, std::string_view bytes);
+  /// Fails the attempts that keep the most while all of them together keep too much.
+  void recordKeptBytes(Attempt& attempt);
   void onComplete(calls::AttemptNumber number);
   /// Returns why the response is known to be cut although its connection ended normally; empty: it isn't.
   static std::string truncationOf(const Attempt& attempt);
@@ -79,6 +91,7 @@
   const CallDialect& dialect_;
   ReplicaCallbacks callbacks_;
   std::map<calls::AttemptNumber, AttemptPtr> attempts_;
+  std::size_t kept_bytes_ = 0;  ///< by all attempts
   KeepAliveLimits keep_alive_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
