Stop reading a stream whose caller doesn't keep up

A faulty replica that streams events without end to a caller who reads slowly, or not at all, filled the memory of the router: each event was passed on at once, and what the caller hadn't read was kept without a bound, until the call's deadline.

Reading from the replica, or from the relay, pauses while more than 256 kB of a stream wait for its caller, as a relay does already, and goes on when all is sent. A paused attempt isn't silent by a fault of its replica or of the router's links: it doesn't count when the router doubts its own links, and the pause isn't taken for a gap of the replica.

Without the rule on pauses four such streams had further calls relayed.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -154,6 +154,7 @@
 /// Effect: forward one complete event to the caller.
 struct PassEventEffect {
   CallNumber call;
+  AttemptNumber attempt;
   std::string bytes;
 };
 
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -98,6 +98,10 @@
   Effects onStreamEnd(AttemptNumber attempt, bool ends_with_connection, TimePoint now);
   Effects onFailure(AttemptNumber attempt, AttemptFailure failure, const std::string& reason, TimePoint now);
 
+  /// Reading the attempt's stream is paused, since its caller reads more slowly than the replica writes, or
+  /// goes on. The pause says nothing of the replica or of the way to it.
+  void onReadingPaused(AttemptNumber attempt);
+  void onReadingResumed(AttemptNumber attempt, TimePoint now);
   /// Handles the headers of the attempt's response. Must be called before the attempt's other events.
   Effects onHead(AttemptNumber attempt, const ReplicaNotice& notice, TimePoint now);
   /// Handles the headers of any other response of this replica.
--- a/src/calls/call_router_attempts.cc
+++ b/src/calls/call_router_attempts.cc
@@ -266,11 +266,27 @@
     state.last_event = id ? id : state.last_event;
     startStream(*call, attempt, now);
     recordGap(state, now);
-    effects_.emplace_back(PassEventEffect{(*call)->first, std::move(bytes)});
+    effects_.emplace_back(PassEventEffect{(*call)->first, attempt, std::move(bytes)});
   }
   return finish(now);
 }
 
+void CallRouter::onReadingPaused(AttemptNumber attempt) {
+  if (const auto call = findCall(attempt)) {
+    paths_[(*call)->second.need.service].onPaused(attempt);
+  }
+}
+
+void CallRouter::onReadingResumed(AttemptNumber attempt, TimePoint now) {
+  if (const auto call = findCall(attempt)) {
+    Call& state = (*call)->second;
+    paths_[state.need.service].onResumed(attempt, now);
+    state.last_event_at = now;
+    state.attempt->measured_events = 0;
+    state.attempt->measured_since = {};
+  }
+}
+
 /// Records the gap since the previous event. The first event is read together with the headers, so it
 /// provides no gap.
 void CallRouter::recordGap(Call& call, TimePoint now) {
--- a/src/calls/direct_paths.cc
+++ b/src/calls/direct_paths.cc
@@ -17,6 +17,21 @@
   outstanding_[attempt] = {replica, now};
 }
 
+void DirectPaths::onPaused(AttemptNumber attempt) {
+  const auto found = outstanding_.find(attempt);
+  if (found != outstanding_.end()) {
+    found->second.paused = true;
+  }
+}
+
+void DirectPaths::onResumed(AttemptNumber attempt, TimePoint now) {
+  const auto found = outstanding_.find(attempt);
+  if (found != outstanding_.end()) {
+    found->second.paused = false;
+    found->second.silent_since = now;
+  }
+}
+
 void DirectPaths::onProgress(TimePoint now) {
   last_progress_ = now;
   unreachable_.clear();
@@ -39,7 +54,7 @@
   std::size_t attempts = 0;
   std::set<ReplicaId> replicas;
   for (const auto& [number, attempt] : outstanding_) {
-    if (now - attempt.sent >= kSilenceTime) {
+    if (!attempt.paused && now - attempt.silent_since >= kSilenceTime) {
       ++attempts;
       replicas.insert(attempt.replica);
     }
--- a/src/calls/direct_paths.h
+++ b/src/calls/direct_paths.h
@@ -19,6 +19,9 @@
  public:
   void onSent(AttemptNumber attempt, const ReplicaId& replica, TimePoint now);
   void onReleased(AttemptNumber attempt) { outstanding_.erase(attempt); }
+  /// While paused, the attempt's silence isn't that of its replica.
+  void onPaused(AttemptNumber attempt);
+  void onResumed(AttemptNumber attempt, TimePoint now);
   /// Bytes of the replica have arrived.
   void onProgress(TimePoint now);
   /// A connection to the replica couldn't be opened, or broke and couldn't be opened again.
@@ -40,7 +43,8 @@
 
   struct Outstanding {
     ReplicaId replica;
-    TimePoint sent{};
+    TimePoint silent_since{};  ///< when it was sent or resumed
+    bool paused = false;
   };
 
   bool isSilent(TimePoint now) const;
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -20,6 +20,8 @@
 constexpr Duration kIdleTimeout = std::chrono::seconds(60);
 /// Keys expire this long before the revocation limit, to allow for timer delay and clock drift.
 constexpr Duration kRevocationMargin = std::chrono::milliseconds(250);
+/// Reading a stream from its replica pauses while this much of it waits for the caller.
+constexpr std::size_t kMaxUnsentStreamBytes = std::size_t{256} << 10;
 constexpr std::size_t kMaxCallBodyBytes = std::size_t{8} << 20;
 
 calls::CallRouterSettings routerSettings(const CallRouterProcessSettings& settings) {
@@ -172,6 +174,20 @@
   }
 }
 
+void CallRouterShell::carryOut(const calls::PassEventEffect& effect) {
+  server_->pass(effect.call, effect.bytes);
+  if (server_->unsentBytes(effect.call) > kMaxUnsentStreamBytes && client_->pauseReading(effect.attempt)) {
+    router_.onReadingPaused(effect.attempt);
+    server_->onAllSent(effect.call, [this, attempt = effect.attempt] { resumeReading(attempt); });
+  }
+}
+
+void CallRouterShell::resumeReading(calls::AttemptNumber attempt) {
+  if (client_->resumeReading(attempt)) {
+    router_.onReadingResumed(attempt, now());
+  }
+}
+
 void CallRouterShell::carryOut(const calls::RenewConnectionEffect& effect) {
   transport_->renew(effect.member);
 }
--- a/src/service_process/call_router_shell.h
+++ b/src/service_process/call_router_shell.h
@@ -45,7 +45,8 @@
   void carryOut(const calls::ProbeReplicaEffect& effect) { prober_->send(effect); }
   void carryOut(const calls::DeliverAnswerEffect& effect);
   void carryOut(const calls::StartStreamEffect& effect);
-  void carryOut(const calls::PassEventEffect& effect) { server_->pass(effect.call, effect.bytes); }
+  void carryOut(const calls::PassEventEffect& effect);
+  void resumeReading(calls::AttemptNumber attempt);
   void carryOut(const calls::FinishStreamEffect& effect) { server_->finish(effect.call); }
   void carryOut(const calls::BreakStreamEffect& effect) { server_->breakOff(effect.call); }
   void carryOut(const calls::RefuseCallEffect& effect) { server_->refuse(effect); }
--- a/src/service_process/call_server.cc
+++ b/src/service_process/call_server.cc
@@ -80,6 +80,18 @@
   }
 }
 
+std::size_t CallServer::unsentBytes(calls::CallNumber call) const {
+  const auto found = calls_.find(call);
+  return found == calls_.end() ? 0 : found->second.response->bufferedBytes();
+}
+
+void CallServer::onAllSent(calls::CallNumber call, event::Callback callback) {
+  const auto found = calls_.find(call);
+  if (found != calls_.end()) {
+    found->second.response->onDrained(std::move(callback));
+  }
+}
+
 void CallServer::finish(calls::CallNumber call) {
   if (const http::ResponseWriterPtr response = take(call)) {
     response->finish();
--- a/src/service_process/call_server.h
+++ b/src/service_process/call_server.h
@@ -30,6 +30,10 @@
   void deliver(calls::CallNumber call, const HttpResponse& answer);
   void start(calls::CallNumber call, const HttpResponse& head);
   void pass(calls::CallNumber call, const std::string& bytes);
+  /// Bytes of the call's stream that wait for its caller.
+  std::size_t unsentBytes(calls::CallNumber call) const;
+  /// Calls back each time that all of these are sent, until the call ends.
+  void onAllSent(calls::CallNumber call, event::Callback callback);
   void finish(calls::CallNumber call);
   void breakOff(calls::CallNumber call);
   void refuse(const calls::RefuseCallEffect& effect);
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -85,6 +85,24 @@
   attempt->call = client_.send(std::move(request), std::move(callbacks));
 }
 
+bool ReplicaClient::pauseReading(AttemptNumber attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end() || std::exchange(found->second->paused, true)) {
+    return false;
+  }
+  found->second->call->pauseReading();
+  return true;
+}
+
+bool ReplicaClient::resumeReading(AttemptNumber attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end() || !std::exchange(found->second->paused, false)) {
+    return false;
+  }
+  found->second->call->resumeReading();
+  return true;
+}
+
 void ReplicaClient::cancel(AttemptNumber attempt) {
   take(attempt);
 }
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -45,6 +45,9 @@
   ~ReplicaClient();
 
   void send(const calls::SendAttemptEffect& effect, const CallContent& content);
+  /// Stops reading the attempt's response until resumed. Both return false if nothing changes.
+  bool pauseReading(calls::AttemptNumber attempt);
+  bool resumeReading(calls::AttemptNumber attempt);
   /// Ends the attempt without a callback and closes its connection.
   void cancel(calls::AttemptNumber attempt);
   /// The response of an attempt: valid within its on_answer callback, without the body of a refusal that
@@ -66,6 +69,7 @@
     bool streaming = false;
     bool ends_with_connection = false;
     bool has_events = false;
+    bool paused = false;
     std::size_t kept_bytes = 0;  ///< of the body or of an event that isn't complete
     /// False: the response may be one to an earlier sending of the call, so it proves nothing of this one.
     bool proves_this_sending = true;
--- a/tests/calls/relayed_attempt_test.cc
+++ b/tests/calls/relayed_attempt_test.cc
@@ -57,6 +57,32 @@
   CHECK(fixture.sent().relay);
 }
 
+TEST_CASE("Streams that wait for slow callers cast no doubt on the way to their replicas") {
+  const bool paused = GENERATE(false, true);
+  RelayedCalls fixture;
+  constexpr int kStreams = 4;
+  std::vector<AttemptNumber> attempts;
+  for (int i = 0; i < kStreams; ++i) {
+    fixture.call("/stream/x");
+    attempts.push_back(fixture.attempt());
+    fixture.take(fixture.router().onStreamEvent(attempts.back(), 1, "id: 1\n\n", fixture.now));
+    if (paused) {
+      fixture.router().onReadingPaused(attempts.back());
+    }
+  }
+  fixture.pass(800ms);
+  fixture.call("/once/x");
+  CHECK(fixture.sent().relay.has_value() == !paused);
+  if (paused) {
+    for (const AttemptNumber attempt : attempts) {
+      fixture.router().onReadingResumed(attempt, fixture.now);
+    }
+    fixture.pass(100ms);
+    fixture.call("/once/x");
+    CHECK_FALSE(fixture.sent().relay);
+  }
+}
+
 TEST_CASE("Other replicas are used directly while only one can't be reached") {
   RelayedCalls fixture;
   fixture.call("/once/x");
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
@@ -7,7 +8,7 @@
 #include "platform/fleet_fixture.h"
 #include "platform/raw_replica.h"
 
-/// What callers get from a router whose replica sends responses that HTTP forbids.
+/// What callers get from a router whose replica sends responses that HTTP forbids, or that never end.
 namespace ferryrock::platform {
 namespace {
 
@@ -73,5 +74,50 @@
   }
 }
 
+TEST_CASE("A router keeps little of an endless stream whose caller doesn't read") {
+  constexpr std::size_t kMaxAhead = std::size_t{64} << 20;
+  constexpr std::size_t kPieceEvents = 1000;
+  std::string events;
+  for (std::size_t i = 0; i < kPieceEvents; ++i) {
+    events += "data: 0123456789\n\n";
+  }
+  std::atomic<std::size_t> written = 0;
+  std::atomic<bool> over = false;
+  const RawReplica replica([&](RawReplica::Arrival& arrival) {
+    if (arrival.id != "endless") {
+      arrival.connection.write(responseText(200, arrival.id, kSeal, "answer"));
+      return true;
+    }
+    arrival.connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: endless\r\n" + std::string(kSeal) +
+                             "Content-Type: text/event-stream\r\n\r\n");
+    while (!over && written < 2 * kMaxAhead) {
+      arrival.connection.write(events);
+      written += events.size();
+    }
+    return false;
+  });
+  Fleet fleet;
+  serveWith(fleet, replica, "streaming");
+  const std::string address = fleet.resolve();
+  http::RawConnection caller = http::RawConnection::connect(
+      static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+  caller.write(
+      "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: endless\r\nContent-Length: 0\r\n\r\n");
+  std::size_t before = 0;
+  do {
+    before = written;
+    fleet.loop.runFor(200ms);
+  } while (written == 0 || written != before);
+  CHECK(written < kMaxAhead);
+  // The caller gets the rest once it reads again.
+  std::size_t received = 0;
+  REQUIRE(fleet.loop.runUntil([&] {
+    received += caller.readAvailable().size();
+    return received > 2 * kMaxAhead;
+  }));
+  over = true;
+  CHECK(fleet.call("/a/x", "other").status == 200);
+}
+
 }  // namespace
 }  // namespace ferryrock::platform
