Refuse calls that would be sent late in a drain and may outlast it

In a planned stop, a call that a replica refused unrun, or that waited for a credit, a quota or a catalog, was sent to a replica late in the grace, although its deadline was after the end. At the end it was cut with 502, so that a caller who must not repeat it didn't know whether it had run.

Cause: the deadline was compared with the end of the drain only when the call was routed. It is compared before each sending now. A call that hasn't run is refused with that promise and may go to another router at once; a stream that has begun and a call that may have run still get their chance here.

Failed before, on: `calls:A call that comes back from a replica late in a drain is refused unless it ends in time`, for repeatable and other calls.

--- a/src/calls/call_router.cc
+++ b/src/calls/call_router.cc
@@ -104,9 +104,7 @@
   state.route = route;
   state.priority = route->priority;
   state.deadline = std::min(state.deadline, state.arrived + std::chrono::milliseconds(route->timeout_ms));
-  if (now >= refuse_from_ && state.deadline > drain_end_) {
-    refuse(call, ResultCode::RouterDraining, "the call's deadline is after the end of the router's drain",
-           kRetryImmediately, now);
+  if (refuseAfterDrain(call, now)) {
     return;
   }
   if (tenant == nullptr || charge(call, *tenant, now)) {
@@ -114,6 +112,18 @@
   }
 }
 
+/// Another router can take a call that hasn't run; a stream that has begun, or a call that may have run, has
+/// its only chance here.
+bool CallRouter::refuseAfterDrain(CallPointer call, TimePoint now) {
+  const Call& state = call->second;
+  if (now < refuse_from_ || state.deadline <= drain_end_ || state.started || state.sendings.mayHaveRun()) {
+    return false;
+  }
+  refuse(call, ResultCode::RouterDraining, "the call's deadline is after the end of the router's drain",
+         kRetryImmediately, now);
+  return true;
+}
+
 void CallRouter::beginCall(CallPointer call, TimePoint now) {
   Call& state = call->second;
   state.traits =
@@ -177,7 +187,7 @@
            std::nullopt, now);
     return;
   }
-  if (waitForTrial(call, now)) {
+  if (refuseAfterDrain(call, now) || waitForTrial(call, now)) {
     return;
   }
   selectCredit(state, now);
--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -115,7 +115,8 @@
   TimePoint nextDeadline() const;
 
   /// Starts draining: control is notified to direct callers to other routers. Calls that still arrive are
-  /// served; after refuse_from, only those whose deadline is before `end`.
+  /// served; after refuse_from, only those whose deadline is before `end`. This holds for all calls that
+  /// would be sent to a replica then, and haven't run before.
   Effects beginDrain(TimePoint refuse_from, TimePoint end, TimePoint now);
   /// Ends draining: every call that is still open gets its final response at once.
   Effects endDrain(TimePoint now);
@@ -250,6 +251,8 @@
   void routeCall(CallPointer call, TimePoint now);
   /// Continues a call that its tenant is allowed to run. A quarantined call is refused before it counts as
   /// demand for its model.
+  /// Refuses a call that another router can take, if it may not end before the end of the drain.
+  bool refuseAfterDrain(CallPointer call, TimePoint now);
   void beginCall(CallPointer call, TimePoint now);
   // call_router_tenants.cc
   /// Identifies the tenant by the call's key. Returns false if the call was refused or waits for a proof of
--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -338,6 +338,25 @@
   CHECK(fixture.last<RefuseCallEffect>()->not_run);
 }
 
+TEST_CASE("A call that comes back from a replica late in a drain is refused unless it ends in time") {
+  StartedFixture fixture;
+  const std::string path = GENERATE("/once/x", "/safe/x");
+  const bool ends_in_time = GENERATE(false, true);
+  fixture.call(path);
+  const Duration end = ends_in_time ? 2s : 500ms;
+  fixture.take(fixture.router().beginDrain(fixture.now + 100ms, fixture.now + end, fixture.now));
+  fixture.pass(200ms);
+  constexpr bool kProvenNotRun = true;
+  fixture.answer(503, kProvenNotRun);
+  CHECK(fixture.count<SendAttemptEffect>() == (ends_in_time ? 2 : 1));
+  CHECK(fixture.count<RefuseCallEffect>() == (ends_in_time ? 0 : 1));
+  if (!ends_in_time) {
+    REQUIRE(fixture.last<RefuseCallEffect>() != nullptr);
+    CHECK(fixture.last<RefuseCallEffect>()->code == ResultCode::RouterDraining);
+    CHECK(fixture.last<RefuseCallEffect>()->not_run);
+  }
+}
+
 TEST_CASE("Waiting calls and calls left at the end of a drain get a final response") {
   StartedFixture fixture;
   fixture.addReplicas({CallFixture::replica("e1", "llm")});
