Answer a request that reaches an idle connection as a stop closes it

In a planned stop a router closes idle connections. A request that had reached one of them by then, but wasn't read yet, was cut without an answer, also one that must not be repeated.

Cause: idle connections were given libmicrohttpd's shortest timeout, and libmicrohttpd ends connections whose timeout has passed before it looks at what has arrived on them.

The server now reads what has arrived, and ends the receiving side of connections that still have nothing to read, no request in part and none in flight during the last second; libmicrohttpd then closes them in the same step. A request that slips in between is read and answered. The check is repeated every 100 ms.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -37,6 +37,11 @@
   return content.str();
 }
 
+bool hasUnreadBytes(int socket) {
+  char byte = 0;
+  return ::recv(socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 MHD_Result appendHeader(void* context, MHD_ValueKind /*kind*/, const char* key, const char* value) {
   static_cast<Headers*>(context)->push_back(Header{key, value == nullptr ? "" : value});
   return MHD_YES;
@@ -48,7 +53,9 @@
   std::unique_ptr<event::FileWatch> close_watch;
   std::weak_ptr<Exchange> current;
   bool peer_closed = false;
-  std::string target;  ///< target of the request that is being read
+  bool reading_ended = false;  ///< by this server; a request that came before is answered
+  std::string target;          ///< target of the request that is being read
+  TimePoint last_used{};       ///< when it was accepted, or when its last response ended
 };
 
 class MicrohttpdServer : public Server, public ExchangeOwner {
@@ -60,6 +67,7 @@
     port_ = socket.port;
     startDaemon(socket.descriptor);
     timeout_ = dispatcher_.createTimer([this] { run(); });
+    idle_check_ = dispatcher_.createTimer([this] { closeIdleConnections(); });
     const MHD_DaemonInfo* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
     watch_ = dispatcher_.watchFile(info->epoll_fd, event::kReadable, [this](unsigned) { run(); });
   }
@@ -86,15 +94,21 @@
 
   void closeAfterResponses() override { close_after_responses_ = true; }
 
-  /// libmicrohttpd closes idle connections only by timeout, so the timeout is set to its minimum.
+  /// A timeout of libmicrohttpd ends a connection even if a request has arrived on it since the last run.
+  /// Where nothing has, an end of the receiving side has it close the connection.
   void closeIdleConnections() override {
-    constexpr unsigned kMinTimeoutSeconds = 1;
-    for (const Connection* connection : connections_) {
-      if (connection->current.expired()) {
-        MHD_set_connection_option(connection->handle, MHD_CONNECTION_OPTION_TIMEOUT, kMinTimeoutSeconds);
+    constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+    run();
+    for (Connection* connection : connections_) {
+      const int socket =
+          MHD_get_connection_info(connection->handle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+      if (isIdle(*connection) && !hasUnreadBytes(socket)) {
+        connection->reading_ended = true;
+        ::shutdown(socket, SHUT_RD);
       }
     }
     run();
+    idle_check_->enable(kCheckInterval);
   }
 
   std::size_t openConnections() const override {
@@ -114,6 +128,13 @@
     }
   }
 
+  /// True if no request was in flight lately and none has arrived in part.
+  bool isIdle(const Connection& connection) const {
+    constexpr Duration kQuietTime = std::chrono::seconds(1);
+    return connection.current.expired() && connection.target.empty() &&
+           dispatcher_.timeSource().monotonicTime() - connection.last_used >= kQuietTime;
+  }
+
   void closeListener() {
     if (closing_) {
       return;
@@ -224,14 +245,15 @@
   std::unique_ptr<Connection> openConnection(MHD_Connection* connection) {
     auto opened = std::make_unique<Connection>();
     opened->handle = connection;
+    opened->last_used = dispatcher_.timeSource().monotonicTime();
     connections_.insert(opened.get());
     const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     opened->close_watch = dispatcher_.watchFile(
         descriptor, event::kPeerClosed, [this, descriptor, state = opened.get()](unsigned) {
           state->close_watch->setEvents(0);
-          state->peer_closed = true;
+          state->peer_closed = !state->reading_ended;
           const std::shared_ptr<Exchange> exchange = state->current.lock();
-          if (exchange && exchange->answering()) {
+          if (exchange && exchange->answering() && state->peer_closed) {
             exchange->peerClosed();
           } else {
             endReading(descriptor);
@@ -355,13 +377,15 @@
     return headers;
   }
 
-  static void onCompleted(void* self, MHD_Connection* /*connection*/, void** context,
+  static void onCompleted(void* self, MHD_Connection* connection, void** context,
                           MHD_RequestTerminationCode code) {
+    auto& server = *static_cast<MicrohttpdServer*>(self);
+    stateOf(connection).last_used = server.dispatcher_.timeSource().monotonicTime();
     const std::unique_ptr<std::shared_ptr<Exchange>> exchange(
         static_cast<std::shared_ptr<Exchange>*>(std::exchange(*context, nullptr)));
     if (exchange) {
       (*exchange)->requestEnded(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
-      static_cast<MicrohttpdServer*>(self)->exchanges_.erase(*exchange);
+      server.exchanges_.erase(*exchange);
     }
   }
 
@@ -373,6 +397,7 @@
   std::uint16_t port_ = 0;
   MHD_Daemon* daemon_ = nullptr;
   std::unique_ptr<event::Timer> timeout_;
+  std::unique_ptr<event::Timer> idle_check_;
   std::unique_ptr<event::FileWatch> watch_;
   TimePoint armed_until_{};
   bool run_scheduled_ = false;
@@ -381,7 +406,7 @@
   /// Set to false on destruction, for posted callbacks that outlive the server.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unordered_set<std::shared_ptr<Exchange>> exchanges_;
-  std::unordered_set<const Connection*> connections_;  ///< open connections; owned by libmicrohttpd
+  std::unordered_set<Connection*> connections_;  ///< open connections; owned by libmicrohttpd
 };
 
 }  // namespace
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -90,7 +90,10 @@
 /// Three control members and a router, each with its real sockets and disk, over loopback.
 class Fleet {
  public:
-  Fleet()
+  using SettingsChange = std::function<void(service_process::CallRouterProcessSettings&)>;
+
+  /// change: applied to the router's settings before it starts; may be empty.
+  explicit Fleet(const SettingsChange& change = {})
       : folder_(std::filesystem::temp_directory_path() / ("ferryrock-path-" + std::to_string(systemSeed()))) {
     client_ = http::createClient(loop.dispatcher());
     internal_port_ = ports_.next(loop.dispatcher());
@@ -101,7 +104,7 @@
     for (int i = 0; i < 3; ++i) {
       startControl(i);
     }
-    startRouter();
+    startRouter(change);
   }
   ~Fleet() {
     router_.reset();
@@ -207,6 +210,12 @@
   http::CallRecord ready() {
     return ask(http::makeRequest("GET", "http://127.0.0.1:" + std::to_string(status_->port()) + "/v1/ready"));
   }
+  service_process::CallRouterShell& router() { return *router_; }
+  /// Ends the router as the end of its process does.
+  void endRouter() {
+    status_.reset();
+    router_.reset();
+  }
   std::string directoryUrl() const {
     return "http://127.0.0.1:" + std::to_string(members_[1].directory->port());
   }
@@ -239,13 +248,16 @@
     members_.push_back(std::move(member));
   }
 
-  void startRouter() {
+  void startRouter(const SettingsChange& change) {
     service_process::CallRouterProcessSettings settings;
     settings.node = NodeName("edge-1");
     settings.host = "127.0.0.1";
     settings.internal_port = internal_port_;
     settings.seeds = seeds_;
     settings.listen_calls = "127.0.0.1:" + std::to_string(ports_.next(loop.dispatcher()));
+    if (change) {
+      change(settings);
+    }
     router_ = std::make_unique<service_process::CallRouterShell>(loop.dispatcher(), settings, calls_, log_);
     status_ = http::createServer(loop.dispatcher(), {}, statusHandler(*router_));
   }
