Put the comments of the call router beside what they describe

A declaration stood between another one and its comment, and the two for pauses between the events of attempts. An accessor that nothing uses is gone. No change of behaviour.

--- a/src/calls/call_router.h
+++ b/src/calls/call_router.h
@@ -98,15 +98,16 @@
   Effects onStreamEnd(AttemptNumber attempt, bool ends_with_connection, TimePoint now);
   Effects onFailure(AttemptNumber attempt, AttemptFailure failure, const std::string& reason, TimePoint now);
 
-  /// Reading the attempt's stream is paused, since its caller reads more slowly than the replica writes, or
-  /// goes on. The pause says nothing of the replica or of the way to it.
-  void onReadingPaused(AttemptNumber attempt);
-  void onReadingResumed(AttemptNumber attempt, TimePoint now);
   /// Handles the headers of the attempt's response. Must be called before the attempt's other events.
   Effects onHead(AttemptNumber attempt, const ReplicaNotice& notice, TimePoint now);
   /// Handles the headers of any other response of this replica.
   Effects onNotice(const ReplicaId& replica, const ReplicaNotice& notice, TimePoint now);
 
+  /// Handles that reading the attempt's stream pauses, since the caller reads more slowly than the replica
+  /// writes, or goes on. A pause says nothing of the replica or of the links to it.
+  void onReadingPaused(AttemptNumber attempt);
+  void onReadingResumed(AttemptNumber attempt, TimePoint now);
+
   /// Handles the result of a ProbeReplicaEffect.
   Effects onProbed(const ReplicaId& replica, ProbeOutcome outcome, TimePoint now);
 
@@ -249,10 +250,11 @@
 
   /// Looks up the call's route in the current catalog and starts processing the call.
   void routeCall(CallPointer call, TimePoint now);
+  /// Refuses a call that another router can take, if it may not end before the end of the drain. Returns true
+  /// if it did.
+  bool refuseAfterDrain(CallPointer call, TimePoint now);
   /// Continues a call that its tenant is allowed to run. A quarantined call is refused before it counts as
   /// demand for its model.
-  /// Refuses a call that another router can take, if it may not end before the end of the drain.
-  bool refuseAfterDrain(CallPointer call, TimePoint now);
   void beginCall(CallPointer call, TimePoint now);
   // call_router_tenants.cc
   /// Identifies the tenant by the call's key. Returns false if the call was refused or waits for a proof of
--- a/src/http/response_head.h
+++ b/src/http/response_head.h
@@ -12,6 +12,7 @@
 /// Returns what forbids a line as a header field (RFC 9112, section 5), with the column; empty: nothing does.
 /// line: without its line end. Folded fields are forbidden, as that section lets a gateway choose.
 std::string fieldLineFault(std::string_view line);
+/// Returns the line without the LF or CR LF at its end.
 std::string_view withoutLineEnd(std::string_view line);
 /// The beginning of a text in quotes, as printable ASCII, for error messages.
 std::string excerpt(std::string_view text);
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -26,8 +26,6 @@
   void end();
 
   const ResponseHead& head() const { return head_; }
-  /// Received in heads and trailers.
-  std::size_t headBytes() const { return head_bytes_; }
   /// What is wrong with the response; empty: nothing so far.
   const std::string& fault() const { return fault_; }
 
@@ -39,7 +37,7 @@
   const bool head_request_;
   const std::size_t max_body_bytes_;
   ResponseHead head_;
-  std::size_t head_bytes_ = 0;
+  std::size_t head_bytes_ = 0;  ///< received, over all heads and trailers
   std::size_t body_bytes_ = 0;
   std::string fault_;
 };
