Include what the tests of broken answers use

Some files relied on what other headers include, and a comment of the test of planned stops named a kind of call that it doesn't send. No check changes.

--- a/src/service_process/body_buffer.h
+++ b/src/service_process/body_buffer.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace ferryrock::service_process {
--- a/tests/fuzz/http_targets.cc
+++ b/tests/fuzz/http_targets.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "fuzz_target.h"
 #include "http/response_head.h"
 
--- a/tests/http/response_head_test.cc
+++ b/tests/http/response_head_test.cc
@@ -2,9 +2,11 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <regex>
 #include <string>
+#include <vector>
 
 #include "http/response_cases.h"
 #include "http/response_reader.h"
--- a/tests/platform/planned_stop_test.cc
+++ b/tests/platform/planned_stop_test.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <list>
+#include <string>
 #include <vector>
 
 #include "platform/fleet_fixture.h"
@@ -43,7 +45,7 @@
   }
 };
 
-/// Answers calls of the warm-up at once, some others after a while, and the rest never.
+/// Never answers calls whose id begins with "slow", and all others at once.
 bool answerSome(RawReplica::Arrival& arrival) {
   if (arrival.id.starts_with("slow")) {
     arrival.connection.readUntil("never");
