Bound what bodies of all clients cost a process

What callers saw: clients that send many large bodies at once and stop short of their end, or leave whole ones waiting, end the process (exit code 1), and everyone's calls with it.

Cause: each body grew in a string that doubles, and again in the request of each attempt, on every port, without a bound on their sum.

Change: http::ClientBudget is the account of a process for all its servers. Memory of connections, heads and bodies is taken from it before it is allocated and returned by the reservation that goes with the request until its call ends. When it is full, the unfinished request with the most bytes times age gives way: its body is dropped, the rest is read and discarded, and its sender gets 503 MemoryFull (2030) with Retry-After, true since nobody has seen the request. Bodies over 64 KiB fill five eighths at most, so that ordinary requests find memory. The size follows from memory_limit, by default what the machine and RLIMIT_AS or RLIMIT_DATA allow. Bodies are received in blocks of pages that go back to the system, and attempts share the body of their call.

The set-up of the crowd tests starts the replica's heartbeats once the cell serves, so that a cell that doesn't start says why; no crowd and no bound changed.

--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -98,6 +98,8 @@
     {StreamVersionGone, "StreamVersionGone", 503,
      "No replica of the software version that began the stream can run the rest of it.",
      "Discard the partial answer and send the request again without it."},
+    {MemoryFull, "MemoryFull", 503, "The process's memory for requests is used up by others.",
+     "Come back after Retry-After; if it lasts, look for clients that leave requests unfinished."},
     {VersionConflict, "VersionConflict", 409, "Another change was accepted for the same base version.",
      "Get the current version, look at the difference and apply again."},
     {InvalidTree, "InvalidTree", 422, "The settings tree isn't valid.", "Correct the listed places."},
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -53,6 +53,7 @@
   RouterPartitioned = 2027,
   StreamOriginUnknown = 2028,
   StreamVersionGone = 2029,
+  MemoryFull = 2030,
 
   // 3xxx: changes and reads by operators.
   VersionConflict = 3001,
--- a/src/http/body_buffer.h
+++ b/src/http/body_buffer.h
@@ -6,54 +6,44 @@
 #include <utility>
 #include <vector>
 
-namespace ferryrock::service_process {
+namespace ferryrock::http {
 
-/// A body that is being received, in blocks: its memory is close to its size, which a string that doubles
-/// isn't, and blocks of one size leave no gaps in the heap.
+/// Pages of memory that go back to the system as soon as they are freed. Freed pieces of the heap stay with
+/// the process while others above them are in use.
+class PageBlock {
+ public:
+  static constexpr std::size_t kBytes = std::size_t{64} << 10;
+
+  /// Throws std::bad_alloc.
+  PageBlock();
+  ~PageBlock();
+  PageBlock(PageBlock&& other) noexcept
+      : data_(std::exchange(other.data_, nullptr)), used_(std::exchange(other.used_, 0)) {}
+  PageBlock& operator=(PageBlock&&) = delete;
+
+  bool full() const { return used_ == kBytes; }
+  std::string_view bytes() const { return {data_, used_}; }
+  /// Appends as many of the bytes as there is room for; returns their number.
+  std::size_t append(std::string_view bytes);
+
+ private:
+  char* data_;
+  std::size_t used_ = 0;
+};
+
+/// A body that is being received, in blocks: its memory is close to its size, which that of a string that
+/// doubles isn't.
 class BodyBuffer {
  public:
-  void append(std::string_view bytes) {
-    while (!bytes.empty()) {
-      if (blocks_.empty() || blocks_.back().size() == kBlockBytes) {
-        startBlock();
-      }
-      std::string& block = blocks_.back();
-      const std::string_view piece = bytes.substr(0, kBlockBytes - block.size());
-      block.append(piece);
-      bytes.remove_prefix(piece.size());
-      size_ += piece.size();
-    }
-  }
+  void append(std::string_view bytes);
   std::size_t size() const { return size_; }
   /// Returns the whole body and leaves the buffer empty.
-  std::string take() {
-    std::string body;
-    if (blocks_.size() == 1) {
-      body = std::move(blocks_.front());
-    } else {
-      body.reserve(size_);
-      for (const std::string& block : blocks_) {
-        body += block;
-      }
-    }
-    blocks_.clear();
-    size_ = 0;
-    return body;
-  }
+  std::string take();
 
  private:
-  static constexpr std::size_t kBlockBytes = std::size_t{64} << 10;
-
-  /// Most bodies fit into a part of the first block, which grows as needed.
-  void startBlock() {
-    std::string& block = blocks_.emplace_back();
-    if (blocks_.size() > 1) {
-      block.reserve(kBlockBytes);
-    }
-  }
-
-  std::vector<std::string> blocks_;
+  std::string first_;  ///< up to one block; most bodies are no longer
+  std::vector<PageBlock> others_;
   std::size_t size_ = 0;
 };
 
-}  // namespace ferryrock::service_process
+}  // namespace ferryrock::http
--- a/src/http/exchange.cc
+++ b/src/http/exchange.cc
@@ -59,6 +59,12 @@
   resume();
 }
 
+void Exchange::refuse(ResultCode code) {
+  refusal = code;
+  received = BodyBuffer();
+  memory->release();
+}
+
 void Exchange::requestEnded(bool complete) {
   connection_ = nullptr;
   suspended_ = false;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "http/body_buffer.h"
 #include "http/http.h"
 
 namespace ferryrock::http {
@@ -21,20 +22,32 @@
   virtual void post(event::Callback callback) = 0;
   /// Returns true if responses must close their connections, e.g. after listening has stopped.
   virtual bool closing() const = 0;
+  virtual TimePoint now() const = 0;
 };
 
 /// One request and its response on a libmicrohttpd connection. Shared by the connection and the
 /// ResponseWriter; the server calls requestEnded() when the connection releases the exchange.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(ExchangeOwner& owner, MHD_Connection* connection, bool chunked_responses)
-      : owner_(&owner), connection_(connection), chunked_responses_(chunked_responses) {}
+  Exchange(ExchangeOwner& owner, MHD_Connection* connection, bool chunked_responses,
+           const std::shared_ptr<ClientBudget>& budget)
+      : memory(std::make_shared<MemoryReservation>(budget)),
+        began(owner.now()),
+        owner_(&owner),
+        connection_(connection),
+        chunked_responses_(chunked_responses) {}
 
   // For the server, within libmicrohttpd's callbacks.
 
   Request request;
-  std::size_t discarded_bytes = 0;  ///< bytes read and discarded of a body over the limit
-  bool body_too_large = false;
+  BodyBuffer received;                        ///< the request's body, until it is whole
+  std::shared_ptr<MemoryReservation> memory;  ///< for the request
+  TimePoint began{};
+  std::size_t discarded_bytes = 0;    ///< bytes of a refused request that were read and discarded
+  std::optional<ResultCode> refusal;  ///< why the request is refused once it is read
+
+  /// Drops what is kept of a request that isn't whole.
+  void refuse(ResultCode code);
 
   /// Marks the request as passed to its handler or rejected.
   void beginAnswering() { answering_ = true; }
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "common/result_code.h"
+#include "common/shared_text.h"
 #include "event/dispatcher.h"
+#include "http/client_budget.h"
 
 namespace ferryrock::http {
 
@@ -31,6 +33,9 @@
   Headers headers;
   std::vector<Header> query;
   std::string body;
+  /// The memory that the server has taken for the request; returned with the last copy of the pointer, so
+  /// whoever keeps the body keeps it too.
+  std::shared_ptr<const MemoryReservation> memory;
 };
 
 /// Writer of the response to one request, owned by the code that responds; used on the server's dispatcher
@@ -66,6 +71,9 @@
   std::string tls_key_file;
   /// Time without progress after which a connection is closed; doesn't apply while a handler runs.
   Duration idle_timeout = std::chrono::seconds(120);
+  /// Account of what is kept for clients, shared with the other servers of the process; none: one of its own
+  /// with defaultClientLimits().
+  std::shared_ptr<ClientBudget> budget;
   /// Headers of error responses that the server itself generates; may be empty.
   std::function<Headers()> refusal_headers;
   /// Body of these error responses; if empty, errorBody() is used.
@@ -76,7 +84,9 @@
 
 /// HTTP server based on libmicrohttpd, whose epoll descriptor is watched by one dispatcher. An exception
 /// thrown by the handler is logged and results in a 500 response with the code Internal. Bodies over the
-/// limit are rejected with 413 and BodyTooLarge; the handler isn't called.
+/// limit are rejected with 413 and BodyTooLarge; the handler isn't called. A request whose memory is evicted
+/// before it is whole is read to its end, without being kept, and rejected with 503 and MemoryFull. Idle and
+/// unfinished connections are closed if the budget needs theirs, and so are those whose client doesn't read.
 class Server {
  public:
   virtual ~Server() = default;
@@ -111,7 +121,7 @@
   std::string method = "GET";
   std::string url;
   Headers headers;
-  std::string body;
+  SharedText body;
   Duration connect_timeout = std::chrono::seconds(2);
   Duration total_timeout = Duration::zero();  ///< zero: no timeout
   /// Sends the path byte for byte and adds no headers except those that frame the body.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -20,11 +20,15 @@
 namespace ferryrock::http {
 namespace {
 
-constexpr unsigned kMaxConnections = 20'000;
 constexpr int kMaxRoundsPerRun = 16;
 /// A body over the limit is read and discarded up to this size, so that its sender receives the error
 /// response instead of a reset.
 constexpr std::size_t kMaxDiscardedBytes = 64 << 20;
+/// Bodies up to this size use memory that isn't available to larger ones.
+constexpr std::size_t kSmallBodyBytes = std::size_t{64} << 10;
+/// Clients that were refused for want of memory come back after 1 to this many seconds, in turn.
+constexpr int kMaxRetrySeconds = 3;
+constexpr unsigned kMaxConnections = 20'000;
 
 const Logger kLog("http");
 
@@ -42,6 +46,10 @@
   return ::recv(socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+double seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 MHD_Result appendHeader(void* context, MHD_ValueKind /*kind*/, const char* key, const char* value) {
   static_cast<Headers*>(context)->push_back(Header{key, value == nullptr ? "" : value});
   return MHD_YES;
@@ -58,10 +66,13 @@
   TimePoint last_used{};       ///< when it was accepted, or when its last response ended
 };
 
-class MicrohttpdServer : public Server, public ExchangeOwner {
+class MicrohttpdServer : public Server, public ExchangeOwner, public EvictionSource {
  public:
   MicrohttpdServer(event::Dispatcher& dispatcher, ServerSettings settings, RequestHandler handler)
       : dispatcher_(dispatcher), settings_(std::move(settings)), handler_(std::move(handler)) {
+    if (!settings_.budget) {
+      settings_.budget = std::make_shared<ClientBudget>(defaultClientLimits());
+    }
     loadCertificate();
     const ListenSocket socket = openListenSocket(settings_.address, settings_.port, settings_.reuse_port);
     port_ = socket.port;
@@ -70,10 +81,12 @@
     idle_check_ = dispatcher_.createTimer([this] { closeIdleConnections(); });
     const MHD_DaemonInfo* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
     watch_ = dispatcher_.watchFile(info->epoll_fd, event::kReadable, [this](unsigned) { run(); });
+    settings_.budget->addSource(*this);
   }
 
   ~MicrohttpdServer() override {
     *alive_ = false;
+    settings_.budget->removeSource(*this);
     watch_.reset();
     for (const std::shared_ptr<Exchange>& exchange : std::vector(exchanges_.begin(), exchanges_.end())) {
       exchange->ownerDestroyed();
@@ -100,11 +113,8 @@
     constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
     run();
     for (Connection* connection : connections_) {
-      const int socket =
-          MHD_get_connection_info(connection->handle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-      if (isIdle(*connection) && !hasUnreadBytes(socket)) {
-        connection->reading_ended = true;
-        ::shutdown(socket, SHUT_RD);
+      if (isIdle(*connection) && !hasUnreadBytes(socketOf(*connection))) {
+        endReading(*connection);
       }
     }
     run();
@@ -117,6 +127,27 @@
 
   std::size_t openRequests() const override { return exchanges_.size(); }
 
+  std::optional<EvictionCandidate> requestToEvict() override {
+    std::shared_ptr<Exchange> first;
+    double highest = -1;
+    const TimePoint time = now();
+    for (const std::shared_ptr<Exchange>& exchange : exchanges_) {
+      const std::size_t bytes = exchange->answering() ? 0 : exchange->memory->bytes();
+      const double cost = static_cast<double>(bytes) * seconds(time - exchange->began);
+      if (bytes > 0 && cost > highest) {
+        first = exchange;
+        highest = cost;
+      }
+    }
+    if (first) {
+      return EvictionCandidate{EvictionCandidate::Rank::UnfinishedRequest, highest,
+                               [first] { first->refuse(ResultCode::MemoryFull); }};
+    }
+    return std::nullopt;
+  }
+
+  std::optional<EvictionCandidate> connectionToEvict() override { return std::nullopt; }
+
  private:
   void loadCertificate() {
     if (settings_.tls_certificate_file.empty() != settings_.tls_key_file.empty()) {
@@ -128,11 +159,21 @@
     }
   }
 
+  static int socketOf(const Connection& connection) {
+    return MHD_get_connection_info(connection.handle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+  }
+
+  /// Has libmicrohttpd close a connection on which no request is in service.
+  static void endReading(Connection& connection) {
+    connection.reading_ended = true;
+    ::shutdown(socketOf(connection), SHUT_RD);
+  }
+
   /// True if no request was in flight lately and none has arrived in part.
   bool isIdle(const Connection& connection) const {
     constexpr Duration kQuietTime = std::chrono::seconds(1);
     return connection.current.expired() && connection.target.empty() &&
-           dispatcher_.timeSource().monotonicTime() - connection.last_used >= kQuietTime;
+           now() - connection.last_used >= kQuietTime;
   }
 
   void closeListener() {
@@ -192,6 +233,8 @@
 
   bool closing() const override { return closing_ || close_after_responses_; }
 
+  TimePoint now() const override { return dispatcher_.timeSource().monotonicTime(); }
+
   /// Runs libmicrohttpd until it has no immediate work left, for a bounded number of rounds so that other
   /// callbacks of the loop aren't starved.
   void run() {
@@ -212,9 +255,9 @@
   /// Each run may postpone the idle timeout, so an earlier armed timer isn't re-armed; run() re-arms it after
   /// it has fired.
   void armTimeout(Duration delay) {
-    const TimePoint now = dispatcher_.timeSource().monotonicTime();
-    if (armed_until_ <= now || now + delay < armed_until_) {
-      armed_until_ = now + delay;
+    const TimePoint time = now();
+    if (armed_until_ <= time || time + delay < armed_until_) {
+      armed_until_ = time + delay;
       timeout_->enable(delay);
     }
   }
@@ -227,6 +270,7 @@
     } else {
       const std::unique_ptr<Connection> closed(static_cast<Connection*>(std::exchange(*context, nullptr)));
       server.connections_.erase(closed.get());
+      server.settings_.budget->connectionClosed();
     }
   }
 
@@ -245,9 +289,10 @@
   std::unique_ptr<Connection> openConnection(MHD_Connection* connection) {
     auto opened = std::make_unique<Connection>();
     opened->handle = connection;
-    opened->last_used = dispatcher_.timeSource().monotonicTime();
+    opened->last_used = now();
     connections_.insert(opened.get());
-    const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    settings_.budget->connectionOpened();
+    const int descriptor = socketOf(*opened);
     opened->close_watch = dispatcher_.watchFile(
         descriptor, event::kPeerClosed, [this, descriptor, state = opened.get()](unsigned) {
           state->close_watch->setEvents(0);
@@ -256,7 +301,7 @@
           if (exchange && exchange->answering() && state->peer_closed) {
             exchange->peerClosed();
           } else {
-            endReading(descriptor);
+            readToEnd(descriptor);
           }
         });
     return opened;
@@ -264,7 +309,7 @@
 
   /// libmicrohttpd uses edge-triggered events and misses an end of stream that arrives together with the last
   /// bytes. After these are read, shutting down the receiving side raises another event.
-  void endReading(int descriptor) {
+  void readToEnd(int descriptor) {
     // run() may close the connection, after which its descriptor may be reused: a duplicate keeps the socket.
     const int socket = ::dup(descriptor);
     run();
@@ -294,7 +339,7 @@
   std::shared_ptr<Exchange> beginRequest(MHD_Connection* connection, const char* url, const char* method,
                                          const char* version) {
     const bool chunked_responses = std::string_view(version) != MHD_HTTP_VERSION_1_0;
-    auto exchange = std::make_shared<Exchange>(*this, connection, chunked_responses);
+    auto exchange = std::make_shared<Exchange>(*this, connection, chunked_responses, settings_.budget);
     exchange->request.method = method;
     exchange->request.path = url;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &appendHeader, &exchange->request.headers);
@@ -303,9 +348,22 @@
     Connection& state = stateOf(connection);
     exchange->request.target = std::move(state.target);
     state.current = exchange;
+    if (!exchange->memory->resize(headBytes(exchange->request), MemoryUse::Small)) {
+      exchange->refuse(ResultCode::MemoryFull);
+    }
     return exchange;
   }
 
+  static std::size_t headBytes(const Request& request) {
+    std::size_t bytes = 2 * request.target.size() + request.method.size();
+    for (const Headers& fields : {std::cref(request.headers), std::cref(request.query)}) {
+      for (const Header& field : fields) {
+        bytes += sizeof(Header) + field.name.size() + field.value.size();
+      }
+    }
+    return bytes;
+  }
+
   /// Rejects a body whose Content-Length exceeds the limit before it is read, if the peer waits for 100
   /// Continue or if the body is larger than the server would discard.
   MHD_Result checkAnnouncedBody(Exchange& exchange) {
@@ -314,34 +372,46 @@
     if (announced <= settings_.max_body_bytes) {
       return MHD_YES;
     }
-    exchange.body_too_large = true;
+    exchange.refuse(ResultCode::BodyTooLarge);
     const bool expects_continue = findHeader(exchange.request.headers, MHD_HTTP_HEADER_EXPECT).has_value();
     if (!expects_continue && announced <= kMaxDiscardedBytes) {
       return MHD_YES;
     }
     exchange.beginAnswering();
-    rejectBody(exchange);
+    respondRefusal(exchange);
     return exchange.continueConnection();
   }
 
   MHD_Result appendBody(Exchange& exchange, std::string_view bytes) {
-    std::string& body = exchange.request.body;
-    if (!exchange.body_too_large && body.size() + bytes.size() <= settings_.max_body_bytes) {
-      body.append(bytes);
+    const std::size_t size = exchange.received.size() + bytes.size();
+    if (!exchange.refusal && size > settings_.max_body_bytes) {
+      exchange.refuse(ResultCode::BodyTooLarge);
+    }
+    if (!exchange.refusal && takeBodyMemory(exchange, bytes.size(), size)) {
+      exchange.received.append(bytes);
       return MHD_YES;
     }
-    exchange.body_too_large = true;
-    body = std::string();
     exchange.discarded_bytes += bytes.size();
     return exchange.discarded_bytes <= kMaxDiscardedBytes ? MHD_YES : MHD_NO;
   }
 
+  /// Returns false if the request is refused, for want of memory or since it was evicted itself.
+  static bool takeBodyMemory(Exchange& exchange, std::size_t more, std::size_t body_size) {
+    const MemoryUse use = body_size > kSmallBodyBytes ? MemoryUse::Body : MemoryUse::Small;
+    if (!exchange.memory->resize(exchange.memory->bytes() + more, use) || exchange.refusal) {
+      exchange.refuse(ResultCode::MemoryFull);
+    }
+    return !exchange.refusal;
+  }
+
   MHD_Result answer(Exchange& exchange, MHD_Connection* connection) {
     exchange.beginAnswering();
-    if (exchange.body_too_large) {
-      rejectBody(exchange);
+    if (exchange.refusal) {
+      respondRefusal(exchange);
       return exchange.continueConnection();
     }
+    exchange.request.body = exchange.received.take();
+    exchange.request.memory = std::exchange(exchange.memory, std::make_shared<MemoryReservation>());
     const bool peer_closed = stateOf(connection).peer_closed;
     callHandler(exchange);
     if (peer_closed) {
@@ -361,10 +431,17 @@
     }
   }
 
-  void rejectBody(Exchange& exchange) {
-    const std::string limit = "The limit is " + std::to_string(settings_.max_body_bytes) + " bytes";
-    exchange.respond(resultCodeInfo(ResultCode::BodyTooLarge).http_status, refusalHeaders(),
-                     refusalBody(ResultCode::BodyTooLarge, limit));
+  void respondRefusal(Exchange& exchange) {
+    const ResultCode code = *exchange.refusal;
+    const bool too_large = code == ResultCode::BodyTooLarge;
+    const std::size_t limit = too_large ? settings_.max_body_bytes : settings_.budget->limits().memory_bytes;
+    Headers headers = refusalHeaders();
+    if (!too_large) {
+      retry_seconds_ = retry_seconds_ % kMaxRetrySeconds + 1;
+      headers.push_back({MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(retry_seconds_)});
+    }
+    exchange.respond(resultCodeInfo(code).http_status, std::move(headers),
+                     refusalBody(code, "The limit is " + std::to_string(limit) + " bytes"));
   }
 
   std::string refusalBody(ResultCode code, const std::string& detail) const {
@@ -380,7 +457,7 @@
   static void onCompleted(void* self, MHD_Connection* connection, void** context,
                           MHD_RequestTerminationCode code) {
     auto& server = *static_cast<MicrohttpdServer*>(self);
-    stateOf(connection).last_used = server.dispatcher_.timeSource().monotonicTime();
+    stateOf(connection).last_used = server.now();
     const std::unique_ptr<std::shared_ptr<Exchange>> exchange(
         static_cast<std::shared_ptr<Exchange>*>(std::exchange(*context, nullptr)));
     if (exchange) {
@@ -400,6 +477,7 @@
   std::unique_ptr<event::Timer> idle_check_;
   std::unique_ptr<event::FileWatch> watch_;
   TimePoint armed_until_{};
+  int retry_seconds_ = 0;  ///< of the last refusal for want of memory
   bool run_scheduled_ = false;
   bool closing_ = false;
   bool close_after_responses_ = false;
--- a/src/service_process/call_dialect.h
+++ b/src/service_process/call_dialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -17,7 +18,8 @@
   std::string method;
   std::string target;  ///< path and query exactly as the caller sent them
   http::Headers headers;
-  std::string body;
+  SharedText body;                                                  ///< shared with the attempts
+  std::shared_ptr<const http::MemoryReservation> memory = nullptr;  ///< for all of this
 };
 
 struct ParsedCall {
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "process/shared_settings.h"
+#include "service_process/client_budget_metrics.h"
 
 namespace ferryrock::service_process {
 namespace {
@@ -40,17 +41,21 @@
   return router;
 }
 
-http::ServerSettings serverSettings(const CallRouterProcessSettings& settings) {
+http::ServerSettings serverSettings(const CallRouterProcessSettings& settings,
+                                    std::shared_ptr<http::ClientBudget> budget) {
   http::ServerSettings server = process::listenSettings(settings.listen_calls, {}, kMaxCallBodyBytes);
   server.idle_timeout = kIdleTimeout;
+  server.budget = std::move(budget);
   return server;
 }
 
-http::ServerSettings relaySettings(const CallRouterProcessSettings& settings) {
+http::ServerSettings relaySettings(const CallRouterProcessSettings& settings,
+                                   std::shared_ptr<http::ClientBudget> budget) {
   const std::string address =
       settings.listen_relay.empty() ? settings.internalAddress() : settings.listen_relay;
   http::ServerSettings server = process::listenSettings(address, {}, kMaxCallBodyBytes);
   server.idle_timeout = kIdleTimeout;
+  server.budget = std::move(budget);
   return server;
 }
 
@@ -61,6 +66,7 @@
     : dispatcher_(dispatcher),
       settings_(std::move(settings)),
       log_(log),
+      client_budget_(std::make_shared<http::ClientBudget>(settings_.clientLimits())),
       router_(routerSettings(settings_), log, dispatcher.timeSource().monotonicTime()) {
   timer_ = dispatcher_.createTimer([this] {
     armed_until_ = TimePoint::max();
@@ -85,11 +91,12 @@
       [this](const ReplicaId& replica, const calls::ReplicaNotice& notice) {
         carryOut(router_.onNotice(replica, notice, now()));
       });
-  const http::ServerSettings relay = relaySettings(settings_);
+  const http::ServerSettings relay = relaySettings(settings_, client_budget_);
   relay_server_ = std::make_unique<RelayServer>(dispatcher_, relay, *http_client_, client_->keepAliveLimits(),
                                                 relayCallbacks(dialect), log_);
   router_.setRelayAddress(relay.address + ":" + std::to_string(relay_server_->server().port()));
-  server_ = std::make_unique<CallServer>(dispatcher_, serverSettings(settings_), dialect, callerCallbacks());
+  server_ = std::make_unique<CallServer>(dispatcher_, serverSettings(settings_, client_budget_), dialect,
+                                         callerCallbacks());
   carryOut(router_.tick(now()));
 }
 
@@ -373,6 +380,7 @@
       static_cast<double>(counts.brittle_changes));
   set("ferryrock_replica_notices_unknown", "Answers with a header of the replicas' own that isn't known",
       static_cast<double>(counts.unknown_notice_headers));
+  setClientBudgetMetrics(metrics_, *client_budget_);
   const std::optional<TimePoint> proved = router_.catalogProof().provedAt();
   set("ferryrock_catalog_proved_seconds_ago", "Age of the proof that the catalog is the newest; -1: none",
       proved ? toSeconds(now() - *proved) : -1);
--- a/src/service_process/call_router_shell.h
+++ b/src/service_process/call_router_shell.h
@@ -31,6 +31,8 @@
   void applySeeds(const CallRouterProcessSettings& fresh);
 
   const CallRouterProcessSettings& settings() const { return settings_; }
+  /// Account of what the process keeps for its clients, for all its servers.
+  const std::shared_ptr<http::ClientBudget>& clientBudget() const { return client_budget_; }
   bool ready() const { return router_.ready(); }
   std::string metricsText();
   const calls::CallRouter& router() const { return router_; }
@@ -61,6 +63,7 @@
   event::Dispatcher& dispatcher_;
   CallRouterProcessSettings settings_;
   EventLog& log_;
+  std::shared_ptr<http::ClientBudget> client_budget_;
   MetricsRegistry metrics_;
   calls::CallRouter router_;
   std::unique_ptr<transport::Transport> transport_;
--- a/src/service_process/call_server.cc
+++ b/src/service_process/call_server.cc
@@ -34,8 +34,9 @@
   const calls::CallNumber number{next_call_++};
   parsed.request.number = number;
   const CallContent& content = parsed.content;
-  parsed.request.fingerprint = quarantine::fingerprintOf(
-      {content.method, parsed.request.host, content.target, parsed.request.credential.key, content.body});
+  parsed.request.fingerprint =
+      quarantine::fingerprintOf({content.method, parsed.request.host, content.target,
+                                 parsed.request.credential.key, content.body.view()});
   calls_[number] = OpenCall{std::move(parsed.content), response};
   response->onClosed([this, alive = alive_, number] {
     if (*alive && calls_.erase(number) > 0) {
--- a/src/service_process/relay_server.cc
+++ b/src/service_process/relay_server.cc
@@ -48,6 +48,7 @@
 void RelayServer::handle(http::Request request, const http::ResponseWriterPtr& response) {
   auto attempt = std::make_shared<Attempt>();
   attempt->response = response;
+  attempt->memory = request.memory;
   try {
     attempt->target = takeRelayTarget(request.headers);
   } catch (const Error& fault) {
--- a/src/service_process/relay_server.h
+++ b/src/service_process/relay_server.h
@@ -55,6 +55,7 @@
   struct Attempt {
     RelayTarget target;
     http::ResponseWriterPtr response;
+    std::shared_ptr<const http::MemoryReservation> memory;  ///< for the request
     std::unique_ptr<http::ClientCall> call;
     bool started = false;  ///< the replica's head was forwarded
     bool refused = false;  ///< the replica's host refused the connection
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "event/dispatcher.h"
-#include "service_process/body_buffer.h"
+#include "http/body_buffer.h"
 #include "service_process/call_dialect.h"
 #include "service_process/event_splitter.h"
 #include "service_process/keep_alive_limits.h"
@@ -64,7 +64,7 @@
     std::string address;
     bool relayed = false;
     HttpResponse answer;  ///< its body only once it is whole
-    BodyBuffer body;
+    http::BodyBuffer body;
     bool head_request = false;  ///< the response has no body
     bool streaming = false;
     bool ends_with_connection = false;
--- a/src/service_process/service_control_shell.cc
+++ b/src/service_process/service_control_shell.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "quarantine/call_fingerprint.h"
+#include "service_process/client_budget_metrics.h"
 #include "service_process/member_identity.h"
 #include "storage/log_storage.h"
 #include "wire/codec.h"
@@ -72,6 +73,7 @@
     : dispatcher_(dispatcher),
       settings_(std::move(settings)),
       log_(log),
+      client_budget_(std::make_shared<http::ClientBudget>(settings_.clientLimits())),
       steps_(dispatcher.timeSource(), log),
       self_(settings_.host + ":" + std::to_string(settings_.internal_port)) {
   timer_ = dispatcher_.createTimer([this] {
@@ -489,6 +491,7 @@
 }
 
 std::string ServiceControlShell::metricsText() {
+  setClientBudgetMetrics(metrics_, *client_budget_);
   const services::ServiceControlView view = control_->view(now());
   const services::FleetView fleet = control_->fleet(now());
   const auto set = [this](const char* name, const char* help, double value) {
--- a/src/service_process/service_control_shell.h
+++ b/src/service_process/service_control_shell.h
@@ -46,6 +46,8 @@
   void releaseCall(const wire::CallFingerprint& call);
 
   const ServiceControlProcessSettings& settings() const { return settings_; }
+  /// Account of what the process keeps for its clients, for all its servers.
+  const std::shared_ptr<http::ClientBudget>& clientBudget() const { return client_budget_; }
   std::string metricsText();
   void applySeeds(const ServiceControlProcessSettings& fresh);
   /// Hands leadership and, if possible, the vote over and answers pending requests, then calls on_stopped
@@ -79,6 +81,7 @@
   event::Dispatcher& dispatcher_;
   ServiceControlProcessSettings settings_;
   EventLog& log_;
+  std::shared_ptr<http::ClientBudget> client_budget_;
   StepWatch steps_;
   NodeName self_;
   MetricsRegistry metrics_;
--- a/src/service_process/service_settings.cc
+++ b/src/service_process/service_settings.cc
@@ -1,5 +1,6 @@
 #include "service_process/service_settings.h"
 
+#include <algorithm>
 #include <limits>
 
 #include "common/error.h"
@@ -11,6 +12,16 @@
 using namespace std::chrono_literals;
 
 constexpr std::int64_t kMaxPort = std::numeric_limits<std::uint16_t>::max();
+/// Less holds no call with a body of the largest size beside others.
+constexpr std::uint64_t kMinMemoryBytes = 48'000'000;
+constexpr std::uint64_t kMaxMemoryBytes = std::uint64_t{1} << 50;
+constexpr std::int64_t kMinDescriptors = 256;
+constexpr std::int64_t kMaxDescriptors = 1'000'000;
+constexpr std::size_t kEighths = 8;
+/// The rest is for the tables of replicas and routers and for what is under way to replicas.
+constexpr std::size_t kRouterClientEighths = 4;
+/// The rest is for the log, the catalog and the tables of replicas and routers.
+constexpr std::size_t kMemberClientEighths = 3;
 
 void readCommon(SettingsReader& reader, ServiceProcessSettings& settings) {
   settings.node = NodeName(reader.text("node"));
@@ -38,6 +49,11 @@
   settings.retries.share = reader.number("retry_share", 0, 100, settings.retries.share);
   settings.retries.slack = reader.number("retry_slack", 0, 1e9, settings.retries.slack);
   settings.retries.window = reader.duration("retry_window", 100ms, 1h, settings.retries.window);
+  settings.memory_limit =
+      reader.bytes("memory_limit", kMinMemoryBytes, kMaxMemoryBytes, settings.memory_limit);
+  settings.descriptor_limit = static_cast<std::size_t>(reader.integer(
+      "descriptor_limit", kMinDescriptors, kMaxDescriptors,
+      static_cast<std::int64_t>(std::min<std::size_t>(settings.descriptor_limit, kMaxDescriptors))));
   settings.log = readLogSettings(reader.section("log"));
   settings.log.bounded_standard_output = settings.log.file.empty();
 }
@@ -58,6 +74,18 @@
   return nodes;
 }
 
+http::ClientLimits ServiceProcessSettings::clientLimits(std::size_t eighths_of_memory) const {
+  return {memory_limit / kEighths * eighths_of_memory, http::connectionsWithin(descriptor_limit)};
+}
+
+http::ClientLimits CallRouterProcessSettings::clientLimits() const {
+  return ServiceProcessSettings::clientLimits(kRouterClientEighths);
+}
+
+http::ClientLimits ServiceControlProcessSettings::clientLimits() const {
+  return ServiceProcessSettings::clientLimits(kMemberClientEighths);
+}
+
 std::string ServiceProcessSettings::internalAddress() const {
   return host + ":" + std::to_string(internal_port);
 }
@@ -106,8 +134,10 @@
   settings.publishes_loads = reader.boolean("balance_by_fleet_load", false);
   constexpr std::uint64_t kMinBodyBytes = 1'000;
   constexpr std::uint64_t kMaxBodyBytes = 1'000'000'000;
-  settings.max_body_bytes =
-      reader.bytes("max_body_bytes", kMinBodyBytes, kMaxBodyBytes, settings.max_body_bytes);
+  const std::uint64_t largest =
+      std::min<std::uint64_t>(kMaxBodyBytes, settings.clientLimits().memory_bytes / 2);
+  settings.max_body_bytes = reader.bytes("max_body_bytes", kMinBodyBytes, largest,
+                                         std::min<std::uint64_t>(settings.max_body_bytes, largest));
   reader.finish();
   return settings;
 }
--- a/src/service_process/service_settings.h
+++ b/src/service_process/service_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,12 +10,16 @@
 #include "common/event_log.h"
 #include "common/log_settings.h"
 #include "common/settings_reader.h"
+#include "http/client_budget.h"
 #include "services/placement_switches.h"
 #include "tenancy/quota_tolerance.h"
 
 /// Settings files of the processes that serve hosted services.
 namespace ferryrock::service_process {
 
+/// Several processes may share a large machine.
+inline constexpr std::size_t kMaxDefaultMemoryBytes = std::size_t{1} << 30;
+
 /// Settings that routers and control members share.
 struct ServiceProcessSettings {
   NodeName node;
@@ -29,11 +34,17 @@
   EventLogLimits log_limits;
   tenancy::QuotaTolerance quota_tolerance;
   balance::RetryBudgetSettings retries;
+  /// Memory of the machine that the process may use, in bytes.
+  std::size_t memory_limit = std::min(http::machineMemoryBytes(), kMaxDefaultMemoryBytes);
+  /// Descriptors that the process may have open.
+  std::size_t descriptor_limit = http::descriptorLimit();
 
   /// The internal addresses of the seeds.
   std::vector<NodeName> seedNodes() const;
   /// "host:port" of the machine's internal port.
   std::string internalAddress() const;
+  /// What the process may keep for its clients: a part of the memory, in eighths, and most descriptors.
+  http::ClientLimits clientLimits(std::size_t eighths_of_memory) const;
 };
 
 struct CallRouterProcessSettings : ServiceProcessSettings {
@@ -51,6 +62,8 @@
   Duration stop_accepts = std::chrono::milliseconds(2300);
   /// Minimum duration of a planned stop, so that connections are closed before the process exits.
   Duration stop_linger = std::chrono::milliseconds(3500);
+
+  http::ClientLimits clientLimits() const;
 };
 
 struct ServiceControlProcessSettings : ServiceProcessSettings {
@@ -66,6 +79,8 @@
   bool publishes_loads =
       false;  ///< loads are published, so that routers balance by the load over all routers
   std::size_t max_body_bytes = 64 << 20;
+
+  http::ClientLimits clientLimits() const;
 };
 
 /// Both throw Error with the file, line and key of the first invalid setting.
--- a/tests/crowd/small_cell.cc
+++ b/tests/crowd/small_cell.cc
@@ -134,13 +134,18 @@
   untilOk([this] { return statusOf(requestTo(control_, "POST", "/v1/config/replace", kCatalog)); },
           "the catalog");
   untilOk([this] { return beat(); }, "the replica's heartbeat");
-  beats_thread_ = std::thread([this] { keepBeating(); });
-  untilOk([this] { return call(); }, "a call");
+  untilOk(
+      [this] {
+        beat();
+        return call();
+      },
+      "a call");
   untilOk([this] { return askReady(); }, "the router's status");
   untilOk([this] { return askDirectory(); }, "the directory");
   if (call(kLargestBody) != 200) {
     throw std::runtime_error("a call with a body of the largest size isn't served in calm");
   }
+  beats_thread_ = std::thread([this] { keepBeating(); });
 }
 
 void SmallCell::untilOk(const std::function<int()>& request, const std::string& what) const {
--- a/tests/http/body_buffer_test.cc
+++ b/tests/http/body_buffer_test.cc
@@ -1,8 +1,8 @@
-#include "service_process/body_buffer.h"
+#include "http/body_buffer.h"
 
 #include <catch2/catch.hpp>
 
-namespace ferryrock::service_process {
+namespace ferryrock::http {
 namespace {
 
 TEST_CASE("A body comes out of its buffer as it went in, whatever its size and pieces") {
@@ -27,4 +27,4 @@
 }
 
 }  // namespace
-}  // namespace ferryrock::service_process
+}  // namespace ferryrock::http
--- a/tests/service_process/settings_test.cc
+++ b/tests/service_process/settings_test.cc
@@ -46,6 +46,25 @@
   CHECK_THROWS_AS(readServiceControlSettings(broken), Error);
 }
 
+TEST_CASE("What may be kept for clients follows from the memory and the descriptors of the process") {
+  SettingsReader router =
+      SettingsReader::fromText(kRouter + "memory_limit: 120MB\ndescriptor_limit: 4100\n", "settings");
+  const http::ClientLimits limits = readCallRouterSettings(router).clientLimits();
+  CHECK(limits.memory_bytes == 60'000'000);
+  CHECK(limits.connections == 3075);
+  const std::string control =
+      "node: core-1\nhost: 10.0.0.1\ninternal_port: 7000\nseeds: [\"10.0.0.1:80\"]\nmemory_limit: 256MB\n"
+      "listen_control: 10.0.0.1:80\nlisten_directory: 10.0.0.1:81\ndata_folder: data\n";
+  SettingsReader member = SettingsReader::fromText(control, "settings");
+  const ServiceControlProcessSettings settings = readServiceControlSettings(member);
+  CHECK(settings.clientLimits().memory_bytes == 96'000'000);
+  CHECK(settings.max_body_bytes == 48'000'000);
+  SettingsReader too_large = SettingsReader::fromText(control + "max_body_bytes: 64MB\n", "settings");
+  CHECK_THROWS_AS(readServiceControlSettings(too_large), Error);
+  SettingsReader too_small = SettingsReader::fromText(kRouter + "memory_limit: 20MB\n", "settings");
+  CHECK_THROWS_AS(readCallRouterSettings(too_small), Error);
+}
+
 TEST_CASE("An unknown, missing or invalid setting is refused with an error that names the settings source") {
   for (const std::string& text :
        {kRouter + "unknown: 1\n", std::string("node: edge-1\n"), kRouter + "stop_limit: 8\n",
