Bound the connections of all clients by a process's descriptors

What callers saw: silent clients, half heads and heads that grow by a byte now and then, more than a process has descriptors, leave it without any: ordinary requests got no answer on any port of the process while the crowd stayed.

Cause: each listener took 20,000 connections, and none of them had to end.

When the connections or the memory for them are used up, a new one takes the place of the one without a request in service that has been idle for the longest; one that never had an answer counts ten times as long, so that kept connections of callers outlive silent ones. Nothing that was read whole is lost. Without such a connection the new one is closed before anything is read of it.

New test: a kept connection and a newcomer are served beside 60 half heads on a limit of 20.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -28,7 +28,10 @@
 constexpr std::size_t kSmallBodyBytes = std::size_t{64} << 10;
 /// Clients that were refused for want of memory come back after 1 to this many seconds, in turn.
 constexpr int kMaxRetrySeconds = 3;
-constexpr unsigned kMaxConnections = 20'000;
+/// Evicted connections that libmicrohttpd hasn't closed yet; with more, it accepts none until it has.
+constexpr std::size_t kMaxClosingConnections = 32;
+/// A connection that has had no answer yet counts as idle for this many times as long.
+constexpr double kUnservedWeight = 10;
 
 const Logger kLog("http");
 
@@ -60,6 +63,7 @@
   MHD_Connection* handle = nullptr;
   std::unique_ptr<event::FileWatch> close_watch;
   std::weak_ptr<Exchange> current;
+  bool served = false;  ///< a request on it was answered
   bool peer_closed = false;
   bool reading_ended = false;  ///< by this server; a request that came before is answered
   std::string target;          ///< target of the request that is being read
@@ -146,7 +150,25 @@
     return std::nullopt;
   }
 
-  std::optional<EvictionCandidate> connectionToEvict() override { return std::nullopt; }
+  std::optional<EvictionCandidate> connectionToEvict() override {
+    Connection* first = nullptr;
+    double highest = 0;
+    const TimePoint time = now();
+    for (Connection* connection : connections_) {
+      const std::shared_ptr<Exchange> exchange = connection->current.lock();
+      const bool in_service = exchange && exchange->answering();
+      const double cost = seconds(time - connection->last_used) * (connection->served ? 1 : kUnservedWeight);
+      if (!in_service && !connection->reading_ended && cost >= highest) {
+        first = connection;
+        highest = cost;
+      }
+    }
+    if (first == nullptr) {
+      return std::nullopt;
+    }
+    return EvictionCandidate{EvictionCandidate::Rank::UnfinishedRequest, highest,
+                             [this, first] { endReading(*first); }};
+  }
 
  private:
   void loadCertificate() {
@@ -194,7 +216,9 @@
         {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&onTarget), this},
         {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(&onConnection), this},
         {MHD_OPTION_LISTEN_SOCKET, listener, nullptr},
-        {MHD_OPTION_CONNECTION_LIMIT, kMaxConnections, nullptr},
+        {MHD_OPTION_CONNECTION_LIMIT,
+         static_cast<std::intptr_t>(settings_.budget->limits().connections + kMaxClosingConnections),
+         nullptr},
         {MHD_OPTION_CONNECTION_TIMEOUT,
          std::chrono::ceil<std::chrono::seconds>(settings_.idle_timeout).count(), nullptr},
         {MHD_OPTION_SIGPIPE_HANDLED_BY_APP, 1, nullptr},
@@ -205,7 +229,7 @@
       options.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, key_.data()});
     }
     options.push_back({MHD_OPTION_END, 0, nullptr});
-    daemon_ = MHD_start_daemon(flags, 0, nullptr, nullptr, &onAccess, this, MHD_OPTION_ARRAY, options.data(),
+    daemon_ = MHD_start_daemon(flags, 0, &onAccept, this, &onAccess, this, MHD_OPTION_ARRAY, options.data(),
                                MHD_OPTION_END);
     if (daemon_ == nullptr) {
       ::close(listener);
@@ -262,6 +286,11 @@
     }
   }
 
+  /// Returns MHD_NO to close an accepted connection at once, before anything is read.
+  static MHD_Result onAccept(void* self, const sockaddr* /*address*/, socklen_t /*length*/) {
+    return static_cast<MicrohttpdServer*>(self)->settings_.budget->makeRoomForConnection() ? MHD_YES : MHD_NO;
+  }
+
   static void onConnection(void* self, MHD_Connection* connection, void** context,
                            MHD_ConnectionNotificationCode code) {
     auto& server = *static_cast<MicrohttpdServer*>(self);
@@ -458,6 +487,7 @@
                           MHD_RequestTerminationCode code) {
     auto& server = *static_cast<MicrohttpdServer*>(self);
     stateOf(connection).last_used = server.now();
+    stateOf(connection).served = true;
     const std::unique_ptr<std::shared_ptr<Exchange>> exchange(
         static_cast<std::shared_ptr<Exchange>*>(std::exchange(*context, nullptr)));
     if (exchange) {
--- a/tests/http/client_budget_test.cc
+++ b/tests/http/client_budget_test.cc
@@ -229,5 +229,26 @@
   CHECK(fixture.readUntil(peer, ";").find("size 700000;") != std::string::npos);
 }
 
+TEST_CASE("A new connection takes the place of the one that has been without an answer for the longest") {
+  constexpr std::size_t kConnections = 20;
+  BudgetServer fixture({std::size_t{1} << 30, kConnections});
+  RawConnection regular = fixture.connect();
+  regular.write(post(1) + "b");
+  CHECK(fixture.readUntil(regular, ";").find("size 1;") != std::string::npos);
+  std::list<RawConnection> silent;
+  for (std::size_t i = 0; i < 3 * kConnections; ++i) {
+    silent.push_back(fixture.connect());
+    silent.back().write("POST / HT");
+    fixture.loop.runFor(std::chrono::milliseconds(2));
+  }
+  RawConnection newcomer = fixture.connect();
+  newcomer.write(post(1) + "b");
+  CHECK(fixture.readUntil(newcomer, ";").find("size 1;") != std::string::npos);
+  regular.write(post(1) + "b");
+  CHECK(fixture.readUntil(regular, ";").find("size 1;") != std::string::npos);
+  CHECK(fixture.server->openConnections() <= kConnections + 1);
+  CHECK(fixture.budget->counts().evicted_connections >= 2 * kConnections);
+}
+
 }  // namespace
 }  // namespace ferryrock::http
