Bound what answers cost together with bodies

What callers saw: 120 callers who don't read answers of 4 MiB end a router under 120 MB (exit code 1).

Cause: answers that are received had a bound of their own, 256 MB; those that wait for their callers had none. libcurl reads from all ready connections before the client hands anything over, so that up to whole answers of all of them waited there. Answers were copied on their way to the caller.

An answer that its caller doesn't read gives way once no request is unfinished, the one with the most bytes times time first, by a reset; after that the longest one that is being received fails, as before. A connection to a replica is paused while 64 KiB of it aren't handed over. Answers are moved. Bodies over 64 KiB stay with the exchange instead of libmicrohttpd, so that giving them up frees them.

The test of endless answers keeps its bound, 256 MB, which its fixture now sets.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -18,6 +18,10 @@
 /// new connection.
 constexpr long kMaxIdleConnections = 8192;
 
+/// libcurl may read from many connections before it returns; each stops when this much waits for its call's
+/// callback.
+constexpr std::size_t kMaxUndeliveredBytes = std::size_t{64} << 10;
+
 class CurlClient;
 
 /// State of one request. libcurl's callbacks only collect data here; the client invokes the user callbacks
@@ -35,6 +39,7 @@
   std::string data;
   bool headers_delivered = false;
   bool paused = false;
+  bool held = false;  ///< libcurl stopped reading until the data is delivered
   bool queued_for_delivery = false;
   bool ended = false;
   bool foreign = false;  ///< the response doesn't belong to the request and was given up
@@ -80,13 +85,19 @@
       return;
     }
     call->paused = paused;
-    if (!paused && !call->ended) {
-      curl_easy_pause(call->transfer.handle(), CURLPAUSE_CONT);
-    }
     if (!paused) {
-      queueForDelivery(call);
-      scheduleDelivery();
+      readOn(call);
+    }
+  }
+
+  /// Has libcurl go on reading after a pause.
+  void readOn(const CallPtr& call) {
+    call->held = false;
+    if (!call->ended) {
+      curl_easy_pause(call->transfer.handle(), CURLPAUSE_CONT);
     }
+    queueForDelivery(call);
+    scheduleDelivery();
   }
 
  private:
@@ -303,6 +314,10 @@
   if (call.paused) {
     return CURL_WRITEFUNC_PAUSE;
   }
+  if (!call.data.empty() && call.data.size() + size * count > kMaxUndeliveredBytes) {
+    call.held = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
   if (!call.response.addBody(size * count)) {
     return kAbort;
   }
@@ -328,6 +343,9 @@
       on_data(data);
     }
   }
+  if (notCancelled() && !call->paused && call->held) {
+    call->client->readOn(call);
+  }
   if (notCancelled() && !call->paused && call->ended) {
     deliverEnd(call);
   }
--- a/src/http/exchange.cc
+++ b/src/http/exchange.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kStreamBlockBytes = std::size_t{16} * 1024;
+/// Larger bodies stay with the exchange until they are sent, so that an eviction frees them.
+constexpr std::size_t kMaxOwnedByLibrary = std::size_t{64} * 1024;
 
 class ExchangeWriter : public ResponseWriter {
  public:
@@ -67,6 +69,7 @@
 
 void Exchange::requestEnded(bool complete) {
   connection_ = nullptr;
+  answer_memory_.release();
   suspended_ = false;
   if (!complete) {
     notifyClosed();
@@ -90,6 +93,7 @@
   headers_ = std::move(headers);
   pending_ = std::move(body);
   phase_ = Phase::Responded;
+  holdAnswer(pending_.size());
   resume();
 }
 
@@ -107,8 +111,11 @@
   if (phase_ != Phase::Streaming) {
     return;
   }
-  pending_.append(bytes);
-  resume();
+  holdAnswer(pending_.size() + bytes.size());
+  if (phase_ == Phase::Streaming) {  // not evicted just now
+    pending_.append(bytes);
+    resume();
+  }
 }
 
 void Exchange::finish() {
@@ -125,6 +132,27 @@
   }
 }
 
+/// The response's memory is taken in any case: the sender, a replica or this process, has accounted for it.
+void Exchange::holdAnswer(std::size_t bytes) {
+  if (answer_memory_.bytes() == 0 && owner_ != nullptr) {
+    answer_began_ = owner_->now();
+  }
+  answer_memory_.resizeAnyway(bytes, MemoryUse::Answer);
+}
+
+void Exchange::evictAnswer() {
+  const int descriptor = socket();
+  pending_ = std::string();
+  pending_offset_ = 0;
+  answer_memory_.release();
+  peerClosed();
+  phase_ = Phase::Aborted;
+  resetConnection();
+  if (descriptor >= 0) {
+    ::shutdown(descriptor, SHUT_RDWR);
+  }
+}
+
 void Exchange::abandon() {
   on_closed_ = nullptr;
   on_drained_ = nullptr;
@@ -148,6 +176,10 @@
   return (*static_cast<std::shared_ptr<Exchange>*>(context))->readPending(buffer, size);
 }
 
+void Exchange::releaseText(void* content) {
+  delete static_cast<std::string*>(content);
+}
+
 void Exchange::releaseContent(void* context) {
   delete static_cast<std::shared_ptr<Exchange>*>(context);
 }
@@ -161,12 +193,13 @@
     pending_offset_ += count;
     unsent_bytes_ = count;
     if (pending_offset_ == pending_.size()) {
-      pending_.clear();
+      pending_ = std::string();
       pending_offset_ = 0;
+      answer_memory_.release();
     }
     return static_cast<ssize_t>(count);
   }
-  if (phase_ == Phase::Finished) {
+  if (phase_ == Phase::Finished || phase_ == Phase::Responded) {
     return MHD_CONTENT_READER_END_OF_STREAM;
   }
   if (phase_ == Phase::Aborted) {
@@ -201,15 +234,19 @@
 }
 
 MHD_Response* Exchange::createResponse() {
-  if (phase_ == Phase::Responded) {
-    MHD_Response* response =
-        MHD_create_response_from_buffer(pending_.size(), pending_.data(), MHD_RESPMEM_MUST_COPY);
-    pending_ = std::string();
+  if (phase_ == Phase::Responded && pending_.size() <= kMaxOwnedByLibrary) {
+    auto content = std::make_unique<std::string>(std::exchange(pending_, {}));
+    MHD_Response* response = MHD_create_response_from_buffer_with_free_callback_cls(
+        content->size(), content->data(), &releaseText, content.get());
+    if (response != nullptr) {
+      static_cast<void>(content.release());  // now owned by the response
+    }
     return response;
   }
+  const std::uint64_t size = phase_ == Phase::Responded ? pending_.size() : MHD_SIZE_UNKNOWN;
   auto context = std::make_unique<std::shared_ptr<Exchange>>(shared_from_this());
-  MHD_Response* response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, kStreamBlockBytes,
-                                                             &readContent, context.get(), &releaseContent);
+  MHD_Response* response = MHD_create_response_from_callback(size, kStreamBlockBytes, &readContent,
+                                                             context.get(), &releaseContent);
   if (response != nullptr) {
     static_cast<void>(context.release());  // now owned by the response
   }
@@ -264,11 +301,20 @@
   if (chunked_responses_ || connection_ == nullptr) {
     return;
   }
-  const MHD_ConnectionInfo* info = MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (info != nullptr) {
+  const int descriptor = socket();
+  if (descriptor >= 0) {
     const sockaddr dissolved{AF_UNSPEC, {}};
-    static_cast<void>(::connect(info->connect_fd, &dissolved, sizeof dissolved));
+    static_cast<void>(::connect(descriptor, &dissolved, sizeof dissolved));
   }
 }
 
+/// Returns -1 if the connection isn't open.
+int Exchange::socket() const {
+  if (connection_ == nullptr) {
+    return -1;
+  }
+  const MHD_ConnectionInfo* info = MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info == nullptr ? -1 : info->connect_fd;
+}
+
 }  // namespace ferryrock::http
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -35,7 +35,8 @@
         began(owner.now()),
         owner_(&owner),
         connection_(connection),
-        chunked_responses_(chunked_responses) {}
+        chunked_responses_(chunked_responses),
+        answer_memory_(budget) {}
 
   // For the server, within libmicrohttpd's callbacks.
 
@@ -61,6 +62,11 @@
   void requestEnded(bool complete);
   /// Detaches the exchange from a server that is being destroyed.
   void ownerDestroyed();
+  /// The response's bytes that wait for the client, and since when.
+  std::size_t unreadBytes() const { return answer_memory_.bytes(); }
+  TimePoint answerBegan() const { return answer_began_; }
+  /// Gives up a response that its client doesn't read, and resets the connection.
+  void evictAnswer();
 
   // For the writer.
 
@@ -79,6 +85,7 @@
 
   static ssize_t readContent(void* context, std::uint64_t position, char* buffer, std::size_t size);
   static void releaseContent(void* context);
+  static void releaseText(void* content);
 
   ssize_t readPending(char* buffer, std::size_t size);
   MHD_Result queueResponse();
@@ -88,6 +95,8 @@
   void resume();
   void notifyClosed();
   void resetConnection() const;
+  int socket() const;
+  void holdAnswer(std::size_t bytes);
 
   ExchangeOwner* owner_;
   MHD_Connection* connection_;
@@ -102,6 +111,8 @@
   std::string pending_;             ///< written, not yet passed to libmicrohttpd
   std::size_t pending_offset_ = 0;  ///< bytes at the start of pending_ that are already passed on
   std::size_t unsent_bytes_ = 0;    ///< held by libmicrohttpd, not yet sent
+  MemoryReservation answer_memory_;
+  TimePoint answer_began_{};
   event::Callback on_closed_;
   event::Callback on_drained_;
 };
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -132,20 +132,33 @@
   std::size_t openRequests() const override { return exchanges_.size(); }
 
   std::optional<EvictionCandidate> requestToEvict() override {
-    std::shared_ptr<Exchange> first;
-    double highest = -1;
+    std::shared_ptr<Exchange> unfinished;
+    std::shared_ptr<Exchange> unread;
+    double unfinished_cost = -1;
+    double unread_cost = -1;
     const TimePoint time = now();
-    for (const std::shared_ptr<Exchange>& exchange : exchanges_) {
-      const std::size_t bytes = exchange->answering() ? 0 : exchange->memory->bytes();
-      const double cost = static_cast<double>(bytes) * seconds(time - exchange->began);
+    const auto compare = [time](const std::shared_ptr<Exchange>& exchange, std::size_t bytes, TimePoint since,
+                                std::shared_ptr<Exchange>& first, double& highest) {
+      const double cost = static_cast<double>(bytes) * seconds(time - since);
       if (bytes > 0 && cost > highest) {
         first = exchange;
         highest = cost;
       }
+    };
+    for (const std::shared_ptr<Exchange>& exchange : exchanges_) {
+      if (!exchange->answering()) {
+        compare(exchange, exchange->memory->bytes(), exchange->began, unfinished, unfinished_cost);
+      } else {
+        compare(exchange, exchange->unreadBytes(), exchange->answerBegan(), unread, unread_cost);
+      }
+    }
+    using Rank = EvictionCandidate::Rank;
+    if (unfinished) {
+      return EvictionCandidate{Rank::UnfinishedRequest, unfinished_cost,
+                               [unfinished] { unfinished->refuse(ResultCode::MemoryFull); }};
     }
-    if (first) {
-      return EvictionCandidate{EvictionCandidate::Rank::UnfinishedRequest, highest,
-                               [first] { first->refuse(ResultCode::MemoryFull); }};
+    if (unread) {
+      return EvictionCandidate{Rank::UnreadAnswer, unread_cost, [unread] { unread->evictAnswer(); }};
     }
     return std::nullopt;
   }
--- a/src/service_process/call_router_shell.cc
+++ b/src/service_process/call_router_shell.cc
@@ -82,7 +82,8 @@
       [this](const wire::Envelope& envelope) { carryOut(router_.receive(envelope, now())); });
   connectControl();
   http_client_ = http::createClient(dispatcher_);
-  client_ = std::make_unique<ReplicaClient>(dispatcher_, *http_client_, dialect, replicaCallbacks());
+  client_ = std::make_unique<ReplicaClient>(dispatcher_, *http_client_, dialect, replicaCallbacks(),
+                                            client_budget_);
   prober_ = std::make_unique<ReplicaProber>(
       dispatcher_, *http_client_, dialect,
       [this](const ReplicaId& replica, calls::ProbeOutcome outcome) {
@@ -170,8 +171,8 @@
 }
 
 void CallRouterShell::carryOut(const calls::DeliverAnswerEffect& effect) {
-  if (const HttpResponse* answer = client_->answerOf(effect.attempt)) {
-    server_->deliver(effect.call, *answer);
+  if (std::optional<HttpResponse> answer = client_->takeAnswer(effect.attempt)) {
+    server_->deliver(effect.call, std::move(*answer));
   }
 }
 
--- a/src/service_process/call_server.cc
+++ b/src/service_process/call_server.cc
@@ -61,9 +61,9 @@
   return response;
 }
 
-void CallServer::deliver(calls::CallNumber call, const HttpResponse& answer) {
+void CallServer::deliver(calls::CallNumber call, HttpResponse answer) {
   if (const http::ResponseWriterPtr response = take(call)) {
-    response->respond(answer.status, dialect_.callerHeaders(answer.headers), answer.body);
+    response->respond(answer.status, dialect_.callerHeaders(answer.headers), std::move(answer.body));
   }
 }
 
--- a/src/service_process/call_server.h
+++ b/src/service_process/call_server.h
@@ -27,7 +27,7 @@
   /// Returns nullptr if the call has ended.
   const CallContent* contentOf(calls::CallNumber call) const;
 
-  void deliver(calls::CallNumber call, const HttpResponse& answer);
+  void deliver(calls::CallNumber call, HttpResponse answer);
   void start(calls::CallNumber call, const HttpResponse& head);
   void pass(calls::CallNumber call, const std::string& bytes);
   /// Bytes of the call's stream that wait for its caller.
--- a/src/service_process/replica_client.cc
+++ b/src/service_process/replica_client.cc
@@ -38,8 +38,12 @@
 }  // namespace
 
 ReplicaClient::ReplicaClient(event::Dispatcher& dispatcher, http::Client& client, const CallDialect& dialect,
-                             ReplicaCallbacks callbacks)
-    : dispatcher_(dispatcher), client_(client), dialect_(dialect), callbacks_(std::move(callbacks)) {}
+                             ReplicaCallbacks callbacks, std::shared_ptr<http::ClientBudget> budget)
+    : dispatcher_(dispatcher),
+      client_(client),
+      dialect_(dialect),
+      callbacks_(std::move(callbacks)),
+      budget_(std::move(budget)) {}
 
 ReplicaClient::~ReplicaClient() {
   *alive_ = false;
@@ -47,7 +51,7 @@
 
 void ReplicaClient::send(const calls::SendAttemptEffect& effect, const CallContent& content) {
   const AttemptNumber number = effect.attempt;
-  auto attempt = std::make_shared<Attempt>();
+  auto attempt = std::make_shared<Attempt>(budget_);
   attempt->id = content.id;
   attempt->replica = effect.replica;
   attempt->address = effect.address;
@@ -112,6 +116,11 @@
   return found == attempts_.end() ? nullptr : &found->second->answer;
 }
 
+std::optional<HttpResponse> ReplicaClient::takeAnswer(AttemptNumber attempt) {
+  const auto found = attempts_.find(attempt);
+  return found == attempts_.end() ? std::nullopt : std::optional(std::move(found->second->answer));
+}
+
 ReplicaClient::AttemptPtr ReplicaClient::take(AttemptNumber number) {
   const auto found = attempts_.find(number);
   if (found == attempts_.end()) {
@@ -119,9 +128,10 @@
   }
   AttemptPtr attempt = std::move(found->second);
   attempts_.erase(found);
-  kept_bytes_ -= std::exchange(attempt->kept_bytes, 0);
+  attempt->memory.release();
   attempt->body = {};
   attempt->events = {};
+  attempt->answer.body = std::string();
   dispatcher_.post([attempt] { attempt->call.reset(); });
   return attempt;
 }
@@ -177,7 +187,7 @@
            "the answer is longer than " + std::to_string(kMaxAnswerBytes) + " bytes");
       return;
     }
-    recordKeptBytes(*attempt);
+    takeMemory(number, *attempt);
     return;
   }
   attempt->events.add(bytes);
@@ -194,23 +204,25 @@
          "an event of the stream is longer than " + std::to_string(kMaxEventBytes) + " bytes");
     return;
   }
-  recordKeptBytes(*attempt);
+  takeMemory(number, *attempt);
 }
 
-void ReplicaClient::recordKeptBytes(Attempt& attempt) {
+void ReplicaClient::takeMemory(AttemptNumber number, Attempt& attempt) {
   const std::size_t kept = attempt.streaming ? attempt.events.unfinishedBytes() : attempt.body.size();
-  kept_bytes_ += kept - attempt.kept_bytes;
-  attempt.kept_bytes = kept;
   const std::shared_ptr<bool> alive = alive_;
-  while (*alive && kept_bytes_ > kMaxKeptBytes) {
+  while (!attempt.memory.resize(kept, http::MemoryUse::Answer)) {
     const auto longest =
         std::max_element(attempts_.begin(), attempts_.end(), [](const auto& left, const auto& right) {
-          return left.second->kept_bytes < right.second->kept_bytes;
+          return left.second->memory.bytes() < right.second->memory.bytes();
         });
-    fail(longest->first, AttemptFailure::OutcomeUnknown,
-         "all answers that are being received have " + std::to_string(kept_bytes_) +
-             " bytes, more than allowed, and this one the most: " +
-             std::to_string(longest->second->kept_bytes));
+    const std::size_t bytes = longest->second->memory.bytes();
+    const AttemptNumber failed = bytes > 0 ? longest->first : number;
+    fail(failed, AttemptFailure::OutcomeUnknown,
+         "the memory for requests and answers is used up, and of the answers this one has the most: " +
+             std::to_string(bytes) + " bytes");
+    if (!*alive || failed == number) {
+      return;
+    }
   }
 }
 
--- a/src/service_process/replica_client.h
+++ b/src/service_process/replica_client.h
@@ -15,10 +15,6 @@
 
 namespace ferryrock::service_process {
 
-/// Limit on what the responses that are being received keep together, in bytes: many replicas in trouble may
-/// send without end.
-inline constexpr std::size_t kMaxKeptBytes = std::size_t{256} << 20;
-
 /// Events of attempts. An attempt ends with on_answer, on_stream_end, on_failure or cancel().
 struct ReplicaCallbacks {
   /// The notice in the head of the attempt's response, possibly empty. Called before the attempt's other
@@ -36,12 +32,13 @@
 
 /// Sends calls to replicas over HTTP. Responses are buffered until they are complete; streams are split into
 /// events. A response that is truncated, carries another call's id or isn't valid HTTP is a failure; so is
-/// one of which more would have to be kept than a limit allows, and the longest ones while all together keep
-/// more than kMaxKeptBytes. Used by one thread.
+/// one of which more would have to be kept than a limit allows, and the longest ones while the budget has no
+/// memory for more. Used by one thread.
 class ReplicaClient {
  public:
+  /// budget: what is kept of responses is taken from it.
   ReplicaClient(event::Dispatcher& dispatcher, http::Client& client, const CallDialect& dialect,
-                ReplicaCallbacks callbacks);
+                ReplicaCallbacks callbacks, std::shared_ptr<http::ClientBudget> budget);
   ~ReplicaClient();
 
   void send(const calls::SendAttemptEffect& effect, const CallContent& content);
@@ -54,11 +51,15 @@
   /// broke off, or as the head alone within the callbacks for the events of a stream. nullptr if the attempt
   /// has ended.
   const HttpResponse* answerOf(calls::AttemptNumber attempt) const;
+  /// The same, moved out of the attempt, for its only receiver. nullopt if the attempt has ended.
+  std::optional<HttpResponse> takeAnswer(calls::AttemptNumber attempt);
   std::size_t running() const { return attempts_.size(); }
   KeepAliveLimits& keepAliveLimits() { return keep_alive_; }
 
  private:
   struct Attempt {
+    explicit Attempt(const std::shared_ptr<http::ClientBudget>& budget) : memory(budget) {}
+
     RequestId id;
     ReplicaId replica;
     std::string address;
@@ -70,7 +71,7 @@
     bool ends_with_connection = false;
     bool has_events = false;
     bool paused = false;
-    std::size_t kept_bytes = 0;  ///< of the body or of an event that isn't complete
+    http::MemoryReservation memory;  ///< for the body, or for an event that isn't complete
     /// False: the response may be one to an earlier sending of the call, so it proves nothing of this one.
     bool proves_this_sending = true;
     EventSplitter events;
@@ -80,8 +81,8 @@
 
   void onHeaders(calls::AttemptNumber number, int status, const http::Headers& headers);
   void onData(calls::AttemptNumber number, std::string_view bytes);
-  /// Fails the attempts that keep the most while all of them together keep too much.
-  void recordKeptBytes(Attempt& attempt);
+  /// Fails the attempts that keep the most while there isn't enough memory for this one.
+  void takeMemory(calls::AttemptNumber number, Attempt& attempt);
   void onComplete(calls::AttemptNumber number);
   /// Returns why the response is known to be cut although its connection ended normally; empty: it isn't.
   static std::string truncationOf(const Attempt& attempt);
@@ -95,7 +96,7 @@
   const CallDialect& dialect_;
   ReplicaCallbacks callbacks_;
   std::map<calls::AttemptNumber, AttemptPtr> attempts_;
-  std::size_t kept_bytes_ = 0;  ///< by all attempts
+  std::shared_ptr<http::ClientBudget> budget_;
   KeepAliveLimits keep_alive_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/cli/fake_cell.cc
+++ b/tests/cli/fake_cell.cc
@@ -72,10 +72,10 @@
     return tree(query);
   }
   if (name == "/api/changes") {
-    return change(request.body);
+    return change(std::string(request.body.view()));
   }
   if (name == "/api/members") {
-    return request.method == "POST" ? changeMembers(request.body) : showMembers();
+    return request.method == "POST" ? changeMembers(std::string(request.body.view())) : showMembers();
   }
   const auto fixed = fixed_answers.find(path);
   return fixed == fixed_answers.end() ? errorResponse(ResultCode::UnknownPath)
--- a/tests/cli/quarantine_command_test.cc
+++ b/tests/cli/quarantine_command_test.cc
@@ -21,7 +21,7 @@
         std::string::npos);
   CHECK(runner.run({"quarantine", "--release", "000000000000000100000000000000ab"}).code ==
         ExitCode::Success);
-  CHECK(cell.requests.back().body.find("000000000000000100000000000000ab") != std::string::npos);
+  CHECK(cell.requests.back().body.view().find("000000000000000100000000000000ab") != std::string::npos);
 }
 
 }  // namespace
--- a/tests/http/client_budget_test.cc
+++ b/tests/http/client_budget_test.cc
@@ -250,5 +250,24 @@
   CHECK(fixture.budget->counts().evicted_connections >= 2 * kConnections);
 }
 
+TEST_CASE("An answer that its client doesn't read gives way to others") {
+  BudgetServer fixture({3 * BudgetServer::kLargeAnswer, 100});
+  std::list<RawConnection> unread;
+  constexpr int kClients = 6;
+  for (int i = 0; i < kClients; ++i) {
+    unread.push_back(fixture.connect());
+    unread.back().write(post(1, "/large") + "b");
+    fixture.loop.runFor(std::chrono::milliseconds(20));
+  }
+  CHECK(fixture.budget->memoryBytes() <= fixture.budget->limits().memory_bytes);
+  CHECK(fixture.budget->counts().evicted_requests >= 3);
+  RawConnection reader = fixture.connect();
+  reader.write(post(1) + "b");
+  CHECK(fixture.readUntil(reader, ";").find("size 1;") != std::string::npos);
+  unread.clear();
+  reader.close();
+  CHECK(fixture.loop.runUntil([&] { return fixture.budget->memoryBytes() == 0; }));
+}
+
 }  // namespace
 }  // namespace ferryrock::http
--- a/tests/service_process/relay_fixture.h
+++ b/tests/service_process/relay_fixture.h
@@ -68,6 +68,9 @@
   return "HTTP/1.1 200 OK\r\nCall-Id: " + id + "\r\nContent-Length: 5\r\n\r\nof " + id;
 }
 
+/// Memory for what the sending router keeps of answers.
+inline constexpr std::size_t kMaxKeptBytes = std::size_t{256} << 20;
+
 /// A router that sends calls to replicas, directly or through the RelayServer of another, over loopback.
 class RelayFixture {
  public:
@@ -89,7 +92,7 @@
     };
     callbacks.on_failure = [this](calls::AttemptNumber number, calls::AttemptFailure failure,
                                   const std::string&) { records[number].failure = failure; };
-    sender = std::make_unique<ReplicaClient>(loop.dispatcher(), *sender_client, dialect, callbacks);
+    sender = std::make_unique<ReplicaClient>(loop.dispatcher(), *sender_client, dialect, callbacks, budget);
     RelayCallbacks relay_callbacks;
     relay_callbacks.accepts = [this] { return accepts; };
     relay_callbacks.reaches = [](const std::string&) { return true; };
@@ -149,6 +152,8 @@
   RelayTestDialect dialect;
   NoEventLog log;
   KeepAliveLimits keep_alive;
+  std::shared_ptr<http::ClientBudget> budget =
+      std::make_shared<http::ClientBudget>(http::ClientLimits{kMaxKeptBytes});
   std::unique_ptr<http::Client> sender_client;
   std::unique_ptr<http::Client> relay_client;
   std::unique_ptr<ReplicaClient> sender;
--- a/tests/service_process/replica_client_test.cc
+++ b/tests/service_process/replica_client_test.cc
@@ -94,7 +94,7 @@
     };
     callbacks.on_failure = [this](calls::AttemptNumber number, calls::AttemptFailure failure,
                                   const std::string&) { records[number].failure = failure; };
-    replicas = std::make_unique<ReplicaClient>(loop.dispatcher(), *client, dialect, callbacks);
+    replicas = std::make_unique<ReplicaClient>(loop.dispatcher(), *client, dialect, callbacks, budget);
   }
   Record& run(std::uint16_t port, const std::string& target = "/x?y=%20z") {
     Record& record = begin(port, target);
@@ -111,6 +111,7 @@
     return records[number];
   }
   http::Loop loop;
+  std::shared_ptr<http::ClientBudget> budget = std::make_shared<http::ClientBudget>(http::ClientLimits{});
   TestDialect dialect;
   std::unique_ptr<http::Client> client;
   std::unique_ptr<ReplicaClient> replicas;
