Reject JSON bodies of too many values or levels before they are parsed

What callers saw: bodies of 4 MiB that are one list of empty lists, or lists within lists, sent to the control port by 120 clients, end a member under 256 MB (exit code 1).

Cause: parsed, a value takes many times the bytes of its text, 64 MiB of text were allowed, and nothing counted them.

Change: bodies over 64 KiB are read once without being kept; more than 64 levels or 500,000 values and names are refused with 400 MalformedBody.

--- a/src/control_process/operator_json.cc
+++ b/src/control_process/operator_json.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "catalog/tree_json.h"
+#include "http/json_limits.h"
 
 namespace ferryrock::control_process {
 namespace {
@@ -42,6 +43,7 @@
 /// Parses a body and reads it; faults of its form become MalformedBody or InvalidField.
 template <class Read>
 auto readBody(const std::string& body, const Read& read) {
+  http::checkJsonSize(body);
   nlohmann::json object;
   try {
     object = nlohmann::json::parse(body);
--- a/src/service_process/evacuation_api.cc
+++ b/src/service_process/evacuation_api.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "common/error.h"
+#include "http/json_limits.h"
 
 namespace ferryrock::service_process {
 namespace {
@@ -15,6 +16,7 @@
 constexpr const char* kStopPath = "/api/evacuations/stop";
 
 ZoneName parseZone(const std::string& body) {
+  http::checkJsonSize(body);
   const auto json = nlohmann::json::parse(body, nullptr, false);
   const bool valid = json.is_object() && json.contains("zone") && json["zone"].is_string();
   if (!valid) {
--- a/src/service_process/quarantine_api.cc
+++ b/src/service_process/quarantine_api.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "common/error.h"
+#include "http/json_limits.h"
 #include "quarantine/call_fingerprint.h"
 #include "quarantine/suspect.h"
 
@@ -32,6 +33,7 @@
 }
 
 wire::CallFingerprint parseFingerprint(const std::string& body) {
+  http::checkJsonSize(body);
   const auto json = nlohmann::json::parse(body, nullptr, false);
   const bool valid = json.is_object() && json.contains("fingerprint") && json["fingerprint"].is_string();
   const auto fingerprint =
