Go on without a connection to a member that can't be opened

Cause: renewing the connection to a member makes a new socket, and ZeroMQ's error for want of descriptors left the transport as an exception.

Change: such a connection is missing, with a warning; it is opened by the next renewal, which now goes by the peers and not by the connections that there are.

Evidence: the new test renews a connection while the process has no descriptor left.

--- a/src/transport/zeromq_transport.cc
+++ b/src/transport/zeromq_transport.cc
@@ -80,16 +80,12 @@
   }
 
   void renew(const NodeName& peer) override {
-    std::vector<PeerKey> keys;
-    for (const auto& [key, connection] : connections_) {
+    for (const PeerKey& key : connectedPeers()) {
       if (key.node == peer) {
-        keys.push_back(key);
+        connections_.erase(key);
+        connect(key);
       }
     }
-    for (const PeerKey& key : keys) {
-      connections_.erase(key);
-      connect(key);
-    }
   }
 
   void setKeys(const KeyPair& own) override {
@@ -110,15 +106,12 @@
   void setPeers(std::vector<Peer> peers) override {
     peers_ = std::move(peers);
     std::map<std::string, std::string> node_by_key;
-    std::set<PeerKey> configured_peers;
     for (const Peer& peer : peers_) {
       if (!peer.public_key.empty()) {
         node_by_key[peer.public_key] = peer.node.value;
       }
-      if (!peer.address.empty() && peer.node != settings_.node) {
-        configured_peers.insert({peer.node, peer.address, peer.public_key});
-      }
     }
+    const std::set<PeerKey> configured_peers = connectedPeers();
     if (authenticator_) {
       authenticator_->allow(std::move(node_by_key));
     }
@@ -135,6 +128,17 @@
   TransportCounts counts() const override { return counts_; }
 
  private:
+  /// The peers that this process connects to.
+  std::set<PeerKey> connectedPeers() const {
+    std::set<PeerKey> keys;
+    for (const Peer& peer : peers_) {
+      if (!peer.address.empty() && peer.node != settings_.node) {
+        keys.insert({peer.node, peer.address, peer.public_key});
+      }
+    }
+    return keys;
+  }
+
   void openSockets() {
     if (keysOn()) {
       authenticator_ = std::make_unique<ZapAuthenticator>(context_, dispatcher_);
@@ -188,7 +192,20 @@
     listener_->watch = watch(socket, [this] { drainListener(); });
   }
 
+  /// Without a descriptor for the connection, messages to the peer are dropped until it is renewed or the
+  /// peers are set again.
   void connect(const PeerKey& key) {
+    try {
+      openConnection(key);
+    } catch (const zmq::error_t& fault) {
+      if (fault.num() != EMFILE && fault.num() != ENFILE) {
+        throw;
+      }
+      logger_.warning("No connection to '" + key.address + "': " + fault.what());
+    }
+  }
+
+  void openConnection(const PeerKey& key) {
     auto connection =
         std::make_unique<Connection>(Connection{zmq::socket_t(context_, zmq::socket_type::dealer), nullptr});
     zmq::socket_t& socket = connection->socket;
--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -1,7 +1,9 @@
 #include "transport/transport.h"
 
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/time.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -452,5 +454,37 @@
   }));
 }
 
+/// Leaves this process no descriptor beyond those that it has.
+class NoFreeDescriptors {
+ public:
+  NoFreeDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &before_);
+    const int next = ::dup(0);
+    ::close(next);
+    const rlimit limit{static_cast<rlim_t>(next), before_.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  }
+  ~NoFreeDescriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+
+ private:
+  rlimit before_{};
+};
+
+TEST_CASE("A connection that can't be renewed for want of descriptors is opened by a later renewal") {
+  const auto dispatcher = event::createAceDispatcher();
+  Node control(*dispatcher, "control", "127.0.0.1:0");
+  Node router(*dispatcher, "router", "");
+  router.transport->setPeers({{NodeName{"control"}, control.transport->boundAddress(), ""}});
+  REQUIRE(sendUntilReceived(*dispatcher, router, "control", control));
+  {
+    const NoFreeDescriptors none;
+    router.transport->renew(NodeName{"control"});
+    router.transport->renew(NodeName{"control"});
+    router.transport->send(NodeName{"control"}, demand(7));
+  }
+  router.transport->renew(NodeName{"control"});
+  CHECK(sendUntilReceived(*dispatcher, router, "control", control));
+}
+
 }  // namespace
 }  // namespace ferryrock::transport
