Let small requests outlive large answers that nobody reads

What callers would see: while unread answers use up the memory, each further answer refused all requests that were being received, however small, before it reset the first unread answer, whose memory is what was needed.

Cause: unfinished requests went before unread answers whatever their size.

Change: one order by bytes times age, a quarter of it for an answer, as a replica's work is lost with it.

Evidence: the test of unread answers now has a small request that began before them and is finished after; its refusal before follows from the order, it wasn't run there.

--- a/src/http/client_budget.cc
+++ b/src/http/client_budget.cc
@@ -28,17 +28,13 @@
   return kEighths;
 }
 
-bool goesBefore(const EvictionCandidate& left, const EvictionCandidate& right) {
-  return left.rank != right.rank ? left.rank < right.rank : left.cost > right.cost;
-}
-
 /// Evicts the first of the sources' candidates; returns false if there is none.
 template <class Propose>
 bool evictFirst(const std::vector<EvictionSource*>& sources, Propose propose) {
   std::optional<EvictionCandidate> first;
   for (EvictionSource* source : sources) {
     std::optional<EvictionCandidate> candidate = propose(*source);
-    if (candidate && (!first || goesBefore(*candidate, *first))) {
+    if (candidate && (!first || candidate->cost > first->cost)) {
       first = std::move(candidate);
     }
   }
--- a/src/http/client_budget.h
+++ b/src/http/client_budget.h
@@ -24,15 +24,8 @@
   Small,   ///< a connection, a head or a small body
 };
 
-/// Something that can be given up for others.
+/// Something that can be given up for others; the one with the highest cost first.
 struct EvictionCandidate {
-  /// Candidates of a lower rank are evicted first.
-  enum class Rank {
-    UnfinishedRequest,  ///< nobody has begun to serve it
-    UnreadAnswer,       ///< its client doesn't read it
-  };
-  Rank rank = Rank::UnfinishedRequest;
-  /// Of one rank, the one with the highest cost is evicted first.
   double cost = 0;
   std::function<void()> evict;
 };
@@ -41,8 +34,9 @@
 class EvictionSource {
  public:
   virtual ~EvictionSource() = default;
-  /// The request whose memory is evicted first. The cost is its bytes times the seconds since it began:
-  /// clients that stay with much memory give way to those that come and go, however often they send a byte.
+  /// The unfinished request or unread answer whose memory is evicted first. The cost is its bytes times the
+  /// seconds since it began: clients that stay with much memory give way to those that come and go, however
+  /// often they send a byte. It is less for an answer, as work is lost with it.
   virtual std::optional<EvictionCandidate> requestToEvict() = 0;
   /// The connection without a request in service that is evicted first.
   virtual std::optional<EvictionCandidate> connectionToEvict() = 0;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -32,6 +32,8 @@
 constexpr std::size_t kMaxClosingConnections = 32;
 /// A connection that has had no answer yet counts as idle for this many times as long.
 constexpr double kUnservedWeight = 10;
+/// An unread answer costs this much of what an unfinished request of its size and age does: a replica ran it.
+constexpr double kAnswerWeight = 0.25;
 
 const Logger kLog("http");
 
@@ -132,35 +134,26 @@
   std::size_t openRequests() const override { return exchanges_.size(); }
 
   std::optional<EvictionCandidate> requestToEvict() override {
-    std::shared_ptr<Exchange> unfinished;
-    std::shared_ptr<Exchange> unread;
-    double unfinished_cost = -1;
-    double unread_cost = -1;
+    std::shared_ptr<Exchange> first;
+    double highest = -1;
     const TimePoint time = now();
-    const auto compare = [time](const std::shared_ptr<Exchange>& exchange, std::size_t bytes, TimePoint since,
-                                std::shared_ptr<Exchange>& first, double& highest) {
-      const double cost = static_cast<double>(bytes) * seconds(time - since);
-      if (bytes > 0 && cost > highest) {
+    for (const std::shared_ptr<Exchange>& exchange : exchanges_) {
+      const double cost = costOf(*exchange, time);
+      if (cost > highest) {
         first = exchange;
         highest = cost;
       }
-    };
-    for (const std::shared_ptr<Exchange>& exchange : exchanges_) {
-      if (!exchange->answering()) {
-        compare(exchange, exchange->memory->bytes(), exchange->began, unfinished, unfinished_cost);
-      } else {
-        compare(exchange, exchange->unreadBytes(), exchange->answerBegan(), unread, unread_cost);
-      }
-    }
-    using Rank = EvictionCandidate::Rank;
-    if (unfinished) {
-      return EvictionCandidate{Rank::UnfinishedRequest, unfinished_cost,
-                               [unfinished] { unfinished->refuse(ResultCode::MemoryFull); }};
     }
-    if (unread) {
-      return EvictionCandidate{Rank::UnreadAnswer, unread_cost, [unread] { unread->evictAnswer(); }};
+    if (first == nullptr) {
+      return std::nullopt;
     }
-    return std::nullopt;
+    return EvictionCandidate{highest, [first] {
+                               if (first->answering()) {
+                                 first->evictAnswer();
+                               } else {
+                                 first->refuse(ResultCode::MemoryFull);
+                               }
+                             }};
   }
 
   std::optional<EvictionCandidate> connectionToEvict() override {
@@ -179,8 +172,7 @@
     if (first == nullptr) {
       return std::nullopt;
     }
-    return EvictionCandidate{EvictionCandidate::Rank::UnfinishedRequest, highest,
-                             [first] { endReading(*first); }};
+    return EvictionCandidate{highest, [first] { endReading(*first); }};
   }
 
  private:
@@ -194,6 +186,16 @@
     }
   }
 
+  /// Returns a negative cost if nothing is kept that could be evicted.
+  static double costOf(const Exchange& exchange, TimePoint time) {
+    constexpr double kNothing = -1;
+    const bool answering = exchange.answering();
+    const std::size_t bytes = answering ? exchange.unreadBytes() : exchange.memory->bytes();
+    const TimePoint since = answering ? exchange.answerBegan() : exchange.began;
+    const double cost = static_cast<double>(bytes) * seconds(time - since);
+    return bytes == 0 ? kNothing : cost * (answering ? kAnswerWeight : 1);
+  }
+
   static int socketOf(const Connection& connection) {
     return MHD_get_connection_info(connection.handle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
   }
--- a/tests/http/client_budget_test.cc
+++ b/tests/http/client_budget_test.cc
@@ -15,15 +15,12 @@
 namespace ferryrock::http {
 namespace {
 
-using Rank = EvictionCandidate::Rank;
-
 /// Requests that can be evicted, each with its own reservation.
 class RequestList : public EvictionSource {
  public:
   struct Request {
-    Request(Rank its_rank, double its_cost, int its_number, const std::shared_ptr<ClientBudget>& budget)
-        : rank(its_rank), cost(its_cost), number(its_number), memory(budget) {}
-    Rank rank;
+    Request(double its_cost, int its_number, const std::shared_ptr<ClientBudget>& budget)
+        : cost(its_cost), number(its_number), memory(budget) {}
     double cost;
     int number;
     MemoryReservation memory;
@@ -34,16 +31,13 @@
   }
   ~RequestList() override { budget_->removeSource(*this); }
 
-  Request& add(Rank rank, double cost, int number) {
-    return requests_.emplace_back(rank, cost, number, budget_);
-  }
+  Request& add(double cost, int number) { return requests_.emplace_back(cost, number, budget_); }
   std::optional<EvictionCandidate> requestToEvict() override {
     std::optional<EvictionCandidate> first;
     for (Request& request : requests_) {
-      const bool before =
-          !first || request.rank < first->rank || (request.rank == first->rank && request.cost > first->cost);
+      const bool before = !first || request.cost > first->cost;
       if (request.memory.bytes() > 0 && before) {
-        first = EvictionCandidate{request.rank, request.cost, [this, &request] {
+        first = EvictionCandidate{request.cost, [this, &request] {
                                     request.memory.release();
                                     evicted.push_back(request.number);
                                   }};
@@ -85,9 +79,8 @@
   }));
 }
 
-TEST_CASE(
-    "Evicted are the requests of the lowest rank and the highest cost, of whatever server, until it fits") {
-  CHECK(rc::check([](const std::vector<std::pair<bool, std::uint16_t>>& requests, std::uint8_t wanted) {
+TEST_CASE("Evicted are the requests of the highest cost, of whatever server, until it fits") {
+  CHECK(rc::check([](const std::vector<std::uint16_t>& requests, std::uint8_t wanted) {
     constexpr std::size_t kEach = 1000;
     RC_PRE(!requests.empty());
     const std::size_t limit = requests.size() * kEach;
@@ -95,22 +88,19 @@
     RequestList first(budget);
     RequestList second(budget);
     struct Expected {
-      Rank rank;
       double cost;
       int number;
     };
     std::vector<Expected> order;
     int number = 0;
-    for (const auto& [answer, cost] : requests) {
-      const Rank rank = answer ? Rank::UnreadAnswer : Rank::UnfinishedRequest;
+    for (const std::uint16_t cost : requests) {
       const double distinct = cost + number / 1000.0;
       RequestList& list = number % 2 == 0 ? first : second;
-      RC_ASSERT(list.add(rank, distinct, number).memory.resize(8 * kEach, MemoryUse::Small));
-      order.push_back({rank, distinct, number++});
+      RC_ASSERT(list.add(distinct, number).memory.resize(8 * kEach, MemoryUse::Small));
+      order.push_back({distinct, number++});
     }
-    std::sort(order.begin(), order.end(), [](const Expected& left, const Expected& right) {
-      return left.rank != right.rank ? left.rank < right.rank : left.cost > right.cost;
-    });
+    std::sort(order.begin(), order.end(),
+              [](const Expected& left, const Expected& right) { return left.cost > right.cost; });
     const std::size_t count = std::min<std::size_t>(wanted, requests.size());
     MemoryReservation taken(budget);
     RC_ASSERT(taken.resize(count * 8 * kEach, MemoryUse::Small));
@@ -142,7 +132,7 @@
 TEST_CASE("A reservation whose own request is evicted holds the growth alone") {
   const auto budget = std::make_shared<ClientBudget>(ClientLimits{1000});
   RequestList requests(budget);
-  MemoryReservation& memory = requests.add(Rank::UnfinishedRequest, 1, 1).memory;
+  MemoryReservation& memory = requests.add(1, 1).memory;
   REQUIRE(memory.resize(900, MemoryUse::Small));
   REQUIRE(memory.resize(1100, MemoryUse::Small));
   CHECK(requests.evicted == std::vector<int>{1});
@@ -252,6 +242,8 @@
 
 TEST_CASE("An answer that its client doesn't read gives way to others") {
   BudgetServer fixture({3 * BudgetServer::kLargeAnswer, 100});
+  RawConnection slow = fixture.connect();
+  slow.write(post(2) + "b");
   std::list<RawConnection> unread;
   constexpr int kClients = 6;
   for (int i = 0; i < kClients; ++i) {
@@ -261,10 +253,13 @@
   }
   CHECK(fixture.budget->memoryBytes() <= fixture.budget->limits().memory_bytes);
   CHECK(fixture.budget->counts().evicted_requests >= 3);
+  slow.write("b");  // its request is older than the answers, and small
+  CHECK(fixture.readUntil(slow, ";").find("size 2;") != std::string::npos);
   RawConnection reader = fixture.connect();
   reader.write(post(1) + "b");
   CHECK(fixture.readUntil(reader, ";").find("size 1;") != std::string::npos);
   unread.clear();
+  slow.close();
   reader.close();
   CHECK(fixture.loop.runUntil([&] { return fixture.budget->memoryBytes() == 0; }));
 }
