Test planned stops and reloads beside crowds

Three reloads, then a stop, a reload and another stop at once, while clients drip bodies or heads, don't read answers, or leave chunks unfinished: the process ends by itself with exit code 0.

--- a/tests/crowd/child_process.cc
+++ b/tests/crowd/child_process.cc
@@ -71,6 +71,10 @@
   return !ended_;
 }
 
+void ChildProcess::signal(int number) const {
+  ::kill(process_, number);
+}
+
 std::string ChildProcess::endText() {
   if (isRunning()) {
     return "";
--- a/tests/crowd/child_process.h
+++ b/tests/crowd/child_process.h
@@ -26,6 +26,8 @@
 
   /// False once the process has ended, for whatever reason.
   bool isRunning();
+  /// number: of a signal, e.g. SIGTERM.
+  void signal(int number) const;
   /// How the process ended: its exit code or signal; empty while it runs.
   std::string endText();
   /// The most memory that the process has had in use, in bytes (VmHWM).
--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
 #include <string>
+#include <thread>
 
 #include "crowd/small_cell.h"
 
@@ -166,6 +169,24 @@
   checkProcess(cell.member(), kMemberLimits, 0);
 }
 
+/// Signals come in series: reloads, a planned stop, and both again while it stops.
+void checkStops(ChildProcess& process) {
+  constexpr int kReloads = 3;
+  constexpr auto kPause = std::chrono::milliseconds(50);
+  for (int i = 0; i < kReloads; ++i) {
+    process.signal(SIGHUP);
+    std::this_thread::sleep_for(kPause);
+  }
+  for (const int signal : {SIGTERM, SIGHUP, SIGTERM}) {
+    process.signal(signal);
+  }
+  constexpr int kPauses = 600;  // many times the longest stop
+  for (int i = 0; i < kPauses && process.isRunning(); ++i) {
+    std::this_thread::sleep_for(kPause);
+  }
+  CHECK(process.endText() == "exit code 0");
+}
+
 constexpr const char* kCallPath = "/a/x";
 constexpr const char* kReplacePath = "/v1/config/replace";
 constexpr const char* kSmallCall =
@@ -340,5 +361,33 @@
   checkMember(cell, cell.internal(), kManyClients, silent());
 }
 
+TEST_CASE("calls: a planned stop beside bodies that go on by a byte now and then") {
+  SmallCell cell;
+  const Crowd crowd(cell.calls(), kClients, drippingBody(kCallPath));
+  crowd.waitUntilSent();
+  checkStops(cell.router());
+}
+
+TEST_CASE("calls: a planned stop beside more heads that go on than descriptors") {
+  SmallCell cell;
+  const Crowd crowd(cell.calls(), kManyClients, drippingHead(kCallPath));
+  crowd.waitUntilSent();
+  checkStops(cell.router());
+}
+
+TEST_CASE("calls: a planned stop beside answers that aren't read") {
+  SmallCell cell;
+  const Crowd crowd(cell.calls(), kClients, pipelined(kSmallCall));
+  crowd.waitUntilSent();
+  checkStops(cell.router());
+}
+
+TEST_CASE("control: a planned stop beside large chunks without the last") {
+  SmallCell cell;
+  const Crowd crowd(cell.control(), kClients, almostWholeChunks(kReplacePath));
+  crowd.waitUntilSent();
+  checkStops(cell.member());
+}
+
 }  // namespace
 }  // namespace ferryrock::crowd
