--- a/tests/crowd/child_process.cc
+++ b/tests/platform/crowd/child_process.cc
@@ -1,4 +1,4 @@
-#include "crowd/child_process.h"
+#include "platform/crowd/child_process.h"
 
 #include <fcntl.h>
 #include <sys/resource.h>
--- a/tests/crowd/crowd.cc
+++ b/tests/platform/crowd/crowd.cc
@@ -1,4 +1,4 @@
-#include "crowd/crowd.h"
+#include "platform/crowd/crowd.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <utility>
 
-#include "crowd/child_process.h"
+#include "platform/crowd/child_process.h"
 
 namespace ferryrock::crowd {
 namespace {
--- a/tests/crowd/crowd_test.cc
+++ b/tests/platform/crowd/crowd_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <thread>
 
-#include "crowd/small_cell.h"
+#include "platform/crowd/small_cell.h"
 
 /// Crowds of clients that stop short of the end of what they send, don't read, or say nothing, against the
 /// system's own processes. Each process must live, stay within the memory of its machine, keep descriptors
--- a/tests/crowd/small_cell.cc
+++ b/tests/platform/crowd/small_cell.cc
@@ -1,4 +1,4 @@
-#include "crowd/small_cell.h"
+#include "platform/crowd/small_cell.h"
 
 #include <unistd.h>
 
--- a/tests/crowd/small_cell.h
+++ b/tests/platform/crowd/small_cell.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <thread>
 
-#include "crowd/child_process.h"
-#include "crowd/crowd.h"
+#include "platform/crowd/child_process.h"
+#include "platform/crowd/crowd.h"
 #include "platform/raw_replica.h"
 
 namespace ferryrock::crowd {
