Wait in fleet:commands until the link has noticed a restarted process

Trace: the connection is refused (curl 7), and 0.3 s later the process answers: restart waits for the process's own address, and the link, which callers use, listens again only once it has noticed the start.

--- a/tests/fleet/fleet_test.sh
+++ b/tests/fleet/fleet_test.sh
@@ -45,6 +45,17 @@
   esac
 }
 
+# As reach, but asks again for up to 5 s: the link listens for a process again only once it has noticed its start.
+reachSoon() {
+  local deadline=$((SECONDS + 5)) result
+  result=$(reach "$1" "$2" 5)
+  while [[ $result != ok ]] && ((SECONDS < deadline)); do
+    sleep 0.1
+    result=$(reach "$1" "$2" 5)
+  done
+  echo "$result"
+}
+
 # A refused command ends with 1 and says why.
 refused() {
   local result=0
@@ -83,7 +94,7 @@
 check "a killed process can't be reached" dead "$(reach one platform)"
 refused one pause platform
 fleetOf one restart platform
-check "a restarted process answers" ok "$(reach one platform 5)"
+check "a restarted process answers" ok "$(reachSoon one platform)"
 check "it is another process" differ "$([[ $before != "$(idOf one platform)" ]] && echo differ || echo same)"
 fleetOf one stop platform
 check "a stopped process is shown" ended "$(stateOf one platform)"
